--- /dev/null
+++ b/Libraries/LibCell/AdviceDesk.cpp
@@ -0,0 +1,112 @@
+#include <LibCell/AdviceDesk.h>
+
+#include <algorithm>
+
+namespace zinc::cell {
+
+AdviceDesk::AdviceDesk(AdvicePort& aPort, AdviceDeskOptions aOptions)
+  : port(aPort)
+  , options(aOptions)
+{
+}
+
+void
+AdviceDesk::SetInstances(const std::vector<std::string>& aInstances)
+{
+  const std::set<std::string> named(aInstances.begin(), aInstances.end());
+  std::erase_if(this->callers, [&named](const auto& aEntry) {
+    return !named.contains(aEntry.first) && aEntry.second.open == 0;
+  });
+  for (const auto& instance : named) {
+    this->callers.try_emplace(instance);
+  }
+}
+
+void
+AdviceDesk::Ask(AdviceQuestion aQuestion, std::int64_t aUrgency, TimePoint aNow, Answer aHandler)
+{
+  this->queue.emplace(aUrgency,
+                      Entry{ .question = std::move(aQuestion), .handler = std::move(aHandler) });
+  this->Pump(aNow);
+}
+
+void
+AdviceDesk::Pump(TimePoint aNow)
+{
+  this->now = aNow;
+  for (auto entry = this->queue.begin(); entry != this->queue.end();) {
+    const auto caller = this->Choose(this->IsLong(entry->second.question), aNow);
+    if (caller == this->callers.end()) {
+      ++entry;
+      continue;
+    }
+    auto taken = std::move(entry->second);
+    entry = this->queue.erase(entry);
+    this->Send(caller, std::move(taken), aNow);
+  }
+}
+
+std::map<std::string, AdviceDesk::Caller>::iterator
+AdviceDesk::Choose(bool aIsLong, TimePoint aNow)
+{
+  if (aIsLong) {
+    const auto reserved = static_cast<std::size_t>(static_cast<double>(this->callers.size()) *
+                                                   this->options.shortOnlyPart);
+    const auto withLong = static_cast<std::size_t>(std::ranges::count_if(
+      this->callers, [](const auto& aEntry) { return aEntry.second.openLong > 0; }));
+    if (withLong + reserved >= std::max<std::size_t>(1, this->callers.size())) {
+      return this->callers.end();
+    }
+  }
+  auto best = this->callers.end();
+  for (auto caller = this->callers.begin(); caller != this->callers.end(); ++caller) {
+    const auto& state = caller->second;
+    // A long call never waits behind another: a free instance would have answered it sooner.
+    const bool isFull =
+      state.open >= this->options.callsPerInstance || (aIsLong && state.openLong > 0);
+    if (isFull || state.avoidUntil > aNow) {
+      continue;
+    }
+    if (best == this->callers.end() ||
+        std::max(state.busyUntil, aNow) < std::max(best->second.busyUntil, aNow)) {
+      best = caller;
+    }
+  }
+  return best;
+}
+
+void
+AdviceDesk::Send(std::map<std::string, Caller>::iterator aCaller, Entry aEntry, TimePoint aNow)
+{
+  auto& state = aCaller->second;
+  const bool isLong = this->IsLong(aEntry.question);
+  ++state.open;
+  state.openLong += isLong ? 1 : 0;
+  state.busyUntil = std::max(state.busyUntil, aNow) + aEntry.question.expected;
+  const std::string instance = aCaller->first;
+  this->port.Ask(instance,
+                 std::move(aEntry.question),
+                 [this,
+                  guard = std::weak_ptr<bool>(this->alive),
+                  instance,
+                  isLong,
+                  handler = std::move(aEntry.handler)](Result<AdviceAnswer> aAnswer) {
+                   if (guard.expired()) {
+                     return;
+                   }
+                   const auto caller = this->callers.find(instance);
+                   if (caller != this->callers.end()) {
+                     --caller->second.open;
+                     caller->second.openLong -= isLong ? 1 : 0;
+                     if (caller->second.open == 0) {
+                       caller->second.busyUntil = {};
+                     }
+                     if (IsError(aAnswer)) {
+                       caller->second.avoidUntil = this->now + this->options.avoidAfterFailure;
+                     }
+                   }
+                   handler(std::move(aAnswer));
+                 });
+}
+
+}
--- /dev/null
+++ b/Libraries/LibCell/AdviceDesk.h
@@ -0,0 +1,84 @@
+#pragma once
+
+/// @file
+/// Spreads questions to the policy service over the instances, since it serves each caller one call
+/// at a time.
+
+#include <LibBase/Time.h>
+#include <LibCell/Ports.h>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace zinc::cell {
+
+/// How questions are spread.
+struct AdviceDeskOptions
+{
+  /// Calls sent to the service by one instance and not answered; one more than it serves, so that
+  /// the service is never idle for lack of the next question.
+  std::uint32_t callsPerInstance = 2;
+  /// Calls expected to take longer are kept from a part of the instances.
+  Milliseconds longCall{ 150 };
+  /// Part of the instances that take no long calls, so that short ones never wait behind them.
+  double shortOnlyPart = 0.34;
+  /// An instance whose call failed gets none for this long.
+  Milliseconds avoidAfterFailure{ 1000 };
+};
+
+/// Queues questions by urgency and sends each through the instance that is free first.
+class AdviceDesk
+{
+public:
+  using Answer = Handler<AdviceAnswer>;
+
+  AdviceDesk(AdvicePort& aPort, AdviceDeskOptions aOptions = {});
+
+  /// Names the instances that can make calls.
+  void SetInstances(const std::vector<std::string>& aInstances);
+
+  /// @param aUrgency questions with a lower value go first
+  void Ask(AdviceQuestion aQuestion, std::int64_t aUrgency, TimePoint aNow, Answer aHandler);
+
+  /// Sends what can be sent.
+  void Pump(TimePoint aNow);
+
+  [[nodiscard]] std::size_t Waiting() const { return this->queue.size(); }
+
+private:
+  struct Caller
+  {
+    std::uint32_t open = 0;
+    std::uint32_t openLong = 0;
+    TimePoint busyUntil{};
+    TimePoint avoidUntil{};
+  };
+
+  struct Entry
+  {
+    AdviceQuestion question;
+    Answer handler;
+  };
+
+  [[nodiscard]] bool IsLong(const AdviceQuestion& aQuestion) const
+  {
+    return aQuestion.expected > this->options.longCall;
+  }
+  /// @return the caller that is free first, or the end if none may take the question.
+  [[nodiscard]] std::map<std::string, Caller>::iterator Choose(bool aIsLong, TimePoint aNow);
+  void Send(std::map<std::string, Caller>::iterator aCaller, Entry aEntry, TimePoint aNow);
+
+  AdvicePort& port;
+  AdviceDeskOptions options;
+  std::map<std::string, Caller> callers;
+  std::multimap<std::int64_t, Entry> queue;
+  /// Tells answers that arrive after the desk is gone.
+  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+  /// Time of the newest call, for answers that carry none.
+  TimePoint now{};
+};
+
+}
--- /dev/null
+++ b/Libraries/LibCell/Conductor.cpp
@@ -0,0 +1,164 @@
+#include <LibCell/Conductor.h>
+
+#include <algorithm>
+
+namespace zinc::cell {
+
+Conductor::Conductor(Dependencies aDependencies, ConductorOptions aOptions)
+  : on(std::move(aDependencies))
+  , options(aOptions)
+  , policy(std::make_shared<CellPolicy>())
+  , desk(std::make_unique<AdviceDesk>(this->on.advice))
+{
+}
+
+Conductor::~Conductor() = default;
+
+void
+Conductor::Begin(TermSnapshot aSnapshot)
+{
+  const auto now = this->on.clock.Now();
+  this->begun = now;
+  this->token = aSnapshot.token;
+  if (aSnapshot.hadPredecessor) {
+    this->unread.insert(aSnapshot.previousWorkers.begin(), aSnapshot.previousWorkers.end());
+  }
+  for (const auto& entry : aSnapshot.workers) {
+    this->OnWorkerEntry(entry);
+    if (aSnapshot.hadPredecessor) {
+      this->unread.insert(entry.id);
+    }
+  }
+  this->OnJobRows(aSnapshot.jobRows);
+  this->on.log.Log(LogLevel::Info,
+                   "term_begun",
+                   { { "token", this->token },
+                     { "jobs", this->jobs.size() },
+                     { "active", this->active.size() },
+                     { "workers", this->workers.size() },
+                     { "to_read", this->unread.size() } });
+  this->Tick();
+}
+
+void
+Conductor::SetPredecessorEnd(TimePoint aEnd)
+{
+  this->predecessorEnd = aEnd;
+}
+
+void
+Conductor::SetPolicy(std::shared_ptr<const CellPolicy> aPolicy)
+{
+  this->policy = std::move(aPolicy);
+  this->placementDue = true;
+}
+
+void
+Conductor::SetInstances(const std::vector<std::string>& aInstances)
+{
+  this->desk->SetInstances(aInstances);
+}
+
+void
+Conductor::Tick()
+{
+  if (this->isDeposed) {
+    return;
+  }
+  const auto now = this->on.clock.Now();
+  if (!this->unread.empty() && now >= this->predecessorEnd) {
+    this->on.log.Log(
+      LogLevel::Info, "predecessor_waited_out", { { "unread", this->unread.size() } });
+    this->unread.clear();
+    this->ResolveTasks();
+  }
+  this->HoldDue();
+  this->StopsDue();
+  this->ForgetWorkers();
+  for (const auto& id : std::vector<JobId>(this->timed.begin(), this->timed.end())) {
+    if (auto* job = this->FindJob(id)) {
+      this->BeginOccurrences(*job);
+    }
+  }
+  this->ForgetOldJobs();
+  this->desk->Pump(now);
+  // Tickets lapse and delays pass without an event.
+  const bool isDue =
+    this->placementDue || now - this->lastPlacement >= this->options.placementPause;
+  if (isDue) {
+    this->Place();
+  }
+  this->Flush();
+}
+
+void
+Conductor::Deposed(std::string_view aReason)
+{
+  if (this->isDeposed) {
+    return;
+  }
+  this->isDeposed = true;
+  this->on.log.Log(
+    LogLevel::Warning, "term_lost", { { "token", this->token }, { "reason", aReason } });
+  this->on.onDeposed();
+}
+
+JobStatus
+Conductor::StatusOf(const JobId& aJob) const
+{
+  const auto found = this->jobs.find(aJob);
+  if (found == this->jobs.end()) {
+    return {};
+  }
+  const auto& job = found->second;
+  // An outcome is shown only once no failure can take it back.
+  const bool isShown = job.isOutcomeDurable || job.outcome == JobOutcome::Cancelled;
+  return { .isKnown = true,
+           .outcome = isShown ? job.outcome : JobOutcome::Active,
+           .hasStarted = job.hasStarted,
+           .workspace = job.spec.workspace,
+           .queue = job.spec.queue.name };
+}
+
+std::map<std::string, std::uint64_t>
+Conductor::WaitingByQueue() const
+{
+  std::map<std::string, std::uint64_t> waiting;
+  for (const auto& id : this->active) {
+    const auto& job = this->jobs.at(id);
+    if (!job.hasStarted && job.spec.occurrences == 0) {
+      ++waiting[job.spec.queue.name.value];
+    }
+  }
+  return waiting;
+}
+
+std::vector<std::string>
+Conductor::OccupiedWorkers() const
+{
+  std::vector<std::string> occupied;
+  const auto now = this->on.clock.Now();
+  for (const auto& [id, worker] : this->workers) {
+    // Any worker in reach may get a start before the next record of the occupied ones.
+    const bool isOpen = worker->contact == Contact::Open;
+    if (isOpen || (!worker->occupants.empty() && worker->leaseEnd > now)) {
+      occupied.push_back(id.value);
+    }
+  }
+  for (const auto& id : this->unread) {
+    if (!this->workers.contains(id)) {
+      occupied.push_back(id.value);
+    }
+  }
+  return occupied;
+}
+
+std::uint64_t
+Conductor::NextRun()
+{
+  // Runs rise from term to term without being written anywhere.
+  constexpr std::uint32_t kRunsPerTermBits = 22;
+  return (this->token << kRunsPerTermBits) + ++this->runCounter;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibCell/Conductor.h
@@ -0,0 +1,337 @@
+#pragma once
+
+/// @file
+/// The conductor: the one instance at a time that places the cell's tasks on its workers.
+
+#include <LibBase/Time.h>
+#include <LibCell/AdviceDesk.h>
+#include <LibCell/Job.h>
+#include <LibCell/Placement.h>
+#include <LibCell/Policy.h>
+#include <LibCell/Ports.h>
+#include <LibCell/Records.h>
+#include <LibCell/Worker.h>
+#include <LibLog/Logger.h>
+#include <LibMetrics/MetricRegistry.h>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace zinc::cell {
+
+/// Bounds that the platform sets and the conductor's own figures.
+struct ConductorOptions
+{
+  /// Longest lease that a worker grants; `HoldMaxMs`.
+  Milliseconds longestLease{ 6000 };
+  /// Part by which a worker's clock may be slow; from the platform's pages.
+  double clockDrift = 0.02;
+  /// Time for orders on their way when a lease is waited out.
+  Milliseconds orderSlack{ 300 };
+  /// How long a worker may wait for an end before it answers a hold. Shorter keeps leases longer
+  /// at the moment of a cut, longer costs fewer calls.
+  Milliseconds holdWait{ 700 };
+  /// Least time between two holds of a worker that has ends to report.
+  Milliseconds holdPause{ 15 };
+  /// Time until a worker that did not answer is asked again.
+  Milliseconds holdRetry{ 250 };
+  /// A worker whose row is gone and that is silent for this long is forgotten once its lease ended.
+  Milliseconds forgetAfter{ 2500 };
+  /// A worker that answers no hold for this long gets no tasks.
+  Milliseconds silentAfter{ 1200 };
+  /// Least time between two writes of progress.
+  Milliseconds flushPause{ 25 };
+  /// Longest time between two placements while something may wait.
+  Milliseconds placementPause{ 50 };
+  /// Part of a pool's processors kept free of all but the most urgent queue's tasks.
+  double urgentHeadroom = 0.05;
+  /// Start orders to one worker on their way at a time.
+  std::uint32_t startsPerWorker = 6;
+  /// Workers named in one question to the policy service; its own limit.
+  std::size_t advisedWorkers = 100;
+  /// Failed runs of different jobs in a row after which a worker is avoided.
+  std::uint32_t failureStreak = 3;
+  /// How long such a worker gets nothing.
+  Milliseconds avoidance{ 6000 };
+  /// How long the state of an ended job can be asked for; `status_s`.
+  Milliseconds statusKept{ 125'000 };
+  /// How early an occurrence may start; `early_ms` leaves room for the difference of clocks.
+  Milliseconds earliness{ 0 };
+  /// A run whose progress stands still for longer than this and a part of its estimate hangs.
+  Milliseconds stillAfter{ 2500 };
+};
+
+/// What a caller is told of a job.
+struct JobStatus
+{
+  bool isKnown = false;
+  JobOutcome outcome = JobOutcome::Active;
+  bool hasStarted = false;
+  WorkspaceId workspace;
+  QueueId queue;
+};
+
+/// Rows read at the beginning of a term.
+struct TermSnapshot
+{
+  std::uint64_t token = 0;
+  /// Workers at which the conductor before may have had something.
+  std::vector<WorkerId> previousWorkers;
+  bool hadPredecessor = false;
+  std::vector<Row> jobRows;
+  std::vector<WorkerEntry> workers;
+};
+
+/// Holds the state of all jobs and workers during one term. Runs on one thread; calls its ports,
+/// which answer later on the same thread.
+class Conductor
+{
+public:
+  struct Dependencies
+  {
+    WorkerPort& workers;
+    StorePort& store;
+    AdvicePort& advice;
+    const Clock& clock;
+    const Logger& log;
+    MetricRegistry& metrics;
+    /// Unix time for due times.
+    std::function<WallTime()> wallClock;
+    /// Called once when another conductor has taken over.
+    std::function<void()> onDeposed;
+    /// Called when a placement would help before the next tick; may be empty.
+    std::function<void()> onPlacementDue;
+  };
+
+  Conductor(Dependencies aDependencies, ConductorOptions aOptions);
+  ~Conductor();
+  Conductor(const Conductor&) = delete;
+  Conductor& operator=(const Conductor&) = delete;
+
+  /// Begins the term: adopts the jobs and reads the workers before anything is started that a
+  /// predecessor may have started.
+  void Begin(TermSnapshot aSnapshot);
+  /// Declares until when this instance is the conductor for certain; nothing is started or held
+  /// beyond it.
+  void SetTermEnd(TimePoint aEnd) { this->termEnd = aEnd; }
+  /// Declares when everything that a predecessor may have at workers out of reach has ended.
+  void SetPredecessorEnd(TimePoint aEnd);
+  void SetPolicy(std::shared_ptr<const CellPolicy> aPolicy);
+  void SetInstances(const std::vector<std::string>& aInstances);
+  /// Takes rows of the job table that are new or have changed.
+  void OnJobRows(const std::vector<Row>& aRows);
+  /// Takes a worker's row.
+  void OnWorkerEntry(const WorkerEntry& aEntry);
+  /// A worker's row is gone.
+  void OnWorkerUnlisted(const WorkerId& aWorker);
+  /// Does all that is due.
+  void Tick();
+
+  [[nodiscard]] JobStatus StatusOf(const JobId& aJob) const;
+  /// @return for each queue the accepted jobs without times that have not started.
+  [[nodiscard]] std::map<std::string, std::uint64_t> WaitingByQueue() const;
+  /// @return the workers at which something may run.
+  [[nodiscard]] std::vector<std::string> OccupiedWorkers() const;
+  /// @return true while a predecessor's tasks may run at workers that were not read.
+  [[nodiscard]] bool IsRecovering() const { return !this->unread.empty(); }
+
+private:
+  /// A step that has tasks to place.
+  struct Candidate
+  {
+    Job* job = nullptr;
+    std::uint32_t occurrence = 0;
+    std::uint32_t step = 0;
+    /// Lower goes first.
+    std::int64_t urgency = 0;
+  };
+
+  struct Pool
+  {
+    std::vector<Worker*> workers;
+    Resources capacity;
+    Resources free;
+  };
+
+  // Jobs.
+  void AdoptSpecification(const Row& aRow);
+  void AdoptProgress(Job& aJob, const Row& aRow);
+  void ApplyProgress(Job& aJob, const ProgressRecord& aRecord);
+  void AdoptCancellation(const JobId& aJob);
+  void BeginOccurrences(Job& aJob);
+  OccurrenceRun& MakeOccurrence(Job& aJob, std::uint32_t aNumber);
+  void OpenSteps(Job& aJob, std::uint32_t aOccurrence);
+  void SucceedTask(Job& aJob, const TaskKey& aKey);
+  void SucceedStep(Job& aJob, std::uint32_t aOccurrence, std::uint32_t aStep);
+  void FailRun(Job& aJob, const TaskKey& aKey, std::uint64_t aRun);
+  void EndJob(Job& aJob, JobOutcome aOutcome, std::string_view aReason);
+  void StopAllOf(Job& aJob);
+  void MarkStarted(Job& aJob);
+  void Changed(Job& aJob);
+  [[nodiscard]] Task* FindTask(Job& aJob, const TaskKey& aKey);
+  [[nodiscard]] Job* FindJob(const JobId& aJob);
+  /// @return false if the workspace has sent more jobs than its weight entitles it to.
+  [[nodiscard]] bool TakeWeight(const WorkspaceId& aWorkspace);
+  [[nodiscard]] const QueuePolicy& QueueOf(const Job& aJob) const;
+  void ForgetOldJobs();
+
+  // Records.
+  void Flush();
+  void OnFlushed(const std::vector<std::pair<JobId, std::uint64_t>>& aJobs,
+                 const Transaction& aSent,
+                 const Result<CommitAnswer>& aAnswer);
+  void OnFlushConflict(const std::vector<std::pair<JobId, std::uint64_t>>& aJobs,
+                       const Transaction& aSent,
+                       const CommitAnswer& aAnswer);
+  void OnProgressDurable(Job& aJob, std::uint64_t aChanges, std::uint64_t aVersion);
+  void AdvanceAcknowledgements();
+
+  // Workers.
+  [[nodiscard]] OrderTarget TargetOf(const Worker& aWorker) const;
+  void HoldDue();
+  void SendHold(Worker& aWorker);
+  void OnHoldAnswer(const WorkerId& aWorker,
+                    std::int64_t aBorn,
+                    TimePoint aSent,
+                    const Result<std::variant<WorkerReport, OrderAnswer>>& aAnswer);
+  void OnReport(Worker& aWorker, TimePoint aSent, const WorkerReport& aReport);
+  void OnEnd(Worker& aWorker, const EndedEntry& aEnd);
+  void OnRunningEntry(Worker& aWorker, const RunningEntry& aEntry);
+  void Reconcile(Worker& aWorker, TimePoint aSent, const WorkerReport& aReport);
+  void Adopt(Worker& aWorker, const RunningEntry& aEntry);
+  void OnSilent(Worker& aWorker);
+  void WorkerReborn(Worker& aWorker, std::string_view aReason);
+  void LoseOccupants(Worker& aWorker, std::string_view aReason);
+  void ForgetWorkers();
+  void MarkRead(const WorkerId& aWorker);
+  void ResolveTasks();
+  [[nodiscard]] std::int64_t DeadlineFor(Worker& aWorker);
+  void Release(Worker& aWorker, const TaskName& aTask, std::uint64_t aRun);
+  /// The run will not go on: its task waits again.
+  void RequeueRun(const TaskName& aTask, std::uint64_t aRun);
+  void KeepCheckpoint(const Occupant& aOccupant);
+  void ApplyEnd(Worker& aWorker, Job& aJob, Task& aTask, const EndedEntry& aEnd);
+  void BreakGang(Job& aJob, std::uint32_t aOccurrence, std::uint32_t aStep, std::uint64_t aRun);
+  void StopRun(Worker& aWorker, Occupant& aOccupant, std::string_view aReason);
+  void SendStop(Worker& aWorker, Occupant& aOccupant);
+  void OnStopAnswer(const RunOrder& aOrder, const Result<OrderAnswer>& aAnswer);
+  void StopsDue();
+  void StopStillRuns(Worker& aWorker);
+  void CountOutcome(Worker& aWorker, const JobId& aJob, bool aHasFailed);
+  void Deposed(std::string_view aReason);
+
+  // Sharing of workers by serving tasks and fillers.
+  void PaceFillers(Worker& aWorker);
+
+  // Placement.
+  void Place();
+  [[nodiscard]] std::vector<Candidate> CollectCandidates();
+  [[nodiscard]] std::int64_t UrgencyOf(const Job& aJob,
+                                       const OccurrenceRun& aOccurrence,
+                                       std::uint32_t aStep) const;
+  void PlaceStep(const Candidate& aCandidate);
+  void PlaceTasks(const Candidate& aCandidate, StepRun& aRun, Pool& aPool);
+  void PlaceGang(const Candidate& aCandidate, StepRun& aRun, Pool& aPool);
+  [[nodiscard]] std::vector<Worker*> EligibleWorkers(const Candidate& aCandidate,
+                                                     const StepRun& aRun,
+                                                     const Pool& aPool,
+                                                     bool aNeedsTicket) const;
+  [[nodiscard]] bool IsUsable(const Worker& aWorker) const;
+  [[nodiscard]] std::uint32_t LimitRoom(const WorkspaceId& aWorkspace,
+                                        const Resources& aDemand,
+                                        std::uint32_t aMost) const;
+  /// @return true if the step leaves room to urgent tasks and to gangs that wait.
+  [[nodiscard]] bool IsHeldBack(const Candidate& aCandidate) const;
+  [[nodiscard]] bool HasReadEnough() const;
+  [[nodiscard]] bool LeavesHeadroom(const Candidate& aCandidate,
+                                    const Resources& aDemand,
+                                    const Pool& aPool) const;
+  void AskAdvice(const Candidate& aCandidate, StepRun& aRun, std::vector<WorkerId> aWorkers);
+  void AskInitialAdvice(const Candidate& aCandidate, StepRun& aRun, const Pool& aPool);
+  void OnAdvice(const StepName& aStep,
+                const std::vector<WorkerId>& aAsked,
+                const Result<AdviceAnswer>& aAnswer);
+  void PlaceSoon();
+  [[nodiscard]] Worker* ChooseFor(const Task& aTask,
+                                  const std::vector<Worker*>& aEligible,
+                                  const StepSpecification& aStep,
+                                  const CountAt& aCount) const;
+  void RenewTickets(const Candidate& aCandidate, StepRun& aRun, const Pool& aPool);
+  void StartGang(const Candidate& aCandidate, StepRun& aRun, const std::vector<Worker*>& aAssigned);
+  void Reserve(const Candidate& aCandidate, StepRun& aRun, const std::vector<Worker*>& aAssigned);
+  void StartReserved(const Candidate& aCandidate, StepRun& aRun, Pool& aPool);
+  void HoldForGang(const Candidate& aCandidate, const StepRun& aRun, const Pool& aPool);
+  void ReleaseReservation(StepRun& aRun, const StepSpecification& aStep);
+  [[nodiscard]] bool HasTicket(const StepRun& aRun, const WorkerId& aWorker) const;
+  void Start(const Candidate& aCandidate,
+             StepRun& aRun,
+             std::uint32_t aIndex,
+             Worker& aWorker,
+             std::uint64_t aRunNumber,
+             const std::string& aCheckpoint);
+  void OnStartAnswer(const WorkerId& aWorker,
+                     const TaskName& aTask,
+                     std::uint64_t aRun,
+                     const Result<OrderAnswer>& aAnswer);
+  void OnStartRefused(Worker& aWorker,
+                      const TaskName& aTask,
+                      std::uint64_t aRun,
+                      OrderAnswer aAnswer);
+  [[nodiscard]] Pool* FindPool(const std::string& aName);
+  void BuildPools();
+  [[nodiscard]] std::uint64_t NextRun();
+
+  Dependencies on;
+  ConductorOptions options;
+  std::shared_ptr<const CellPolicy> policy;
+  std::unique_ptr<AdviceDesk> desk;
+  /// Tells answers that arrive after the term.
+  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+  bool isDeposed = false;
+  std::uint64_t token = 0;
+  std::uint64_t runCounter = 0;
+  TimePoint begun{};
+  TimePoint termEnd{};
+  /// Until then a predecessor's runs may be at workers that were not read.
+  TimePoint predecessorEnd{};
+  std::set<WorkerId> unread;
+
+  std::unordered_map<JobId, Job> jobs;
+  std::set<JobId> active;
+  /// Cancellations whose jobs were not seen yet.
+  std::set<JobId> earlyCancellations;
+  std::set<JobId> dirty;
+  bool isFlushInFlight = false;
+  TimePoint nextFlush{};
+  /// Jobs with occurrences that are not due yet.
+  std::set<JobId> timed;
+  /// Ended jobs, oldest first.
+  std::deque<JobId> ended;
+  /// Jobs whose rows are no longer needed.
+  std::deque<JobId> retired;
+
+  std::unordered_map<WorkerId, std::unique_ptr<Worker>> workers;
+  std::unordered_map<std::string, Pool> pools;
+  std::map<WorkspaceId, Resources> running;
+  /// Tokens of each workspace for jobs within its weight.
+  struct WeightBucket
+  {
+    double tokens = 0.0;
+    TimePoint updated{};
+  };
+  std::map<WorkspaceId, WeightBucket> weightBuckets;
+  /// Workers kept from batch tasks for a gang that waits for room.
+  std::set<WorkerId> heldForGangs;
+  std::size_t gangsHeld = 0;
+  bool placementDue = true;
+  TimePoint lastPlacement{};
+};
+
+}
--- /dev/null
+++ b/Libraries/LibCell/ConductorJobs.cpp
@@ -0,0 +1,440 @@
+#include <LibCell/Conductor.h>
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace zinc::cell {
+
+namespace {
+
+/// Clocks of two instances differ by less than this; a time of receipt further off is not believed.
+constexpr Milliseconds kBelievedAge{ 10'000 };
+/// A workspace may send this many seconds of its weight at once.
+constexpr double kWeightBurstSeconds = 4.0;
+
+}
+
+Job*
+Conductor::FindJob(const JobId& aJob)
+{
+  const auto found = this->jobs.find(aJob);
+  return found == this->jobs.end() ? nullptr : &found->second;
+}
+
+Task*
+Conductor::FindTask(Job& aJob, const TaskKey& aKey)
+{
+  const auto occurrence = aJob.occurrences.find(aKey.occurrence);
+  if (occurrence == aJob.occurrences.end() || aKey.step >= occurrence->second.steps.size() ||
+      aKey.index >= occurrence->second.steps[aKey.step].tasks.size()) {
+    return nullptr;
+  }
+  return &occurrence->second.steps[aKey.step].tasks[aKey.index];
+}
+
+const QueuePolicy&
+Conductor::QueueOf(const Job& aJob) const
+{
+  const auto* route = this->policy->FindQueue(aJob.spec.queue.name);
+  return route != nullptr ? route->queue : aJob.spec.queue;
+}
+
+void
+Conductor::OnJobRows(const std::vector<Row>& aRows)
+{
+  // A job's own row may follow the rows about it, since their keys are not in the order of writing.
+  for (const auto& row : aRows) {
+    const auto name = ParseJobRowKey(row.key.key);
+    if (name && name->kind == JobRowKind::Specification && !row.isDeleted) {
+      this->AdoptSpecification(row);
+    }
+  }
+  for (const auto& row : aRows) {
+    const auto name = ParseJobRowKey(row.key.key);
+    if (!name || row.isDeleted) {
+      continue;
+    }
+    if (name->kind == JobRowKind::Cancellation) {
+      this->AdoptCancellation(name->job);
+    }
+    auto* job = this->FindJob(name->job);
+    if (name->kind == JobRowKind::Progress && job != nullptr) {
+      this->AdoptProgress(*job, row);
+    }
+  }
+  this->placementDue = true;
+}
+
+void
+Conductor::AdoptSpecification(const Row& aRow)
+{
+  const auto name = ParseJobRowKey(aRow.key.key);
+  if (this->jobs.contains(name->job)) {
+    return;
+  }
+  auto decoded = DecodeSpecification(name->job, aRow.value);
+  if (IsError(decoded)) {
+    this->on.log.Log(LogLevel::Error,
+                     "job_row_unreadable",
+                     { { "job", name->job.value }, { "reason", ErrorOf(decoded).message } });
+    return;
+  }
+  auto& job = this->jobs[name->job];
+  job.spec = std::move(ValueOf(decoded));
+  const auto now = this->on.clock.Now();
+  const auto age = this->on.wallClock() - job.spec.received;
+  const bool isBelieved = age >= Milliseconds{ 0 } && age <= kBelievedAge;
+  job.firstSeen = isBelieved ? now - age : now;
+  job.mayRunElsewhere = !this->unread.empty() && this->begun == now;
+  job.isBeyondWeight = !this->TakeWeight(job.spec.workspace);
+  this->active.insert(name->job);
+  if (job.spec.occurrences > 0) {
+    this->timed.insert(name->job);
+  }
+  this->on.log.Log(LogLevel::Info,
+                   "job_adopted",
+                   { { "job", name->job.value },
+                     { "queue", job.spec.queue.name.value },
+                     { "workspace", job.spec.workspace.value },
+                     { "age_ms", (now - job.firstSeen).count() },
+                     { "steps", job.spec.steps.size() },
+                     { "beyond_weight", job.isBeyondWeight } });
+  this->BeginOccurrences(job);
+  if (this->earlyCancellations.erase(name->job) > 0) {
+    this->EndJob(job, JobOutcome::Cancelled, "cancelled");
+  }
+}
+
+bool
+Conductor::TakeWeight(const WorkspaceId& aWorkspace)
+{
+  const auto found = this->policy->workspaces.find(aWorkspace);
+  if (found == this->policy->workspaces.end()) {
+    return true;
+  }
+  const auto now = this->on.clock.Now();
+  const double rate = found->second.weight;
+  const auto [bucket, isNew] = this->weightBuckets.try_emplace(aWorkspace);
+  auto& state = bucket->second;
+  const double most = rate * kWeightBurstSeconds;
+  const double elapsed =
+    std::chrono::duration<double>(isNew ? Milliseconds{ 0 } : now - state.updated).count();
+  state.tokens = isNew ? most : std::min(most, state.tokens + elapsed * rate);
+  state.updated = now;
+  if (state.tokens < 1.0) {
+    return false;
+  }
+  state.tokens -= 1.0;
+  return true;
+}
+
+void
+Conductor::AdoptCancellation(const JobId& aJob)
+{
+  auto* job = this->FindJob(aJob);
+  if (job == nullptr) {
+    this->earlyCancellations.insert(aJob);
+    return;
+  }
+  if (job->outcome == JobOutcome::Active) {
+    this->EndJob(*job, JobOutcome::Cancelled, "cancelled");
+  }
+}
+
+void
+Conductor::AdoptProgress(Job& aJob, const Row& aRow)
+{
+  if (aRow.version <= aJob.progressVersion) {
+    return;
+  }
+  const auto record = DecodeProgress(aRow.value);
+  if (IsError(record)) {
+    this->on.log.Log(LogLevel::Error,
+                     "progress_row_unreadable",
+                     { { "job", aJob.spec.id.value }, { "reason", ErrorOf(record).message } });
+    return;
+  }
+  aJob.progressVersion = aRow.version;
+  this->ApplyProgress(aJob, ValueOf(record));
+}
+
+void
+Conductor::ApplyProgress(Job& aJob, const ProgressRecord& aRecord)
+{
+  aJob.hasStarted = aJob.hasStarted || aRecord.hasStarted;
+  if (aRecord.outcome != JobOutcome::Active) {
+    if (aJob.outcome == JobOutcome::Active) {
+      this->EndJob(aJob, aRecord.outcome, "recorded");
+    }
+    if (aJob.outcome == aRecord.outcome) {
+      aJob.isOutcomeDurable = true;
+      aJob.durableChanges = aJob.changes;
+      this->dirty.erase(aJob.spec.id);
+    }
+    return;
+  }
+  for (std::uint32_t number = 0; number < aRecord.occurrencesSucceeded; ++number) {
+    auto& occurrence = this->MakeOccurrence(aJob, number);
+    for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+      this->SucceedStep(aJob, number, step);
+    }
+  }
+  for (const auto& step : aRecord.steps) {
+    if (step.occurrence < aJob.TotalOccurrences() && step.step < aJob.spec.steps.size()) {
+      this->MakeOccurrence(aJob, step.occurrence);
+      this->SucceedStep(aJob, step.occurrence, step.step);
+    }
+  }
+  for (const auto& record : aRecord.tasks) {
+    if (record.key.occurrence >= aJob.TotalOccurrences()) {
+      continue;
+    }
+    this->MakeOccurrence(aJob, record.key.occurrence);
+    auto* task = this->FindTask(aJob, record.key);
+    if (task == nullptr) {
+      continue;
+    }
+    if (record.hasSucceeded) {
+      this->SucceedTask(aJob, record.key);
+      continue;
+    }
+    task->failures = std::max(task->failures, record.failures);
+    task->countedRun = std::max(task->countedRun, record.countedRun);
+    if (task->checkpoint.empty()) {
+      task->checkpoint = record.checkpoint;
+    }
+  }
+}
+
+OccurrenceRun&
+Conductor::MakeOccurrence(Job& aJob, std::uint32_t aNumber)
+{
+  const auto [found, isNew] = aJob.occurrences.try_emplace(aNumber);
+  auto& occurrence = found->second;
+  if (!isNew) {
+    return occurrence;
+  }
+  aJob.occurrencesBegun = std::max(aJob.occurrencesBegun, aNumber + 1);
+  occurrence.steps.resize(aJob.spec.steps.size());
+  for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+    occurrence.steps[step].tasks.resize(aJob.spec.steps[step].count);
+  }
+  const auto& queue = this->QueueOf(aJob);
+  const auto chain = LongestChain(aJob.spec);
+  const auto begin = aJob.spec.occurrences > 0 ? this->on.clock.Now() : aJob.firstSeen;
+  occurrence.objective =
+    begin + queue.slack +
+    Milliseconds(static_cast<std::int64_t>(static_cast<double>(chain.count()) * queue.stretch));
+  this->OpenSteps(aJob, aNumber);
+  return occurrence;
+}
+
+void
+Conductor::BeginOccurrences(Job& aJob)
+{
+  if (aJob.outcome != JobOutcome::Active) {
+    this->timed.erase(aJob.spec.id);
+    return;
+  }
+  if (aJob.spec.occurrences == 0) {
+    this->MakeOccurrence(aJob, 0);
+    return;
+  }
+  const auto wall = this->on.wallClock();
+  while (aJob.occurrencesBegun < aJob.spec.occurrences) {
+    const auto due = aJob.spec.firstDue + aJob.spec.interval * aJob.occurrencesBegun;
+    if (wall + this->options.earliness < due) {
+      return;
+    }
+    this->MakeOccurrence(aJob, aJob.occurrencesBegun);
+    this->placementDue = true;
+  }
+  this->timed.erase(aJob.spec.id);
+}
+
+void
+Conductor::OpenSteps(Job& aJob, std::uint32_t aOccurrence)
+{
+  auto& occurrence = aJob.occurrences.at(aOccurrence);
+  for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+    auto& run = occurrence.steps[step];
+    if (run.isOpen) {
+      continue;
+    }
+    const auto& after = aJob.spec.steps[step].after;
+    run.isOpen = std::ranges::all_of(after, [&occurrence](std::uint32_t aStep) {
+      const auto& before = occurrence.steps[aStep];
+      return before.succeeded == before.tasks.size();
+    });
+    const bool isUncertain = run.isOpen && aJob.mayRunElsewhere && !this->unread.empty();
+    for (auto& task : run.tasks) {
+      if (isUncertain && task.phase == TaskPhase::Waiting) {
+        task.phase = TaskPhase::Unresolved;
+      }
+    }
+  }
+  this->placementDue = true;
+}
+
+void
+Conductor::SucceedTask(Job& aJob, const TaskKey& aKey)
+{
+  auto& run = aJob.occurrences.at(aKey.occurrence).steps[aKey.step];
+  if (aJob.spec.steps[aKey.step].isGang) {
+    this->SucceedStep(aJob, aKey.occurrence, aKey.step);
+    return;
+  }
+  auto& task = run.tasks[aKey.index];
+  if (task.phase == TaskPhase::Succeeded) {
+    return;
+  }
+  task.phase = TaskPhase::Succeeded;
+  task.checkpoint.clear();
+  ++run.succeeded;
+  if (run.succeeded == run.tasks.size()) {
+    --run.succeeded;
+    this->SucceedStep(aJob, aKey.occurrence, aKey.step);
+  }
+}
+
+void
+Conductor::SucceedStep(Job& aJob, std::uint32_t aOccurrence, std::uint32_t aStep)
+{
+  auto& occurrence = aJob.occurrences.at(aOccurrence);
+  auto& run = occurrence.steps[aStep];
+  if (run.succeeded == run.tasks.size()) {
+    return;
+  }
+  for (auto& task : run.tasks) {
+    task.phase = TaskPhase::Succeeded;
+    task.checkpoint.clear();
+  }
+  run.succeeded = static_cast<std::uint32_t>(run.tasks.size());
+  this->ReleaseReservation(run, aJob.spec.steps[aStep]);
+  ++occurrence.stepsSucceeded;
+  this->OpenSteps(aJob, aOccurrence);
+  while (aJob.occurrencesSucceeded < aJob.TotalOccurrences()) {
+    const auto next = aJob.occurrences.find(aJob.occurrencesSucceeded);
+    if (next == aJob.occurrences.end() || next->second.stepsSucceeded < next->second.steps.size()) {
+      return;
+    }
+    ++aJob.occurrencesSucceeded;
+  }
+  this->EndJob(aJob, JobOutcome::Succeeded, "all tasks have succeeded");
+}
+
+void
+Conductor::FailRun(Job& aJob, const TaskKey& aKey, std::uint64_t aRun)
+{
+  const auto& step = aJob.spec.steps[aKey.step];
+  // A gang's failures are counted at its first task.
+  auto counted = aKey;
+  counted.index = step.isGang ? 0 : aKey.index;
+  auto* task = this->FindTask(aJob, counted);
+  if (aRun <= task->countedRun) {
+    return;
+  }
+  task->countedRun = aRun;
+  ++task->failures;
+  this->Changed(aJob);
+  if (task->failures >= std::max(1U, this->QueueOf(aJob).attempts)) {
+    this->EndJob(
+      aJob,
+      JobOutcome::Failed,
+      fmt::format(
+        "task {}.{}.{} failed {} times", aKey.occurrence, aKey.step, aKey.index, task->failures));
+  }
+}
+
+void
+Conductor::EndJob(Job& aJob, JobOutcome aOutcome, std::string_view aReason)
+{
+  if (aJob.outcome != JobOutcome::Active) {
+    return;
+  }
+  const auto now = this->on.clock.Now();
+  aJob.outcome = aOutcome;
+  aJob.ended = now;
+  this->active.erase(aJob.spec.id);
+  this->timed.erase(aJob.spec.id);
+  this->StopAllOf(aJob);
+  this->Changed(aJob);
+  this->ended.push_back(aJob.spec.id);
+  const auto& queue = aJob.spec.queue.name.value;
+  this->on.metrics
+    .FindCounter({ .name = "zinc_cell_jobs_ended_total", .help = "Jobs by how they ended." },
+                 { { "queue", queue }, { "outcome", std::string(ToString(aOutcome)) } })
+    .Add();
+  this->on.metrics
+    .FindHistogram({ .name = "zinc_cell_job_seconds", .help = "Time from receipt to end." },
+                   { { "queue", queue }, { "workspace", aJob.spec.workspace.value } })
+    .Record(std::chrono::duration<double>(now - aJob.firstSeen).count());
+  this->on.log.Log(LogLevel::Info,
+                   "job_ended",
+                   { { "job", aJob.spec.id.value },
+                     { "outcome", ToString(aOutcome) },
+                     { "reason", aReason },
+                     { "age_ms", (now - aJob.firstSeen).count() } });
+}
+
+void
+Conductor::StopAllOf(Job& aJob)
+{
+  for (auto& [number, occurrence] : aJob.occurrences) {
+    for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+      auto& run = occurrence.steps[step];
+      this->ReleaseReservation(run, aJob.spec.steps[step]);
+      for (std::uint32_t index = 0; index < run.tasks.size(); ++index) {
+        auto& task = run.tasks[index];
+        const auto worker = this->workers.find(task.worker);
+        if (task.phase != TaskPhase::Placed || worker == this->workers.end()) {
+          continue;
+        }
+        const TaskName name{ aJob.spec.id, { number, step, index } };
+        if (auto* occupant = worker->second->Find(name, task.run)) {
+          this->StopRun(*worker->second, *occupant, "job_ended");
+        }
+      }
+    }
+  }
+}
+
+void
+Conductor::MarkStarted(Job& aJob)
+{
+  if (aJob.hasStarted) {
+    return;
+  }
+  aJob.hasStarted = true;
+  this->on.metrics
+    .FindHistogram(
+      { .name = "zinc_cell_wait_seconds", .help = "Time from receipt to first start." },
+      { { "queue", aJob.spec.queue.name.value }, { "workspace", aJob.spec.workspace.value } })
+    .Record(std::chrono::duration<double>(this->on.clock.Now() - aJob.firstSeen).count());
+}
+
+void
+Conductor::Changed(Job& aJob)
+{
+  ++aJob.changes;
+  this->dirty.insert(aJob.spec.id);
+}
+
+void
+Conductor::ForgetOldJobs()
+{
+  const auto now = this->on.clock.Now();
+  while (!this->ended.empty()) {
+    const auto* job = this->FindJob(this->ended.front());
+    if (job != nullptr && (now - job->ended < this->options.statusKept || !job->isOutcomeDurable)) {
+      return;
+    }
+    if (job != nullptr) {
+      this->retired.push_back(this->ended.front());
+      this->jobs.erase(this->ended.front());
+    }
+    this->ended.pop_front();
+  }
+}
+
+}
--- /dev/null
+++ b/Libraries/LibCell/ConductorPlacement.cpp
@@ -0,0 +1,712 @@
+#include <LibCell/Conductor.h>
+#include <LibCell/Placement.h>
+
+#include <algorithm>
+#include <limits>
+
+namespace zinc::cell {
+
+namespace {
+
+/// Ranks of urgency, lowest first; within a rank the earliest latest start goes first.
+enum class Rank : std::int64_t
+{
+  Urgent,
+  OnTime,
+  Late,
+  BeyondWeight,
+};
+
+constexpr std::int64_t kRankSpan = std::int64_t{ 1 } << 48;
+/// A ticket that lapses sooner than this would not reach the worker in time.
+constexpr Milliseconds kTicketMargin{ 40 };
+/// Time until a question that failed is asked again.
+constexpr Milliseconds kAdviceRetry{ 300 };
+/// A reservation is given up when its tickets do not arrive within this after the expected time.
+constexpr Milliseconds kReservationSlack{ 700 };
+/// Gangs that may keep workers free of batch tasks at a time.
+constexpr std::size_t kHeldGangs = 2;
+/// How long a worker without room for the task it accepted is left alone.
+constexpr Milliseconds kRefusedAvoidance{ 1000 };
+
+}
+
+Conductor::Pool*
+Conductor::FindPool(const std::string& aName)
+{
+  const auto found = this->pools.find(aName);
+  return found == this->pools.end() ? nullptr : &found->second;
+}
+
+bool
+Conductor::IsUsable(const Worker& aWorker) const
+{
+  const auto now = this->on.clock.Now();
+  return aWorker.isListed && !aWorker.entry.isDraining && aWorker.contact == Contact::Open &&
+         aWorker.isClockKnown && aWorker.holdFailures == 0 && aWorker.avoidUntil <= now;
+}
+
+void
+Conductor::BuildPools()
+{
+  this->pools.clear();
+  for (auto& [id, worker] : this->workers) {
+    if (!this->IsUsable(*worker)) {
+      continue;
+    }
+    auto& pool = this->pools[worker->entry.pool];
+    pool.workers.push_back(worker.get());
+    pool.capacity += worker->entry.capacity;
+    pool.free += worker->Free();
+  }
+  // The order of a hash table is not that of a replay.
+  for (auto& [name, pool] : this->pools) {
+    std::ranges::sort(pool.workers, {}, [](const Worker* aWorker) { return aWorker->entry.id; });
+  }
+}
+
+std::int64_t
+Conductor::UrgencyOf(const Job& aJob, const OccurrenceRun& aOccurrence, std::uint32_t aStep) const
+{
+  const auto now = this->on.clock.Now();
+  const auto& queue = this->QueueOf(aJob);
+  const auto latestStart = aOccurrence.objective - RemainingChain(aJob.spec, aStep);
+  auto rank = Rank::OnTime;
+  if (aJob.isBeyondWeight) {
+    rank = Rank::BeyondWeight;
+  } else if (aJob.spec.steps[aStep].isPerpetual) {
+    rank = Rank::Urgent;
+  } else if (latestStart < now) {
+    rank = Rank::Late;
+  } else if (queue.priority == 0) {
+    rank = Rank::Urgent;
+  }
+  return static_cast<std::int64_t>(rank) * kRankSpan + latestStart.time_since_epoch().count();
+}
+
+std::vector<Conductor::Candidate>
+Conductor::CollectCandidates()
+{
+  std::vector<Candidate> candidates;
+  for (const auto& id : this->active) {
+    auto& job = this->jobs.at(id);
+    for (auto& [number, occurrence] : job.occurrences) {
+      for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+        const auto& run = occurrence.steps[step];
+        const bool isWaiting = run.isOpen && std::ranges::any_of(run.tasks, [](const Task& aTask) {
+                                 return aTask.phase == TaskPhase::Waiting;
+                               });
+        if (isWaiting) {
+          candidates.push_back({ .job = &job,
+                                 .occurrence = number,
+                                 .step = step,
+                                 .urgency = this->UrgencyOf(job, occurrence, step) });
+        }
+      }
+    }
+  }
+  std::ranges::stable_sort(candidates, {}, &Candidate::urgency);
+  return candidates;
+}
+
+void
+Conductor::Place()
+{
+  const auto now = this->on.clock.Now();
+  this->lastPlacement = now;
+  this->placementDue = false;
+  if (now >= this->termEnd || !this->HasReadEnough()) {
+    return;
+  }
+  this->heldForGangs.clear();
+  this->gangsHeld = 0;
+  const auto candidates = this->CollectCandidates();
+  if (candidates.empty()) {
+    return;
+  }
+  this->BuildPools();
+  for (const auto& candidate : candidates) {
+    this->PlaceStep(candidate);
+    if (this->isDeposed) {
+      return;
+    }
+  }
+}
+
+bool
+Conductor::HasReadEnough() const
+{
+  // A worker that was not read may hold runs whose room and limits are not counted yet; those in
+  // reach answer at once.
+  constexpr Milliseconds kReadTime{ 1500 };
+  return this->unread.empty() || this->on.clock.Now() - this->begun > kReadTime;
+}
+
+void
+Conductor::PlaceStep(const Candidate& aCandidate)
+{
+  const auto now = this->on.clock.Now();
+  auto& run = aCandidate.job->occurrences.at(aCandidate.occurrence).steps[aCandidate.step];
+  const auto& step = aCandidate.job->spec.steps[aCandidate.step];
+  const auto& queue = this->QueueOf(*aCandidate.job);
+  auto* pool = this->FindPool(queue.pool);
+  if (pool == nullptr) {
+    return;
+  }
+  const bool needsAdvice = queue.isAdvised && !run.advice.isComplete;
+  if (needsAdvice) {
+    if (run.advice.questionsOpen == 0 && run.advice.retryAt <= now) {
+      this->AskInitialAdvice(aCandidate, run, *pool);
+    }
+    return;
+  }
+  if (step.isGang) {
+    this->PlaceGang(aCandidate, run, *pool);
+  } else {
+    this->PlaceTasks(aCandidate, run, *pool);
+  }
+}
+
+bool
+Conductor::HasTicket(const StepRun& aRun, const WorkerId& aWorker) const
+{
+  const auto found = aRun.advice.good.find(aWorker);
+  return found != aRun.advice.good.end() &&
+         found->second.expires > this->on.clock.Now() + kTicketMargin;
+}
+
+std::vector<Worker*>
+Conductor::EligibleWorkers(const Candidate& aCandidate,
+                           const StepRun& aRun,
+                           const Pool& aPool,
+                           bool aNeedsTicket) const
+{
+  const auto& step = aCandidate.job->spec.steps[aCandidate.step];
+  const bool isAdvised = this->QueueOf(*aCandidate.job).isAdvised;
+  const bool isHeldBack = this->IsHeldBack(aCandidate);
+  std::vector<Worker*> eligible;
+  for (auto* worker : aPool.workers) {
+    const auto& id = worker->entry.id;
+    if (!HasRequiredLabel(*worker, step) || (isHeldBack && this->heldForGangs.contains(id))) {
+      continue;
+    }
+    const bool isAllowed =
+      !isAdvised || (aNeedsTicket ? this->HasTicket(aRun, id) : aRun.advice.good.contains(id));
+    if (isAllowed && worker->avoidUntil <= this->on.clock.Now()) {
+      eligible.push_back(worker);
+    }
+  }
+  return eligible;
+}
+
+bool
+Conductor::IsHeldBack(const Candidate& aCandidate) const
+{
+  return aCandidate.urgency >= static_cast<std::int64_t>(Rank::OnTime) * kRankSpan;
+}
+
+bool
+Conductor::LeavesHeadroom(const Candidate& aCandidate,
+                          const Resources& aDemand,
+                          const Pool& aPool) const
+{
+  if (!this->IsHeldBack(aCandidate)) {
+    return true;
+  }
+  const auto headroom = static_cast<std::int64_t>(static_cast<double>(aPool.capacity.milliCores) *
+                                                  this->options.urgentHeadroom);
+  return aPool.free.milliCores - aDemand.milliCores >= headroom;
+}
+
+std::uint32_t
+Conductor::LimitRoom(const WorkspaceId& aWorkspace,
+                     const Resources& aDemand,
+                     std::uint32_t aMost) const
+{
+  const auto found = this->policy->workspaces.find(aWorkspace);
+  if (found == this->policy->workspaces.end()) {
+    return aMost;
+  }
+  const auto& maximum = found->second.maximum;
+  const auto used = this->running.find(aWorkspace);
+  const auto amount = used == this->running.end() ? Resources{} : used->second;
+  auto room = static_cast<std::int64_t>(aMost);
+  const auto bound = [&room](std::int64_t aMaximum, std::int64_t aUsed, std::int64_t aNeed) {
+    if (aMaximum > 0 && aNeed > 0) {
+      room = std::min(room, std::max<std::int64_t>(0, aMaximum - aUsed) / aNeed);
+    }
+  };
+  bound(maximum.milliCores, amount.milliCores, aDemand.milliCores);
+  bound(maximum.memoryMiB, amount.memoryMiB, aDemand.memoryMiB);
+  bound(maximum.accelerators, amount.accelerators, aDemand.accelerators);
+  return static_cast<std::uint32_t>(room);
+}
+
+void
+Conductor::PlaceTasks(const Candidate& aCandidate, StepRun& aRun, Pool& aPool)
+{
+  const auto now = this->on.clock.Now();
+  const auto& step = aCandidate.job->spec.steps[aCandidate.step];
+  // Limits count processors of fillers as well, since they do run.
+  const auto occupied = OccupiedBy(step);
+  const auto& workspace = aCandidate.job->spec.workspace;
+  const auto eligible = this->EligibleWorkers(aCandidate, aRun, aPool, true);
+  const auto countAt = [&aRun](const Worker& aWorker) {
+    return static_cast<std::uint32_t>(
+      std::ranges::count_if(aRun.tasks, [&aWorker](const Task& aTask) {
+        return aTask.phase == TaskPhase::Placed && aTask.worker == aWorker.entry.id;
+      }));
+  };
+  std::uint32_t unplaced = 0;
+  for (std::uint32_t index = 0; index < aRun.tasks.size(); ++index) {
+    auto& task = aRun.tasks[index];
+    if (task.phase != TaskPhase::Waiting || task.notBefore > now) {
+      continue;
+    }
+    if (this->LimitRoom(workspace, step.demand, 1) == 0 ||
+        !this->LeavesHeadroom(aCandidate, occupied, aPool)) {
+      return;
+    }
+    auto* worker = this->ChooseFor(task, eligible, step, countAt);
+    if (worker == nullptr) {
+      ++unplaced;
+      break;
+    }
+    this->Start(aCandidate, aRun, index, *worker, this->NextRun(), task.checkpoint);
+    aPool.free -= occupied;
+  }
+  if (unplaced > 0 && this->QueueOf(*aCandidate.job).isAdvised) {
+    this->RenewTickets(aCandidate, aRun, aPool);
+  }
+}
+
+Worker*
+Conductor::ChooseFor(const Task& aTask,
+                     const std::vector<Worker*>& aEligible,
+                     const StepSpecification& aStep,
+                     const CountAt& aCount) const
+{
+  if (aTask.failedAt.IsEmpty()) {
+    return ChooseWorker(aEligible, aStep, aCount);
+  }
+  auto others = aEligible;
+  std::erase_if(others,
+                [&aTask](const Worker* aWorker) { return aWorker->entry.id == aTask.failedAt; });
+  auto* worker = ChooseWorker(others, aStep, aCount);
+  return worker != nullptr ? worker : ChooseWorker(aEligible, aStep, aCount);
+}
+
+void
+Conductor::RenewTickets(const Candidate& aCandidate, StepRun& aRun, const Pool& aPool)
+{
+  if (aRun.advice.questionsOpen > 0 || aRun.advice.retryAt > this->on.clock.Now()) {
+    return;
+  }
+  const auto& step = aCandidate.job->spec.steps[aCandidate.step];
+  const auto demand = OccupiedBy(step);
+  const auto waiting = static_cast<std::size_t>(std::ranges::count_if(
+    aRun.tasks, [](const Task& aTask) { return aTask.phase == TaskPhase::Waiting; }));
+  std::vector<WorkerId> wanted;
+  std::size_t room = 0;
+  for (auto* worker : this->EligibleWorkers(aCandidate, aRun, aPool, false)) {
+    const auto fits = RoomFor(*worker, demand, step.count);
+    if (fits == 0 || this->HasTicket(aRun, worker->entry.id)) {
+      continue;
+    }
+    wanted.push_back(worker->entry.id);
+    room += fits;
+    // A few spare ones, since other steps take room meanwhile.
+    if (room >= waiting + 2 || wanted.size() >= this->options.advisedWorkers) {
+      break;
+    }
+  }
+  if (!wanted.empty()) {
+    this->AskAdvice(aCandidate, aRun, std::move(wanted));
+  }
+}
+
+void
+Conductor::PlaceGang(const Candidate& aCandidate, StepRun& aRun, Pool& aPool)
+{
+  const auto now = this->on.clock.Now();
+  const auto& step = aCandidate.job->spec.steps[aCandidate.step];
+  const bool isWhole = std::ranges::all_of(aRun.tasks, [now](const Task& aTask) {
+    return aTask.phase == TaskPhase::Waiting && aTask.notBefore <= now;
+  });
+  if (!isWhole) {
+    return;
+  }
+  const auto demand = OccupiedBy(step);
+  Resources total;
+  for (std::uint32_t index = 0; index < step.count; ++index) {
+    total += demand;
+  }
+  const bool isReserved = aRun.reservation.has_value();
+  if (isReserved && aRun.reservation->expires < now) {
+    this->ReleaseReservation(aRun, step);
+  }
+  if (this->LimitRoom(aCandidate.job->spec.workspace, step.demand, step.count) < step.count) {
+    this->ReleaseReservation(aRun, step);
+    return;
+  }
+  if (aRun.reservation) {
+    this->StartReserved(aCandidate, aRun, aPool);
+    return;
+  }
+  if (!this->LeavesHeadroom(aCandidate, total, aPool)) {
+    this->HoldForGang(aCandidate, aRun, aPool);
+    return;
+  }
+  auto assigned = AssignGang(this->EligibleWorkers(aCandidate, aRun, aPool, true), step);
+  if (assigned) {
+    this->StartGang(aCandidate, aRun, *assigned);
+    aPool.free -= total;
+    return;
+  }
+  if (!this->QueueOf(*aCandidate.job).isAdvised) {
+    this->HoldForGang(aCandidate, aRun, aPool);
+    return;
+  }
+  assigned = AssignGang(this->EligibleWorkers(aCandidate, aRun, aPool, false), step);
+  if (!assigned) {
+    this->HoldForGang(aCandidate, aRun, aPool);
+    return;
+  }
+  this->Reserve(aCandidate, aRun, *assigned);
+  aPool.free -= total;
+}
+
+void
+Conductor::StartGang(const Candidate& aCandidate,
+                     StepRun& aRun,
+                     const std::vector<Worker*>& aAssigned)
+{
+  const auto run = this->NextRun();
+  // All members have to carry the same checkpoint.
+  const auto checkpoint = aRun.tasks.front().checkpoint;
+  for (std::uint32_t index = 0; index < aAssigned.size(); ++index) {
+    this->Start(aCandidate, aRun, index, *aAssigned[index], run, checkpoint);
+  }
+}
+
+void
+Conductor::Reserve(const Candidate& aCandidate,
+                   StepRun& aRun,
+                   const std::vector<Worker*>& aAssigned)
+{
+  if (aRun.advice.questionsOpen > 0 || aRun.advice.retryAt > this->on.clock.Now()) {
+    return;
+  }
+  const auto& step = aCandidate.job->spec.steps[aCandidate.step];
+  const auto demand = OccupiedBy(step);
+  GangReservation reservation;
+  std::vector<WorkerId> wanted;
+  for (auto* worker : aAssigned) {
+    worker->reserved += demand;
+    reservation.workers.push_back(worker->entry.id);
+    const bool isNew = std::ranges::find(wanted, worker->entry.id) == wanted.end();
+    if (isNew) {
+      wanted.push_back(worker->entry.id);
+    }
+  }
+  const auto& advice = this->QueueOf(*aCandidate.job).advice;
+  const auto expected = Milliseconds(static_cast<std::int64_t>(
+    advice.baseMs + advice.perWorkerMs * static_cast<double>(wanted.size())));
+  reservation.expires = this->on.clock.Now() + expected + kReservationSlack;
+  aRun.reservation = std::move(reservation);
+  this->AskAdvice(aCandidate, aRun, std::move(wanted));
+}
+
+void
+Conductor::StartReserved(const Candidate& aCandidate, StepRun& aRun, Pool& aPool)
+{
+  const auto& step = aCandidate.job->spec.steps[aCandidate.step];
+  std::vector<Worker*> assigned;
+  for (const auto& id : aRun.reservation->workers) {
+    const auto found = this->workers.find(id);
+    if (found == this->workers.end() || !this->IsUsable(*found->second)) {
+      this->ReleaseReservation(aRun, step);
+      return;
+    }
+    if (!this->HasTicket(aRun, id)) {
+      return;
+    }
+    assigned.push_back(found->second.get());
+  }
+  this->ReleaseReservation(aRun, step);
+  this->StartGang(aCandidate, aRun, assigned);
+  (void)aPool;
+}
+
+void
+Conductor::ReleaseReservation(StepRun& aRun, const StepSpecification& aStep)
+{
+  if (!aRun.reservation) {
+    return;
+  }
+  const auto demand = OccupiedBy(aStep);
+  for (const auto& id : aRun.reservation->workers) {
+    const auto worker = this->workers.find(id);
+    if (worker != this->workers.end()) {
+      worker->second->reserved -= demand;
+    }
+  }
+  aRun.reservation.reset();
+}
+
+void
+Conductor::HoldForGang(const Candidate& aCandidate, const StepRun& aRun, const Pool& aPool)
+{
+  const bool isOnTime = aCandidate.urgency < static_cast<std::int64_t>(Rank::Late) * kRankSpan;
+  if (this->gangsHeld >= kHeldGangs || !isOnTime) {
+    return;
+  }
+  const auto& step = aCandidate.job->spec.steps[aCandidate.step];
+  const auto demand = OccupiedBy(step);
+  auto workers = this->EligibleWorkers(aCandidate, aRun, aPool, false);
+  std::ranges::stable_sort(
+    workers, std::greater{}, [](const Worker* aWorker) { return aWorker->Free().milliCores; });
+  std::uint32_t places = 0;
+  ++this->gangsHeld;
+  for (const auto* worker : workers) {
+    if (places >= step.count) {
+      return;
+    }
+    Worker empty;
+    empty.entry.capacity = worker->entry.capacity;
+    places += RoomFor(empty, demand, step.count);
+    this->heldForGangs.insert(worker->entry.id);
+  }
+}
+
+void
+Conductor::AskInitialAdvice(const Candidate& aCandidate, StepRun& aRun, const Pool& aPool)
+{
+  const auto& step = aCandidate.job->spec.steps[aCandidate.step];
+  std::vector<Worker*> workers;
+  for (auto* worker : aPool.workers) {
+    if (HasRequiredLabel(*worker, step)) {
+      workers.push_back(worker);
+    }
+  }
+  std::ranges::stable_sort(
+    workers, std::greater{}, [](const Worker* aWorker) { return aWorker->Free().milliCores; });
+  std::vector<WorkerId> named;
+  for (const auto* worker : workers) {
+    if (named.size() == this->options.advisedWorkers) {
+      break;
+    }
+    named.push_back(worker->entry.id);
+  }
+  if (!named.empty()) {
+    this->AskAdvice(aCandidate, aRun, std::move(named));
+  }
+}
+
+void
+Conductor::AskAdvice(const Candidate& aCandidate, StepRun& aRun, std::vector<WorkerId> aWorkers)
+{
+  const auto now = this->on.clock.Now();
+  const auto& policyOfAdvice = this->QueueOf(*aCandidate.job).advice;
+  const StepName name{ aCandidate.job->spec.id, aCandidate.occurrence, aCandidate.step };
+  const auto expected = Milliseconds(static_cast<std::int64_t>(
+    policyOfAdvice.baseMs + policyOfAdvice.perWorkerMs * static_cast<double>(aWorkers.size())));
+  ++aRun.advice.questionsOpen;
+  auto asked = aWorkers;
+  this->desk->Ask({ .step = name, .workers = std::move(aWorkers), .expected = expected },
+                  aCandidate.urgency,
+                  now,
+                  [this, guard = std::weak_ptr<bool>(this->alive), name, asked = std::move(asked)](
+                    Result<AdviceAnswer> aAnswer) {
+                    if (!guard.expired() && !this->isDeposed) {
+                      this->OnAdvice(name, asked, aAnswer);
+                    }
+                  });
+}
+
+void
+Conductor::OnAdvice(const StepName& aStep,
+                    const std::vector<WorkerId>& aAsked,
+                    const Result<AdviceAnswer>& aAnswer)
+{
+  const auto now = this->on.clock.Now();
+  auto* job = this->FindJob(aStep.job);
+  if (job == nullptr || job->outcome != JobOutcome::Active) {
+    return;
+  }
+  auto& run = job->occurrences.at(aStep.occurrence).steps[aStep.step];
+  --run.advice.questionsOpen;
+  if (IsError(aAnswer)) {
+    run.advice.retryAt = now + kAdviceRetry;
+    this->ReleaseReservation(run, job->spec.steps[aStep.step]);
+    this->on.log.Log(LogLevel::Info,
+                     "advice_failed",
+                     { { "job", aStep.job.value },
+                       { "step", aStep.step },
+                       { "reason", ErrorOf(aAnswer).message } });
+    return;
+  }
+  const auto validity = this->QueueOf(*job).advice.validity;
+  for (const auto& ticket : ValueOf(aAnswer).good) {
+    // Tickets are counted from the question; the hop to the instance that asks is within the
+    // margin.
+    run.advice.good[ticket.worker] = { .text = ticket.text, .expires = now + validity };
+  }
+  run.advice.isComplete = true;
+  this->on.log.Log(LogLevel::Info,
+                   "advice_taken",
+                   { { "job", aStep.job.value },
+                     { "step", aStep.step },
+                     { "asked", aAsked.size() },
+                     { "good", ValueOf(aAnswer).good.size() } });
+  this->placementDue = true;
+  this->PlaceSoon();
+}
+
+void
+Conductor::PlaceSoon()
+{
+  if (this->on.onPlacementDue) {
+    this->on.onPlacementDue();
+  }
+}
+
+void
+Conductor::Start(const Candidate& aCandidate,
+                 StepRun& aRun,
+                 std::uint32_t aIndex,
+                 Worker& aWorker,
+                 std::uint64_t aRunNumber,
+                 const std::string& aCheckpoint)
+{
+  const auto now = this->on.clock.Now();
+  auto& job = *aCandidate.job;
+  const auto& step = job.spec.steps[aCandidate.step];
+  auto& task = aRun.tasks[aIndex];
+  task.phase = TaskPhase::Placed;
+  task.run = aRunNumber;
+  task.worker = aWorker.entry.id;
+  const TaskName name{ job.spec.id, { aCandidate.occurrence, aCandidate.step, aIndex } };
+  const auto demand = OccupiedBy(step);
+  aWorker.occupants.push_back({ .task = name,
+                                .run = aRunNumber,
+                                .demand = demand,
+                                .workspace = job.spec.workspace,
+                                .phase = RunPhase::Starting,
+                                .since = now,
+                                .started = now,
+                                .isPerpetual = step.isPerpetual,
+                                .isFiller = step.isFiller,
+                                .tailTarget = step.tailTarget,
+                                .percentChanged = now,
+                                .checkpoint = aCheckpoint,
+                                .estimate = step.estimate });
+  aWorker.used += demand;
+  this->running[job.spec.workspace] += demand;
+  const auto ticket = aRun.advice.good.find(aWorker.entry.id);
+  StartOrder order{ .target = this->TargetOf(aWorker),
+                    .task = name,
+                    .run = aRunNumber,
+                    .payload = job.spec.payload,
+                    .deadline = this->DeadlineFor(aWorker),
+                    .checkpoint = aCheckpoint,
+                    .ticket = ticket == aRun.advice.good.end() ? "" : ticket->second.text };
+  this->on.log.Log(LogLevel::Info,
+                   "run_started",
+                   { { "job", job.spec.id.value },
+                     { "step", aCandidate.step },
+                     { "index", aIndex },
+                     { "run", aRunNumber },
+                     { "worker", aWorker.entry.id.value },
+                     { "age_ms", (now - job.firstSeen).count() } });
+  this->on.workers.Start(
+    std::move(order),
+    [this, guard = std::weak_ptr<bool>(this->alive), id = aWorker.entry.id, name, aRunNumber](
+      Result<OrderAnswer> aAnswer) {
+      if (!guard.expired() && !this->isDeposed) {
+        this->OnStartAnswer(id, name, aRunNumber, aAnswer);
+      }
+    });
+}
+
+void
+Conductor::OnStartAnswer(const WorkerId& aWorker,
+                         const TaskName& aTask,
+                         std::uint64_t aRun,
+                         const Result<OrderAnswer>& aAnswer)
+{
+  const auto now = this->on.clock.Now();
+  const auto found = this->workers.find(aWorker);
+  auto* occupant = found != this->workers.end() ? found->second->Find(aTask, aRun) : nullptr;
+  if (occupant == nullptr) {
+    return;
+  }
+  auto& worker = *found->second;
+  if (IsError(aAnswer) && ErrorOf(aAnswer).run != RunState::NotRun) {
+    if (occupant->phase == RunPhase::Starting) {
+      occupant->phase = RunPhase::Uncertain;
+      occupant->since = now;
+      worker.nextHold = std::min(worker.nextHold, now);
+    }
+    return;
+  }
+  const auto answer = IsError(aAnswer) ? OrderAnswer::Refused : ValueOf(aAnswer);
+  if (answer == OrderAnswer::Accepted) {
+    if (occupant->phase == RunPhase::Starting || occupant->phase == RunPhase::Uncertain) {
+      occupant->phase = RunPhase::Running;
+      occupant->since = now;
+    }
+    if (auto* job = this->FindJob(aTask.job)) {
+      this->MarkStarted(*job);
+    }
+    return;
+  }
+  this->OnStartRefused(worker, aTask, aRun, answer);
+}
+
+void
+Conductor::OnStartRefused(Worker& aWorker,
+                          const TaskName& aTask,
+                          std::uint64_t aRun,
+                          OrderAnswer aAnswer)
+{
+  const auto now = this->on.clock.Now();
+  this->on.log.Log(LogLevel::Warning,
+                   "start_refused",
+                   { { "job", aTask.job.value },
+                     { "step", aTask.key.step },
+                     { "index", aTask.key.index },
+                     { "run", aRun },
+                     { "worker", aWorker.entry.id.value },
+                     { "answer", static_cast<int>(aAnswer) } });
+  if (aAnswer == OrderAnswer::Fenced) {
+    this->Deposed("a worker knows a higher fencing token");
+    return;
+  }
+  if (aAnswer == OrderAnswer::OtherLife) {
+    this->WorkerReborn(aWorker, "other_life");
+    return;
+  }
+  auto* job = this->FindJob(aTask.job);
+  if (aAnswer == OrderAnswer::BadTicket && job != nullptr) {
+    const auto occurrence = job->occurrences.find(aTask.key.occurrence);
+    if (occurrence != job->occurrences.end()) {
+      auto& good = occurrence->second.steps[aTask.key.step].advice.good;
+      const auto ticket = good.find(aWorker.entry.id);
+      if (ticket != good.end()) {
+        ticket->second.expires = now;
+      }
+    }
+  }
+  if (aAnswer == OrderAnswer::Refused || aAnswer == OrderAnswer::NoRoom) {
+    aWorker.avoidUntil = std::max(aWorker.avoidUntil, now + kRefusedAvoidance);
+  }
+  aWorker.nextHold = std::min(aWorker.nextHold, now);
+  this->Release(aWorker, aTask, aRun);
+  this->RequeueRun(aTask, aRun);
+  if (job != nullptr) {
+    this->BreakGang(*job, aTask.key.occurrence, aTask.key.step, aRun);
+  }
+}
+
+}
--- /dev/null
+++ b/Libraries/LibCell/ConductorRecords.cpp
@@ -0,0 +1,160 @@
+#include <LibCell/Conductor.h>
+
+#include <algorithm>
+
+namespace zinc::cell {
+
+namespace {
+
+/// A transaction holds 100 entries; each job takes a condition and a write.
+constexpr std::size_t kJobsPerFlush = 48;
+/// A transaction's size limit, with room for its conditions.
+constexpr std::size_t kBytesPerFlush = 700'000;
+/// Time until a write is tried again that the store did not answer.
+constexpr Milliseconds kFlushRetry{ 150 };
+
+}
+
+void
+Conductor::Flush()
+{
+  const auto now = this->on.clock.Now();
+  if (this->isFlushInFlight || this->dirty.empty() || now < this->nextFlush) {
+    return;
+  }
+  Transaction transaction;
+  std::vector<std::pair<JobId, std::uint64_t>> written;
+  std::set<std::string> parts;
+  std::size_t bytes = 0;
+  // Outcomes go first, since callers wait for them.
+  std::vector<JobId> order(this->dirty.begin(), this->dirty.end());
+  std::ranges::stable_partition(
+    order, [this](const JobId& aJob) { return this->jobs.at(aJob).outcome != JobOutcome::Active; });
+  for (const auto& id : order) {
+    if (written.size() == kJobsPerFlush || bytes > kBytesPerFlush) {
+      break;
+    }
+    const auto& job = this->jobs.at(id);
+    auto key = JobRowKey(id, JobRowKind::Progress);
+    parts.insert(key.part);
+    transaction.conditions.push_back({ .key = key, .version = job.progressVersion });
+    transaction.writes.push_back(
+      { .key = std::move(key), .value = EncodeProgress(ProgressOf(job)) });
+    bytes += transaction.writes.back().value.size();
+    written.emplace_back(id, job.changes);
+  }
+  transaction.spansParts = parts.size() > 1;
+  this->isFlushInFlight = true;
+  auto sent = transaction;
+  this->on.store.Commit(
+    std::move(transaction),
+    [this, guard = std::weak_ptr<bool>(this->alive), written, sent = std::move(sent)](
+      Result<CommitAnswer> aAnswer) {
+      if (!guard.expired()) {
+        this->OnFlushed(written, sent, aAnswer);
+      }
+    });
+}
+
+void
+Conductor::OnFlushed(const std::vector<std::pair<JobId, std::uint64_t>>& aJobs,
+                     const Transaction& aSent,
+                     const Result<CommitAnswer>& aAnswer)
+{
+  const auto now = this->on.clock.Now();
+  this->isFlushInFlight = false;
+  this->nextFlush = now + this->options.flushPause;
+  if (IsError(aAnswer)) {
+    this->nextFlush = now + kFlushRetry;
+    this->on.log.Log(LogLevel::Warning,
+                     "progress_unwritten",
+                     { { "jobs", aJobs.size() }, { "reason", ErrorOf(aAnswer).message } });
+    return;
+  }
+  const auto& answer = ValueOf(aAnswer);
+  if (!answer.isCommitted) {
+    this->OnFlushConflict(aJobs, aSent, answer);
+    return;
+  }
+  for (const auto& [id, changes] : aJobs) {
+    if (auto* job = this->FindJob(id)) {
+      this->OnProgressDurable(*job, changes, answer.version);
+    }
+  }
+  this->AdvanceAcknowledgements();
+}
+
+void
+Conductor::OnProgressDurable(Job& aJob, std::uint64_t aChanges, std::uint64_t aVersion)
+{
+  aJob.progressVersion = std::max(aJob.progressVersion, aVersion);
+  aJob.durableChanges = std::max(aJob.durableChanges, aChanges);
+  if (aJob.changes > aJob.durableChanges) {
+    return;
+  }
+  this->dirty.erase(aJob.spec.id);
+  if (aJob.outcome != JobOutcome::Active) {
+    aJob.isOutcomeDurable = true;
+  }
+}
+
+void
+Conductor::OnFlushConflict(const std::vector<std::pair<JobId, std::uint64_t>>& aJobs,
+                           const Transaction& aSent,
+                           const CommitAnswer& aAnswer)
+{
+  std::map<RowKey, Row> standing;
+  for (const auto& row : aAnswer.standing) {
+    standing[row.key] = row;
+  }
+  for (std::size_t index = 0; index < aJobs.size(); ++index) {
+    const auto& condition = aSent.conditions[index];
+    const auto found = standing.find(condition.key);
+    const std::uint64_t version = found == standing.end() ? 0 : found->second.version;
+    auto* job = this->FindJob(aJobs[index].first);
+    if (version == condition.version || job == nullptr) {
+      continue;
+    }
+    if (version == 0) {
+      job->progressVersion = 0;
+      continue;
+    }
+    if (found->second.value == aSent.writes[index].value) {
+      // An earlier write of the same was carried out although its answer was lost.
+      this->OnProgressDurable(*job, aJobs[index].second, version);
+      continue;
+    }
+    this->on.log.Log(
+      LogLevel::Info,
+      "progress_conflict",
+      { { "job", job->spec.id.value }, { "expected", condition.version }, { "found", version } });
+    this->AdoptProgress(*job, found->second);
+  }
+  this->AdvanceAcknowledgements();
+}
+
+void
+Conductor::AdvanceAcknowledgements()
+{
+  const auto now = this->on.clock.Now();
+  for (auto& [id, worker] : this->workers) {
+    bool hasAdvanced = false;
+    while (!worker->unacknowledged.empty()) {
+      const auto& end = worker->unacknowledged.front();
+      const auto* job = this->FindJob(end.job);
+      const bool isDurable = end.change == 0 || job == nullptr ||
+                             job->durableChanges >= end.change || job->isOutcomeDurable;
+      if (!isDurable) {
+        break;
+      }
+      worker->acknowledged = end.sequence;
+      worker->unacknowledged.pop_front();
+      hasAdvanced = true;
+    }
+    if (hasAdvanced && worker->unacknowledged.empty()) {
+      worker->nextHold = std::min(worker->nextHold, now);
+    }
+  }
+}
+
+}
--- /dev/null
+++ b/Libraries/LibCell/ConductorWorkers.cpp
@@ -0,0 +1,792 @@
+#include <LibCell/Conductor.h>
+#include <LibCell/Placement.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace zinc::cell {
+
+namespace {
+
+/// Weight of the newest run in a worker's slowness.
+constexpr double kSlownessWeight = 0.15;
+/// Estimates are rough; a single run counts within these bounds.
+constexpr double kLeastRatio = 0.4;
+constexpr double kMostRatio = 4.0;
+/// Runs shorter than this say more of the worker's polling than of its speed.
+constexpr Milliseconds kLeastMeasuredRun{ 200 };
+/// Time until a stop that was not answered is sent again.
+constexpr Milliseconds kStopRetry{ 400 };
+/// A perpetual task that ended is started again after this; spares a worker that fails it at once.
+constexpr Milliseconds kPerpetualRestart{ 200 };
+/// How long a worker is avoided that refused an order as unhealthy.
+constexpr Milliseconds kRefusalAvoidance{ 1500 };
+/// Longest time between looks at a worker whose ends cannot be written.
+constexpr Milliseconds kUnwrittenHoldPause{ 400 };
+
+TaskName
+NameOf(const Job& aJob, const TaskKey& aKey)
+{
+  return { aJob.spec.id, aKey };
+}
+
+}
+
+OrderTarget
+Conductor::TargetOf(const Worker& aWorker) const
+{
+  return { .worker = aWorker.entry.id,
+           .address = aWorker.entry.address,
+           .port = aWorker.entry.port,
+           .fencingToken = this->token };
+}
+
+void
+Conductor::OnWorkerEntry(const WorkerEntry& aEntry)
+{
+  const auto now = this->on.clock.Now();
+  this->placementDue = true;
+  auto& slot = this->workers[aEntry.id];
+  if (!slot) {
+    slot = std::make_unique<Worker>();
+    slot->entry = aEntry;
+    slot->nextHold = now;
+    slot->lastAnswer = now;
+    this->on.log.Log(LogLevel::Info,
+                     "worker_listed",
+                     { { "worker", aEntry.id.value },
+                       { "pool", aEntry.pool },
+                       { "zone", aEntry.zone.value },
+                       { "rack", aEntry.rack.value } });
+    // A new life of an instance proves that the one before it has ended.
+    for (auto& [id, worker] : this->workers) {
+      const bool isSuperseded = worker.get() != slot.get() && !aEntry.machine.empty() &&
+                                worker->entry.machine == aEntry.machine &&
+                                worker->entry.born < aEntry.born;
+      if (isSuperseded) {
+        this->LoseOccupants(*worker, "superseded");
+        worker->leaseEnd = {};
+        worker->isListed = false;
+        this->MarkRead(id);
+      }
+    }
+    return;
+  }
+  auto& worker = *slot;
+  if (aEntry.isDraining && !worker.entry.isDraining) {
+    this->on.log.Log(LogLevel::Info, "worker_draining", { { "worker", aEntry.id.value } });
+  }
+  const bool isReborn = worker.born != 0 && aEntry.born > worker.born;
+  worker.entry = aEntry;
+  worker.isListed = true;
+  if (isReborn) {
+    this->WorkerReborn(worker, "listed");
+    worker.born = aEntry.born;
+  }
+}
+
+void
+Conductor::OnWorkerUnlisted(const WorkerId& aWorker)
+{
+  const auto found = this->workers.find(aWorker);
+  if (found == this->workers.end()) {
+    return;
+  }
+  found->second->isListed = false;
+  this->placementDue = true;
+  this->on.log.Log(LogLevel::Info, "worker_unlisted", { { "worker", aWorker.value } });
+}
+
+void
+Conductor::HoldDue()
+{
+  const auto now = this->on.clock.Now();
+  for (auto& [id, worker] : this->workers) {
+    if (!worker->isHoldInFlight && worker->nextHold <= now) {
+      this->SendHold(*worker);
+    }
+  }
+}
+
+std::int64_t
+Conductor::DeadlineFor(Worker& aWorker)
+{
+  const auto now = this->on.clock.Now();
+  const auto drift = Milliseconds(static_cast<std::int64_t>(
+    std::ceil(static_cast<double>(this->options.longestLease.count()) * this->options.clockDrift)));
+  aWorker.leaseEnd =
+    std::max(aWorker.leaseEnd, now + this->options.longestLease + drift + this->options.orderSlack);
+  return now.time_since_epoch().count() + aWorker.clockOffset + this->options.longestLease.count();
+}
+
+void
+Conductor::SendHold(Worker& aWorker)
+{
+  const auto now = this->on.clock.Now();
+  HoldOrder order{ .target = this->TargetOf(aWorker), .acknowledged = aWorker.acknowledged };
+  // A worker that does not answer is only looked at, so that its lease runs out.
+  const bool isHeld = aWorker.isClockKnown && aWorker.holdFailures == 0 && now < this->termEnd;
+  if (isHeld) {
+    order.deadline = this->DeadlineFor(aWorker);
+  }
+  if (isHeld && aWorker.contact == Contact::Open && aWorker.unacknowledged.empty()) {
+    order.wait = this->options.holdWait;
+  }
+  aWorker.isHoldInFlight = true;
+  this->on.workers.Hold(std::move(order),
+                        [this,
+                         guard = std::weak_ptr<bool>(this->alive),
+                         id = aWorker.entry.id,
+                         born = aWorker.born,
+                         now](Result<std::variant<WorkerReport, OrderAnswer>> aAnswer) {
+                          if (!guard.expired() && !this->isDeposed) {
+                            this->OnHoldAnswer(id, born, now, aAnswer);
+                          }
+                        });
+}
+
+void
+Conductor::OnHoldAnswer(const WorkerId& aWorker,
+                        std::int64_t aBorn,
+                        TimePoint aSent,
+                        const Result<std::variant<WorkerReport, OrderAnswer>>& aAnswer)
+{
+  const auto found = this->workers.find(aWorker);
+  if (found == this->workers.end()) {
+    return;
+  }
+  auto& worker = *found->second;
+  worker.isHoldInFlight = false;
+  const auto now = this->on.clock.Now();
+  if (IsError(aAnswer)) {
+    this->OnSilent(worker);
+    return;
+  }
+  if (const auto* refusal = std::get_if<OrderAnswer>(&ValueOf(aAnswer))) {
+    if (*refusal == OrderAnswer::Fenced) {
+      this->Deposed("a worker knows a higher fencing token");
+      return;
+    }
+    if (*refusal == OrderAnswer::OtherLife) {
+      this->WorkerReborn(worker, "other_life");
+      worker.isListed = false;
+      worker.contact = Contact::Silent;
+      worker.leaseEnd = {};
+      worker.nextHold = now + this->options.forgetAfter;
+      return;
+    }
+    this->OnSilent(worker);
+    return;
+  }
+  if (worker.born != aBorn && aBorn != 0) {
+    // The report may be of the life before; the next one is not.
+    worker.nextHold = now;
+    return;
+  }
+  this->OnReport(worker, aSent, std::get<WorkerReport>(ValueOf(aAnswer)));
+}
+
+void
+Conductor::OnSilent(Worker& aWorker)
+{
+  const auto now = this->on.clock.Now();
+  ++aWorker.holdFailures;
+  aWorker.nextHold = now + this->options.holdRetry;
+  if (aWorker.contact == Contact::Open && now - aWorker.lastAnswer > this->options.silentAfter) {
+    aWorker.contact = Contact::Silent;
+    this->on.log.Log(LogLevel::Warning,
+                     "worker_silent",
+                     { { "worker", aWorker.entry.id.value },
+                       { "silent_ms", (now - aWorker.lastAnswer).count() },
+                       { "runs", aWorker.occupants.size() },
+                       { "lease_left_ms", (aWorker.leaseEnd - now).count() } });
+  }
+}
+
+void
+Conductor::OnReport(Worker& aWorker, TimePoint aSent, const WorkerReport& aReport)
+{
+  const auto now = this->on.clock.Now();
+  if (aReport.born != 0 && aWorker.born != 0 && aReport.born < aWorker.born) {
+    aWorker.nextHold = now;
+    return;
+  }
+  if (aReport.born != 0 && aWorker.born != 0 && aReport.born > aWorker.born) {
+    this->WorkerReborn(aWorker, "born_again");
+  }
+  if (aReport.born != 0) {
+    aWorker.born = aReport.born;
+  }
+  if (aWorker.contact == Contact::Silent) {
+    this->on.log.Log(LogLevel::Info,
+                     "worker_answers",
+                     { { "worker", aWorker.entry.id.value },
+                       { "silent_ms", (now - aWorker.lastAnswer).count() } });
+  }
+  const bool wasOpen = aWorker.contact == Contact::Open && aWorker.isClockKnown;
+  aWorker.contact = Contact::Open;
+  aWorker.holdFailures = 0;
+  aWorker.lastAnswer = now;
+  aWorker.clockOffset = aReport.clock - now.time_since_epoch().count();
+  aWorker.isClockKnown = true;
+  bool hasEnds = false;
+  for (const auto& end : aReport.ended) {
+    if (end.sequence > aWorker.seenSequence) {
+      aWorker.seenSequence = end.sequence;
+      hasEnds = true;
+      this->OnEnd(aWorker, end);
+    }
+  }
+  for (const auto& entry : aReport.running) {
+    this->OnRunningEntry(aWorker, entry);
+  }
+  this->Reconcile(aWorker, aSent, aReport);
+  this->MarkRead(aWorker.entry.id);
+  this->AdvanceAcknowledgements();
+  this->StopStillRuns(aWorker);
+  this->PaceFillers(aWorker);
+  if (!aWorker.unacknowledged.empty()) {
+    aWorker.nextHold = now + kUnwrittenHoldPause;
+  } else {
+    aWorker.nextHold = !wasOpen ? now : now + this->options.holdPause;
+  }
+  this->placementDue = this->placementDue || hasEnds || !wasOpen;
+}
+
+void
+Conductor::OnEnd(Worker& aWorker, const EndedEntry& aEnd)
+{
+  const auto now = this->on.clock.Now();
+  auto* occupant = aWorker.Find(aEnd.task, aEnd.run);
+  const bool isMeasured = occupant != nullptr && aEnd.kind == EndKind::Succeeded &&
+                          occupant->estimate > kLeastMeasuredRun && occupant->checkpoint.empty();
+  if (isMeasured) {
+    const double ratio = static_cast<double>((now - occupant->started).count()) /
+                         static_cast<double>(occupant->estimate.count());
+    aWorker.slowness +=
+      (std::clamp(ratio, kLeastRatio, kMostRatio) - aWorker.slowness) * kSlownessWeight;
+  }
+  if (occupant != nullptr) {
+    this->Release(aWorker, aEnd.task, aEnd.run);
+  }
+  auto* job = this->FindJob(aEnd.task.job);
+  auto* task = job != nullptr ? this->FindTask(*job, aEnd.task.key) : nullptr;
+  std::uint64_t change = 0;
+  if (task != nullptr && job->outcome == JobOutcome::Active) {
+    const auto before = job->changes;
+    this->ApplyEnd(aWorker, *job, *task, aEnd);
+    change = job->changes > before ? job->changes : 0;
+  } else if (job != nullptr && !job->isOutcomeDurable) {
+    change = job->changes;
+  }
+  aWorker.unacknowledged.push_back(
+    { .sequence = aEnd.sequence, .job = aEnd.task.job, .change = change });
+  if (aEnd.kind != EndKind::Succeeded) {
+    this->on.log.Log(LogLevel::Info,
+                     "run_ended",
+                     { { "job", aEnd.task.job.value },
+                       { "step", aEnd.task.key.step },
+                       { "index", aEnd.task.key.index },
+                       { "run", aEnd.run },
+                       { "worker", aWorker.entry.id.value },
+                       { "end", static_cast<int>(aEnd.kind) } });
+  }
+}
+
+void
+Conductor::ApplyEnd(Worker& aWorker, Job& aJob, Task& aTask, const EndedEntry& aEnd)
+{
+  const auto& step = aJob.spec.steps[aEnd.task.key.step];
+  const bool isSuccess = aEnd.kind == EndKind::Succeeded && !step.isPerpetual;
+  this->MarkStarted(aJob);
+  if (isSuccess) {
+    this->CountOutcome(aWorker, aJob.spec.id, false);
+    if (aTask.phase != TaskPhase::Succeeded) {
+      this->Changed(aJob);
+      this->SucceedTask(aJob, aEnd.task.key);
+    }
+    return;
+  }
+  if (aTask.phase == TaskPhase::Succeeded) {
+    return;
+  }
+  if (!aEnd.checkpoint.empty()) {
+    // Any member's checkpoint holds for its gang; the first task keeps it.
+    auto& kept =
+      step.isGang
+        ? *this->FindTask(
+            aJob,
+            { .occurrence = aEnd.task.key.occurrence, .step = aEnd.task.key.step, .index = 0 })
+        : aTask;
+    kept.checkpoint = aEnd.checkpoint;
+    this->Changed(aJob);
+  }
+  if (aEnd.kind == EndKind::Failed) {
+    this->CountOutcome(aWorker, aJob.spec.id, true);
+    aTask.failedAt = aWorker.entry.id;
+    if (!step.isPerpetual) {
+      this->FailRun(aJob, aEnd.task.key, aEnd.run);
+    }
+  }
+  this->RequeueRun(aEnd.task, aEnd.run);
+}
+
+void
+Conductor::RequeueRun(const TaskName& aTask, std::uint64_t aRun)
+{
+  auto* job = this->FindJob(aTask.job);
+  auto* task = job != nullptr ? this->FindTask(*job, aTask.key) : nullptr;
+  if (task == nullptr || job->outcome != JobOutcome::Active) {
+    return;
+  }
+  const bool isCurrent = task->phase == TaskPhase::Placed && task->run == aRun;
+  if (!isCurrent && task->phase != TaskPhase::Unresolved) {
+    return;
+  }
+  if (task->phase == TaskPhase::Unresolved && !this->unread.empty()) {
+    // Another run of it may still be somewhere else.
+    return;
+  }
+  task->phase = TaskPhase::Waiting;
+  task->worker = {};
+  if (job->spec.steps[aTask.key.step].isPerpetual) {
+    task->notBefore = this->on.clock.Now() + kPerpetualRestart;
+  }
+  this->placementDue = true;
+}
+
+void
+Conductor::BreakGang(Job& aJob, std::uint32_t aOccurrence, std::uint32_t aStep, std::uint64_t aRun)
+{
+  if (!aJob.spec.steps[aStep].isGang || aJob.outcome != JobOutcome::Active) {
+    return;
+  }
+  auto& run = aJob.occurrences.at(aOccurrence).steps[aStep];
+  for (std::uint32_t index = 0; index < run.tasks.size(); ++index) {
+    const auto& task = run.tasks[index];
+    const auto worker = this->workers.find(task.worker);
+    if (task.phase != TaskPhase::Placed || task.run != aRun || worker == this->workers.end()) {
+      continue;
+    }
+    if (auto* occupant = worker->second->Find(NameOf(aJob, { aOccurrence, aStep, index }), aRun)) {
+      this->StopRun(*worker->second, *occupant, "gang_incomplete");
+    }
+  }
+}
+
+void
+Conductor::OnRunningEntry(Worker& aWorker, const RunningEntry& aEntry)
+{
+  const auto now = this->on.clock.Now();
+  auto* occupant = aWorker.Find(aEntry.task, aEntry.run);
+  if (occupant == nullptr) {
+    this->Adopt(aWorker, aEntry);
+    return;
+  }
+  if (occupant->phase == RunPhase::Starting || occupant->phase == RunPhase::Uncertain) {
+    occupant->phase = RunPhase::Running;
+    occupant->since = now;
+    if (auto* job = this->FindJob(aEntry.task.job)) {
+      this->MarkStarted(*job);
+    }
+  }
+  if (aEntry.percent != occupant->percent) {
+    occupant->percent = aEntry.percent;
+    occupant->percentChanged = now;
+  }
+  occupant->load = aEntry.load;
+  if (!aEntry.checkpoint.empty()) {
+    occupant->checkpoint = aEntry.checkpoint;
+  }
+}
+
+void
+Conductor::Adopt(Worker& aWorker, const RunningEntry& aEntry)
+{
+  const auto now = this->on.clock.Now();
+  auto* job = this->FindJob(aEntry.task.job);
+  auto* task = job != nullptr ? this->FindTask(*job, aEntry.task.key) : nullptr;
+  Occupant occupant{ .task = aEntry.task,
+                     .run = aEntry.run,
+                     .phase = RunPhase::Running,
+                     .since = now,
+                     .started = now,
+                     .percent = aEntry.percent,
+                     .percentChanged = now,
+                     .load = aEntry.load,
+                     .checkpoint = aEntry.checkpoint };
+  if (task != nullptr) {
+    const auto& step = job->spec.steps[aEntry.task.key.step];
+    occupant.demand = OccupiedBy(step);
+    occupant.workspace = job->spec.workspace;
+    occupant.isPerpetual = step.isPerpetual;
+    occupant.isFiller = step.isFiller;
+    occupant.tailTarget = step.tailTarget;
+    occupant.estimate = step.estimate;
+  }
+  aWorker.used += occupant.demand;
+  this->running[occupant.workspace] += occupant.demand;
+  aWorker.occupants.push_back(std::move(occupant));
+  const bool isWanted = task != nullptr && job->outcome == JobOutcome::Active &&
+                        (task->phase == TaskPhase::Waiting || task->phase == TaskPhase::Unresolved);
+  this->on.log.Log(LogLevel::Info,
+                   "run_adopted",
+                   { { "job", aEntry.task.job.value },
+                     { "step", aEntry.task.key.step },
+                     { "index", aEntry.task.key.index },
+                     { "run", aEntry.run },
+                     { "worker", aWorker.entry.id.value },
+                     { "kept", isWanted } });
+  if (!isWanted) {
+    this->StopRun(aWorker, aWorker.occupants.back(), "unwanted");
+    return;
+  }
+  task->phase = TaskPhase::Placed;
+  task->run = aEntry.run;
+  task->worker = aWorker.entry.id;
+  this->MarkStarted(*job);
+}
+
+void
+Conductor::Reconcile(Worker& aWorker, TimePoint aSent, const WorkerReport& aReport)
+{
+  const auto isListed = [&aReport](const Occupant& aOccupant) {
+    return std::ranges::any_of(aReport.running, [&aOccupant](const RunningEntry& aEntry) {
+      return aEntry.run == aOccupant.run && aEntry.task == aOccupant.task;
+    });
+  };
+  std::vector<std::pair<TaskName, std::uint64_t>> gone;
+  for (auto& occupant : aWorker.occupants) {
+    if (occupant.since >= aSent || isListed(occupant)) {
+      continue;
+    }
+    if (occupant.phase == RunPhase::Uncertain) {
+      // The start may still be carried out; a stop prevents it.
+      this->StopRun(aWorker, occupant, "start_unanswered");
+    } else if (occupant.phase == RunPhase::Running ||
+               (occupant.phase == RunPhase::Stopping && occupant.isStopAnswered)) {
+      gone.emplace_back(occupant.task, occupant.run);
+    }
+  }
+  for (const auto& [task, run] : gone) {
+    this->on.log.Log(LogLevel::Info,
+                     "run_absent",
+                     { { "job", task.job.value },
+                       { "step", task.key.step },
+                       { "index", task.key.index },
+                       { "run", run },
+                       { "worker", aWorker.entry.id.value } });
+    this->Release(aWorker, task, run);
+    this->RequeueRun(task, run);
+    if (auto* job = this->FindJob(task.job)) {
+      this->BreakGang(*job, task.key.occurrence, task.key.step, run);
+    }
+  }
+}
+
+void
+Conductor::WorkerReborn(Worker& aWorker, std::string_view aReason)
+{
+  this->LoseOccupants(aWorker, aReason);
+  aWorker.seenSequence = 0;
+  aWorker.acknowledged = 0;
+  aWorker.unacknowledged.clear();
+  aWorker.isClockKnown = false;
+  aWorker.born = 0;
+  aWorker.nextHold = this->on.clock.Now();
+  this->MarkRead(aWorker.entry.id);
+}
+
+void
+Conductor::LoseOccupants(Worker& aWorker, std::string_view aReason)
+{
+  if (aWorker.occupants.empty()) {
+    return;
+  }
+  this->on.log.Log(LogLevel::Warning,
+                   "runs_lost",
+                   { { "worker", aWorker.entry.id.value },
+                     { "runs", aWorker.occupants.size() },
+                     { "reason", aReason } });
+  const auto lost = aWorker.occupants;
+  for (const auto& occupant : lost) {
+    this->KeepCheckpoint(occupant);
+    this->Release(aWorker, occupant.task, occupant.run);
+    this->RequeueRun(occupant.task, occupant.run);
+    if (auto* job = this->FindJob(occupant.task.job)) {
+      this->BreakGang(*job, occupant.task.key.occurrence, occupant.task.key.step, occupant.run);
+    }
+  }
+}
+
+void
+Conductor::KeepCheckpoint(const Occupant& aOccupant)
+{
+  auto* job = this->FindJob(aOccupant.task.job);
+  if (job == nullptr || job->outcome != JobOutcome::Active || aOccupant.checkpoint.empty()) {
+    return;
+  }
+  auto key = aOccupant.task.key;
+  auto* task = this->FindTask(*job, key);
+  if (task == nullptr || task->phase == TaskPhase::Succeeded) {
+    return;
+  }
+  if (job->spec.steps[key.step].isGang) {
+    key.index = 0;
+    task = this->FindTask(*job, key);
+  }
+  task->checkpoint = aOccupant.checkpoint;
+}
+
+void
+Conductor::ForgetWorkers()
+{
+  const auto now = this->on.clock.Now();
+  std::vector<WorkerId> forgotten;
+  for (auto& [id, worker] : this->workers) {
+    const bool isSilent = worker->contact != Contact::Open;
+    if (isSilent && now > worker->leaseEnd && !worker->occupants.empty()) {
+      this->LoseOccupants(*worker, "lease_ended");
+    }
+    const bool isGone = !worker->isListed && isSilent && now > worker->leaseEnd &&
+                        now - worker->lastAnswer > this->options.forgetAfter &&
+                        !worker->isHoldInFlight;
+    if (isGone) {
+      forgotten.push_back(id);
+    }
+  }
+  for (const auto& id : forgotten) {
+    this->on.log.Log(LogLevel::Info, "worker_forgotten", { { "worker", id.value } });
+    this->on.workers.Forget(id);
+    this->workers.erase(id);
+  }
+}
+
+void
+Conductor::MarkRead(const WorkerId& aWorker)
+{
+  if (this->unread.erase(aWorker) > 0 && this->unread.empty()) {
+    this->on.log.Log(LogLevel::Info,
+                     "workers_read",
+                     { { "after_ms", (this->on.clock.Now() - this->begun).count() } });
+    this->ResolveTasks();
+  }
+}
+
+void
+Conductor::ResolveTasks()
+{
+  for (const auto& id : this->active) {
+    auto& job = this->jobs.at(id);
+    job.mayRunElsewhere = false;
+    for (auto& [number, occurrence] : job.occurrences) {
+      for (auto& run : occurrence.steps) {
+        for (auto& task : run.tasks) {
+          if (task.phase == TaskPhase::Unresolved) {
+            task.phase = TaskPhase::Waiting;
+          }
+        }
+      }
+    }
+  }
+  this->placementDue = true;
+}
+
+void
+Conductor::Release(Worker& aWorker, const TaskName& aTask, std::uint64_t aRun)
+{
+  const auto found = std::ranges::find_if(aWorker.occupants, [&](const Occupant& aOccupant) {
+    return aOccupant.run == aRun && aOccupant.task == aTask;
+  });
+  if (found == aWorker.occupants.end()) {
+    return;
+  }
+  aWorker.used -= found->demand;
+  this->running[found->workspace] -= found->demand;
+  aWorker.occupants.erase(found);
+  this->placementDue = true;
+}
+
+void
+Conductor::StopRun(Worker& aWorker, Occupant& aOccupant, std::string_view aReason)
+{
+  if (aOccupant.phase == RunPhase::Stopping) {
+    return;
+  }
+  const auto now = this->on.clock.Now();
+  aOccupant.phase = RunPhase::Stopping;
+  aOccupant.since = now;
+  aOccupant.nextStop = now;
+  this->on.log.Log(LogLevel::Info,
+                   "run_stopped",
+                   { { "job", aOccupant.task.job.value },
+                     { "step", aOccupant.task.key.step },
+                     { "index", aOccupant.task.key.index },
+                     { "run", aOccupant.run },
+                     { "worker", aWorker.entry.id.value },
+                     { "reason", aReason } });
+  this->SendStop(aWorker, aOccupant);
+}
+
+void
+Conductor::SendStop(Worker& aWorker, Occupant& aOccupant)
+{
+  aOccupant.isStopInFlight = true;
+  const RunOrder order{ .target = this->TargetOf(aWorker),
+                        .task = aOccupant.task,
+                        .run = aOccupant.run };
+  this->on.workers.Stop(
+    order, [this, guard = std::weak_ptr<bool>(this->alive), order](Result<OrderAnswer> aAnswer) {
+      if (!guard.expired() && !this->isDeposed) {
+        this->OnStopAnswer(order, aAnswer);
+      }
+    });
+}
+
+void
+Conductor::OnStopAnswer(const RunOrder& aOrder, const Result<OrderAnswer>& aAnswer)
+{
+  const auto now = this->on.clock.Now();
+  const auto found = this->workers.find(aOrder.target.worker);
+  if (found == this->workers.end()) {
+    return;
+  }
+  auto* occupant = found->second->Find(aOrder.task, aOrder.run);
+  if (occupant == nullptr) {
+    return;
+  }
+  occupant->isStopInFlight = false;
+  occupant->nextStop = now + kStopRetry;
+  if (IsError(aAnswer)) {
+    return;
+  }
+  if (ValueOf(aAnswer) == OrderAnswer::Fenced) {
+    this->Deposed("a worker knows a higher fencing token");
+    return;
+  }
+  if (ValueOf(aAnswer) == OrderAnswer::OtherLife) {
+    this->WorkerReborn(*found->second, "other_life");
+    return;
+  }
+  if (ValueOf(aAnswer) == OrderAnswer::Accepted) {
+    occupant->isStopAnswered = true;
+    occupant->since = now;
+    found->second->nextHold = std::min(found->second->nextHold, now);
+  }
+}
+
+void
+Conductor::StopsDue()
+{
+  const auto now = this->on.clock.Now();
+  for (auto& [id, worker] : this->workers) {
+    for (auto& occupant : worker->occupants) {
+      const bool isDue = occupant.phase == RunPhase::Stopping && !occupant.isStopAnswered &&
+                         !occupant.isStopInFlight && occupant.nextStop <= now;
+      if (isDue) {
+        this->SendStop(*worker, occupant);
+      }
+    }
+  }
+}
+
+void
+Conductor::StopStillRuns(Worker& aWorker)
+{
+  const auto now = this->on.clock.Now();
+  constexpr Milliseconds kLeastStill{ 1200 };
+  for (auto& occupant : aWorker.occupants) {
+    const auto bound = std::clamp(occupant.estimate / 2, kLeastStill, this->options.stillAfter);
+    const bool isStill = occupant.phase == RunPhase::Running && !occupant.isPerpetual &&
+                         now - occupant.percentChanged > bound && now - occupant.started > bound;
+    if (!isStill || occupant.isFiller) {
+      continue;
+    }
+    this->CountOutcome(aWorker, occupant.task.job, true);
+    aWorker.avoidUntil = now + this->options.avoidance;
+    this->StopRun(aWorker, occupant, "stands_still");
+    if (auto* job = this->FindJob(occupant.task.job)) {
+      if (auto* task = this->FindTask(*job, occupant.task.key)) {
+        task->failedAt = aWorker.entry.id;
+      }
+    }
+  }
+}
+
+void
+Conductor::CountOutcome(Worker& aWorker, const JobId& aJob, bool aHasFailed)
+{
+  if (!aHasFailed) {
+    aWorker.failureStreak = 0;
+    return;
+  }
+  // One job that always fails says nothing of the worker.
+  if (aWorker.lastFailedJob == aJob) {
+    return;
+  }
+  aWorker.lastFailedJob = aJob;
+  ++aWorker.failureStreak;
+  if (aWorker.failureStreak < this->options.failureStreak) {
+    return;
+  }
+  aWorker.avoidUntil = this->on.clock.Now() + this->options.avoidance;
+  this->on.log.Log(LogLevel::Warning,
+                   "worker_avoided",
+                   { { "worker", aWorker.entry.id.value },
+                     { "failures", aWorker.failureStreak },
+                     { "for_ms", this->options.avoidance.count() } });
+}
+
+void
+Conductor::PaceFillers(Worker& aWorker)
+{
+  // Fillers are slowed well before the bound of a serving task's tail and sped up gradually.
+  constexpr double kSlowAt = 0.8;
+  constexpr double kRestoreAt = 0.5;
+  constexpr int kRestoreStep = 10;
+  constexpr int kLeastPace = 5;
+  double worst = 0.0;
+  for (const auto& occupant : aWorker.occupants) {
+    if (occupant.tailTarget.count() > 0 && occupant.phase == RunPhase::Running) {
+      worst = std::max(worst,
+                       static_cast<double>(occupant.load) /
+                         static_cast<double>(occupant.tailTarget.count()));
+    }
+  }
+  for (auto& occupant : aWorker.occupants) {
+    if (!occupant.isFiller || occupant.phase != RunPhase::Running) {
+      continue;
+    }
+    int pace = occupant.pace;
+    if (worst > kSlowAt) {
+      pace = pace / 2 < kLeastPace ? 0 : pace / 2;
+    } else if (worst < kRestoreAt) {
+      pace = std::min(100, pace + kRestoreStep);
+    }
+    if (pace == occupant.pace) {
+      continue;
+    }
+    occupant.pace = pace;
+    this->on.workers.Pace(
+      { .target = this->TargetOf(aWorker), .task = occupant.task, .run = occupant.run },
+      pace,
+      [this,
+       guard = std::weak_ptr<bool>(this->alive),
+       id = aWorker.entry.id,
+       task = occupant.task,
+       run = occupant.run](Result<OrderAnswer> aAnswer) {
+        const bool isDone = !IsError(aAnswer) && ValueOf(aAnswer) == OrderAnswer::Accepted;
+        if (guard.expired() || isDone) {
+          return;
+        }
+        // An unanswered order may not have been carried out; the next report decides anew.
+        const auto worker = this->workers.find(id);
+        auto* paced = worker != this->workers.end() ? worker->second->Find(task, run) : nullptr;
+        if (paced != nullptr) {
+          paced->pace = 100;
+        }
+      });
+  }
+}
+
+}
--- /dev/null
+++ b/Libraries/LibCell/Intake.cpp
@@ -0,0 +1,223 @@
+#include <LibCell/Intake.h>
+
+#include <charconv>
+#include <set>
+
+namespace zinc::cell {
+
+namespace {
+
+std::size_t
+PartIndex(const JobId& aJob)
+{
+  const auto name = JobPart(aJob);
+  std::size_t index = 0;
+  std::from_chars(name.data(), name.data() + name.size(), index);
+  return index;
+}
+
+}
+
+Intake::Intake(WatchedStore& aStore, const Clock& aClock, IntakeOptions aOptions)
+  : store(aStore)
+  , clock(aClock)
+  , options(aOptions)
+{
+}
+
+void
+Intake::Submit(const JobSpecification& aSpec, Accepted aHandler)
+{
+  const auto index = PartIndex(aSpec.id);
+  auto& part = this->parts[index];
+  if (!this->store.IsServing()) {
+    aHandler(
+      NotRun(ErrorCode::Unavailable, "The store does not answer.", this->options.retryAfter));
+    return;
+  }
+  if (part.queue.size() >= this->options.queueLimit) {
+    aHandler(
+      NotRun(ErrorCode::Overloaded, "Too many jobs wait to be written.", this->options.retryAfter));
+    return;
+  }
+  part.queue.push_back({ .job = aSpec.id,
+                         .value = EncodeSpecification(aSpec),
+                         .received = this->clock.Now(),
+                         .handler = std::move(aHandler) });
+  this->Pump(index);
+}
+
+void
+Intake::Pump(std::size_t aPart)
+{
+  auto& part = this->parts[aPart];
+  if (part.isBusy) {
+    return;
+  }
+  const auto now = this->clock.Now();
+  auto batch = std::make_shared<std::vector<Entry>>();
+  std::set<JobId> named;
+  std::deque<Entry> later;
+  std::size_t bytes = 0;
+  while (!part.queue.empty() && batch->size() < this->options.jobsPerCommit &&
+         bytes < this->options.bytesPerCommit) {
+    auto entry = std::move(part.queue.front());
+    part.queue.pop_front();
+    if (now - entry.received > this->options.longestWait) {
+      entry.handler(
+        NotRun(ErrorCode::Unavailable, "The store takes too long.", this->options.retryAfter));
+      continue;
+    }
+    if (!named.insert(entry.job).second) {
+      // The same id twice in one transaction; the second finds the row of the first.
+      later.push_back(std::move(entry));
+      continue;
+    }
+    bytes += entry.value.size();
+    batch->push_back(std::move(entry));
+  }
+  for (auto entry = later.rbegin(); entry != later.rend(); ++entry) {
+    part.queue.push_front(std::move(*entry));
+  }
+  if (batch->empty()) {
+    return;
+  }
+  Transaction transaction;
+  for (const auto& entry : *batch) {
+    const auto key = JobRowKey(entry.job, JobRowKind::Specification);
+    transaction.conditions.push_back({ .key = key, .version = 0 });
+    transaction.writes.push_back({ .key = key, .value = entry.value });
+  }
+  part.isBusy = true;
+  this->store.Commit(std::move(transaction), [this, aPart, batch](Result<CommitAnswer> aAnswer) {
+    this->parts[aPart].isBusy = false;
+    this->OnCommitted(aPart, batch, aAnswer);
+    this->Pump(aPart);
+  });
+}
+
+void
+Intake::OnCommitted(std::size_t aPart,
+                    const std::shared_ptr<std::vector<Entry>>& aBatch,
+                    const Result<CommitAnswer>& aAnswer)
+{
+  if (!IsError(aAnswer) && !ValueOf(aAnswer).isCommitted) {
+    this->OnStanding(aPart, *aBatch, ValueOf(aAnswer).standing);
+    return;
+  }
+  for (auto& entry : *aBatch) {
+    if (!IsError(aAnswer)) {
+      entry.handler(Done{});
+      continue;
+    }
+    auto verdict = ErrorOf(aAnswer);
+    verdict.retryAfter = this->options.retryAfter;
+    entry.handler(std::move(verdict));
+  }
+}
+
+void
+Intake::OnStanding(std::size_t aPart, std::vector<Entry>& aBatch, const std::vector<Row>& aStanding)
+{
+  std::set<std::string> present;
+  for (const auto& row : aStanding) {
+    if (row.version > 0) {
+      present.insert(row.key.key);
+    }
+  }
+  auto& queue = this->parts[aPart].queue;
+  for (auto entry = aBatch.rbegin(); entry != aBatch.rend(); ++entry) {
+    if (present.contains(JobRowKey(entry->job, JobRowKind::Specification).key)) {
+      entry->handler(Done{});
+    } else if (present.empty()) {
+      // Nothing stands in the way and still nothing was written: the answer makes no sense.
+      entry->handler(
+        NotRun(ErrorCode::Unavailable, "The store refused the job.", this->options.retryAfter));
+    } else {
+      queue.push_front(std::move(*entry));
+    }
+  }
+}
+
+void
+Intake::Cancel(const JobId& aJob, const WorkspaceId& aWorkspace, Handler<CancelAnswer> aHandler)
+{
+  ReadStoredJob(this->store,
+                aJob,
+                [this, aJob, aWorkspace, handler = std::move(aHandler)](Result<StoredJob> aStored) {
+                  if (IsError(aStored)) {
+                    handler(ErrorOf(aStored));
+                    return;
+                  }
+                  const auto& stored = ValueOf(aStored);
+                  const bool isTheirs = aWorkspace.IsEmpty() || stored.workspace == aWorkspace;
+                  if (!stored.isKnown || !isTheirs) {
+                    handler(CancelAnswer::UnknownJob);
+                    return;
+                  }
+                  if (stored.outcome != JobOutcome::Active) {
+                    handler(CancelAnswer::AlreadyEnded);
+                    return;
+                  }
+                  this->RecordCancellation(aJob, handler);
+                });
+}
+
+void
+Intake::RecordCancellation(const JobId& aJob, Handler<CancelAnswer> aHandler)
+{
+  const auto key = JobRowKey(aJob, JobRowKind::Cancellation);
+  Transaction transaction;
+  transaction.writes.push_back({ .key = key, .value = "{}" });
+  this->store.Commit(std::move(transaction),
+                     [handler = std::move(aHandler)](Result<CommitAnswer> aAnswer) {
+                       if (IsError(aAnswer)) {
+                         handler(ErrorOf(aAnswer));
+                         return;
+                       }
+                       handler(CancelAnswer::Recorded);
+                     });
+}
+
+void
+ReadStoredJob(StorePort& aStore, const JobId& aJob, Handler<StoredJob> aHandler)
+{
+  aStore.Read(JobRowRange(aJob), [aJob, handler = std::move(aHandler)](Result<RowBatch> aBatch) {
+    if (IsError(aBatch)) {
+      handler(ErrorOf(aBatch));
+      return;
+    }
+    StoredJob stored;
+    for (const auto& row : ValueOf(aBatch).rows) {
+      const auto name = ParseJobRowKey(row.key.key);
+      if (!name) {
+        continue;
+      }
+      if (name->kind == JobRowKind::Specification) {
+        const auto spec = DecodeSpecification(aJob, row.value);
+        if (IsError(spec)) {
+          handler(ErrorOf(spec));
+          return;
+        }
+        stored.isKnown = true;
+        stored.workspace = ValueOf(spec).workspace;
+        stored.queue = ValueOf(spec).queue.name;
+      } else if (name->kind == JobRowKind::Progress) {
+        const auto progress = DecodeProgress(row.value);
+        if (IsError(progress)) {
+          handler(ErrorOf(progress));
+          return;
+        }
+        if (ValueOf(progress).outcome != JobOutcome::Active) {
+          stored.outcome = ValueOf(progress).outcome;
+        }
+        stored.hasStarted = ValueOf(progress).hasStarted;
+      } else if (stored.outcome == JobOutcome::Active) {
+        stored.outcome = JobOutcome::Cancelled;
+      }
+    }
+    handler(std::move(stored));
+  });
+}
+
+}
--- /dev/null
+++ b/Libraries/LibCell/Job.h
@@ -0,0 +1,141 @@
+#pragma once
+
+/// @file
+/// A job's state at the conductor.
+
+#include <LibCell/Ports.h>
+#include <LibCell/Specification.h>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace zinc::cell {
+
+/// How far a job is.
+enum class JobOutcome : std::uint8_t
+{
+  Active,
+  Succeeded,
+  Failed,
+  Cancelled,
+};
+
+/// How far a task is.
+enum class TaskPhase : std::uint8_t
+{
+  /// A previous conductor may have started it at a worker that was not read yet.
+  Unresolved,
+  Waiting,
+  /// Present at a worker, or on its way there.
+  Placed,
+  Succeeded,
+};
+
+/// A task's state.
+struct Task
+{
+  TaskPhase phase = TaskPhase::Waiting;
+  /// Newest run; 0 if there was none.
+  std::uint64_t run = 0;
+  WorkerId worker;
+  std::string checkpoint;
+  std::uint32_t failures = 0;
+  /// Newest run whose failure was counted.
+  std::uint64_t countedRun = 0;
+  /// No start before it.
+  TimePoint notBefore{};
+  /// Where its last run failed; tried again elsewhere if possible.
+  WorkerId failedAt;
+};
+
+/// A ticket held for a step.
+struct HeldTicket
+{
+  std::string text;
+  TimePoint expires{};
+};
+
+/// What is known of the workers that may run a step. The set does not change; tickets lapse.
+struct StepAdvice
+{
+  bool isComplete = false;
+  std::uint32_t questionsOpen = 0;
+  TimePoint retryAt{};
+  std::map<WorkerId, HeldTicket> good;
+};
+
+/// Room set aside for a gang until its tickets arrive.
+struct GangReservation
+{
+  std::vector<WorkerId> workers;
+  TimePoint expires{};
+};
+
+/// One run of a step's tasks.
+struct StepRun
+{
+  std::vector<Task> tasks;
+  std::uint32_t succeeded = 0;
+  /// Every step before it has succeeded.
+  bool isOpen = false;
+  StepAdvice advice;
+  std::optional<GangReservation> reservation;
+};
+
+/// One occurrence of a job.
+struct OccurrenceRun
+{
+  std::vector<StepRun> steps;
+  std::uint32_t stepsSucceeded = 0;
+  /// Objective for its end.
+  TimePoint objective{};
+};
+
+/// A job with all that is known of it.
+struct Job
+{
+  JobSpecification spec;
+  JobOutcome outcome = JobOutcome::Active;
+  /// A task of it has started.
+  bool hasStarted = false;
+  /// The job's workspace sends more than it is entitled to; served when there is room.
+  bool isBeyondWeight = false;
+  /// The end is in the store.
+  bool isOutcomeDurable = false;
+  /// A conductor before this one may have started tasks of it.
+  bool mayRunElsewhere = false;
+  TimePoint firstSeen{};
+  TimePoint ended{};
+  std::map<std::uint32_t, OccurrenceRun> occurrences;
+  std::uint32_t occurrencesBegun = 0;
+  /// Occurrences up to this number have all succeeded.
+  std::uint32_t occurrencesSucceeded = 0;
+
+  /// Version of its progress row; 0 if there is none.
+  std::uint64_t progressVersion = 0;
+  /// Counts changes of what the progress row holds.
+  std::uint64_t changes = 0;
+  std::uint64_t durableChanges = 0;
+
+  [[nodiscard]] std::uint32_t TotalOccurrences() const
+  {
+    return std::max<std::uint32_t>(1, this->spec.occurrences);
+  }
+};
+
+/// @return the longest chain of estimated work through a job's steps.
+[[nodiscard]] Milliseconds
+LongestChain(const JobSpecification& aSpec);
+
+/// @return the longest chain of estimated work from a step to the job's end, itself included.
+[[nodiscard]] Milliseconds
+RemainingChain(const JobSpecification& aSpec, std::uint32_t aStep);
+
+/// @return the name callers see.
+[[nodiscard]] std::string_view
+ToString(JobOutcome aOutcome);
+
+}
--- /dev/null
+++ b/Libraries/LibCell/Leadership.cpp
@@ -0,0 +1,285 @@
+#include <LibCell/Leadership.h>
+
+#include <algorithm>
+
+namespace zinc::cell {
+
+Leadership::Leadership(Dependencies aDependencies, Identity aIdentity, LeadershipOptions aOptions)
+  : on(std::move(aDependencies))
+  , identity(std::move(aIdentity))
+  , options(aOptions)
+{
+}
+
+RowKey
+Leadership::OwnerKey() const
+{
+  return { .table = std::string(kCellTable),
+           .part = std::string(kCellPart),
+           .key = std::string(kOwnerKey) };
+}
+
+bool
+Leadership::IsMine(const OwnerRecord& aRecord) const
+{
+  return aRecord.instance == this->identity.name &&
+         aRecord.incarnation == this->identity.incarnation;
+}
+
+void
+Leadership::OnOwnerRow(const Row& aRow)
+{
+  if (this->hasRow && aRow.version <= this->version) {
+    return;
+  }
+  std::optional<OwnerRecord> record;
+  if (aRow.version > 0 && !aRow.isDeleted) {
+    const auto decoded = DecodeOwner(aRow.value);
+    if (IsError(decoded)) {
+      this->on.log.Log(
+        LogLevel::Error, "owner_row_unreadable", { { "reason", ErrorOf(decoded).message } });
+    } else {
+      record = ValueOf(decoded);
+    }
+  }
+  const auto now = this->on.clock.Now();
+  this->hasRow = true;
+  this->version = aRow.version;
+  this->unchangedSince = now;
+  this->goneSince = {};
+  const bool isMine = record && this->IsMine(*record);
+  this->owner = std::move(record);
+  if (this->state == State::Owner && !isMine) {
+    this->Lose("the ownership row names another instance");
+    return;
+  }
+  if (this->state == State::Follower && isMine && !this->owner->isLeaving &&
+      this->owner->token == 0) {
+    // An attempt whose answer was lost has taken effect.
+    this->Begin(aRow.version, now);
+  }
+}
+
+void
+Leadership::OnInstance(const std::string& aName, const std::string& aIncarnation)
+{
+  this->incarnations[aName] = aIncarnation;
+}
+
+bool
+Leadership::IsOwnerDead() const
+{
+  if (!this->owner) {
+    return true;
+  }
+  if (this->owner->isLeaving || this->owner->instance == this->identity.name) {
+    return true;
+  }
+  const auto found = this->incarnations.find(this->owner->instance);
+  return found != this->incarnations.end() && found->second != this->owner->incarnation;
+}
+
+bool
+Leadership::IsOwnerGone(std::optional<TimePoint> aLastRead) const
+{
+  const auto now = this->on.clock.Now();
+  if (!this->hasRow || !aLastRead || now - *aLastRead > this->options.staleView) {
+    return false;
+  }
+  return this->IsOwnerDead() || now - this->unchangedSince > this->options.takeoverAfter;
+}
+
+Milliseconds
+Leadership::StaggerDelay() const
+{
+  // Ranks by a hash of the name and the row's version, so that not always the same instance
+  // conducts.
+  const auto rankOf = [this](const std::string& aName) {
+    return std::hash<std::string>{}(aName + std::to_string(this->version));
+  };
+  const auto own = rankOf(this->identity.name);
+  const auto before = std::ranges::count_if(this->incarnations, [&](const auto& aEntry) {
+    return aEntry.first != this->identity.name && rankOf(aEntry.first) < own;
+  });
+  return this->options.stagger * before;
+}
+
+void
+Leadership::Tick(std::optional<TimePoint> aLastRead)
+{
+  const auto now = this->on.clock.Now();
+  if (this->state == State::Owner) {
+    if (!this->isRenewing && now >= this->nextRenewal) {
+      this->Renew();
+    }
+    return;
+  }
+  if (this->state != State::Follower || this->isLeaving) {
+    return;
+  }
+  if (!aLastRead || now - *aLastRead > this->options.staleView) {
+    // Nothing is known of the owner while the row cannot be read.
+    this->unchangedSince = now;
+    this->goneSince = {};
+    return;
+  }
+  if (!this->IsOwnerGone(aLastRead)) {
+    this->goneSince = {};
+    return;
+  }
+  if (this->goneSince == TimePoint{}) {
+    this->goneSince = now;
+  }
+  if (now - this->goneSince >= this->StaggerDelay()) {
+    this->Take();
+  }
+}
+
+void
+Leadership::Take()
+{
+  const auto now = this->on.clock.Now();
+  this->state = State::Taking;
+  this->replaced = this->owner;
+  this->isReplacedDead = this->IsOwnerDead();
+  OwnerRecord record{ .instance = this->identity.name,
+                      .incarnation = this->identity.incarnation,
+                      .address = this->identity.address,
+                      .port = this->identity.port,
+                      .isRecovering = true };
+  if (this->owner) {
+    record.workers = this->owner->workers;
+    record.waiting = this->owner->waiting;
+  }
+  const auto key = this->OwnerKey();
+  Transaction transaction;
+  transaction.conditions.push_back({ .key = key, .version = this->version });
+  transaction.writes.push_back({ .key = key, .value = EncodeOwner(record) });
+  this->on.log.Log(LogLevel::Info,
+                   "term_sought",
+                   { { "version", this->version },
+                     { "owner", this->owner ? this->owner->instance : "" },
+                     { "dead", this->isReplacedDead },
+                     { "unchanged_ms", (now - this->unchangedSince).count() } });
+  this->on.store.Commit(std::move(transaction),
+                        [this, now](Result<CommitAnswer> aAnswer) { this->OnTaken(now, aAnswer); });
+}
+
+void
+Leadership::OnTaken(TimePoint aSent, const Result<CommitAnswer>& aAnswer)
+{
+  if (this->state != State::Taking) {
+    return;
+  }
+  this->state = State::Follower;
+  this->goneSince = {};
+  if (IsError(aAnswer)) {
+    return;
+  }
+  const auto& answer = ValueOf(aAnswer);
+  if (answer.isCommitted) {
+    this->hasRow = true;
+    this->version = answer.version;
+    this->Begin(answer.version, aSent);
+    return;
+  }
+  for (const auto& row : answer.standing) {
+    this->OnOwnerRow(row);
+  }
+}
+
+void
+Leadership::Begin(std::uint64_t aToken, TimePoint aSent)
+{
+  this->state = State::Owner;
+  this->token = aToken;
+  this->termEnd = aSent + this->options.term;
+  this->nextRenewal = this->on.clock.Now();
+  Term term{ .token = aToken, .hadPredecessor = this->replaced.has_value() };
+  if (this->replaced) {
+    // A predecessor that had not finished its own recovery leaves what its predecessor left.
+    term.isPredecessorDead = this->isReplacedDead && !this->replaced->isRecovering;
+    for (const auto& worker : this->replaced->workers) {
+      term.previousWorkers.push_back({ worker });
+    }
+  }
+  this->on.onBegun(term);
+}
+
+void
+Leadership::Renew()
+{
+  const auto now = this->on.clock.Now();
+  const auto news = this->on.news();
+  const OwnerRecord record{ .instance = this->identity.name,
+                            .incarnation = this->identity.incarnation,
+                            .address = this->identity.address,
+                            .port = this->identity.port,
+                            .token = this->token,
+                            .isLeaving = this->isLeaving,
+                            .isRecovering = news.isRecovering,
+                            .workers = news.workers,
+                            .waiting = news.waiting };
+  const auto key = this->OwnerKey();
+  Transaction transaction;
+  transaction.conditions.push_back({ .key = key, .version = this->version });
+  transaction.writes.push_back({ .key = key, .value = EncodeOwner(record) });
+  this->isRenewing = true;
+  this->on.store.Commit(std::move(transaction), [this, now](Result<CommitAnswer> aAnswer) {
+    this->OnRenewed(now, aAnswer);
+  });
+}
+
+void
+Leadership::OnRenewed(TimePoint aSent, const Result<CommitAnswer>& aAnswer)
+{
+  this->isRenewing = false;
+  if (this->state != State::Owner) {
+    return;
+  }
+  if (IsError(aAnswer)) {
+    this->nextRenewal = this->on.clock.Now() + this->options.renewRetry;
+    return;
+  }
+  const auto& answer = ValueOf(aAnswer);
+  if (!answer.isCommitted) {
+    const auto before = this->version;
+    for (const auto& row : answer.standing) {
+      this->OnOwnerRow(row);
+    }
+    if (answer.standing.empty()) {
+      this->Lose("the ownership row is gone");
+    } else if (this->state == State::Owner && this->version != before) {
+      // A renewal whose answer was lost has taken effect.
+      this->nextRenewal = this->on.clock.Now();
+    }
+    return;
+  }
+  this->version = std::max(this->version, answer.version);
+  this->unchangedSince = this->on.clock.Now();
+  this->termEnd = aSent + this->options.term;
+  this->nextRenewal = aSent + this->options.renewEvery;
+  if (this->isLeaving) {
+    this->Lose("handed over");
+    this->state = State::Left;
+  }
+}
+
+void
+Leadership::Lose(std::string_view aReason)
+{
+  this->state = State::Follower;
+  this->termEnd = {};
+  this->on.log.Log(
+    LogLevel::Info, "ownership_lost", { { "token", this->token }, { "reason", aReason } });
+  this->on.onLost(aReason);
+}
+
+void
+Leadership::Leave()
+{
+  this->isLeaving = true;
+  this->nextRenewal = {};
+}
+
+}
--- /dev/null
+++ b/Libraries/LibCell/Leadership.h
@@ -0,0 +1,137 @@
+#pragma once
+
+/// @file
+/// Which instance conducts the cell: one row, taken by compare-and-set.
+
+#include <LibCell/Records.h>
+#include <LibCell/WatchedStore.h>
+#include <LibLog/Logger.h>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace zinc::cell {
+
+/// Times of the ownership row.
+struct LeadershipOptions
+{
+  /// Time between two renewals.
+  Milliseconds renewEvery{ 500 };
+  /// Time until a renewal that failed is tried again.
+  Milliseconds renewRetry{ 150 };
+  /// The owner is certain of its term for this long after it sent its last renewal.
+  Milliseconds term{ 6000 };
+  /// An owner whose row stands still for this long is taken to be gone. Three missed renewals.
+  Milliseconds takeoverAfter{ 1600 };
+  /// A row that was not read for this long says nothing of its owner.
+  Milliseconds staleView{ 1500 };
+  /// Time between the attempts of two instances, so that one is first.
+  Milliseconds stagger{ 60 };
+};
+
+/// What the owner publishes with each renewal.
+struct OwnerNews
+{
+  std::vector<std::string> workers;
+  std::map<std::string, std::uint64_t> waiting;
+  /// Runs of a conductor before this one may still be at workers that were not read.
+  bool isRecovering = false;
+};
+
+/// A term that has begun.
+struct Term
+{
+  std::uint64_t token = 0;
+  bool hadPredecessor = false;
+  /// The predecessor cannot act any more.
+  bool isPredecessorDead = false;
+  std::vector<WorkerId> previousWorkers;
+};
+
+/// Takes, renews and gives up the ownership row. Decisions only: it reads the row as the follower
+/// of the cell's table tells it.
+class Leadership
+{
+public:
+  struct Dependencies
+  {
+    WatchedStore& store;
+    const Clock& clock;
+    const Logger& log;
+    std::function<void(const Term&)> onBegun;
+    std::function<void(std::string_view)> onLost;
+    /// Called before each renewal.
+    std::function<OwnerNews()> news;
+  };
+
+  /// Who this instance is.
+  struct Identity
+  {
+    std::string name;
+    /// Differs from one life of the process to the next.
+    std::string incarnation;
+    std::string address;
+    std::uint16_t port = 0;
+  };
+
+  Leadership(Dependencies aDependencies, Identity aIdentity, LeadershipOptions aOptions = {});
+
+  /// Takes the ownership row as it was read; an absent row has version 0.
+  void OnOwnerRow(const Row& aRow);
+  /// Takes another instance's incarnation as its own row says.
+  void OnInstance(const std::string& aName, const std::string& aIncarnation);
+  /// @param aLastRead when the cell's table was last read with success; nothing if it fails
+  void Tick(std::optional<TimePoint> aLastRead);
+  /// Stops taking over, and hands the term over if there is one.
+  void Leave();
+
+  [[nodiscard]] bool IsOwner() const { return this->state == State::Owner; }
+  /// @return until when this instance is certainly the owner.
+  [[nodiscard]] TimePoint TermEnd() const { return this->termEnd; }
+  /// @return the owner as last read.
+  [[nodiscard]] const std::optional<OwnerRecord>& Owner() const { return this->owner; }
+
+private:
+  enum class State : std::uint8_t
+  {
+    Follower,
+    Taking,
+    Owner,
+    Left,
+  };
+
+  [[nodiscard]] bool IsOwnerGone(std::optional<TimePoint> aLastRead) const;
+  [[nodiscard]] Milliseconds StaggerDelay() const;
+  [[nodiscard]] bool IsOwnerDead() const;
+  void Take();
+  void OnTaken(TimePoint aSent, const Result<CommitAnswer>& aAnswer);
+  void Begin(std::uint64_t aToken, TimePoint aSent);
+  void Renew();
+  void OnRenewed(TimePoint aSent, const Result<CommitAnswer>& aAnswer);
+  void Lose(std::string_view aReason);
+  [[nodiscard]] RowKey OwnerKey() const;
+  [[nodiscard]] bool IsMine(const OwnerRecord& aRecord) const;
+
+  Dependencies on;
+  Identity identity;
+  LeadershipOptions options;
+  State state = State::Follower;
+  bool hasRow = false;
+  std::uint64_t version = 0;
+  std::optional<OwnerRecord> owner;
+  /// The record that this instance replaced.
+  std::optional<OwnerRecord> replaced;
+  bool isReplacedDead = false;
+  std::map<std::string, std::string> incarnations;
+  TimePoint unchangedSince{};
+  TimePoint goneSince{};
+  TimePoint termEnd{};
+  TimePoint nextRenewal{};
+  std::uint64_t token = 0;
+  bool isRenewing = false;
+  bool isLeaving = false;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibCell/Placement.cpp
@@ -0,0 +1,140 @@
+#include <LibCell/Placement.h>
+
+#include <algorithm>
+#include <map>
+#include <tuple>
+
+namespace zinc::cell {
+
+namespace {
+
+/// Slowness is compared in steps, so that room decides between workers that are about as fast.
+constexpr double kSlownessStep = 0.35;
+
+int
+SlownessRank(const Worker& aWorker)
+{
+  return static_cast<int>((aWorker.slowness - 1.0) / kSlownessStep);
+}
+
+bool
+IsFar(const Worker& aWorker, const StepSpecification& aStep)
+{
+  return !aStep.dataRack.empty() && aWorker.entry.rack.value != aStep.dataRack;
+}
+
+std::uint32_t
+GangRoom(const Worker& aWorker, const StepSpecification& aStep)
+{
+  const auto most =
+    aStep.maxPerWorker > 0 ? std::min(aStep.maxPerWorker, aStep.count) : aStep.count;
+  return RoomFor(aWorker, OccupiedBy(aStep), most);
+}
+
+std::optional<std::vector<Worker*>>
+FillGang(std::vector<Worker*> aWorkers, const StepSpecification& aStep)
+{
+  const auto rank = [&aStep](const Worker* aWorker) {
+    return std::tuple(
+      SlownessRank(*aWorker), IsFar(*aWorker, aStep), -int(GangRoom(*aWorker, aStep)));
+  };
+  std::ranges::sort(aWorkers, {}, rank);
+  std::vector<Worker*> chosen;
+  for (auto* worker : aWorkers) {
+    const auto left = aStep.count - static_cast<std::uint32_t>(chosen.size());
+    const auto room = std::min(GangRoom(*worker, aStep), left);
+    chosen.insert(chosen.end(), room, worker);
+    if (chosen.size() == aStep.count) {
+      return chosen;
+    }
+  }
+  return {};
+}
+
+/// @return workers by rack, nearest racks first.
+std::vector<std::vector<Worker*>>
+ByRack(std::span<Worker* const> aWorkers, const StepSpecification& aStep)
+{
+  std::map<std::pair<bool, RackId>, std::vector<Worker*>> racks;
+  for (auto* worker : aWorkers) {
+    racks[{ IsFar(*worker, aStep), worker->entry.rack }].push_back(worker);
+  }
+  std::vector<std::vector<Worker*>> sorted;
+  for (auto& [key, workers] : racks) {
+    sorted.push_back(std::move(workers));
+  }
+  return sorted;
+}
+
+}
+
+Resources
+OccupiedBy(const StepSpecification& aStep)
+{
+  auto demand = aStep.demand;
+  if (aStep.isFiller) {
+    demand.milliCores = 0;
+  }
+  return demand;
+}
+
+std::uint32_t
+RoomFor(const Worker& aWorker, const Resources& aDemand, std::uint32_t aMost)
+{
+  const auto free = aWorker.Free();
+  auto room = static_cast<std::int64_t>(aMost);
+  const auto bound = [&room](std::int64_t aFree, std::int64_t aNeed) {
+    if (aNeed > 0) {
+      room = std::min(room, std::max<std::int64_t>(0, aFree) / aNeed);
+    }
+  };
+  bound(free.milliCores, aDemand.milliCores);
+  bound(free.memoryMiB, aDemand.memoryMiB);
+  bound(free.accelerators, aDemand.accelerators);
+  return static_cast<std::uint32_t>(room);
+}
+
+bool
+HasRequiredLabel(const Worker& aWorker, const StepSpecification& aStep)
+{
+  return aStep.requiredLabel.empty() ||
+         std::ranges::find(aWorker.entry.labels, aStep.requiredLabel) != aWorker.entry.labels.end();
+}
+
+Worker*
+ChooseWorker(std::span<Worker* const> aWorkers,
+             const StepSpecification& aStep,
+             const CountAt& aCount)
+{
+  const auto demand = OccupiedBy(aStep);
+  Worker* best = nullptr;
+  std::tuple<bool, int, double> bestRank;
+  for (auto* worker : aWorkers) {
+    const bool isFull = aStep.maxPerWorker > 0 && aCount(*worker) >= aStep.maxPerWorker;
+    if (isFull || RoomFor(*worker, demand, 1) == 0) {
+      continue;
+    }
+    const double left = DominantShare(worker->Free(), worker->entry.capacity);
+    const std::tuple rank(IsFar(*worker, aStep), SlownessRank(*worker), left);
+    if (best == nullptr || rank < bestRank) {
+      best = worker;
+      bestRank = rank;
+    }
+  }
+  return best;
+}
+
+std::optional<std::vector<Worker*>>
+AssignGang(std::span<Worker* const> aWorkers, const StepSpecification& aStep)
+{
+  if (aStep.prefersOneRack) {
+    for (auto& rack : ByRack(aWorkers, aStep)) {
+      if (auto chosen = FillGang(std::move(rack), aStep)) {
+        return chosen;
+      }
+    }
+  }
+  return FillGang({ aWorkers.begin(), aWorkers.end() }, aStep);
+}
+
+}
--- /dev/null
+++ b/Libraries/LibCell/Records.cpp
@@ -0,0 +1,428 @@
+#include <LibCell/Records.h>
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <json/json.h>
+
+namespace zinc::cell {
+
+namespace {
+
+std::string
+Write(const Json::Value& aValue)
+{
+  thread_local const std::unique_ptr<Json::StreamWriter> writer = [] {
+    Json::StreamWriterBuilder builder;
+    builder["indentation"] = "";
+    builder["emitUTF8"] = true;
+    return std::unique_ptr<Json::StreamWriter>(builder.newStreamWriter());
+  }();
+  std::ostringstream stream;
+  writer->write(aValue, &stream);
+  return stream.str();
+}
+
+Result<Json::Value>
+Parse(std::string_view aText, std::string_view aWhat)
+{
+  thread_local const std::unique_ptr<Json::CharReader> reader = [] {
+    Json::CharReaderBuilder builder;
+    builder["failIfExtra"] = true;
+    return std::unique_ptr<Json::CharReader>(builder.newCharReader());
+  }();
+  Json::Value value;
+  std::string fault;
+  if (!reader->parse(aText.data(), aText.data() + aText.size(), &value, &fault) ||
+      !value.isObject()) {
+    return NotRun(ErrorCode::BadRequest, fmt::format("The {} row cannot be read.", aWhat));
+  }
+  return value;
+}
+
+/// Decodes with jsoncpp's checked conversions, whose failures are exceptions.
+template<typename T, typename Decode>
+Result<T>
+Decoded(std::string_view aText, std::string_view aWhat, Decode aDecode)
+{
+  const auto parsed = Parse(aText, aWhat);
+  if (IsError(parsed)) {
+    return ErrorOf(parsed);
+  }
+  try {
+    return aDecode(ValueOf(parsed));
+  } catch (const Json::Exception& error) {
+    return NotRun(ErrorCode::BadRequest,
+                  fmt::format("The {} row is malformed: {}", aWhat, error.what()));
+  }
+}
+
+constexpr std::string_view kSuffixes = "jpx";
+constexpr std::size_t kSuffixLength = 2;
+
+Json::Value
+ToJson(const Resources& aAmount)
+{
+  Json::Value value(Json::arrayValue);
+  value.append(Json::Int64(aAmount.milliCores));
+  value.append(Json::Int64(aAmount.memoryMiB));
+  value.append(Json::Int64(aAmount.accelerators));
+  return value;
+}
+
+Resources
+ResourcesFrom(const Json::Value& aValue)
+{
+  return { .milliCores = aValue[0].asInt64(),
+           .memoryMiB = aValue[1].asInt64(),
+           .accelerators = aValue[2].asInt64() };
+}
+
+Json::Value
+ToJson(const QueuePolicy& aQueue)
+{
+  Json::Value value(Json::objectValue);
+  value["name"] = aQueue.name.value;
+  value["pool"] = aQueue.pool;
+  value["priority"] = aQueue.priority;
+  value["attempts"] = aQueue.attempts;
+  value["stretch"] = aQueue.stretch;
+  value["slack"] = Json::Int64(aQueue.slack.count());
+  if (aQueue.isAdvised) {
+    Json::Value advice(Json::arrayValue);
+    advice.append(aQueue.advice.baseMs);
+    advice.append(aQueue.advice.perWorkerMs);
+    advice.append(Json::Int64(aQueue.advice.validity.count()));
+    value["advice"] = advice;
+  }
+  return value;
+}
+
+QueuePolicy
+QueueFrom(const Json::Value& aValue)
+{
+  QueuePolicy queue{ .name = { aValue["name"].asString() },
+                     .pool = aValue["pool"].asString(),
+                     .priority = aValue["priority"].asUInt(),
+                     .attempts = aValue["attempts"].asUInt(),
+                     .stretch = aValue["stretch"].asDouble(),
+                     .slack = Milliseconds(aValue["slack"].asInt64()) };
+  const auto& advice = aValue["advice"];
+  if (advice.isArray()) {
+    queue.isAdvised = true;
+    queue.advice = { .baseMs = advice[0].asDouble(),
+                     .perWorkerMs = advice[1].asDouble(),
+                     .validity = Milliseconds(advice[2].asInt64()) };
+  }
+  return queue;
+}
+
+enum StepFlag : std::uint32_t
+{
+  Checkpoints = 1,
+  Gang = 2,
+  OneRack = 4,
+  Speculate = 8,
+  Perpetual = 16,
+  Filler = 32,
+  AvailabilityBudget = 64,
+};
+
+Json::Value
+ToJson(const StepSpecification& aStep)
+{
+  Json::Value value(Json::objectValue);
+  value["count"] = aStep.count;
+  value["demand"] = ToJson(aStep.demand);
+  value["estimate"] = Json::Int64(aStep.estimate.count());
+  for (const auto step : aStep.after) {
+    value["after"].append(step);
+  }
+  const std::uint32_t flags =
+    (aStep.checkpoints ? Checkpoints : 0U) | (aStep.isGang ? Gang : 0U) |
+    (aStep.prefersOneRack ? OneRack : 0U) | (aStep.maySpeculate ? Speculate : 0U) |
+    (aStep.isPerpetual ? Perpetual : 0U) | (aStep.isFiller ? Filler : 0U) |
+    (aStep.hasAvailabilityBudget ? AvailabilityBudget : 0U);
+  value["flags"] = flags;
+  value["label"] = aStep.requiredLabel;
+  value["rack"] = aStep.dataRack;
+  value["image"] = aStep.image;
+  value["spread"] = aStep.maxPerWorker;
+  value["tail"] = Json::Int64(aStep.tailTarget.count());
+  value["away"] = aStep.availabilityBudget;
+  return value;
+}
+
+StepSpecification
+StepFrom(const Json::Value& aValue)
+{
+  const auto flags = aValue["flags"].asUInt();
+  StepSpecification step{ .count = aValue["count"].asUInt(),
+                          .demand = ResourcesFrom(aValue["demand"]),
+                          .estimate = Milliseconds(aValue["estimate"].asInt64()),
+                          .checkpoints = (flags & Checkpoints) != 0,
+                          .isGang = (flags & Gang) != 0,
+                          .prefersOneRack = (flags & OneRack) != 0,
+                          .maySpeculate = (flags & Speculate) != 0,
+                          .isPerpetual = (flags & Perpetual) != 0,
+                          .isFiller = (flags & Filler) != 0,
+                          .requiredLabel = aValue["label"].asString(),
+                          .dataRack = aValue["rack"].asString(),
+                          .image = aValue["image"].asString(),
+                          .maxPerWorker = aValue["spread"].asUInt(),
+                          .tailTarget = Milliseconds(aValue["tail"].asInt64()),
+                          .hasAvailabilityBudget = (flags & AvailabilityBudget) != 0,
+                          .availabilityBudget = aValue["away"].asUInt() };
+  for (const auto& after : aValue["after"]) {
+    step.after.push_back(after.asUInt());
+  }
+  return step;
+}
+
+Json::Value
+ToJson(const TaskKey& aKey)
+{
+  Json::Value value(Json::arrayValue);
+  value.append(aKey.occurrence);
+  value.append(aKey.step);
+  value.append(aKey.index);
+  return value;
+}
+
+TaskKey
+KeyFrom(const Json::Value& aValue)
+{
+  return { .occurrence = aValue[0].asUInt(),
+           .step = aValue[1].asUInt(),
+           .index = aValue[2].asUInt() };
+}
+
+}
+
+std::string
+JobPart(const JobId& aJob)
+{
+  std::uint32_t hash = 0;
+  for (const char character : aJob.value) {
+    hash = hash * 31 + static_cast<unsigned char>(character);
+  }
+  return std::to_string(hash % kJobParts);
+}
+
+RowKey
+JobRowKey(const JobId& aJob, JobRowKind aKind)
+{
+  return { .table = std::string(kJobTable),
+           .part = JobPart(aJob),
+           .key = fmt::format("{}.{}", aJob.value, kSuffixes[static_cast<std::size_t>(aKind)]) };
+}
+
+RowRange
+JobRowRange(const JobId& aJob)
+{
+  return { .table = std::string(kJobTable),
+           .part = JobPart(aJob),
+           .from = aJob.value + ".",
+           .to = aJob.value + "/" };
+}
+
+std::optional<JobRowName>
+ParseJobRowKey(std::string_view aKey)
+{
+  if (aKey.size() <= kSuffixLength || aKey[aKey.size() - kSuffixLength] != '.') {
+    return {};
+  }
+  const auto kind = kSuffixes.find(aKey.back());
+  if (kind == std::string_view::npos) {
+    return {};
+  }
+  return JobRowName{ .job = { std::string(aKey.substr(0, aKey.size() - kSuffixLength)) },
+                     .kind = static_cast<JobRowKind>(kind) };
+}
+
+std::string
+EncodeSpecification(const JobSpecification& aSpec)
+{
+  Json::Value value(Json::objectValue);
+  value["workspace"] = aSpec.workspace.value;
+  value["queue"] = ToJson(aSpec.queue);
+  value["payload"] = aSpec.payload;
+  for (const auto& step : aSpec.steps) {
+    value["steps"].append(ToJson(step));
+  }
+  value["occurrences"] = aSpec.occurrences;
+  value["due"] = Json::Int64(aSpec.firstDue.time_since_epoch().count());
+  value["interval"] = Json::Int64(aSpec.interval.count());
+  value["received"] = Json::Int64(aSpec.received.time_since_epoch().count());
+  return Write(value);
+}
+
+Result<JobSpecification>
+DecodeSpecification(const JobId& aJob, std::string_view aText)
+{
+  return Decoded<JobSpecification>(
+    aText, "job", [&aJob](const Json::Value& aValue) -> Result<JobSpecification> {
+      JobSpecification spec{ .id = aJob,
+                             .workspace = { aValue["workspace"].asString() },
+                             .queue = QueueFrom(aValue["queue"]),
+                             .payload = aValue["payload"].asString(),
+                             .occurrences = aValue["occurrences"].asUInt(),
+                             .firstDue = WallTime(Milliseconds(aValue["due"].asInt64())),
+                             .interval = Milliseconds(aValue["interval"].asInt64()),
+                             .received = WallTime(Milliseconds(aValue["received"].asInt64())) };
+      for (const auto& step : aValue["steps"]) {
+        spec.steps.push_back(StepFrom(step));
+      }
+      if (spec.steps.empty()) {
+        return NotRun(ErrorCode::BadRequest, "The job row has no steps.");
+      }
+      return spec;
+    });
+}
+
+ProgressRecord
+ProgressOf(const Job& aJob)
+{
+  ProgressRecord record{ .outcome = aJob.outcome,
+                         .hasStarted = aJob.hasStarted,
+                         .occurrencesSucceeded = aJob.occurrencesSucceeded };
+  if (aJob.outcome != JobOutcome::Active) {
+    return record;
+  }
+  for (const auto& [number, occurrence] : aJob.occurrences) {
+    for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+      const auto& run = occurrence.steps[step];
+      if (run.succeeded == run.tasks.size()) {
+        record.steps.push_back({ .occurrence = number, .step = step });
+        continue;
+      }
+      for (std::uint32_t index = 0; index < run.tasks.size(); ++index) {
+        const auto& task = run.tasks[index];
+        const bool hasSucceeded = task.phase == TaskPhase::Succeeded;
+        if (hasSucceeded || task.failures > 0 || !task.checkpoint.empty()) {
+          record.tasks.push_back({ .key = { .occurrence = number, .step = step, .index = index },
+                                   .hasSucceeded = hasSucceeded,
+                                   .failures = task.failures,
+                                   .countedRun = task.countedRun,
+                                   .checkpoint = hasSucceeded ? "" : task.checkpoint });
+        }
+      }
+    }
+  }
+  return record;
+}
+
+std::string
+EncodeProgress(const ProgressRecord& aRecord)
+{
+  Json::Value value(Json::objectValue);
+  value["outcome"] = static_cast<std::uint32_t>(aRecord.outcome);
+  value["started"] = aRecord.hasStarted;
+  value["occurrences"] = aRecord.occurrencesSucceeded;
+  for (const auto& step : aRecord.steps) {
+    value["steps"].append(ToJson(step));
+  }
+  for (const auto& task : aRecord.tasks) {
+    auto entry = ToJson(task.key);
+    entry.append(task.hasSucceeded);
+    entry.append(task.failures);
+    entry.append(Json::UInt64(task.countedRun));
+    entry.append(task.checkpoint);
+    value["tasks"].append(std::move(entry));
+  }
+  return Write(value);
+}
+
+Result<ProgressRecord>
+DecodeProgress(std::string_view aText)
+{
+  return Decoded<ProgressRecord>(
+    aText, "progress", [](const Json::Value& aValue) -> Result<ProgressRecord> {
+      const auto outcome = aValue["outcome"].asUInt();
+      if (outcome > static_cast<std::uint32_t>(JobOutcome::Cancelled)) {
+        return NotRun(ErrorCode::BadRequest, "The progress row has an unknown outcome.");
+      }
+      ProgressRecord record{ .outcome = static_cast<JobOutcome>(outcome),
+                             .hasStarted = aValue["started"].asBool(),
+                             .occurrencesSucceeded = aValue["occurrences"].asUInt() };
+      for (const auto& step : aValue["steps"]) {
+        record.steps.push_back(KeyFrom(step));
+      }
+      for (const auto& task : aValue["tasks"]) {
+        record.tasks.push_back({ .key = KeyFrom(task),
+                                 .hasSucceeded = task[3].asBool(),
+                                 .failures = task[4].asUInt(),
+                                 .countedRun = task[5].asUInt64(),
+                                 .checkpoint = task[6].asString() });
+      }
+      return record;
+    });
+}
+
+std::string
+EncodeOwner(const OwnerRecord& aRecord)
+{
+  Json::Value value(Json::objectValue);
+  value["instance"] = aRecord.instance;
+  value["incarnation"] = aRecord.incarnation;
+  value["recovering"] = aRecord.isRecovering;
+  value["address"] = aRecord.address;
+  value["port"] = aRecord.port;
+  value["token"] = Json::UInt64(aRecord.token);
+  value["leaving"] = aRecord.isLeaving;
+  for (const auto& worker : aRecord.workers) {
+    value["workers"].append(worker);
+  }
+  for (const auto& [queue, count] : aRecord.waiting) {
+    value["waiting"][queue] = Json::UInt64(count);
+  }
+  return Write(value);
+}
+
+Result<OwnerRecord>
+DecodeOwner(std::string_view aText)
+{
+  return Decoded<OwnerRecord>(
+    aText, "ownership", [](const Json::Value& aValue) -> Result<OwnerRecord> {
+      OwnerRecord record{ .instance = aValue["instance"].asString(),
+                          .incarnation = aValue["incarnation"].asString(),
+                          .address = aValue["address"].asString(),
+                          .port = static_cast<std::uint16_t>(aValue["port"].asUInt()),
+                          .token = aValue["token"].asUInt64(),
+                          .isLeaving = aValue["leaving"].asBool(),
+                          .isRecovering = aValue["recovering"].asBool() };
+      for (const auto& worker : aValue["workers"]) {
+        record.workers.push_back(worker.asString());
+      }
+      for (const auto& queue : aValue["waiting"].getMemberNames()) {
+        record.waiting[queue] = aValue["waiting"][queue].asUInt64();
+      }
+      return record;
+    });
+}
+
+std::string
+EncodeInstance(const InstanceRecord& aRecord)
+{
+  Json::Value value(Json::objectValue);
+  value["address"] = aRecord.address;
+  value["port"] = aRecord.port;
+  value["zone"] = aRecord.zone;
+  value["incarnation"] = aRecord.incarnation;
+  value["beat"] = Json::UInt64(aRecord.beat);
+  return Write(value);
+}
+
+Result<InstanceRecord>
+DecodeInstance(std::string_view aText)
+{
+  return Decoded<InstanceRecord>(
+    aText, "instance", [](const Json::Value& aValue) -> Result<InstanceRecord> {
+      return InstanceRecord{ .incarnation = aValue["incarnation"].asString(),
+                             .address = aValue["address"].asString(),
+                             .port = static_cast<std::uint16_t>(aValue["port"].asUInt()),
+                             .zone = aValue["zone"].asString(),
+                             .beat = aValue["beat"].asUInt64() };
+    });
+}
+
+}
--- /dev/null
+++ b/Libraries/LibCell/Records.h
@@ -0,0 +1,147 @@
+#pragma once
+
+/// @file
+/// The rows that the cell keeps in the store, in the project's own form.
+
+#include <LibBase/Verdict.h>
+#include <LibCell/Job.h>
+#include <LibCell/Ports.h>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace zinc::cell {
+
+/// Table of all rows about jobs; followed by the conductor.
+inline constexpr std::string_view kJobTable = "zinc-jobs";
+/// Table of the ownership row and the instances; followed by every instance.
+inline constexpr std::string_view kCellTable = "zinc-cell";
+/// Part of the rows in @ref kCellTable.
+inline constexpr std::string_view kCellPart = "cell";
+inline constexpr std::string_view kOwnerKey = "owner";
+inline constexpr std::string_view kInstancePrefix = "instance/";
+/// Parts that job rows are spread over; a part commits one transaction after the other.
+inline constexpr std::uint32_t kJobParts = 8;
+
+/// What a row about a job holds.
+enum class JobRowKind : std::uint8_t
+{
+  /// The job itself; never changes.
+  Specification,
+  /// What its tasks have reached, and its outcome.
+  Progress,
+  /// Asks for its cancellation.
+  Cancellation,
+};
+
+/// A row key of @ref kJobTable taken apart.
+struct JobRowName
+{
+  JobId job;
+  JobRowKind kind = JobRowKind::Specification;
+};
+
+/// @return the part in which all rows of a job lie.
+[[nodiscard]] std::string
+JobPart(const JobId& aJob);
+
+/// @return the key of a row about a job.
+[[nodiscard]] RowKey
+JobRowKey(const JobId& aJob, JobRowKind aKind);
+
+/// @return the range of all rows about a job.
+[[nodiscard]] RowRange
+JobRowRange(const JobId& aJob);
+
+/// @return what a key of the job table names, if it is one of ours.
+[[nodiscard]] std::optional<JobRowName>
+ParseJobRowKey(std::string_view aKey);
+
+[[nodiscard]] std::string
+EncodeSpecification(const JobSpecification& aSpec);
+
+/// @return the job, or @ref ErrorCode::BadRequest.
+[[nodiscard]] Result<JobSpecification>
+DecodeSpecification(const JobId& aJob, std::string_view aText);
+
+/// What is kept of one task.
+struct TaskRecord
+{
+  TaskKey key;
+  bool hasSucceeded = false;
+  std::uint32_t failures = 0;
+  std::uint64_t countedRun = 0;
+  std::string checkpoint;
+};
+
+/// What the progress row of a job holds.
+struct ProgressRecord
+{
+  JobOutcome outcome = JobOutcome::Active;
+  bool hasStarted = false;
+  std::uint32_t occurrencesSucceeded = 0;
+  /// Steps of which all tasks have succeeded; their tasks are left out.
+  std::vector<TaskKey> steps;
+  std::vector<TaskRecord> tasks;
+};
+
+/// @return what there is to keep of a job.
+[[nodiscard]] ProgressRecord
+ProgressOf(const Job& aJob);
+
+[[nodiscard]] std::string
+EncodeProgress(const ProgressRecord& aRecord);
+
+/// @return the record, or @ref ErrorCode::BadRequest.
+[[nodiscard]] Result<ProgressRecord>
+DecodeProgress(std::string_view aText);
+
+/// The ownership row: which instance conducts the cell.
+struct OwnerRecord
+{
+  std::string instance;
+  /// The life of the instance's process.
+  std::string incarnation;
+  /// Where the conductor answers the other instances.
+  std::string address;
+  std::uint16_t port = 0;
+  /// Version of the row when the conductor took it; its fencing token. 0 in the first write.
+  std::uint64_t token = 0;
+  /// The conductor gives up on purpose; the next may take over at once.
+  bool isLeaving = false;
+  /// Runs of a conductor before it may still be at workers that were not read.
+  bool isRecovering = false;
+  /// Workers at which something may run.
+  std::vector<std::string> workers;
+  /// Accepted jobs of each queue that have not started.
+  std::map<std::string, std::uint64_t> waiting;
+};
+
+[[nodiscard]] std::string
+EncodeOwner(const OwnerRecord& aRecord);
+
+/// @return the record, or @ref ErrorCode::BadRequest.
+[[nodiscard]] Result<OwnerRecord>
+DecodeOwner(std::string_view aText);
+
+/// Where an instance answers the others.
+struct InstanceRecord
+{
+  std::string incarnation;
+  std::string address;
+  std::uint16_t port = 0;
+  std::string zone;
+  /// Rises with each write, so that a row that stands still tells of an instance that is gone.
+  std::uint64_t beat = 0;
+};
+
+[[nodiscard]] std::string
+EncodeInstance(const InstanceRecord& aRecord);
+
+/// @return the record, or @ref ErrorCode::BadRequest.
+[[nodiscard]] Result<InstanceRecord>
+DecodeInstance(std::string_view aText);
+
+}
--- /dev/null
+++ b/Libraries/LibInstance/CellInstance.cpp
@@ -0,0 +1,532 @@
+#include <LibInstance/CellInstance.h>
+
+#include <algorithm>
+
+namespace zinc {
+
+namespace {
+
+using cell::CallerJobState;
+using cell::JobOutcome;
+
+CallerJobState
+StateOf(JobOutcome aOutcome, bool aHasStarted)
+{
+  switch (aOutcome) {
+    case JobOutcome::Succeeded:
+      return CallerJobState::Succeeded;
+    case JobOutcome::Failed:
+      return CallerJobState::Failed;
+    case JobOutcome::Cancelled:
+      return CallerJobState::Cancelled;
+    case JobOutcome::Active:
+      break;
+  }
+  return aHasStarted ? CallerJobState::Running : CallerJobState::Queued;
+}
+
+Verdict
+UnknownJob()
+{
+  return NotRun(ErrorCode::NotFound, "There is no such job.");
+}
+
+std::vector<std::string>
+AllJobParts()
+{
+  std::vector<std::string> parts;
+  for (std::uint32_t part = 0; part < cell::kJobParts; ++part) {
+    parts.push_back(std::to_string(part));
+  }
+  return parts;
+}
+
+}
+
+CellInstance::CellInstance(Dependencies aDependencies, CellInstanceOptions aOptions)
+  : on(std::move(aDependencies))
+  , options(std::move(aOptions))
+  , store(this->on.store, this->on.clock, this->on.log, this->on.metrics)
+  , intake(this->store, this->on.clock)
+  , leadership({ .store = this->store,
+                 .clock = this->on.clock,
+                 .log = this->on.log,
+                 .onBegun = [this](const cell::Term& aTerm) { this->OnTermBegun(aTerm); },
+                 .onLost = [this](std::string_view) { this->OnTermLost(); },
+                 .news = [this] { return this->News(); } },
+               this->options.identity,
+               this->options.leadership)
+{
+}
+
+CellInstance::~CellInstance() = default;
+
+void
+CellInstance::Start()
+{
+  const auto follow = [this](cell::TableFollowerOptions aOptions,
+                             void (CellInstance::*aOnView)(const cell::TableView&)) {
+    auto follower = std::make_shared<cell::TableFollower>(
+      this->store,
+      this->on.timer,
+      this->on.clock,
+      std::move(aOptions),
+      [this, aOnView](const cell::TableView& aView) { (this->*aOnView)(aView); });
+    follower->Start();
+    return follower;
+  };
+  this->documentFollower = follow({ .table = this->on.layout.documentTable,
+                                    .parts = { "" },
+                                    .reread = this->options.documentReread },
+                                  &CellInstance::OnDocument);
+  this->cellFollower =
+    follow({ .table = std::string(cell::kCellTable), .parts = { std::string(cell::kCellPart) } },
+           &CellInstance::OnCell);
+  this->Beat();
+  this->TickLeadership();
+}
+
+void
+CellInstance::Leave()
+{
+  this->isLeaving = true;
+  this->leadership.Leave();
+}
+
+bool
+CellInstance::IsReady() const
+{
+  return this->policy != nullptr && !this->isLeaving && this->store.IsServing();
+}
+
+void
+CellInstance::OnDocument(const cell::TableView& aView)
+{
+  for (const auto& row : aView.rows) {
+    const bool isNewer = row.key.key == this->on.layout.documentKey && !row.isDeleted &&
+                         row.version > this->documentRowVersion;
+    if (!isNewer) {
+      continue;
+    }
+    auto decoded = this->on.layout.decodeDocument(row.value);
+    if (IsError(decoded)) {
+      this->on.log.Log(
+        LogLevel::Error, "document_unreadable", { { "reason", ErrorOf(decoded).message } });
+      continue;
+    }
+    const bool isOlder = this->policy && ValueOf(decoded).version <= this->policy->version;
+    if (isOlder) {
+      continue;
+    }
+    this->documentRowVersion = row.version;
+    this->policy = std::make_shared<cell::CellPolicy>(std::move(ValueOf(decoded)));
+    this->on.log.Log(LogLevel::Info,
+                     "document_in_force",
+                     { { "version", this->policy->version },
+                       { "queues", this->policy->routes.size() },
+                       { "keys", this->policy->workspaceByKey.size() } });
+    if (this->conductor) {
+      this->conductor->SetPolicy(this->policy);
+    }
+  }
+}
+
+void
+CellInstance::OnCell(const cell::TableView& aView)
+{
+  bool hasOwner = false;
+  for (const auto& row : aView.rows) {
+    if (row.key.key == cell::kOwnerKey) {
+      hasOwner = true;
+      this->leadership.OnOwnerRow(row);
+    } else if (row.key.key.starts_with(cell::kInstancePrefix)) {
+      this->OnPeerRow(row);
+    }
+  }
+  if (aView.isWhole && !hasOwner) {
+    this->leadership.OnOwnerRow({});
+  }
+}
+
+void
+CellInstance::OnPeerRow(const cell::Row& aRow)
+{
+  const auto name = aRow.key.key.substr(cell::kInstancePrefix.size());
+  const auto record = cell::DecodeInstance(aRow.value);
+  if (aRow.isDeleted || IsError(record)) {
+    this->peers.erase(name);
+    return;
+  }
+  auto& peer = this->peers[name];
+  peer.record = ValueOf(record);
+  peer.endpoint = { .address = peer.record.address, .port = peer.record.port };
+  peer.changed = this->on.clock.Now();
+  this->leadership.OnInstance(name, peer.record.incarnation);
+}
+
+void
+CellInstance::Beat()
+{
+  const cell::RowKey key{ .table = std::string(cell::kCellTable),
+                          .part = std::string(cell::kCellPart),
+                          .key = std::string(cell::kInstancePrefix) + this->options.identity.name };
+  cell::Transaction transaction;
+  transaction.writes.push_back(
+    { .key = key,
+      .value = cell::EncodeInstance({ .incarnation = this->options.identity.incarnation,
+                                      .address = this->options.identity.address,
+                                      .port = this->options.identity.port,
+                                      .zone = this->options.zone,
+                                      .beat = ++this->beatCount }) });
+  this->store.Commit(std::move(transaction), [this](Result<cell::CommitAnswer> aAnswer) {
+    constexpr Milliseconds kRetry{ 200 };
+    this->on.timer.After(IsError(aAnswer) ? kRetry : this->options.beat, [this] { this->Beat(); });
+  });
+}
+
+void
+CellInstance::TickLeadership()
+{
+  const auto lastRead =
+    this->cellFollower->HasView() ? this->cellFollower->LastAnswer() : std::nullopt;
+  this->leadership.Tick(lastRead);
+  if (this->conductor) {
+    this->conductor->SetTermEnd(this->leadership.TermEnd());
+    this->NameInstances();
+  }
+  this->endedConductors.clear();
+  this->on.timer.After(this->options.leadershipTick, [this] { this->TickLeadership(); });
+}
+
+void
+CellInstance::NameInstances()
+{
+  const auto now = this->on.clock.Now();
+  std::vector<std::string> names{ this->options.identity.name };
+  for (const auto& [name, peer] : this->peers) {
+    if (now - peer.changed < this->options.instanceGoneAfter) {
+      names.push_back(name);
+    }
+  }
+  this->conductor->SetInstances(names);
+}
+
+void
+CellInstance::OnTermBegun(const cell::Term& aTerm)
+{
+  this->on.log.Log(LogLevel::Info,
+                   "term_taken",
+                   { { "token", aTerm.token },
+                     { "predecessor_dead", aTerm.isPredecessorDead },
+                     { "previous_workers", aTerm.previousWorkers.size() } });
+  this->termStart = TermStart{ .term = aTerm };
+  this->listedWorkers.clear();
+  this->jobFollower = std::make_shared<cell::TableFollower>(
+    this->store,
+    this->on.timer,
+    this->on.clock,
+    cell::TableFollowerOptions{ .table = std::string(cell::kJobTable),
+                                .parts = AllJobParts(),
+                                .pause = this->options.jobPause },
+    [this](const cell::TableView& aView) { this->OnJobs(aView); });
+  this->workerFollower = std::make_shared<cell::TableFollower>(
+    this->store,
+    this->on.timer,
+    this->on.clock,
+    cell::TableFollowerOptions{ .table = this->on.layout.workerTable, .parts = { "" } },
+    [this](const cell::TableView& aView) { this->OnWorkers(aView); });
+  this->jobFollower->Start();
+  this->workerFollower->Start();
+}
+
+void
+CellInstance::OnTermLost()
+{
+  this->termStart.reset();
+  for (auto* follower : { &this->jobFollower, &this->workerFollower }) {
+    if (*follower) {
+      (*follower)->Stop();
+      follower->reset();
+    }
+  }
+  if (this->conductor) {
+    this->endedConductors.push_back(std::move(this->conductor));
+  }
+}
+
+void
+CellInstance::OnJobs(const cell::TableView& aView)
+{
+  if (this->conductor) {
+    this->conductor->OnJobRows(aView.rows);
+    return;
+  }
+  if (this->termStart) {
+    auto& rows = this->termStart->jobRows;
+    if (!rows) {
+      rows.emplace();
+    }
+    rows->insert(rows->end(), aView.rows.begin(), aView.rows.end());
+    this->BeginIfComplete();
+  }
+}
+
+std::optional<cell::WorkerEntry>
+CellInstance::DecodeWorker(const cell::Row& aRow)
+{
+  auto decoded = this->on.layout.decodeWorker(aRow.key.key, aRow.value);
+  if (IsError(decoded)) {
+    this->on.log.Log(LogLevel::Warning,
+                     "worker_row_unreadable",
+                     { { "worker", aRow.key.key }, { "reason", ErrorOf(decoded).message } });
+    return {};
+  }
+  return std::move(ValueOf(decoded));
+}
+
+void
+CellInstance::OnWorkers(const cell::TableView& aView)
+{
+  std::set<WorkerId> seen;
+  std::vector<cell::WorkerEntry> entries;
+  for (const auto& row : aView.rows) {
+    const WorkerId id{ row.key.key };
+    if (row.isDeleted) {
+      this->listedWorkers.erase(id);
+      if (this->conductor) {
+        this->conductor->OnWorkerUnlisted(id);
+      }
+      continue;
+    }
+    seen.insert(id);
+    if (auto entry = this->DecodeWorker(row)) {
+      this->listedWorkers.insert(id);
+      entries.push_back(std::move(*entry));
+    }
+  }
+  if (!this->conductor) {
+    if (this->termStart) {
+      auto& workers = this->termStart->workers;
+      if (!workers) {
+        workers.emplace();
+      }
+      std::ranges::move(entries, std::back_inserter(*workers));
+      this->BeginIfComplete();
+    }
+    return;
+  }
+  for (const auto& entry : entries) {
+    this->conductor->OnWorkerEntry(entry);
+  }
+  if (aView.isWhole) {
+    for (const auto& id : std::set<WorkerId>(this->listedWorkers)) {
+      if (!seen.contains(id)) {
+        this->listedWorkers.erase(id);
+        this->conductor->OnWorkerUnlisted(id);
+      }
+    }
+  }
+}
+
+void
+CellInstance::BeginIfComplete()
+{
+  if (!this->termStart->jobRows || !this->termStart->workers || this->conductor) {
+    return;
+  }
+  auto start = std::move(*this->termStart);
+  this->termStart.reset();
+  this->conductor = std::make_unique<cell::Conductor>(
+    cell::Conductor::Dependencies{ .workers = this->on.workers,
+                                   .store = this->store,
+                                   .advice = *this,
+                                   .clock = this->on.clock,
+                                   .log = this->on.log,
+                                   .metrics = this->on.metrics,
+                                   .wallClock = this->on.wallClock,
+                                   .onDeposed = [this] { this->OnTermLost(); },
+                                   .onPlacementDue =
+                                     [this] {
+                                       if (!this->isPlacementPosted) {
+                                         this->isPlacementPosted = true;
+                                         this->on.timer.After(Milliseconds{ 0 }, [this] {
+                                           this->isPlacementPosted = false;
+                                           if (this->conductor) {
+                                             this->conductor->Tick();
+                                           }
+                                         });
+                                       }
+                                     } },
+    this->options.conductor);
+  const auto now = this->on.clock.Now();
+  const auto& figures = this->options.conductor;
+  const auto lease =
+    Milliseconds(static_cast<std::int64_t>(static_cast<double>(figures.longestLease.count()) *
+                                           (1.0 + figures.clockDrift))) +
+    figures.orderSlack;
+  const auto unexpired =
+    start.term.isPredecessorDead ? Milliseconds{ 0 } : this->options.leadership.term;
+  if (this->policy) {
+    this->conductor->SetPolicy(this->policy);
+  }
+  this->NameInstances();
+  this->conductor->SetTermEnd(this->leadership.TermEnd());
+  this->conductor->SetPredecessorEnd(now + unexpired + lease);
+  this->conductor->Begin({ .token = start.term.token,
+                           .previousWorkers = start.term.previousWorkers,
+                           .hadPredecessor = start.term.hadPredecessor,
+                           .jobRows = std::move(*start.jobRows),
+                           .workers = std::move(*start.workers) });
+  this->TickConductor();
+}
+
+void
+CellInstance::TickConductor()
+{
+  if (!this->conductor) {
+    return;
+  }
+  auto* ticked = this->conductor.get();
+  ticked->Tick();
+  this->on.timer.After(this->options.conductorTick, [this, ticked] {
+    if (this->conductor.get() == ticked) {
+      this->TickConductor();
+    }
+  });
+}
+
+cell::OwnerNews
+CellInstance::News() const
+{
+  if (!this->conductor) {
+    // Until the conductor has begun, what the predecessor published holds.
+    const auto& owner = this->leadership.Owner();
+    cell::OwnerNews news{ .isRecovering = true };
+    if (owner) {
+      news.workers = owner->workers;
+      news.waiting = owner->waiting;
+    }
+    return news;
+  }
+  return { .workers = this->conductor->OccupiedWorkers(),
+           .waiting = this->conductor->WaitingByQueue(),
+           .isRecovering = this->conductor->IsRecovering() };
+}
+
+std::optional<cell::JobStatus>
+CellInstance::ConductorStatus(const JobId& aJob) const
+{
+  if (!this->conductor) {
+    return {};
+  }
+  return this->conductor->StatusOf(aJob);
+}
+
+void
+CellInstance::Submit(const cell::JobSpecification& aSpec, cell::Handler<Done> aHandler)
+{
+  this->intake.Submit(aSpec, std::move(aHandler));
+}
+
+void
+CellInstance::Cancel(const JobId& aJob,
+                     const WorkspaceId& aWorkspace,
+                     cell::Handler<cell::CancelAnswer> aHandler)
+{
+  this->intake.Cancel(aJob, aWorkspace, std::move(aHandler));
+}
+
+void
+CellInstance::Status(const JobId& aJob,
+                     const WorkspaceId& aWorkspace,
+                     cell::Handler<CallerJobState> aHandler)
+{
+  auto answer =
+    [this, aJob, aWorkspace, handler = std::move(aHandler)](Result<cell::JobStatus> aStatus) {
+      if (IsError(aStatus) || !ValueOf(aStatus).isKnown) {
+        // A job that was accepted a moment ago is in the store before the conductor has read it.
+        this->StatusFromStore(aJob, aWorkspace, handler);
+        return;
+      }
+      const auto& status = ValueOf(aStatus);
+      const bool isTheirs = aWorkspace.IsEmpty() || status.workspace == aWorkspace;
+      if (!isTheirs) {
+        handler(UnknownJob());
+        return;
+      }
+      handler(StateOf(status.outcome, status.hasStarted));
+    };
+  if (const auto own = this->ConductorStatus(aJob)) {
+    answer(*own);
+    return;
+  }
+  const auto& owner = this->leadership.Owner();
+  if (!owner || owner->instance == this->options.identity.name) {
+    answer(NotRun(ErrorCode::Unavailable, "No conductor is known."));
+    return;
+  }
+  this->on.calls.Status(
+    { .address = owner->address, .port = owner->port }, aJob, std::move(answer));
+}
+
+void
+CellInstance::StatusFromStore(const JobId& aJob,
+                              const WorkspaceId& aWorkspace,
+                              cell::Handler<CallerJobState> aHandler)
+{
+  cell::ReadStoredJob(
+    this->store,
+    aJob,
+    [aWorkspace, handler = std::move(aHandler)](Result<cell::StoredJob> aStored) {
+      if (IsError(aStored)) {
+        handler(NotRun(
+          ErrorCode::Unavailable, "The job's state cannot be read now.", Milliseconds{ 1000 }));
+        return;
+      }
+      const auto& stored = ValueOf(aStored);
+      const bool isTheirs = aWorkspace.IsEmpty() || stored.workspace == aWorkspace;
+      if (!stored.isKnown || !isTheirs) {
+        handler(UnknownJob());
+        return;
+      }
+      handler(StateOf(stored.outcome, stored.hasStarted));
+    });
+}
+
+Result<std::uint64_t>
+CellInstance::Waiting(const QueueId& aQueue) const
+{
+  if (this->conductor) {
+    const auto waiting = this->conductor->WaitingByQueue();
+    const auto found = waiting.find(aQueue.value);
+    return found == waiting.end() ? 0 : found->second;
+  }
+  const auto& owner = this->leadership.Owner();
+  const auto lastRead = this->cellFollower->LastAnswer();
+  constexpr Milliseconds kOldest{ 2000 };
+  const bool isFresh = lastRead && this->on.clock.Now() - *lastRead < kOldest;
+  if (!owner || !isFresh) {
+    return NotRun(ErrorCode::Unavailable, "The queue's length is not known now.", kOldest);
+  }
+  const auto found = owner->waiting.find(aQueue.value);
+  return found == owner->waiting.end() ? 0 : found->second;
+}
+
+void
+CellInstance::Ask(const std::string& aInstance,
+                  cell::AdviceQuestion aQuestion,
+                  cell::Handler<cell::AdviceAnswer> aHandler)
+{
+  if (aInstance == this->options.identity.name) {
+    this->on.advise(aQuestion, std::move(aHandler));
+    return;
+  }
+  const auto peer = this->peers.find(aInstance);
+  if (peer == this->peers.end()) {
+    aHandler(NotRun(ErrorCode::Unavailable, "The instance is not known."));
+    return;
+  }
+  this->on.calls.Advise(peer->second.endpoint, aQuestion, std::move(aHandler));
+}
+
+}
--- /dev/null
+++ b/Libraries/LibInstance/CellInstance.h
@@ -0,0 +1,164 @@
+#pragma once
+
+/// @file
+/// One entry instance: follows the document and the ownership row, answers callers, and conducts
+/// the cell while it owns the row.
+
+#include <LibCell/CallerPort.h>
+#include <LibCell/Conductor.h>
+#include <LibCell/Intake.h>
+#include <LibCell/Leadership.h>
+#include <LibCell/TableFollower.h>
+#include <LibCell/Timer.h>
+#include <LibCell/WatchedStore.h>
+#include <LibInstanceCalls/InstanceCalls.h>
+#include <LibLog/Logger.h>
+#include <LibMetrics/MetricRegistry.h>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace zinc {
+
+/// Where the platform keeps what the instance reads, and how it is decoded.
+struct PlatformLayout
+{
+  /// Table and key of the declared document.
+  std::string documentTable;
+  std::string documentKey;
+  std::function<Result<cell::CellPolicy>(std::string_view)> decodeDocument;
+  /// Table of the workers' own rows.
+  std::string workerTable;
+  std::function<Result<cell::WorkerEntry>(const std::string&, std::string_view)> decodeWorker;
+};
+
+/// Times of an instance.
+struct CellInstanceOptions
+{
+  cell::Leadership::Identity identity;
+  std::string zone;
+  cell::ConductorOptions conductor;
+  cell::LeadershipOptions leadership;
+  /// Time between two rounds of the conductor.
+  Milliseconds conductorTick{ 10 };
+  /// Time between two looks at the ownership row's state.
+  Milliseconds leadershipTick{ 50 };
+  /// Least time between two reads of new jobs; they wait for each other that long.
+  Milliseconds jobPause{ 40 };
+  /// The document is read anew this often, in case the store drops a change from its feed.
+  Milliseconds documentReread{ 1000 };
+  /// Time between two writes of the instance's own row.
+  Milliseconds beat{ 2000 };
+  /// An instance whose row stands still for longer makes no calls to the policy service.
+  Milliseconds instanceGoneAfter{ 6000 };
+};
+
+/// The instance.
+class CellInstance final
+  : public cell::CallerPort
+  , public cell::AdvicePort
+{
+public:
+  struct Dependencies
+  {
+    cell::StorePort& store;
+    cell::WorkerPort& workers;
+    /// Calls the policy service from this instance.
+    std::function<void(const cell::AdviceQuestion&, cell::Handler<cell::AdviceAnswer>)> advise;
+    InstanceCallClient& calls;
+    cell::TimerPort& timer;
+    const Clock& clock;
+    std::function<cell::WallTime()> wallClock;
+    const Logger& log;
+    MetricRegistry& metrics;
+    PlatformLayout layout;
+  };
+
+  CellInstance(Dependencies aDependencies, CellInstanceOptions aOptions);
+  ~CellInstance() override;
+
+  void Start();
+  /// Reports not ready and hands over the term.
+  void Leave();
+
+  /// @return a job's state if this instance is the conductor.
+  [[nodiscard]] std::optional<cell::JobStatus> ConductorStatus(const JobId& aJob) const;
+
+  [[nodiscard]] std::shared_ptr<const cell::CellPolicy> Policy() const override
+  {
+    return this->policy;
+  }
+  [[nodiscard]] bool IsReady() const override;
+  void Submit(const cell::JobSpecification& aSpec, cell::Handler<Done> aHandler) override;
+  void Status(const JobId& aJob,
+              const WorkspaceId& aWorkspace,
+              cell::Handler<cell::CallerJobState> aHandler) override;
+  void Cancel(const JobId& aJob,
+              const WorkspaceId& aWorkspace,
+              cell::Handler<cell::CancelAnswer> aHandler) override;
+  [[nodiscard]] Result<std::uint64_t> Waiting(const QueueId& aQueue) const override;
+
+  void Ask(const std::string& aInstance,
+           cell::AdviceQuestion aQuestion,
+           cell::Handler<cell::AdviceAnswer> aHandler) override;
+
+private:
+  struct Peer
+  {
+    Endpoint endpoint;
+    cell::InstanceRecord record;
+    TimePoint changed{};
+  };
+
+  /// What is gathered before the term's conductor begins.
+  struct TermStart
+  {
+    cell::Term term;
+    std::optional<std::vector<cell::Row>> jobRows;
+    std::optional<std::vector<cell::WorkerEntry>> workers;
+  };
+
+  void OnDocument(const cell::TableView& aView);
+  void OnCell(const cell::TableView& aView);
+  void OnPeerRow(const cell::Row& aRow);
+  void OnTermBegun(const cell::Term& aTerm);
+  void OnTermLost();
+  void OnJobs(const cell::TableView& aView);
+  void OnWorkers(const cell::TableView& aView);
+  [[nodiscard]] std::optional<cell::WorkerEntry> DecodeWorker(const cell::Row& aRow);
+  void BeginIfComplete();
+  [[nodiscard]] cell::OwnerNews News() const;
+  void TickConductor();
+  void TickLeadership();
+  void Beat();
+  void NameInstances();
+  void StatusFromStore(const JobId& aJob,
+                       const WorkspaceId& aWorkspace,
+                       cell::Handler<cell::CallerJobState> aHandler);
+
+  Dependencies on;
+  CellInstanceOptions options;
+  cell::WatchedStore store;
+  cell::Intake intake;
+  cell::Leadership leadership;
+  std::shared_ptr<cell::TableFollower> documentFollower;
+  std::shared_ptr<cell::TableFollower> cellFollower;
+  std::shared_ptr<cell::TableFollower> jobFollower;
+  std::shared_ptr<cell::TableFollower> workerFollower;
+  std::unique_ptr<cell::Conductor> conductor;
+  /// Conductors of terms that ended while their own call was running.
+  std::vector<std::unique_ptr<cell::Conductor>> endedConductors;
+  std::optional<TermStart> termStart;
+  std::set<WorkerId> listedWorkers;
+  std::shared_ptr<const cell::CellPolicy> policy;
+  std::uint64_t documentRowVersion = 0;
+  std::map<std::string, Peer> peers;
+  std::uint64_t beatCount = 0;
+  bool isLeaving = false;
+  bool isPlacementPosted = false;
+  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+};
+
+}
--- /dev/null
+++ b/Libraries/LibInstanceCalls/InstanceCalls.cpp
@@ -0,0 +1,243 @@
+#include <LibInstanceCalls/InstanceCalls.h>
+
+#include <LibPlatform/HttpExchange.h>
+#include <LibPlatform/Json.h>
+#include <fmt/format.h>
+#include <json/json.h>
+
+namespace zinc {
+
+namespace {
+
+constexpr std::string_view kAdvisePath = "/instance/advise";
+constexpr std::string_view kStatusPath = "/instance/status";
+constexpr unsigned kNotConductor = 409;
+constexpr std::size_t kTextLimit = 512;
+constexpr std::int64_t kNumberLimit = 1'000'000;
+/// Time that an instance's own call to the policy service may wait behind another one.
+constexpr Milliseconds kAdviceAllowance{ 1500 };
+
+std::string
+EncodeQuestion(const cell::AdviceQuestion& aQuestion)
+{
+  Json::Value value(Json::objectValue);
+  value["job"] = aQuestion.step.job.value;
+  value["occurrence"] = aQuestion.step.occurrence;
+  value["step"] = aQuestion.step.step;
+  value["expected_ms"] = Json::Int64(aQuestion.expected.count());
+  value["workers"] = Json::Value(Json::arrayValue);
+  for (const auto& worker : aQuestion.workers) {
+    value["workers"].append(worker.value);
+  }
+  return WriteJson(value);
+}
+
+Result<cell::AdviceQuestion>
+DecodeQuestion(std::string_view aText)
+{
+  const auto parsed = ParseJson(aText);
+  if (IsError(parsed)) {
+    return ErrorOf(parsed);
+  }
+  JsonFields fields(ValueOf(parsed), "question");
+  cell::AdviceQuestion question;
+  question.step.job = { fields.Text("job", kTextLimit) };
+  question.step.occurrence =
+    static_cast<std::uint32_t>(fields.Integer("occurrence", 0, kNumberLimit));
+  question.step.step = static_cast<std::uint32_t>(fields.Integer("step", 0, kNumberLimit));
+  question.expected = Milliseconds(fields.Integer("expected_ms", 0, kNumberLimit));
+  for (const auto& worker : fields.Array("workers")) {
+    question.workers.push_back({ worker.isString() ? worker.asString() : "" });
+  }
+  if (fields.Fault()) {
+    return *fields.Fault();
+  }
+  return question;
+}
+
+std::string
+EncodeAnswer(const cell::AdviceAnswer& aAnswer)
+{
+  Json::Value value(Json::objectValue);
+  value["good"] = Json::Value(Json::arrayValue);
+  for (const auto& ticket : aAnswer.good) {
+    Json::Value row(Json::arrayValue);
+    row.append(ticket.worker.value);
+    row.append(ticket.text);
+    value["good"].append(std::move(row));
+  }
+  return WriteJson(value);
+}
+
+Result<cell::AdviceAnswer>
+DecodeAnswer(const Json::Value& aValue)
+{
+  JsonFields fields(aValue, "answer");
+  cell::AdviceAnswer answer;
+  for (const auto& row : fields.Array("good")) {
+    if (row.isArray() && row.size() == 2 && row[0].isString() && row[1].isString()) {
+      answer.good.push_back({ .worker = { row[0].asString() }, .text = row[1].asString() });
+    }
+  }
+  if (fields.Fault()) {
+    return *fields.Fault();
+  }
+  return answer;
+}
+
+std::string
+EncodeStatus(const cell::JobStatus& aStatus)
+{
+  Json::Value value(Json::objectValue);
+  value["known"] = aStatus.isKnown;
+  value["outcome"] = static_cast<std::uint32_t>(aStatus.outcome);
+  value["started"] = aStatus.hasStarted;
+  value["workspace"] = aStatus.workspace.value;
+  value["queue"] = aStatus.queue.value;
+  return WriteJson(value);
+}
+
+Result<cell::JobStatus>
+DecodeStatus(const Json::Value& aValue)
+{
+  JsonFields fields(aValue, "status");
+  cell::JobStatus status{ .isKnown = fields.Boolean("known"),
+                          .hasStarted = fields.Boolean("started"),
+                          .workspace = { fields.OptionalText("workspace", kTextLimit) },
+                          .queue = { fields.OptionalText("queue", kTextLimit) } };
+  status.outcome = static_cast<cell::JobOutcome>(
+    fields.Integer("outcome", 0, static_cast<std::int64_t>(cell::JobOutcome::Cancelled)));
+  if (fields.Fault()) {
+    return *fields.Fault();
+  }
+  return status;
+}
+
+}
+
+InstanceCallServer::InstanceCallServer(Handlers aHandlers)
+  : on(std::move(aHandlers))
+{
+}
+
+void
+InstanceCallServer::Handle(const IncomingRequest& aRequest, Respond aRespond)
+{
+  if (aRequest.path == kAdvisePath) {
+    this->Advise(aRequest, std::move(aRespond));
+    return;
+  }
+  if (aRequest.path == kStatusPath) {
+    this->Status(aRequest, aRespond);
+    return;
+  }
+  aRespond(ErrorResponse(NotRun(ErrorCode::NotFound, "There is no such call.")));
+}
+
+void
+InstanceCallServer::Advise(const IncomingRequest& aRequest, Respond aRespond)
+{
+  const auto question = DecodeQuestion(aRequest.body);
+  if (IsError(question)) {
+    aRespond(ErrorResponse(ErrorOf(question)));
+    return;
+  }
+  this->on.advise(ValueOf(question),
+                  [respond = std::move(aRespond)](Result<cell::AdviceAnswer> aAnswer) {
+                    if (IsError(aAnswer)) {
+                      respond(ErrorResponse(ErrorOf(aAnswer)));
+                      return;
+                    }
+                    respond({ .body = EncodeAnswer(ValueOf(aAnswer)) });
+                  });
+}
+
+void
+InstanceCallServer::Status(const IncomingRequest& aRequest, const Respond& aRespond)
+{
+  const auto job = aRequest.Query("job");
+  const auto status = this->on.status({ std::string(job.value_or("")) });
+  if (!status) {
+    aRespond({ .status = kNotConductor, .body = "{}" });
+    return;
+  }
+  aRespond({ .body = EncodeStatus(*status) });
+}
+
+InstanceCallClient::InstanceCallClient(HttpOptions aOptions)
+  : options(std::move(aOptions))
+{
+}
+
+Result<std::shared_ptr<HttpClient>>
+InstanceCallClient::ClientOf(const Endpoint& aInstance)
+{
+  auto& client = this->clients[fmt::format("{}:{}", aInstance.address, aInstance.port)];
+  if (!client) {
+    auto http = this->options;
+    http.endpoints = { aInstance };
+    auto made = HttpClient::Create(std::move(http));
+    if (IsError(made)) {
+      return ErrorOf(made);
+    }
+    client = ValueOf(made);
+  }
+  return client;
+}
+
+void
+InstanceCallClient::Advise(const Endpoint& aInstance,
+                           const cell::AdviceQuestion& aQuestion,
+                           cell::Handler<cell::AdviceAnswer> aHandler)
+{
+  const auto client = this->ClientOf(aInstance);
+  if (IsError(client)) {
+    aHandler(ErrorOf(client));
+    return;
+  }
+  detail::Exchange<cell::AdviceAnswer>(
+    ValueOf(client),
+    [body = EncodeQuestion(aQuestion)] {
+      return HttpRequest{ .method = HttpMethod::Post,
+                          .target = std::string(kAdvisePath),
+                          .body = body };
+    },
+    aQuestion.expected + kAdviceAllowance,
+    [](HttpReply aReply) -> Result<cell::AdviceAnswer> {
+      if (!detail::IsSuccess(aReply)) {
+        return detail::VerdictOf(aReply);
+      }
+      return detail::DecodeReply<cell::AdviceAnswer>(aReply, &DecodeAnswer);
+    },
+    std::move(aHandler));
+}
+
+void
+InstanceCallClient::Status(const Endpoint& aInstance,
+                           const JobId& aJob,
+                           cell::Handler<cell::JobStatus> aHandler)
+{
+  const auto client = this->ClientOf(aInstance);
+  if (IsError(client)) {
+    aHandler(ErrorOf(client));
+    return;
+  }
+  detail::Exchange<cell::JobStatus>(
+    ValueOf(client),
+    [target = fmt::format("{}?job={}", kStatusPath, aJob.value)] {
+      return HttpRequest{ .method = HttpMethod::Get, .target = target };
+    },
+    Milliseconds{ 0 },
+    [](HttpReply aReply) -> Result<cell::JobStatus> {
+      if (aReply.status == kNotConductor) {
+        return NotRun(ErrorCode::StaleTerm, "The instance is not the conductor.");
+      }
+      if (!detail::IsSuccess(aReply)) {
+        return detail::VerdictOf(aReply);
+      }
+      return detail::DecodeReply<cell::JobStatus>(aReply, &DecodeStatus);
+    },
+    std::move(aHandler));
+}
+
+}
--- /dev/null
+++ b/Libraries/LibInstanceCalls/InstanceCalls.h
@@ -0,0 +1,62 @@
+#pragma once
+
+/// @file
+/// The protocol between the instances: the conductor has another instance ask the policy service,
+/// and any instance asks the conductor for a job's state.
+
+#include <LibCell/Conductor.h>
+#include <LibCell/Ports.h>
+#include <LibPlatform/HttpClient.h>
+#include <LibTraffic/HttpServer.h>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+namespace zinc {
+
+/// Answers the other instances.
+class InstanceCallServer
+{
+public:
+  struct Handlers
+  {
+    std::function<void(const cell::AdviceQuestion&, cell::Handler<cell::AdviceAnswer>)> advise;
+    /// @return nothing if this instance is not the conductor.
+    std::function<std::optional<cell::JobStatus>(const JobId&)> status;
+  };
+
+  explicit InstanceCallServer(Handlers aHandlers);
+
+  /// Answers one call; runs on the control thread.
+  void Handle(const IncomingRequest& aRequest, Respond aRespond);
+
+private:
+  void Advise(const IncomingRequest& aRequest, Respond aRespond);
+  void Status(const IncomingRequest& aRequest, const Respond& aRespond);
+
+  Handlers on;
+};
+
+/// Calls the other instances.
+class InstanceCallClient
+{
+public:
+  explicit InstanceCallClient(HttpOptions aOptions);
+
+  void Advise(const Endpoint& aInstance,
+              const cell::AdviceQuestion& aQuestion,
+              cell::Handler<cell::AdviceAnswer> aHandler);
+  /// Handler gets @ref ErrorCode::StaleTerm if the instance is not the conductor.
+  void Status(const Endpoint& aInstance,
+              const JobId& aJob,
+              cell::Handler<cell::JobStatus> aHandler);
+
+private:
+  [[nodiscard]] Result<std::shared_ptr<HttpClient>> ClientOf(const Endpoint& aInstance);
+
+  HttpOptions options;
+  std::unordered_map<std::string, std::shared_ptr<HttpClient>> clients;
+};
+
+}
--- a/Libraries/LibPlatform/HttpClient.cpp
+++ b/Libraries/LibPlatform/HttpClient.cpp
@@ -130,6 +130,9 @@
     this->message.target(this->exchange->request.target);
     this->message.set(http::field::host, this->hostName);
     this->message.set(http::field::user_agent, this->pool->options.userAgent);
+    for (const HttpHeader& header : this->exchange->request.headers) {
+      this->message.set(header.name, header.value);
+    }
     this->message.body() = std::move(this->exchange->request.body);
     this->message.prepare_payload();
     this->ArmTimer(this->exchange->deadline);
--- a/Libraries/LibPlatform/HttpClient.h
+++ b/Libraries/LibPlatform/HttpClient.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace zinc {
 
@@ -20,12 +21,20 @@
   Delete,
 };
 
+/// A header field of a request.
+struct HttpHeader
+{
+  std::string name;
+  std::string value;
+};
+
 /// One request; its host and length are added when it is sent.
 struct HttpRequest
 {
   HttpMethod method = HttpMethod::Get;
   std::string target;
   std::string body;
+  std::vector<HttpHeader> headers;
 };
 
 /// A complete reply, whatever its status.
--- a/Libraries/LibTraffic/HttpMessage.h
+++ b/Libraries/LibTraffic/HttpMessage.h
@@ -39,6 +39,8 @@
   std::vector<QueryParameter> query;
   /// Token of an `Authorization: Bearer` header; empty if there is none.
   std::string bearer;
+  /// `Host` without its port.
+  std::string host;
   /// `If-Match` without its quotes; empty if there is none.
   std::string ifMatch;
   std::string body;
--- a/Libraries/LibTraffic/HttpServer.cpp
+++ b/Libraries/LibTraffic/HttpServer.cpp
@@ -283,6 +283,8 @@
     if (authorization.starts_with(kBearerPrefix)) {
       request.bearer = std::string(authorization.substr(kBearerPrefix.size()));
     }
+    const auto host = View(message[http::field::host]);
+    request.host = std::string(host.substr(0, std::min(host.find(':'), host.size())));
     request.ifMatch = WithoutQuotes(View(message[http::field::if_match]));
     request.body = std::move(message.body());
     return request;
--- a/Services/Entry/main.cpp
+++ b/Services/Entry/main.cpp
@@ -3,16 +3,17 @@
 
 #include "Entry.h"
 #include "Gateway.h"
+#include "PlatformProgram.h"
+#include "TrafficThreads.h"
 #include <LibSettings/EntrySettings.h>
-#include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
+#include <cstdlib>
 #include <cxxopts.hpp>
 #include <fmt/format.h>
 #include <fstream>
 #include <iterator>
-#include <thread>
 #include <unistd.h>
 
 namespace zinc {
@@ -48,27 +49,6 @@
   return kExitBadSettings;
 }
 
-/// Threads that run the traffic context until it is stopped.
-class TrafficThreads
-{
-public:
-  TrafficThreads(boost::asio::io_context& aTraffic, std::uint32_t aCount)
-    : traffic(aTraffic)
-    , guard(aTraffic.get_executor())
-  {
-    for (std::uint32_t index = 0; index < aCount; ++index) {
-      this->threads.emplace_back([this] { this->traffic.run(); });
-    }
-  }
-
-  ~TrafficThreads() { this->traffic.stop(); }
-
-private:
-  boost::asio::io_context& traffic;
-  boost::asio::executor_work_guard<boost::asio::io_context::executor_type> guard;
-  std::vector<std::jthread> threads;
-};
-
 int
 Serve(const EntrySettings& aSettings)
 {
@@ -117,6 +97,12 @@
   cxxopts::Options options("zinc-entry", "An entry instance of the zincshore scheduler");
   auto add = options.add_options();
   add("settings", "YAML file with settings", cxxopts::value<std::string>());
+  add("platform",
+      "run on the platform whose settings file this variable names",
+      cxxopts::value<std::string>());
+  add("traffic-threads-on-platform",
+      "threads for connections on the platform",
+      cxxopts::value<std::uint32_t>()->default_value("1"));
   add("check", "check the settings and exit");
   add("help", "print this help");
   for (const auto& setting : EntrySettingDescriptions()) {
@@ -127,6 +113,17 @@
     fmt::print("{}\n", options.help());
     return kExitOk;
   }
+  if (arguments.count("platform") > 0) {
+    const auto variable = arguments["platform"].as<std::string>();
+    const char* path = std::getenv(variable.c_str());
+    if (path == nullptr) {
+      fmt::print(stderr, "zinc-entry: the variable {} is not set\n", variable);
+      return kExitBadSettings;
+    }
+    return RunOnPlatform(
+      { .settingsPath = path,
+        .trafficThreads = arguments["traffic-threads-on-platform"].as<std::uint32_t>() });
+  }
   std::string yaml = "{}";
   if (arguments.count("settings") > 0) {
     const auto path = arguments["settings"].as<std::string>();
