LibCell: Keep a predecessor's tasks unresolved while adopting its jobs takes time

Cause: a job counted as a predecessor's only if it was adopted in the millisecond in which the term began; decoding thousands of rows takes longer, so that their tasks were started again beside workers that were not read. Test: TakeOver.StartsNothingThatMayRunThoughAdoptingJobsTakesTime, 4 starts for 2.

--- a/Libraries/LibCell/Conductor.cpp
+++ b/Libraries/LibCell/Conductor.cpp
@@ -29,7 +29,9 @@
       this->unread.insert(entry.id);
     }
   }
+  this->isBeginning = true;
   this->OnJobRows(aSnapshot.jobRows);
+  this->isBeginning = false;
   this->on.log.Log(LogLevel::Info,
                    "term_begun",
                    { { "token", this->token },
--- a/Libraries/LibCell/Conductor.h
+++ b/Libraries/LibCell/Conductor.h
@@ -295,6 +295,8 @@
   /// Tells answers that arrive after the term.
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
   bool isDeposed = false;
+  /// The jobs of a predecessor are being adopted.
+  bool isBeginning = false;
   std::uint64_t token = 0;
   std::uint64_t runCounter = 0;
   TimePoint begun{};
--- a/Libraries/LibCell/ConductorJobs.cpp
+++ b/Libraries/LibCell/ConductorJobs.cpp
@@ -85,7 +85,7 @@
   const auto age = this->on.wallClock() - job.spec.received;
   const bool isBelieved = age >= Milliseconds{ 0 } && age <= kBelievedAge;
   job.firstSeen = isBelieved ? now - age : now;
-  job.mayRunElsewhere = !this->unread.empty() && this->begun == now;
+  job.mayRunElsewhere = this->isBeginning && !this->unread.empty();
   job.isBeyondWeight = !this->TakeWeight(job.spec.workspace);
   this->active.insert(name->job);
   if (job.spec.occurrences > 0) {
--- /dev/null
+++ b/Tests/LibCell/ConductorFixture.cpp
@@ -0,0 +1,85 @@
+#include "ConductorFixture.h"
+
+namespace zinc::cell::test {
+
+ConductorFixture::ConductorFixture()
+{
+  this->clock.Advance(Milliseconds{ 1'000'000 });
+  this->options.urgentHeadroom = 0.0;
+  this->policy.version = 1;
+  this->policy.pools["pool"] = { .name = "pool" };
+  QueueRoute route{ .host = "host", .pathPrefix = "/q/" };
+  route.queue = { .name = { "queue" },
+                  .pool = "pool",
+                  .priority = 1,
+                  .attempts = 3,
+                  .stretch = 4.0,
+                  .slack = Milliseconds{ 1000 } };
+  this->policy.routes.push_back(route);
+  this->policy.workspaces[{ "team" }] = { .name = { "team" }, .weight = 1000.0 };
+}
+
+JobSpecification
+ConductorFixture::JobOf(const std::string& aId,
+                        std::uint32_t aCount,
+                        std::int64_t aCores,
+                        std::int64_t aEstimateMs)
+{
+  JobSpecification spec{ .id = { aId }, .workspace = { "team" } };
+  spec.queue = { .name = { "queue" }, .pool = "pool", .priority = 1, .attempts = 3, .stretch = 4.0 };
+  spec.payload = "payload";
+  spec.steps.push_back({ .count = aCount,
+                         .demand = { .milliCores = aCores * 1000, .memoryMiB = 100 },
+                         .estimate = Milliseconds(aEstimateMs) });
+  return spec;
+}
+
+void
+ConductorFixture::Accept(const JobSpecification& aSpec)
+{
+  const auto key = JobRowKey(aSpec.id, JobRowKind::Specification);
+  this->store.Put(key, EncodeSpecification(aSpec));
+  if (this->conductor) {
+    this->conductor->OnJobRows({ this->store.rows.at(key) });
+  }
+}
+
+void
+ConductorFixture::Begin(bool aHasPredecessor,
+                        Milliseconds aPredecessorEnd,
+                        std::vector<WorkerId> aPreviousWorkers)
+{
+  this->conductor = std::make_unique<Conductor>(
+    Conductor::Dependencies{ .workers = this->workers,
+                             .store = this->store,
+                             .advice = this->advice,
+                             .clock = this->ownClock ? *this->ownClock : this->clock,
+                             .log = this->log,
+                             .metrics = this->metrics,
+                             .wallClock = [] { return WallTime{}; },
+                             .onDeposed = [this] { this->isDeposed = true; } },
+    this->options);
+  this->conductor->SetPolicy(std::make_shared<CellPolicy>(this->policy));
+  this->conductor->SetInstances({ "one", "two", "three" });
+  this->conductor->SetTermEnd(this->clock.Now() + Milliseconds{ 1'000'000 });
+  this->conductor->SetPredecessorEnd(this->clock.Now() + aPredecessorEnd);
+  this->conductor->Begin({ .token = this->token = ++this->store.version,
+                           .previousWorkers = std::move(aPreviousWorkers),
+                           .hadPredecessor = aHasPredecessor,
+                           .jobRows = this->store.RowsOf(std::string(kJobTable)),
+                           .workers = this->entries });
+}
+
+void
+ConductorFixture::Run(Milliseconds aTime)
+{
+  constexpr Milliseconds kStep{ 10 };
+  for (auto elapsed = Milliseconds{ 0 }; elapsed < aTime; elapsed += kStep) {
+    this->conductor->Tick();
+    this->workers.Deliver();
+    this->advice.Deliver();
+    this->clock.Advance(kStep);
+  }
+}
+
+}
--- /dev/null
+++ b/Tests/LibCell/ConductorFixture.h
@@ -0,0 +1,90 @@
+#pragma once
+
+/// @file
+/// A conductor with a clock, workers, a store and a policy service in memory.
+
+#include "MemoryStore.h"
+#include "SimulatedWorkers.h"
+#include <LibCell/Conductor.h>
+#include <gtest/gtest.h>
+#include <memory>
+#include <string>
+
+namespace zinc::cell::test {
+
+/// Says that every worker named may run the step, after the next delivery.
+class AgreeingAdvice final : public AdvicePort
+{
+public:
+  void Ask(const std::string& aInstance,
+           AdviceQuestion aQuestion,
+           Handler<AdviceAnswer> aHandler) override
+  {
+    this->instances.push_back(aInstance);
+    this->questions.push_back(aQuestion);
+    this->open.emplace_back(std::move(aQuestion), std::move(aHandler));
+  }
+
+  void Deliver()
+  {
+    auto due = std::move(this->open);
+    this->open.clear();
+    for (const auto& [question, handler] : due) {
+      AdviceAnswer answer;
+      for (const auto& worker : question.workers) {
+        if (this->isGood(worker)) {
+          answer.good.push_back(
+            { .worker = worker, .text = "t" + std::to_string(++this->issued) });
+        }
+      }
+      handler(std::move(answer));
+    }
+  }
+
+  std::function<bool(const WorkerId&)> isGood = [](const WorkerId&) { return true; };
+  std::vector<std::string> instances;
+  std::vector<AdviceQuestion> questions;
+  std::vector<std::pair<AdviceQuestion, Handler<AdviceAnswer>>> open;
+  int issued = 0;
+};
+
+class ConductorFixture : public testing::Test
+{
+protected:
+  ConductorFixture();
+
+  /// Makes a job with one step.
+  [[nodiscard]] static JobSpecification JobOf(const std::string& aId,
+                                              std::uint32_t aCount,
+                                              std::int64_t aCores,
+                                              std::int64_t aEstimateMs = 1000);
+  /// Writes the job's row, as an instance that accepts it does.
+  void Accept(const JobSpecification& aSpec);
+  /// Begins a term of a new conductor over what the store holds.
+  void Begin(bool aHasPredecessor = false,
+             Milliseconds aPredecessorEnd = Milliseconds{ 12'400 },
+             std::vector<WorkerId> aPreviousWorkers = {});
+  /// Lets the conductor and its surroundings go on.
+  void Run(Milliseconds aTime);
+  [[nodiscard]] JobStatus StatusOf(const std::string& aId) const
+  {
+    return this->conductor->StatusOf({ aId });
+  }
+
+  ManualClock clock;
+  SimulatedWorkers workers{ this->clock };
+  MemoryStore store;
+  AgreeingAdvice advice;
+  Logger log{ { .level = LogLevel::Error } };
+  MetricRegistry metrics;
+  ConductorOptions options;
+  CellPolicy policy;
+  std::vector<WorkerEntry> entries;
+  bool isDeposed = false;
+  std::uint64_t token = 0;
+  /// Time that a look at the clock takes, as decoding many rows does.
+  std::unique_ptr<Clock> ownClock;
+  std::unique_ptr<Conductor> conductor;
+};
+
+}
--- /dev/null
+++ b/Tests/LibCell/MemoryStore.cpp
@@ -0,0 +1,114 @@
+#include "MemoryStore.h"
+
+#include <algorithm>
+
+namespace zinc::cell::test {
+
+void
+MemoryStore::Read(const RowRange& aRange, Handler<RowBatch> aHandler)
+{
+  if (this->mode == StoreMode::Refusing) {
+    aHandler(NotRun(ErrorCode::Unavailable, "refused"));
+    return;
+  }
+  RowBatch batch{ .version = this->version };
+  for (const auto& [key, row] : this->rows) {
+    const bool isInside = key.table == aRange.table && key.part == aRange.part &&
+                          key.key >= aRange.from && (aRange.to.empty() || key.key < aRange.to);
+    if (isInside) {
+      batch.rows.push_back(row);
+    }
+  }
+  aHandler(std::move(batch));
+}
+
+void
+MemoryStore::Follow(const std::string& aTable,
+                    std::uint64_t aAfter,
+                    Milliseconds,
+                    Handler<RowBatch> aHandler)
+{
+  if (this->mode == StoreMode::Refusing) {
+    aHandler(NotRun(ErrorCode::Unavailable, "refused"));
+    return;
+  }
+  if (aAfter < this->historyFrom) {
+    aHandler(NotRun(ErrorCode::StaleVersion, "gone"));
+    return;
+  }
+  RowBatch batch{ .version = this->version };
+  for (const auto& row : this->RowsOf(aTable)) {
+    if (row.version > aAfter) {
+      batch.rows.push_back(row);
+    }
+  }
+  std::ranges::sort(batch.rows, {}, &Row::version);
+  aHandler(std::move(batch));
+}
+
+void
+MemoryStore::ListParts(const std::string& aTable, Handler<std::vector<std::string>> aHandler)
+{
+  std::vector<std::string> parts;
+  for (const auto& [key, row] : this->rows) {
+    if (key.table == aTable && (parts.empty() || parts.back() != key.part)) {
+      parts.push_back(key.part);
+    }
+  }
+  aHandler(std::move(parts));
+}
+
+void
+MemoryStore::Commit(Transaction aTransaction, Handler<CommitAnswer> aHandler)
+{
+  if (this->mode == StoreMode::Refusing) {
+    aHandler(NotRun(ErrorCode::Unavailable, "refused"));
+    return;
+  }
+  CommitAnswer answer{ .isCommitted = true };
+  for (const auto& condition : aTransaction.conditions) {
+    const auto found = this->rows.find(condition.key);
+    const auto standing = found == this->rows.end() ? 0 : found->second.version;
+    answer.isCommitted = answer.isCommitted && standing == condition.version;
+    if (found != this->rows.end()) {
+      answer.standing.push_back(found->second);
+    }
+  }
+  if (answer.isCommitted) {
+    answer.standing.clear();
+    answer.version = ++this->version;
+    ++this->commits;
+    for (const auto& write : aTransaction.writes) {
+      this->rows[write.key] = { .key = write.key, .value = write.value, .version = this->version };
+    }
+    for (const auto& key : aTransaction.removals) {
+      this->rows.erase(key);
+    }
+  }
+  if (this->mode == StoreMode::LosingAnswers) {
+    aHandler(MayHaveRun(ErrorCode::Timeout, "lost"));
+    return;
+  }
+  aHandler(std::move(answer));
+}
+
+std::uint64_t
+MemoryStore::Put(const RowKey& aKey, const std::string& aValue)
+{
+  this->rows[aKey] = { .key = aKey, .value = aValue, .version = ++this->version };
+  return this->version;
+}
+
+std::vector<Row>
+MemoryStore::RowsOf(const std::string& aTable) const
+{
+  std::vector<Row> found;
+  for (const auto& [key, row] : this->rows) {
+    if (key.table == aTable) {
+      found.push_back(row);
+    }
+  }
+  return found;
+}
+
+}
--- /dev/null
+++ b/Tests/LibCell/MemoryStore.h
@@ -0,0 +1,46 @@
+#pragma once
+
+/// @file
+/// The store in memory. Calls are answered at once, lost, or performed without an answer.
+
+#include <LibCell/Ports.h>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace zinc::cell::test {
+
+/// How the store treats calls.
+enum class StoreMode : std::uint8_t
+{
+  Serving,
+  /// Refuses; nothing is done.
+  Refusing,
+  /// Performs transactions and loses the answers.
+  LosingAnswers,
+};
+
+class MemoryStore final : public StorePort
+{
+public:
+  void Read(const RowRange& aRange, Handler<RowBatch> aHandler) override;
+  void Follow(const std::string& aTable,
+              std::uint64_t aAfter,
+              Milliseconds aWait,
+              Handler<RowBatch> aHandler) override;
+  void ListParts(const std::string& aTable, Handler<std::vector<std::string>> aHandler) override;
+  void Commit(Transaction aTransaction, Handler<CommitAnswer> aHandler) override;
+
+  /// Writes a row as another party would.
+  std::uint64_t Put(const RowKey& aKey, const std::string& aValue);
+  [[nodiscard]] std::vector<Row> RowsOf(const std::string& aTable) const;
+
+  StoreMode mode = StoreMode::Serving;
+  std::map<RowKey, Row> rows;
+  std::uint64_t version = 0;
+  std::size_t commits = 0;
+  /// History before it was dropped.
+  std::uint64_t historyFrom = 0;
+};
+
+}
--- /dev/null
+++ b/Tests/LibCell/SimulatedWorkers.cpp
@@ -0,0 +1,243 @@
+#include "SimulatedWorkers.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace zinc::cell::test {
+
+namespace {
+
+constexpr Milliseconds kLongestLease{ 6000 };
+/// The worker's clock is ahead of the conductor's by this much.
+constexpr std::int64_t kClockOffset = 1'000'000;
+/// A run's progress moves by a percent in this many ms.
+constexpr std::int64_t kPercentTime = 50;
+constexpr std::int64_t kHundred = 100;
+
+}
+
+WorkerEntry
+SimulatedWorkers::Add(const std::string& aId, std::int64_t aCores, const std::string& aRack)
+{
+  Worker worker;
+  worker.entry = { .id = { aId },
+                   .pool = "pool",
+                   .address = "10.0.0.1",
+                   .port = 1,
+                   .zone = { "zone" },
+                   .rack = { aRack },
+                   .labels = { "a", aRack },
+                   .capacity = { .milliCores = aCores * 1000, .memoryMiB = aCores * 2048 },
+                   .machine = "m-" + aId,
+                   .born = 1 };
+  this->workers[{ aId }] = worker;
+  return worker.entry;
+}
+
+std::string
+SimulatedWorkers::KeyOf(const TaskName& aTask) const
+{
+  return fmt::format(
+    "{}.{}.{}.{}", aTask.job.value, aTask.key.occurrence, aTask.key.step, aTask.key.index);
+}
+
+void
+SimulatedWorkers::End(const std::string& aWorker, const TaskName& aTask, EndKind aKind)
+{
+  auto& worker = this->At(aWorker);
+  const auto found = worker.running.find(this->KeyOf(aTask));
+  if (found == worker.running.end()) {
+    return;
+  }
+  worker.ended.push_back({ .sequence = ++worker.lastSequence,
+                           .task = aTask,
+                           .run = found->second.run,
+                           .kind = aKind,
+                           .checkpoint = found->second.checkpoint });
+  worker.running.erase(found);
+}
+
+void
+SimulatedWorkers::EndAll(EndKind aKind)
+{
+  for (auto& [id, worker] : this->workers) {
+    const auto running = worker.running;
+    for (const auto& [key, entry] : running) {
+      this->End(id.value, entry.task, aKind);
+    }
+  }
+}
+
+void
+SimulatedWorkers::Lapse(Worker& aWorker)
+{
+  if (this->clock.Now() < aWorker.leaseEnd) {
+    return;
+  }
+  const auto running = aWorker.running;
+  for (const auto& [key, entry] : running) {
+    this->End(aWorker.entry.id.value, entry.task, EndKind::Lapsed);
+  }
+}
+
+WorkerReport
+SimulatedWorkers::ReportOf(const Worker& aWorker) const
+{
+  WorkerReport report{ .clock = this->clock.Now().time_since_epoch().count() + kClockOffset,
+                       .born = aWorker.entry.born,
+                       .ended = aWorker.ended };
+  for (const auto& [key, entry] : aWorker.running) {
+    report.running.push_back(entry);
+    if (!aWorker.isHanging) {
+      report.running.back().percent =
+        static_cast<int>(this->clock.Now().time_since_epoch().count() / kPercentTime % kHundred);
+    }
+  }
+  return report;
+}
+
+void
+SimulatedWorkers::Answer(const WorkerId& aWorker,
+                         std::function<void()> aLost,
+                         std::function<void()> aAnswer)
+{
+  const auto& worker = this->workers.at(aWorker);
+  const bool isLost = !worker.isReachable || worker.losesAnswers;
+  this->answers.push_back(isLost ? std::move(aLost) : std::move(aAnswer));
+}
+
+void
+SimulatedWorkers::Hold(HoldOrder aOrder,
+                       Handler<std::variant<WorkerReport, OrderAnswer>> aHandler)
+{
+  this->holds.push_back(aOrder);
+  auto lost = [aHandler] { aHandler(MayHaveRun(ErrorCode::Timeout, "lost")); };
+  const auto found = this->workers.find(aOrder.target.worker);
+  if (found == this->workers.end() || !found->second.isReachable) {
+    this->answers.push_back(lost);
+    return;
+  }
+  auto& worker = found->second;
+  this->Lapse(worker);
+  if (aOrder.target.fencingToken < worker.token) {
+    this->answers.push_back([aHandler] {
+      aHandler(std::variant<WorkerReport, OrderAnswer>(OrderAnswer::Fenced));
+    });
+    return;
+  }
+  worker.token = aOrder.target.fencingToken;
+  std::erase_if(worker.ended, [&aOrder](const EndedEntry& aEnd) {
+    return aEnd.sequence <= aOrder.acknowledged;
+  });
+  if (aOrder.deadline) {
+    const TimePoint until{ Milliseconds(*aOrder.deadline - kClockOffset) };
+    worker.leaseEnd =
+      std::max(worker.leaseEnd, std::min(until, this->clock.Now() + kLongestLease));
+  }
+  auto answer = [this, id = aOrder.target.worker, aHandler] {
+    aHandler(std::variant<WorkerReport, OrderAnswer>(this->ReportOf(this->workers.at(id))));
+  };
+  if (aOrder.wait.count() > 0 && worker.ended.empty()) {
+    this->waiting.push_back({ .worker = aOrder.target.worker,
+                              .until = this->clock.Now() + aOrder.wait,
+                              .answer = answer });
+    return;
+  }
+  this->Answer(aOrder.target.worker, lost, answer);
+}
+
+OrderAnswer
+SimulatedWorkers::CarryOut(Worker& aWorker, const StartOrder& aOrder)
+{
+  if (aOrder.target.fencingToken < aWorker.token) {
+    return OrderAnswer::Fenced;
+  }
+  aWorker.token = aOrder.target.fencingToken;
+  const TimePoint until{ Milliseconds(aOrder.deadline - kClockOffset) };
+  if (until <= this->clock.Now()) {
+    return OrderAnswer::Late;
+  }
+  if (aWorker.refusesStarts) {
+    return OrderAnswer::Refused;
+  }
+  const auto key = this->KeyOf(aOrder.task);
+  if (aOrder.run <= aWorker.highestRun[key]) {
+    return OrderAnswer::Outdated;
+  }
+  aWorker.highestRun[key] = aOrder.run;
+  aWorker.leaseEnd = std::max(aWorker.leaseEnd, std::min(until, this->clock.Now() + kLongestLease));
+  aWorker.running[key] = { .task = aOrder.task, .run = aOrder.run, .checkpoint = aOrder.checkpoint };
+  this->starts.push_back({ .worker = aOrder.target.worker,
+                           .task = aOrder.task,
+                           .run = aOrder.run,
+                           .token = aOrder.target.fencingToken,
+                           .checkpoint = aOrder.checkpoint,
+                           .ticket = aOrder.ticket,
+                           .at = this->clock.Now() });
+  return OrderAnswer::Accepted;
+}
+
+void
+SimulatedWorkers::Start(StartOrder aOrder, Handler<OrderAnswer> aHandler)
+{
+  auto lost = [aHandler] { aHandler(MayHaveRun(ErrorCode::Timeout, "lost")); };
+  const auto found = this->workers.find(aOrder.target.worker);
+  if (found == this->workers.end() || !found->second.isReachable) {
+    this->answers.push_back(lost);
+    return;
+  }
+  this->Lapse(found->second);
+  const auto result = this->CarryOut(found->second, aOrder);
+  this->Answer(aOrder.target.worker, lost, [aHandler, result] { aHandler(result); });
+}
+
+void
+SimulatedWorkers::Stop(RunOrder aOrder, Handler<OrderAnswer> aHandler)
+{
+  this->stops.push_back(aOrder);
+  auto lost = [aHandler] { aHandler(MayHaveRun(ErrorCode::Timeout, "lost")); };
+  const auto found = this->workers.find(aOrder.target.worker);
+  if (found == this->workers.end() || !found->second.isReachable) {
+    this->answers.push_back(lost);
+    return;
+  }
+  auto& worker = found->second;
+  if (aOrder.target.fencingToken < worker.token) {
+    this->answers.push_back([aHandler] { aHandler(OrderAnswer::Fenced); });
+    return;
+  }
+  auto& highest = worker.highestRun[this->KeyOf(aOrder.task)];
+  highest = std::max(highest, aOrder.run);
+  this->End(aOrder.target.worker.value, aOrder.task, EndKind::Stopped);
+  this->Answer(aOrder.target.worker, lost, [aHandler] { aHandler(OrderAnswer::Accepted); });
+}
+
+void
+SimulatedWorkers::Pace(RunOrder aOrder, int aPercent, Handler<OrderAnswer> aHandler)
+{
+  this->paces.emplace_back(aOrder, aPercent);
+  this->answers.push_back([aHandler] { aHandler(OrderAnswer::Accepted); });
+}
+
+void
+SimulatedWorkers::Deliver()
+{
+  const auto now = this->clock.Now();
+  auto waits = std::move(this->waiting);
+  this->waiting.clear();
+  for (auto& wait : waits) {
+    const auto& worker = this->workers.at(wait.worker);
+    if (!worker.ended.empty() || wait.until <= now || !worker.isReachable) {
+      this->answers.push_back(std::move(wait.answer));
+    } else {
+      this->waiting.push_back(std::move(wait));
+    }
+  }
+  auto due = std::move(this->answers);
+  this->answers.clear();
+  for (const auto& answer : due) {
+    answer();
+  }
+}
+
+}
--- /dev/null
+++ b/Tests/LibCell/TestConductor.cpp
@@ -0,0 +1,225 @@
+#include "ConductorFixture.h"
+
+#include <algorithm>
+
+namespace zinc::cell::test {
+
+namespace {
+
+using ConductorTest = ConductorFixture;
+
+}
+
+TEST_F(ConductorTest, RunsAJobToItsEndAndRecordsIt)
+{
+  this->entries = { this->workers.Add("w1", 8) };
+  this->Begin();
+  this->Accept(JobOf("job", 3, 2));
+  this->Run(Milliseconds{ 100 });
+  EXPECT_TRUE(this->StatusOf("job").hasStarted);
+  this->workers.EndAll();
+  this->Run(Milliseconds{ 200 });
+  EXPECT_EQ(this->StatusOf("job").outcome, JobOutcome::Succeeded);
+  EXPECT_TRUE(this->workers.At("w1").ended.empty()) << "the ends were acknowledged";
+}
+
+TEST_F(ConductorTest, AcknowledgesNoEndThatTheStoreDoesNotHold)
+{
+  this->entries = { this->workers.Add("w1", 8) };
+  this->Begin();
+  this->Accept(JobOf("job", 1, 2));
+  this->Run(Milliseconds{ 100 });
+  this->store.mode = StoreMode::Refusing;
+  this->workers.EndAll();
+  this->Run(Milliseconds{ 3000 });
+  EXPECT_EQ(this->workers.At("w1").ended.size(), 1U);
+  EXPECT_EQ(this->StatusOf("job").outcome, JobOutcome::Active) << "not shown before it is durable";
+  this->store.mode = StoreMode::Serving;
+  this->Run(Milliseconds{ 1000 });
+  EXPECT_TRUE(this->workers.At("w1").ended.empty());
+  EXPECT_EQ(this->StatusOf("job").outcome, JobOutcome::Succeeded);
+}
+
+TEST_F(ConductorTest, SettlesAWriteWhoseAnswerWasLost)
+{
+  this->entries = { this->workers.Add("w1", 8) };
+  this->Begin();
+  this->Accept(JobOf("job", 1, 2));
+  this->Run(Milliseconds{ 100 });
+  this->store.mode = StoreMode::LosingAnswers;
+  this->workers.EndAll();
+  this->Run(Milliseconds{ 300 });
+  this->store.mode = StoreMode::Serving;
+  this->Run(Milliseconds{ 500 });
+  EXPECT_EQ(this->StatusOf("job").outcome, JobOutcome::Succeeded);
+}
+
+TEST_F(ConductorTest, NeverFillsAWorkerBeyondItsCapacity)
+{
+  this->entries = { this->workers.Add("w1", 8), this->workers.Add("w2", 8) };
+  this->Begin();
+  for (int number = 0; number < 20; ++number) {
+    this->Accept(JobOf("job" + std::to_string(number), 2, 3));
+  }
+  this->Run(Milliseconds{ 500 });
+  EXPECT_EQ(this->workers.At("w1").running.size(), 2U);
+  EXPECT_EQ(this->workers.At("w2").running.size(), 2U);
+}
+
+TEST_F(ConductorTest, KeepsAWorkspaceWithinItsMaximum)
+{
+  this->entries = { this->workers.Add("w1", 32) };
+  this->policy.workspaces[{ "team" }].maximum = { .milliCores = 7000 };
+  this->Begin();
+  this->Accept(JobOf("job", 10, 2));
+  this->Run(Milliseconds{ 500 });
+  EXPECT_EQ(this->workers.At("w1").running.size(), 3U);
+}
+
+TEST_F(ConductorTest, StopsACancelledJobAndStartsNothingMore)
+{
+  this->entries = { this->workers.Add("w1", 2) };
+  this->Begin();
+  this->Accept(JobOf("job", 4, 1));
+  this->Run(Milliseconds{ 100 });
+  const auto key = JobRowKey({ "job" }, JobRowKind::Cancellation);
+  this->store.Put(key, "{}");
+  this->conductor->OnJobRows({ this->store.rows.at(key) });
+  const auto started = this->workers.starts.size();
+  this->Run(Milliseconds{ 500 });
+  EXPECT_TRUE(this->workers.At("w1").running.empty());
+  EXPECT_EQ(this->workers.starts.size(), started);
+  EXPECT_EQ(this->StatusOf("job").outcome, JobOutcome::Cancelled);
+}
+
+TEST_F(ConductorTest, StartsAStepOnlyAfterThoseBeforeIt)
+{
+  this->entries = { this->workers.Add("w1", 8) };
+  this->Begin();
+  auto spec = JobOf("job", 2, 1);
+  spec.steps.push_back(spec.steps.front());
+  spec.steps.back().after = { 0 };
+  this->Accept(spec);
+  this->Run(Milliseconds{ 100 });
+  EXPECT_EQ(this->workers.starts.size(), 2U);
+  this->workers.End("w1", this->workers.starts.front().task, EndKind::Succeeded);
+  this->Run(Milliseconds{ 100 });
+  EXPECT_EQ(this->workers.starts.size(), 2U);
+  this->workers.EndAll();
+  this->Run(Milliseconds{ 100 });
+  EXPECT_EQ(this->workers.starts.size(), 4U);
+}
+
+TEST_F(ConductorTest, StartsAGangWholeOrNotAtAll)
+{
+  this->entries = { this->workers.Add("w1", 8), this->workers.Add("w2", 8) };
+  this->Begin();
+  this->Accept(JobOf("small", 1, 4));
+  this->Run(Milliseconds{ 100 });
+  auto gang = JobOf("gang", 4, 4);
+  gang.steps.front().isGang = true;
+  this->Accept(gang);
+  this->Run(Milliseconds{ 300 });
+  EXPECT_EQ(this->workers.starts.size(), 1U);
+  this->workers.EndAll();
+  this->Run(Milliseconds{ 300 });
+  ASSERT_EQ(this->workers.starts.size(), 5U);
+  EXPECT_EQ(this->workers.starts[1].run, this->workers.starts[4].run);
+}
+
+TEST_F(ConductorTest, StopsAGangOfWhichOneMemberDidNotStart)
+{
+  this->entries = { this->workers.Add("w1", 4), this->workers.Add("w2", 4) };
+  this->Begin();
+  this->Run(Milliseconds{ 50 });
+  this->workers.At("w2").refusesStarts = true;
+  auto gang = JobOf("gang", 2, 4);
+  gang.steps.front().isGang = true;
+  this->Accept(gang);
+  this->Run(Milliseconds{ 400 });
+  EXPECT_TRUE(this->workers.At("w1").running.empty());
+  this->workers.At("w2").refusesStarts = false;
+  this->Run(Milliseconds{ 2000 });
+  EXPECT_EQ(this->workers.At("w1").running.size(), 1U);
+  EXPECT_EQ(this->workers.At("w2").running.size(), 1U);
+}
+
+TEST_F(ConductorTest, StartsElsewhereOnlyWhenTheLeaseOfASilentWorkerHasEnded)
+{
+  this->entries = { this->workers.Add("w1", 4) };
+  this->Begin();
+  this->Accept(JobOf("job", 1, 4));
+  this->Run(Milliseconds{ 200 });
+  ASSERT_EQ(this->workers.starts.size(), 1U);
+  this->workers.At("w1").isReachable = false;
+  this->entries.push_back(this->workers.Add("w2", 4));
+  this->conductor->OnWorkerEntry(this->entries.back());
+  this->Run(Milliseconds{ 5500 });
+  EXPECT_EQ(this->workers.starts.size(), 1U);
+  this->Run(Milliseconds{ 2500 });
+  EXPECT_EQ(this->workers.starts.size(), 2U);
+  EXPECT_GE(this->workers.starts.back().at, this->workers.At("w1").leaseEnd);
+}
+
+TEST_F(ConductorTest, LeavesARunAloneWhoseStartWasAnsweredToNobody)
+{
+  this->entries = { this->workers.Add("w1", 4) };
+  this->Begin();
+  this->Run(Milliseconds{ 50 });
+  this->workers.At("w1").losesAnswers = true;
+  this->Accept(JobOf("job", 1, 4));
+  this->Run(Milliseconds{ 100 });
+  this->workers.At("w1").losesAnswers = false;
+  this->Run(Milliseconds{ 1500 });
+  EXPECT_EQ(this->workers.starts.size(), 1U);
+  EXPECT_TRUE(this->workers.stops.empty());
+  this->workers.EndAll();
+  this->Run(Milliseconds{ 200 });
+  EXPECT_EQ(this->StatusOf("job").outcome, JobOutcome::Succeeded);
+}
+
+TEST_F(ConductorTest, CarriesTheCheckpointToTheNextRun)
+{
+  this->entries = { this->workers.Add("w1", 4) };
+  this->Begin();
+  this->Accept(JobOf("job", 1, 4));
+  this->Run(Milliseconds{ 100 });
+  this->workers.At("w1").running.begin()->second.checkpoint = "saved";
+  this->workers.EndAll(EndKind::Lapsed);
+  this->Run(Milliseconds{ 300 });
+  ASSERT_EQ(this->workers.starts.size(), 2U);
+  EXPECT_EQ(this->workers.starts.back().checkpoint, "saved");
+}
+
+TEST_F(ConductorTest, AsksForAdviceAndPresentsTheTicket)
+{
+  this->entries = { this->workers.Add("w1", 4), this->workers.Add("w2", 4) };
+  auto& queue = this->policy.routes.front().queue;
+  queue.isAdvised = true;
+  queue.advice = { .baseMs = 5.0, .perWorkerMs = 1.0, .validity = Milliseconds{ 1500 } };
+  this->advice.isGood = [](const WorkerId& aWorker) { return aWorker.value == "w2"; };
+  this->Begin();
+  this->Accept(JobOf("job", 1, 4));
+  this->Run(Milliseconds{ 300 });
+  ASSERT_EQ(this->workers.starts.size(), 1U);
+  EXPECT_EQ(this->workers.starts.front().worker.value, "w2");
+  EXPECT_FALSE(this->workers.starts.front().ticket.empty());
+}
+
+TEST_F(ConductorTest, RestartsAPerpetualTaskHoweverItEnds)
+{
+  this->entries = { this->workers.Add("w1", 4) };
+  this->Begin();
+  auto spec = JobOf("job", 1, 1);
+  spec.steps.front().isPerpetual = true;
+  this->Accept(spec);
+  this->Run(Milliseconds{ 200 });
+  for (int round = 0; round < 5; ++round) {
+    this->workers.EndAll(EndKind::Failed);
+    this->Run(Milliseconds{ 600 });
+  }
+  EXPECT_EQ(this->workers.starts.size(), 6U);
+  EXPECT_EQ(this->StatusOf("job").outcome, JobOutcome::Active);
+}
+
+}
--- /dev/null
+++ b/Tests/LibCell/TestTakeOver.cpp
@@ -0,0 +1,132 @@
+#include "ConductorFixture.h"
+
+#include <algorithm>
+
+namespace zinc::cell::test {
+
+namespace {
+
+class TakeOver : public ConductorFixture
+{
+protected:
+  [[nodiscard]] std::size_t StartsOf(const std::string& aJob) const
+  {
+    return static_cast<std::size_t>(std::ranges::count_if(
+      this->workers.starts, [&aJob](const auto& aStart) { return aStart.task.job.value == aJob; }));
+  }
+};
+
+/// A clock that moves with each look, like a clock beside work that takes time.
+class MovingClock final : public Clock
+{
+public:
+  explicit MovingClock(ManualClock& aClock)
+    : clock(aClock)
+  {
+  }
+  [[nodiscard]] TimePoint Now() const override
+  {
+    const_cast<ManualClock&>(this->clock).Advance(Milliseconds{ 1 });
+    return this->clock.Now();
+  }
+
+private:
+  ManualClock& clock;
+};
+
+}
+
+TEST_F(TakeOver, KeepsWhatRuns)
+{
+  this->entries = { this->workers.Add("w1", 8), this->workers.Add("w2", 8) };
+  this->Accept(JobOf("job", 4, 2));
+  this->Begin();
+  this->Run(Milliseconds{ 200 });
+  ASSERT_EQ(this->StartsOf("job"), 4U);
+  this->Begin(true);
+  this->Run(Milliseconds{ 300 });
+  EXPECT_EQ(this->StartsOf("job"), 4U);
+  this->workers.EndAll();
+  this->Run(Milliseconds{ 300 });
+  EXPECT_EQ(this->StatusOf("job").outcome, JobOutcome::Succeeded);
+}
+
+TEST_F(TakeOver, StartsNothingThatMayRunAtAWorkerOutOfReach)
+{
+  this->entries = { this->workers.Add("w1", 4), this->workers.Add("w2", 4) };
+  this->Accept(JobOf("job", 2, 4));
+  this->Begin();
+  this->Run(Milliseconds{ 200 });
+  ASSERT_EQ(this->StartsOf("job"), 2U);
+  this->workers.At("w2").isReachable = false;
+  this->Begin(true);
+  this->workers.End("w1", this->workers.starts.front().task, EndKind::Succeeded);
+  this->Run(Milliseconds{ 12'000 });
+  EXPECT_EQ(this->StartsOf("job"), 2U);
+  this->Run(Milliseconds{ 1000 });
+  EXPECT_EQ(this->StartsOf("job"), 3U) << "once the predecessor's leases have run out";
+}
+
+TEST_F(TakeOver, StartsNothingThatMayRunThoughAdoptingJobsTakesTime)
+{
+  this->entries = { this->workers.Add("w1", 4), this->workers.Add("w2", 4) };
+  this->Accept(JobOf("first", 1, 4));
+  this->Accept(JobOf("second", 1, 4));
+  this->Begin();
+  this->Run(Milliseconds{ 200 });
+  ASSERT_EQ(this->workers.starts.size(), 2U);
+  for (const auto& start : std::vector(this->workers.starts)) {
+    this->workers.At(start.worker.value).isReachable = false;
+  }
+  this->entries.push_back(this->workers.Add("w3", 8));
+  this->ownClock = std::make_unique<MovingClock>(this->clock);
+  this->Begin(true);
+  this->Run(Milliseconds{ 2000 });
+  EXPECT_EQ(this->workers.starts.size(), 2U);
+}
+
+TEST_F(TakeOver, StartsNewJobsWhileAWorkerIsOutOfReach)
+{
+  this->entries = { this->workers.Add("w1", 4), this->workers.Add("w2", 4) };
+  this->Accept(JobOf("old", 2, 4));
+  this->Begin();
+  this->Run(Milliseconds{ 200 });
+  this->workers.At("w2").isReachable = false;
+  this->Begin(true);
+  this->workers.EndAll();
+  this->Run(Milliseconds{ 1000 });
+  this->Accept(JobOf("new", 1, 1));
+  this->Run(Milliseconds{ 1500 });
+  EXPECT_EQ(this->StartsOf("new"), 1U);
+}
+
+TEST_F(TakeOver, IsFencedByASuccessor)
+{
+  this->entries = { this->workers.Add("w1", 4) };
+  this->Begin();
+  this->Run(Milliseconds{ 100 });
+  this->workers.At("w1").token = this->token + 10;
+  this->Run(Milliseconds{ 2000 });
+  EXPECT_TRUE(this->isDeposed);
+}
+
+TEST_F(TakeOver, CountsAFailureOnceOverTwoTerms)
+{
+  this->entries = { this->workers.Add("w1", 4), this->workers.Add("w2", 4) };
+  this->Accept(JobOf("job", 1, 1));
+  this->Begin();
+  this->Run(Milliseconds{ 200 });
+  this->workers.EndAll(EndKind::Failed);
+  this->Run(Milliseconds{ 200 });
+  this->workers.EndAll(EndKind::Failed);
+  this->Run(Milliseconds{ 200 });
+  this->Begin(true);
+  this->Run(Milliseconds{ 300 });
+  ASSERT_EQ(this->StartsOf("job"), 3U);
+  this->workers.EndAll(EndKind::Failed);
+  this->Run(Milliseconds{ 300 });
+  EXPECT_EQ(this->StatusOf("job").outcome, JobOutcome::Failed);
+  EXPECT_EQ(this->StartsOf("job"), 3U);
+}
+
+}
