LibCell: Count failed runs by their numbers

Cause: a task kept the newest run whose failure it had counted; at a take-over the ends at two workers are read in any order, and the earlier failure was skipped, so that a task had one run more than its attempts. Test: TakeOver.CountsFailuresOfTwoWorkersInAnyOrder, 4 starts for 3.

--- a/Libraries/LibCell/ConductorJobs.cpp
+++ b/Libraries/LibCell/ConductorJobs.cpp
@@ -198,8 +198,7 @@
       this->SucceedTask(aJob, record.key);
       continue;
     }
-    task->failures = std::max(task->failures, record.failures);
-    task->countedRun = std::max(task->countedRun, record.countedRun);
+    task->failedRuns.insert(record.failedRuns.begin(), record.failedRuns.end());
     if (task->checkpoint.empty()) {
       task->checkpoint = record.checkpoint;
     }
@@ -331,18 +330,16 @@
   auto counted = aKey;
   counted.index = step.isGang ? 0 : aKey.index;
   auto* task = this->FindTask(aJob, counted);
-  if (aRun <= task->countedRun) {
+  if (!task->failedRuns.insert(aRun).second) {
     return;
   }
-  task->countedRun = aRun;
-  ++task->failures;
   this->Changed(aJob);
-  if (task->failures >= std::max(1U, this->QueueOf(aJob).attempts)) {
+  if (task->failedRuns.size() >= std::max(1U, this->QueueOf(aJob).attempts)) {
     this->EndJob(
       aJob,
       JobOutcome::Failed,
       fmt::format(
-        "task {}.{}.{} failed {} times", aKey.occurrence, aKey.step, aKey.index, task->failures));
+        "task {}.{}.{} failed {} times", aKey.occurrence, aKey.step, aKey.index, task->failedRuns.size()));
   }
 }
 
--- a/Libraries/LibCell/Job.h
+++ b/Libraries/LibCell/Job.h
@@ -7,6 +7,7 @@
 #include <LibCell/Specification.h>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -42,9 +43,8 @@
   std::uint64_t run = 0;
   WorkerId worker;
   std::string checkpoint;
-  std::uint32_t failures = 0;
-  /// Newest run whose failure was counted.
-  std::uint64_t countedRun = 0;
+  /// Runs that failed. Kept by number, since ends at several workers are read in any order.
+  std::set<std::uint64_t> failedRuns;
   /// No start before it.
   TimePoint notBefore{};
   /// Where its last run failed; tried again elsewhere if possible.
--- a/Libraries/LibCell/Records.cpp
+++ b/Libraries/LibCell/Records.cpp
@@ -298,11 +298,10 @@
       for (std::uint32_t index = 0; index < run.tasks.size(); ++index) {
         const auto& task = run.tasks[index];
         const bool hasSucceeded = task.phase == TaskPhase::Succeeded;
-        if (hasSucceeded || task.failures > 0 || !task.checkpoint.empty()) {
+        if (hasSucceeded || !task.failedRuns.empty() || !task.checkpoint.empty()) {
           record.tasks.push_back({ .key = { .occurrence = number, .step = step, .index = index },
                                    .hasSucceeded = hasSucceeded,
-                                   .failures = task.failures,
-                                   .countedRun = task.countedRun,
+                                   .failedRuns = task.failedRuns,
                                    .checkpoint = hasSucceeded ? "" : task.checkpoint });
         }
       }
@@ -324,9 +323,12 @@
   for (const auto& task : aRecord.tasks) {
     auto entry = ToJson(task.key);
     entry.append(task.hasSucceeded);
-    entry.append(task.failures);
-    entry.append(Json::UInt64(task.countedRun));
     entry.append(task.checkpoint);
+    Json::Value runs(Json::arrayValue);
+    for (const auto run : task.failedRuns) {
+      runs.append(Json::UInt64(run));
+    }
+    entry.append(std::move(runs));
     value["tasks"].append(std::move(entry));
   }
   return Write(value);
@@ -350,9 +352,10 @@
       for (const auto& task : aValue["tasks"]) {
         record.tasks.push_back({ .key = KeyFrom(task),
                                  .hasSucceeded = task[3].asBool(),
-                                 .failures = task[4].asUInt(),
-                                 .countedRun = task[5].asUInt64(),
-                                 .checkpoint = task[6].asString() });
+                                 .checkpoint = task[4].asString() });
+        for (const auto& run : task[5]) {
+          record.tasks.back().failedRuns.insert(run.asUInt64());
+        }
       }
       return record;
     });
--- a/Libraries/LibCell/Records.h
+++ b/Libraries/LibCell/Records.h
@@ -8,6 +8,7 @@
 #include <LibCell/Ports.h>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -71,8 +72,7 @@
 {
   TaskKey key;
   bool hasSucceeded = false;
-  std::uint32_t failures = 0;
-  std::uint64_t countedRun = 0;
+  std::set<std::uint64_t> failedRuns;
   std::string checkpoint;
 };
 
--- a/Tests/LibCell/TestTakeOver.cpp
+++ b/Tests/LibCell/TestTakeOver.cpp
@@ -110,6 +110,35 @@
   EXPECT_TRUE(this->isDeposed);
 }
 
+TEST_F(TakeOver, CountsFailuresOfTwoWorkersInAnyOrder)
+{
+  // The worker with the later run is read first, since its name comes first.
+  this->entries = { this->workers.Add("b", 4) };
+  this->Accept(JobOf("job", 1, 1));
+  this->Begin();
+  this->Run(Milliseconds{ 100 });
+  this->store.mode = StoreMode::Refusing;
+  this->entries.push_back(this->workers.Add("a", 4));
+  this->conductor->OnWorkerEntry(this->entries.back());
+  this->Run(Milliseconds{ 100 });
+  this->workers.EndAll(EndKind::Failed);
+  this->Run(Milliseconds{ 200 });
+  ASSERT_EQ(this->workers.starts.size(), 2U);
+  ASSERT_EQ(this->workers.starts.back().worker.value, "a");
+  this->workers.EndAll(EndKind::Failed);
+  this->store.mode = StoreMode::Serving;
+  this->workers.At("b").isReachable = false;
+  this->Begin(true);
+  this->Run(Milliseconds{ 200 });
+  this->workers.At("b").isReachable = true;
+  this->Run(Milliseconds{ 600 });
+  ASSERT_EQ(this->workers.starts.size(), 3U);
+  this->workers.EndAll(EndKind::Failed);
+  this->Run(Milliseconds{ 600 });
+  EXPECT_EQ(this->workers.starts.size(), 3U);
+  EXPECT_EQ(this->StatusOf("job").outcome, JobOutcome::Failed);
+}
+
 TEST_F(TakeOver, CountsAFailureOnceOverTwoTerms)
 {
   this->entries = { this->workers.Add("w1", 4), this->workers.Add("w2", 4) };
