LibCell: Bound the time that placement takes under a long queue

Cause: with a thousand jobs waiting each placement walked all of them with their routes, chains and workers, at every tick and every advice; rows of cancellations and new jobs waited up to 4 s behind it. Ruled out: the store (its calls took 10 ms meanwhile).

--- a/Libraries/LibCell/Conductor.cpp
+++ b/Libraries/LibCell/Conductor.cpp
@@ -87,7 +87,7 @@
   // Tickets lapse and delays pass without an event.
   const bool isDue =
     this->placementDue || now - this->lastPlacement >= this->options.placementPause;
-  if (isDue) {
+  if (isDue && now >= this->nextPlacement) {
     this->Place();
   }
   this->Flush();
--- a/Libraries/LibCell/Conductor.h
+++ b/Libraries/LibCell/Conductor.h
@@ -50,6 +50,8 @@
   Milliseconds flushPause{ 25 };
   /// Longest time between two placements while something may wait.
   Milliseconds placementPause{ 50 };
+  /// After a placement the conductor does other work for this many times as long as it took.
+  int placementRest = 2;
   /// Part of a pool's processors kept free of all but the most urgent queue's tasks.
   double urgentHeadroom = 0.05;
   /// Start orders to one worker on their way at a time.
@@ -250,6 +252,8 @@
   /// @return true if the step leaves room to urgent tasks and to gangs that wait.
   [[nodiscard]] bool IsHeldBack(const Candidate& aCandidate) const;
   [[nodiscard]] bool HasReadEnough() const;
+  /// @return true if a task of the step, or its whole gang, fits anywhere in the pool.
+  [[nodiscard]] static bool HasRoom(const Pool& aPool, const StepSpecification& aStep);
   [[nodiscard]] bool LeavesHeadroom(const Candidate& aCandidate,
                                     const Resources& aDemand,
                                     const Pool& aPool) const;
@@ -334,6 +338,7 @@
   std::size_t gangsHeld = 0;
   bool placementDue = true;
   TimePoint lastPlacement{};
+  TimePoint nextPlacement{};
 };
 
 }
--- a/Libraries/LibCell/ConductorJobs.cpp
+++ b/Libraries/LibCell/ConductorJobs.cpp
@@ -81,6 +81,7 @@
   }
   auto& job = this->jobs[name->job];
   job.spec = std::move(ValueOf(decoded));
+  job.remaining = RemainingChains(job.spec);
   const auto now = this->on.clock.Now();
   const auto age = this->on.wallClock() - job.spec.received;
   const bool isBelieved = age >= Milliseconds{ 0 } && age <= kBelievedAge;
@@ -219,7 +220,7 @@
     occurrence.steps[step].tasks.resize(aJob.spec.steps[step].count);
   }
   const auto& queue = this->QueueOf(aJob);
-  const auto chain = LongestChain(aJob.spec);
+  const auto chain = std::ranges::max(aJob.remaining);
   const auto begin = aJob.spec.occurrences > 0 ? this->on.clock.Now() : aJob.firstSeen;
   occurrence.objective =
     begin + queue.slack +
@@ -335,11 +336,13 @@
   }
   this->Changed(aJob);
   if (task->failedRuns.size() >= std::max(1U, this->QueueOf(aJob).attempts)) {
-    this->EndJob(
-      aJob,
-      JobOutcome::Failed,
-      fmt::format(
-        "task {}.{}.{} failed {} times", aKey.occurrence, aKey.step, aKey.index, task->failedRuns.size()));
+    this->EndJob(aJob,
+                 JobOutcome::Failed,
+                 fmt::format("task {}.{}.{} failed {} times",
+                             aKey.occurrence,
+                             aKey.step,
+                             aKey.index,
+                             task->failedRuns.size()));
   }
 }
 
--- a/Libraries/LibCell/ConductorPlacement.cpp
+++ b/Libraries/LibCell/ConductorPlacement.cpp
@@ -70,7 +70,7 @@
 {
   const auto now = this->on.clock.Now();
   const auto& queue = this->QueueOf(aJob);
-  const auto latestStart = aOccurrence.objective - RemainingChain(aJob.spec, aStep);
+  const auto latestStart = aOccurrence.objective - aJob.remaining[aStep];
   auto rank = Rank::OnTime;
   if (aJob.isBeyondWeight) {
     rank = Rank::BeyondWeight;
@@ -131,6 +131,24 @@
       return;
     }
   }
+  // Placement takes a part of the time at most, so that a long queue leaves time for the workers.
+  this->nextPlacement =
+    this->on.clock.Now() + (this->on.clock.Now() - now) * this->options.placementRest;
+}
+
+bool
+Conductor::HasRoom(const Pool& aPool, const StepSpecification& aStep)
+{
+  const auto demand = OccupiedBy(aStep);
+  const std::uint32_t needed = aStep.isGang ? aStep.count : 1;
+  std::uint32_t room = 0;
+  for (const auto* worker : aPool.workers) {
+    room += RoomFor(*worker, demand, needed);
+    if (room >= needed) {
+      return true;
+    }
+  }
+  return false;
 }
 
 bool
@@ -250,6 +268,10 @@
   // Limits count processors of fillers as well, since they do run.
   const auto occupied = OccupiedBy(step);
   const auto& workspace = aCandidate.job->spec.workspace;
+  const bool isFull = !this->LeavesHeadroom(aCandidate, occupied, aPool) || !HasRoom(aPool, step);
+  if (isFull || this->LimitRoom(workspace, step.demand, 1) == 0) {
+    return;
+  }
   const auto eligible = this->EligibleWorkers(aCandidate, aRun, aPool, true);
   const auto countAt = [&aRun](const Worker& aWorker) {
     return static_cast<std::uint32_t>(
@@ -353,7 +375,7 @@
     this->StartReserved(aCandidate, aRun, aPool);
     return;
   }
-  if (!this->LeavesHeadroom(aCandidate, total, aPool)) {
+  if (!this->LeavesHeadroom(aCandidate, total, aPool) || !HasRoom(aPool, step)) {
     this->HoldForGang(aCandidate, aRun, aPool);
     return;
   }
--- a/Libraries/LibCell/Job.cpp
+++ b/Libraries/LibCell/Job.cpp
@@ -4,43 +4,18 @@
 
 namespace zinc::cell {
 
-namespace {
-
-Milliseconds
-ChainFrom(const JobSpecification& aSpec, std::uint32_t aStep, std::vector<Milliseconds>& aMemory)
+std::vector<Milliseconds>
+RemainingChains(const JobSpecification& aSpec)
 {
-  if (aMemory[aStep].count() >= 0) {
-    return aMemory[aStep];
-  }
-  Milliseconds longest{ 0 };
-  // Steps name earlier ones only, so that the recursion ends.
-  for (std::uint32_t next = aStep + 1; next < aSpec.steps.size(); ++next) {
-    if (std::ranges::find(aSpec.steps[next].after, aStep) != aSpec.steps[next].after.end()) {
-      longest = std::max(longest, ChainFrom(aSpec, next, aMemory));
+  std::vector<Milliseconds> chains(aSpec.steps.size(), Milliseconds{ 0 });
+  // Steps name earlier ones only, so that all that follow a step are done before it.
+  for (std::size_t step = chains.size(); step-- > 0;) {
+    chains[step] += aSpec.steps[step].estimate;
+    for (const auto before : aSpec.steps[step].after) {
+      chains[before] = std::max(chains[before], chains[step]);
     }
   }
-  aMemory[aStep] = aSpec.steps[aStep].estimate + longest;
-  return aMemory[aStep];
-}
-
-}
-
-Milliseconds
-LongestChain(const JobSpecification& aSpec)
-{
-  std::vector<Milliseconds> memory(aSpec.steps.size(), Milliseconds{ -1 });
-  Milliseconds longest{ 0 };
-  for (std::uint32_t step = 0; step < aSpec.steps.size(); ++step) {
-    longest = std::max(longest, ChainFrom(aSpec, step, memory));
-  }
-  return longest;
-}
-
-Milliseconds
-RemainingChain(const JobSpecification& aSpec, std::uint32_t aStep)
-{
-  std::vector<Milliseconds> memory(aSpec.steps.size(), Milliseconds{ -1 });
-  return ChainFrom(aSpec, aStep, memory);
+  return chains;
 }
 
 std::string_view
--- a/Libraries/LibCell/Job.h
+++ b/Libraries/LibCell/Job.h
@@ -98,6 +98,8 @@
 struct Job
 {
   JobSpecification spec;
+  /// Longest chain of estimated work from each step to the job's end.
+  std::vector<Milliseconds> remaining;
   JobOutcome outcome = JobOutcome::Active;
   /// A task of it has started.
   bool hasStarted = false;
@@ -126,13 +128,9 @@
   }
 };
 
-/// @return the longest chain of estimated work through a job's steps.
-[[nodiscard]] Milliseconds
-LongestChain(const JobSpecification& aSpec);
-
-/// @return the longest chain of estimated work from a step to the job's end, itself included.
-[[nodiscard]] Milliseconds
-RemainingChain(const JobSpecification& aSpec, std::uint32_t aStep);
+/// @return for each step the longest chain of estimated work to the job's end, itself included.
+[[nodiscard]] std::vector<Milliseconds>
+RemainingChains(const JobSpecification& aSpec);
 
 /// @return the name callers see.
 [[nodiscard]] std::string_view
--- a/Libraries/LibCell/Policy.h
+++ b/Libraries/LibCell/Policy.h
@@ -52,6 +52,7 @@
   std::map<std::string, PoolPolicy, std::less<>> pools;
   std::map<WorkspaceId, WorkspacePolicy> workspaces;
   std::unordered_map<std::string, WorkspaceId> workspaceByKey;
+  std::unordered_map<QueueId, std::size_t> routeByQueue;
   std::size_t maxBodyBytes = 262'144;
 
   /// @return the route with the longest prefix of the path, if any.
@@ -70,12 +71,15 @@
   /// @return the route of this queue, if it still exists.
   [[nodiscard]] const QueueRoute* FindQueue(const QueueId& aName) const
   {
-    for (const auto& route : this->routes) {
-      if (route.queue.name == aName) {
-        return &route;
-      }
-    }
-    return nullptr;
+    const auto found = this->routeByQueue.find(aName);
+    return found == this->routeByQueue.end() ? nullptr : &this->routes[found->second];
+  }
+
+  /// Adds a route. A second one of the same queue is found by its path alone.
+  void AddRoute(QueueRoute aRoute)
+  {
+    this->routeByQueue.try_emplace(aRoute.queue.name, this->routes.size());
+    this->routes.push_back(std::move(aRoute));
   }
 };
 
--- a/Tests/LibCell/ConductorFixture.cpp
+++ b/Tests/LibCell/ConductorFixture.cpp
@@ -15,7 +15,7 @@
                   .attempts = 3,
                   .stretch = 4.0,
                   .slack = Milliseconds{ 1000 } };
-  this->policy.routes.push_back(route);
+  this->policy.AddRoute(route);
   this->policy.workspaces[{ "team" }] = { .name = { "team" }, .weight = 1000.0 };
 }
 
@@ -26,7 +26,9 @@
                         std::int64_t aEstimateMs)
 {
   JobSpecification spec{ .id = { aId }, .workspace = { "team" } };
-  spec.queue = { .name = { "queue" }, .pool = "pool", .priority = 1, .attempts = 3, .stretch = 4.0 };
+  spec.queue = {
+    .name = { "queue" }, .pool = "pool", .priority = 1, .attempts = 3, .stretch = 4.0
+  };
   spec.payload = "payload";
   spec.steps.push_back({ .count = aCount,
                          .demand = { .milliCores = aCores * 1000, .memoryMiB = 100 },
--- a/Tests/LibCell/ConductorFixture.h
+++ b/Tests/LibCell/ConductorFixture.h
@@ -33,8 +33,7 @@
       AdviceAnswer answer;
       for (const auto& worker : question.workers) {
         if (this->isGood(worker)) {
-          answer.good.push_back(
-            { .worker = worker, .text = "t" + std::to_string(++this->issued) });
+          answer.good.push_back({ .worker = worker, .text = "t" + std::to_string(++this->issued) });
         }
       }
       handler(std::move(answer));
--- a/Tests/LibCell/SimulatedWorkers.cpp
+++ b/Tests/LibCell/SimulatedWorkers.cpp
@@ -107,8 +107,7 @@
 }
 
 void
-SimulatedWorkers::Hold(HoldOrder aOrder,
-                       Handler<std::variant<WorkerReport, OrderAnswer>> aHandler)
+SimulatedWorkers::Hold(HoldOrder aOrder, Handler<std::variant<WorkerReport, OrderAnswer>> aHandler)
 {
   this->holds.push_back(aOrder);
   auto lost = [aHandler] { aHandler(MayHaveRun(ErrorCode::Timeout, "lost")); };
@@ -120,19 +119,16 @@
   auto& worker = found->second;
   this->Lapse(worker);
   if (aOrder.target.fencingToken < worker.token) {
-    this->answers.push_back([aHandler] {
-      aHandler(std::variant<WorkerReport, OrderAnswer>(OrderAnswer::Fenced));
-    });
+    this->answers.push_back(
+      [aHandler] { aHandler(std::variant<WorkerReport, OrderAnswer>(OrderAnswer::Fenced)); });
     return;
   }
   worker.token = aOrder.target.fencingToken;
-  std::erase_if(worker.ended, [&aOrder](const EndedEntry& aEnd) {
-    return aEnd.sequence <= aOrder.acknowledged;
-  });
+  std::erase_if(worker.ended,
+                [&aOrder](const EndedEntry& aEnd) { return aEnd.sequence <= aOrder.acknowledged; });
   if (aOrder.deadline) {
     const TimePoint until{ Milliseconds(*aOrder.deadline - kClockOffset) };
-    worker.leaseEnd =
-      std::max(worker.leaseEnd, std::min(until, this->clock.Now() + kLongestLease));
+    worker.leaseEnd = std::max(worker.leaseEnd, std::min(until, this->clock.Now() + kLongestLease));
   }
   auto answer = [this, id = aOrder.target.worker, aHandler] {
     aHandler(std::variant<WorkerReport, OrderAnswer>(this->ReportOf(this->workers.at(id))));
@@ -166,7 +162,9 @@
   }
   aWorker.highestRun[key] = aOrder.run;
   aWorker.leaseEnd = std::max(aWorker.leaseEnd, std::min(until, this->clock.Now() + kLongestLease));
-  aWorker.running[key] = { .task = aOrder.task, .run = aOrder.run, .checkpoint = aOrder.checkpoint };
+  aWorker.running[key] = { .task = aOrder.task,
+                           .run = aOrder.run,
+                           .checkpoint = aOrder.checkpoint };
   this->starts.push_back({ .worker = aOrder.target.worker,
                            .task = aOrder.task,
                            .run = aOrder.run,
--- a/Tests/LibCell/SimulatedWorkers.h
+++ b/Tests/LibCell/SimulatedWorkers.h
@@ -26,8 +26,8 @@
   TimePoint at{};
 };
 
-/// All workers of a cell. Answers are queued and delivered by @ref Deliver, so that the caller decides
-/// about their order and loss.
+/// All workers of a cell. Answers are queued and delivered by @ref Deliver, so that the caller
+/// decides about their order and loss.
 class SimulatedWorkers final : public WorkerPort
 {
 public:
