LibCell: Replace an ended job's rows by one small row

An ended job now leaves its id, outcome and owner. Tests: TakeOver.TakesARunOfAnEndedJobToFillItsWorker, RecordsTest.*

--- a/Libraries/LibCell/Conductor.h
+++ b/Libraries/LibCell/Conductor.h
@@ -164,6 +164,8 @@
 
   // Jobs.
   void AdoptSpecification(const Row& aRow);
+  void AdoptEnded(const JobId& aJob, const EndedJobRecord& aRecord);
+  void AdoptForeignEnd(Job& aJob, const Row& aRow);
   void AdoptProgress(Job& aJob, const Row& aRow);
   void ApplyProgress(Job& aJob, const ProgressRecord& aRecord);
   void AdoptCancellation(const JobId& aJob);
@@ -192,6 +194,7 @@
   void OnFlushConflict(const std::vector<std::pair<JobId, std::uint64_t>>& aJobs,
                        const Transaction& aSent,
                        const CommitAnswer& aAnswer);
+  void AddToFlush(const Job& aJob, Transaction& aTransaction) const;
   void OnProgressDurable(Job& aJob, std::uint64_t aChanges, std::uint64_t aVersion);
   void AdvanceAcknowledgements();
 
--- a/Libraries/LibCell/ConductorJobs.cpp
+++ b/Libraries/LibCell/ConductorJobs.cpp
@@ -69,7 +69,12 @@
 Conductor::AdoptSpecification(const Row& aRow)
 {
   const auto name = ParseJobRowKey(aRow.key.key);
-  if (this->jobs.contains(name->job)) {
+  if (auto* known = this->FindJob(name->job)) {
+    this->AdoptForeignEnd(*known, aRow);
+    return;
+  }
+  if (const auto ended = DecodeEndedJob(aRow.value)) {
+    this->AdoptEnded(name->job, *ended);
     return;
   }
   auto decoded = DecodeSpecification(name->job, aRow.value);
@@ -106,6 +111,20 @@
   }
 }
 
+void
+Conductor::AdoptEnded(const JobId& aJob, const EndedJobRecord& aRecord)
+{
+  auto& job = this->jobs[aJob];
+  job.spec.id = aJob;
+  job.spec.workspace = aRecord.workspace;
+  job.spec.queue.name = aRecord.queue;
+  job.outcome = aRecord.outcome;
+  job.isOutcomeDurable = true;
+  job.hasStarted = true;
+  job.ended = this->on.clock.Now();
+  this->ended.push_back(aJob);
+}
+
 bool
 Conductor::TakeWeight(const WorkspaceId& aWorkspace)
 {
@@ -129,6 +148,23 @@
   return true;
 }
 
+void
+Conductor::AdoptForeignEnd(Job& aJob, const Row& aRow)
+{
+  const auto ended = DecodeEndedJob(aRow.value);
+  if (!ended) {
+    return;
+  }
+  // A conductor before this one has ended it by a write that was carried out late.
+  if (aJob.outcome == JobOutcome::Active) {
+    this->EndJob(aJob, ended->outcome, "recorded");
+  }
+  aJob.outcome = ended->outcome;
+  aJob.isOutcomeDurable = true;
+  aJob.durableChanges = aJob.changes;
+  this->dirty.erase(aJob.spec.id);
+}
+
 void
 Conductor::AdoptCancellation(const JobId& aJob)
 {
@@ -145,7 +181,8 @@
 void
 Conductor::AdoptProgress(Job& aJob, const Row& aRow)
 {
-  if (aRow.version <= aJob.progressVersion) {
+  // A write of a conductor before this one may be carried out after the job has ended.
+  if (aRow.version <= aJob.progressVersion || aJob.outcome != JobOutcome::Active) {
     return;
   }
   const auto record = DecodeProgress(aRow.value);
@@ -163,17 +200,6 @@
 Conductor::ApplyProgress(Job& aJob, const ProgressRecord& aRecord)
 {
   aJob.hasStarted = aJob.hasStarted || aRecord.hasStarted;
-  if (aRecord.outcome != JobOutcome::Active) {
-    if (aJob.outcome == JobOutcome::Active) {
-      this->EndJob(aJob, aRecord.outcome, "recorded");
-    }
-    if (aJob.outcome == aRecord.outcome) {
-      aJob.isOutcomeDurable = true;
-      aJob.durableChanges = aJob.changes;
-      this->dirty.erase(aJob.spec.id);
-    }
-    return;
-  }
   for (std::uint32_t number = 0; number < aRecord.occurrencesSucceeded; ++number) {
     auto& occurrence = this->MakeOccurrence(aJob, number);
     for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
--- a/Libraries/LibCell/ConductorRecords.cpp
+++ b/Libraries/LibCell/ConductorRecords.cpp
@@ -6,8 +6,9 @@
 
 namespace {
 
-/// A transaction holds 100 entries; each job takes a condition and a write.
-constexpr std::size_t kJobsPerFlush = 48;
+/// A transaction holds 100 entries; each job takes a condition, a write and, when it has ended, a
+/// removal.
+constexpr std::size_t kJobsPerFlush = 33;
 /// A transaction's size limit, with room for its conditions.
 constexpr std::size_t kBytesPerFlush = 700'000;
 /// Time until a write is tried again that the store did not answer.
@@ -35,11 +36,8 @@
       break;
     }
     const auto& job = this->jobs.at(id);
-    auto key = JobRowKey(id, JobRowKind::Progress);
-    parts.insert(key.part);
-    transaction.conditions.push_back({ .key = key, .version = job.progressVersion });
-    transaction.writes.push_back(
-      { .key = std::move(key), .value = EncodeProgress(ProgressOf(job)) });
+    parts.insert(JobPart(id));
+    this->AddToFlush(job, transaction);
     bytes += transaction.writes.back().value.size();
     written.emplace_back(id, job.changes);
   }
@@ -56,6 +54,25 @@
     });
 }
 
+void
+Conductor::AddToFlush(const Job& aJob, Transaction& aTransaction) const
+{
+  auto key = JobRowKey(aJob.spec.id, JobRowKind::Progress);
+  aTransaction.conditions.push_back({ .key = key, .version = aJob.progressVersion });
+  if (aJob.outcome == JobOutcome::Active) {
+    aTransaction.writes.push_back(
+      { .key = std::move(key), .value = EncodeProgress(ProgressOf(aJob)) });
+    return;
+  }
+  aTransaction.writes.push_back({ .key = JobRowKey(aJob.spec.id, JobRowKind::Specification),
+                                  .value = EncodeEndedJob({ .outcome = aJob.outcome,
+                                                            .workspace = aJob.spec.workspace,
+                                                            .queue = aJob.spec.queue.name }) });
+  if (aJob.progressVersion > 0) {
+    aTransaction.removals.push_back(std::move(key));
+  }
+}
+
 void
 Conductor::OnFlushed(const std::vector<std::pair<JobId, std::uint64_t>>& aJobs,
                      const Transaction& aSent,
@@ -116,10 +133,12 @@
       continue;
     }
     if (version == 0) {
+      // Only the write of an end removes the row.
       job->progressVersion = 0;
       continue;
     }
-    if (found->second.value == aSent.writes[index].value) {
+    const auto& write = aSent.writes[index];
+    if (found->second.key == write.key && found->second.value == write.value) {
       // An earlier write of the same was carried out although its answer was lost.
       this->OnProgressDurable(*job, aJobs[index].second, version);
       continue;
--- a/Libraries/LibCell/ConductorWorkers.cpp
+++ b/Libraries/LibCell/ConductorWorkers.cpp
@@ -423,6 +423,9 @@
     occupant.isFiller = step.isFiller;
     occupant.tailTarget = step.tailTarget;
     occupant.estimate = step.estimate;
+  } else {
+    // What it takes is no longer known; the worker counts as full until it has ended.
+    occupant.demand = aWorker.Free();
   }
   aWorker.used += occupant.demand;
   this->running[occupant.workspace] += occupant.demand;
--- a/Libraries/LibCell/Intake.cpp
+++ b/Libraries/LibCell/Intake.cpp
@@ -194,6 +194,14 @@
         continue;
       }
       if (name->kind == JobRowKind::Specification) {
+        if (const auto ended = DecodeEndedJob(row.value)) {
+          handler(StoredJob{ .isKnown = true,
+                             .workspace = ended->workspace,
+                             .queue = ended->queue,
+                             .outcome = ended->outcome,
+                             .hasStarted = true });
+          return;
+        }
         const auto spec = DecodeSpecification(aJob, row.value);
         if (IsError(spec)) {
           handler(ErrorOf(spec));
@@ -208,9 +216,6 @@
           handler(ErrorOf(progress));
           return;
         }
-        if (ValueOf(progress).outcome != JobOutcome::Active) {
-          stored.outcome = ValueOf(progress).outcome;
-        }
         stored.hasStarted = ValueOf(progress).hasStarted;
       } else if (stored.outcome == JobOutcome::Active) {
         stored.outcome = JobOutcome::Cancelled;
--- a/Libraries/LibCell/Records.cpp
+++ b/Libraries/LibCell/Records.cpp
@@ -56,6 +56,9 @@
   }
 }
 
+/// Begins the row of an ended job, and no other.
+constexpr std::string_view kEndedMark = "ended ";
+
 constexpr std::string_view kSuffixes = "jpx";
 constexpr std::size_t kSuffixLength = 2;
 
@@ -279,15 +282,40 @@
     });
 }
 
+std::string
+EncodeEndedJob(const EndedJobRecord& aRecord)
+{
+  return fmt::format("{}{} {} {}",
+                     kEndedMark,
+                     static_cast<int>(aRecord.outcome),
+                     aRecord.workspace.value,
+                     aRecord.queue.value);
+}
+
+std::optional<EndedJobRecord>
+DecodeEndedJob(std::string_view aText)
+{
+  if (!aText.starts_with(kEndedMark)) {
+    return {};
+  }
+  aText.remove_prefix(kEndedMark.size());
+  const auto first = aText.find(' ');
+  const auto second = aText.find(' ', std::min(first + 1, aText.size()));
+  const bool isWhole =
+    first == 1 && second != std::string_view::npos && aText[0] >= '1' && aText[0] <= '3';
+  if (!isWhole) {
+    return {};
+  }
+  return EndedJobRecord{ .outcome = static_cast<JobOutcome>(aText[0] - '0'),
+                         .workspace = { std::string(aText.substr(2, second - 2)) },
+                         .queue = { std::string(aText.substr(second + 1)) } };
+}
+
 ProgressRecord
 ProgressOf(const Job& aJob)
 {
-  ProgressRecord record{ .outcome = aJob.outcome,
-                         .hasStarted = aJob.hasStarted,
+  ProgressRecord record{ .hasStarted = aJob.hasStarted,
                          .occurrencesSucceeded = aJob.occurrencesSucceeded };
-  if (aJob.outcome != JobOutcome::Active) {
-    return record;
-  }
   for (const auto& [number, occurrence] : aJob.occurrences) {
     for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
       const auto& run = occurrence.steps[step];
@@ -314,7 +342,6 @@
 EncodeProgress(const ProgressRecord& aRecord)
 {
   Json::Value value(Json::objectValue);
-  value["outcome"] = static_cast<std::uint32_t>(aRecord.outcome);
   value["started"] = aRecord.hasStarted;
   value["occurrences"] = aRecord.occurrencesSucceeded;
   for (const auto& step : aRecord.steps) {
@@ -339,12 +366,7 @@
 {
   return Decoded<ProgressRecord>(
     aText, "progress", [](const Json::Value& aValue) -> Result<ProgressRecord> {
-      const auto outcome = aValue["outcome"].asUInt();
-      if (outcome > static_cast<std::uint32_t>(JobOutcome::Cancelled)) {
-        return NotRun(ErrorCode::BadRequest, "The progress row has an unknown outcome.");
-      }
-      ProgressRecord record{ .outcome = static_cast<JobOutcome>(outcome),
-                             .hasStarted = aValue["started"].asBool(),
+      ProgressRecord record{ .hasStarted = aValue["started"].asBool(),
                              .occurrencesSucceeded = aValue["occurrences"].asUInt() };
       for (const auto& step : aValue["steps"]) {
         record.steps.push_back(KeyFrom(step));
--- a/Libraries/LibCell/Records.h
+++ b/Libraries/LibCell/Records.h
@@ -67,6 +67,22 @@
 [[nodiscard]] Result<JobSpecification>
 DecodeSpecification(const JobId& aJob, std::string_view aText);
 
+/// What is left of a job's own row when it has ended. Takes the place of the job, so that its id
+/// stays taken and the next conductor has little to read.
+struct EndedJobRecord
+{
+  JobOutcome outcome = JobOutcome::Succeeded;
+  WorkspaceId workspace;
+  QueueId queue;
+};
+
+[[nodiscard]] std::string
+EncodeEndedJob(const EndedJobRecord& aRecord);
+
+/// @return the record, or nothing if the row holds a job that has not ended.
+[[nodiscard]] std::optional<EndedJobRecord>
+DecodeEndedJob(std::string_view aText);
+
 /// What is kept of one task.
 struct TaskRecord
 {
@@ -76,10 +92,9 @@
   std::string checkpoint;
 };
 
-/// What the progress row of a job holds.
+/// What the progress row of an active job holds.
 struct ProgressRecord
 {
-  JobOutcome outcome = JobOutcome::Active;
   bool hasStarted = false;
   std::uint32_t occurrencesSucceeded = 0;
   /// Steps of which all tasks have succeeded; their tasks are left out.
--- a/Libraries/LibInstance/CellInstance.cpp
+++ b/Libraries/LibInstance/CellInstance.cpp
@@ -79,9 +79,10 @@
                                     .parts = { "" },
                                     .reread = this->options.documentReread },
                                   &CellInstance::OnDocument);
-  this->cellFollower =
-    follow({ .table = std::string(cell::kCellTable), .parts = { std::string(cell::kCellPart) } },
-           &CellInstance::OnCell);
+  this->cellFollower = follow({ .table = std::string(cell::kCellTable),
+                                .parts = { std::string(cell::kCellPart) },
+                                .pause = this->options.cellPause },
+                              &CellInstance::OnCell);
   this->Beat();
   this->TickLeadership();
 }
--- a/Libraries/LibInstance/CellInstance.h
+++ b/Libraries/LibInstance/CellInstance.h
@@ -47,6 +47,8 @@
   Milliseconds leadershipTick{ 50 };
   /// Least time between two reads of new jobs; they wait for each other that long.
   Milliseconds jobPause{ 40 };
+  /// Least time between two reads of the ownership row and the instances; each renewal is a change.
+  Milliseconds cellPause{ 250 };
   /// The document is read anew this often, in case the store drops a change from its feed.
   Milliseconds documentReread{ 1000 };
   /// Time between two writes of the instance's own row.
--- a/Tests/LibCell/SimulatedWorkers.cpp
+++ b/Tests/LibCell/SimulatedWorkers.cpp
@@ -206,7 +206,9 @@
   }
   auto& highest = worker.highestRun[this->KeyOf(aOrder.task)];
   highest = std::max(highest, aOrder.run);
-  this->End(aOrder.target.worker.value, aOrder.task, EndKind::Stopped);
+  if (!worker.ignoresStops) {
+    this->End(aOrder.target.worker.value, aOrder.task, EndKind::Stopped);
+  }
   this->Answer(aOrder.target.worker, lost, [aHandler] { aHandler(OrderAnswer::Accepted); });
 }
 
--- a/Tests/LibCell/SimulatedWorkers.h
+++ b/Tests/LibCell/SimulatedWorkers.h
@@ -38,6 +38,8 @@
     /// Orders are carried out, answers are lost.
     bool losesAnswers = false;
     bool refusesStarts = false;
+    /// Stops are answered and not yet carried out.
+    bool ignoresStops = false;
     /// Its runs make no progress.
     bool isHanging = false;
     std::uint64_t token = 0;
--- a/Tests/LibCell/TestTakeOver.cpp
+++ b/Tests/LibCell/TestTakeOver.cpp
@@ -139,6 +139,26 @@
   EXPECT_EQ(this->StatusOf("job").outcome, JobOutcome::Failed);
 }
 
+TEST_F(TakeOver, TakesARunOfAnEndedJobToFillItsWorker)
+{
+  this->entries = { this->workers.Add("w1", 4) };
+  this->Accept(JobOf("ended", 1, 3));
+  this->Begin();
+  this->Run(Milliseconds{ 100 });
+  // The job's row is replaced by its end while its run is still there.
+  this->store.Put(JobRowKey({ "ended" }, JobRowKind::Specification),
+                  EncodeEndedJob({ .outcome = JobOutcome::Cancelled, .workspace = { "team" } }));
+  this->Accept(JobOf("new", 1, 2));
+  this->workers.At("w1").ignoresStops = true;
+  this->Begin(true);
+  this->Run(Milliseconds{ 300 });
+  EXPECT_EQ(this->workers.At("w1").running.size(), 1U);
+  this->workers.At("w1").ignoresStops = false;
+  this->workers.EndAll(EndKind::Stopped);
+  this->Run(Milliseconds{ 300 });
+  EXPECT_EQ(this->StartsOf("new"), 1U);
+}
+
 TEST_F(TakeOver, CountsAFailureOnceOverTwoTerms)
 {
   this->entries = { this->workers.Add("w1", 4), this->workers.Add("w2", 4) };
