LibPlatform: Do not send a request twice when an idle connection was closed

Cause: taking an idle connection that the other end had closed looked through the queue again, which another connection emptied; the first look then took a request from an empty queue. Test: ConnectionPool.SendsARequestOnceWhenAnIdleConnectionTurnsOutToBeClosed ended the test program by signal 11 before.

--- a/Libraries/LibPlatform/HttpClient.cpp
+++ b/Libraries/LibPlatform/HttpClient.cpp
@@ -385,6 +385,11 @@
     if (connection == nullptr) {
       break;
     }
+    if (this->queue.empty()) {
+      // A closed connection that was found meanwhile has let another one take the request.
+      this->idle.push_back(connection);
+      break;
+    }
     Exchange exchange = std::move(this->queue.front());
     this->queue.pop_front();
     connection->Send(std::move(exchange));
