LibCell: Keep accepting and recording while the store is slow

Cause: a part of the store commits one transaction after the other, so that with answers 60 times as slow a part takes 4 of them a second; all instances and the conductor shared 8 parts, and the conductor's writes went across all of them. Change: 48 parts for the jobs' rows, the progress rows in one part of their own, ended jobs compacted in the background, parts read several at a time.

--- a/Libraries/LibCell/AdviceDesk.cpp
+++ b/Libraries/LibCell/AdviceDesk.cpp
@@ -61,9 +61,9 @@
   auto best = this->callers.end();
   for (auto caller = this->callers.begin(); caller != this->callers.end(); ++caller) {
     const auto& state = caller->second;
-    // A long call never waits behind another: a free instance would have answered it sooner.
-    const bool isFull =
-      state.open >= this->options.callsPerInstance || (aIsLong && state.openLong > 0);
+    // No call waits behind a long one, and a long one behind none: another instance is free sooner.
+    const bool isFull = state.open >= this->options.callsPerInstance || state.openLong > 0 ||
+                        (aIsLong && state.open > 0);
     if (isFull || state.avoidUntil > aNow) {
       continue;
     }
--- a/Libraries/LibCell/Conductor.cpp
+++ b/Libraries/LibCell/Conductor.cpp
@@ -91,6 +91,7 @@
     this->Place();
   }
   this->Flush();
+  this->Compact();
 }
 
 void
--- a/Libraries/LibCell/Conductor.h
+++ b/Libraries/LibCell/Conductor.h
@@ -54,6 +54,8 @@
   int placementRest = 2;
   /// Part of a pool's processors kept free of all but the most urgent queue's tasks.
   double urgentHeadroom = 0.05;
+  /// Part of a workspace's limit that its batch work leaves to its urgent tasks.
+  double limitHeadroom = 0.06;
   /// Start orders to one worker on their way at a time.
   std::uint32_t startsPerWorker = 6;
   /// Workers named in one question to the policy service; its own limit.
@@ -166,6 +168,8 @@
   void AdoptSpecification(const Row& aRow);
   void AdoptEnded(const JobId& aJob, const EndedJobRecord& aRecord);
   void AdoptForeignEnd(Job& aJob, const Row& aRow);
+  void AdoptOutcome(Job& aJob, JobOutcome aOutcome);
+  void OnOutcomeDurable(Job& aJob);
   void AdoptProgress(Job& aJob, const Row& aRow);
   void ApplyProgress(Job& aJob, const ProgressRecord& aRecord);
   void AdoptCancellation(const JobId& aJob);
@@ -194,7 +198,8 @@
   void OnFlushConflict(const std::vector<std::pair<JobId, std::uint64_t>>& aJobs,
                        const Transaction& aSent,
                        const CommitAnswer& aAnswer);
-  void AddToFlush(const Job& aJob, Transaction& aTransaction) const;
+  /// Replaces the rows of jobs that have ended by small ones, a few at a time.
+  void Compact();
   void OnProgressDurable(Job& aJob, std::uint64_t aChanges, std::uint64_t aVersion);
   void AdvanceAcknowledgements();
 
@@ -249,7 +254,7 @@
                                                      const Pool& aPool,
                                                      bool aNeedsTicket) const;
   [[nodiscard]] bool IsUsable(const Worker& aWorker) const;
-  [[nodiscard]] std::uint32_t LimitRoom(const WorkspaceId& aWorkspace,
+  [[nodiscard]] std::uint32_t LimitRoom(const Candidate& aCandidate,
                                         const Resources& aDemand,
                                         std::uint32_t aMost) const;
   /// @return true if the step leaves room to urgent tasks and to gangs that wait.
@@ -323,6 +328,11 @@
   std::set<JobId> timed;
   /// Ended jobs, oldest first.
   std::deque<JobId> ended;
+  /// Jobs whose end is in the store and whose rows are still whole.
+  std::deque<JobId> toCompact;
+  bool isCompactInFlight = false;
+  bool isStoreSlow = false;
+  TimePoint nextCompact{};
   /// Jobs whose rows are no longer needed.
   std::deque<JobId> retired;
 
--- a/Libraries/LibCell/ConductorJobs.cpp
+++ b/Libraries/LibCell/ConductorJobs.cpp
@@ -151,18 +151,31 @@
 void
 Conductor::AdoptForeignEnd(Job& aJob, const Row& aRow)
 {
-  const auto ended = DecodeEndedJob(aRow.value);
-  if (!ended) {
-    return;
+  if (const auto ended = DecodeEndedJob(aRow.value)) {
+    this->AdoptOutcome(aJob, ended->outcome);
   }
-  // A conductor before this one has ended it by a write that was carried out late.
+}
+
+void
+Conductor::AdoptOutcome(Job& aJob, JobOutcome aOutcome)
+{
+  // A conductor before this one has ended it, perhaps by a write that was carried out late.
   if (aJob.outcome == JobOutcome::Active) {
-    this->EndJob(aJob, ended->outcome, "recorded");
+    this->EndJob(aJob, aOutcome, "recorded");
   }
-  aJob.outcome = ended->outcome;
-  aJob.isOutcomeDurable = true;
+  aJob.outcome = aOutcome;
   aJob.durableChanges = aJob.changes;
   this->dirty.erase(aJob.spec.id);
+  this->OnOutcomeDurable(aJob);
+}
+
+void
+Conductor::OnOutcomeDurable(Job& aJob)
+{
+  if (!aJob.isOutcomeDurable) {
+    aJob.isOutcomeDurable = true;
+    this->toCompact.push_back(aJob.spec.id);
+  }
 }
 
 void
@@ -181,8 +194,7 @@
 void
 Conductor::AdoptProgress(Job& aJob, const Row& aRow)
 {
-  // A write of a conductor before this one may be carried out after the job has ended.
-  if (aRow.version <= aJob.progressVersion || aJob.outcome != JobOutcome::Active) {
+  if (aRow.version <= aJob.progressVersion) {
     return;
   }
   const auto record = DecodeProgress(aRow.value);
@@ -193,13 +205,22 @@
     return;
   }
   aJob.progressVersion = aRow.version;
-  this->ApplyProgress(aJob, ValueOf(record));
+  // A write of a conductor before this one may be carried out after the job has ended.
+  const bool isOld =
+    aJob.outcome != JobOutcome::Active && ValueOf(record).outcome == JobOutcome::Active;
+  if (!isOld) {
+    this->ApplyProgress(aJob, ValueOf(record));
+  }
 }
 
 void
 Conductor::ApplyProgress(Job& aJob, const ProgressRecord& aRecord)
 {
   aJob.hasStarted = aJob.hasStarted || aRecord.hasStarted;
+  if (aRecord.outcome != JobOutcome::Active) {
+    this->AdoptOutcome(aJob, aRecord.outcome);
+    return;
+  }
   for (std::uint32_t number = 0; number < aRecord.occurrencesSucceeded; ++number) {
     auto& occurrence = this->MakeOccurrence(aJob, number);
     for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
--- a/Libraries/LibCell/ConductorPlacement.cpp
+++ b/Libraries/LibCell/ConductorPlacement.cpp
@@ -237,21 +237,25 @@
 }
 
 std::uint32_t
-Conductor::LimitRoom(const WorkspaceId& aWorkspace,
+Conductor::LimitRoom(const Candidate& aCandidate,
                      const Resources& aDemand,
                      std::uint32_t aMost) const
 {
-  const auto found = this->policy->workspaces.find(aWorkspace);
+  const auto& workspace = aCandidate.job->spec.workspace;
+  // A workspace's own batch work leaves a part of its limit to its urgent tasks.
+  const double part = this->IsHeldBack(aCandidate) ? 1.0 - this->options.limitHeadroom : 1.0;
+  const auto found = this->policy->workspaces.find(workspace);
   if (found == this->policy->workspaces.end()) {
     return aMost;
   }
   const auto& maximum = found->second.maximum;
-  const auto used = this->running.find(aWorkspace);
+  const auto used = this->running.find(workspace);
   const auto amount = used == this->running.end() ? Resources{} : used->second;
   auto room = static_cast<std::int64_t>(aMost);
-  const auto bound = [&room](std::int64_t aMaximum, std::int64_t aUsed, std::int64_t aNeed) {
+  const auto bound = [&room, part](std::int64_t aMaximum, std::int64_t aUsed, std::int64_t aNeed) {
     if (aMaximum > 0 && aNeed > 0) {
-      room = std::min(room, std::max<std::int64_t>(0, aMaximum - aUsed) / aNeed);
+      const auto usable = static_cast<std::int64_t>(static_cast<double>(aMaximum) * part);
+      room = std::min(room, std::max<std::int64_t>(0, usable - aUsed) / aNeed);
     }
   };
   bound(maximum.milliCores, amount.milliCores, aDemand.milliCores);
@@ -267,9 +271,8 @@
   const auto& step = aCandidate.job->spec.steps[aCandidate.step];
   // Limits count processors of fillers as well, since they do run.
   const auto occupied = OccupiedBy(step);
-  const auto& workspace = aCandidate.job->spec.workspace;
   const bool isFull = !this->LeavesHeadroom(aCandidate, occupied, aPool) || !HasRoom(aPool, step);
-  if (isFull || this->LimitRoom(workspace, step.demand, 1) == 0) {
+  if (isFull || this->LimitRoom(aCandidate, step.demand, 1) == 0) {
     return;
   }
   const auto eligible = this->EligibleWorkers(aCandidate, aRun, aPool, true);
@@ -285,7 +288,7 @@
     if (task.phase != TaskPhase::Waiting || task.notBefore > now) {
       continue;
     }
-    if (this->LimitRoom(workspace, step.demand, 1) == 0 ||
+    if (this->LimitRoom(aCandidate, step.demand, 1) == 0 ||
         !this->LeavesHeadroom(aCandidate, occupied, aPool)) {
       return;
     }
@@ -367,7 +370,7 @@
   if (isReserved && aRun.reservation->expires < now) {
     this->ReleaseReservation(aRun, step);
   }
-  if (this->LimitRoom(aCandidate.job->spec.workspace, step.demand, step.count) < step.count) {
+  if (this->LimitRoom(aCandidate, step.demand, step.count) < step.count) {
     this->ReleaseReservation(aRun, step);
     return;
   }
--- a/Libraries/LibCell/ConductorRecords.cpp
+++ b/Libraries/LibCell/ConductorRecords.cpp
@@ -6,9 +6,14 @@
 
 namespace {
 
-/// A transaction holds 100 entries; each job takes a condition, a write and, when it has ended, a
-/// removal.
-constexpr std::size_t kJobsPerFlush = 33;
+/// A transaction holds 100 entries; each job takes a condition and a write.
+constexpr std::size_t kJobsPerFlush = 48;
+/// Each job takes a write and a removal.
+constexpr std::size_t kJobsPerCompaction = 40;
+constexpr Milliseconds kCompactPause{ 250 };
+constexpr Milliseconds kCompactRetry{ 2000 };
+/// The store answers in a few ms; above this it is slow.
+constexpr Milliseconds kSlowAnswer{ 60 };
 /// A transaction's size limit, with room for its conditions.
 constexpr std::size_t kBytesPerFlush = 700'000;
 /// Time until a write is tried again that the store did not answer.
@@ -25,7 +30,6 @@
   }
   Transaction transaction;
   std::vector<std::pair<JobId, std::uint64_t>> written;
-  std::set<std::string> parts;
   std::size_t bytes = 0;
   // Outcomes go first, since callers wait for them.
   std::vector<JobId> order(this->dirty.begin(), this->dirty.end());
@@ -36,41 +40,65 @@
       break;
     }
     const auto& job = this->jobs.at(id);
-    parts.insert(JobPart(id));
-    this->AddToFlush(job, transaction);
+    const auto key = JobRowKey(id, JobRowKind::Progress);
+    transaction.conditions.push_back({ .key = key, .version = job.progressVersion });
+    transaction.writes.push_back({ .key = key, .value = EncodeProgress(ProgressOf(job)) });
     bytes += transaction.writes.back().value.size();
     written.emplace_back(id, job.changes);
   }
-  transaction.spansParts = parts.size() > 1;
   this->isFlushInFlight = true;
   auto sent = transaction;
   this->on.store.Commit(
     std::move(transaction),
-    [this, guard = std::weak_ptr<bool>(this->alive), written, sent = std::move(sent)](
+    [this, guard = std::weak_ptr<bool>(this->alive), written, now, sent = std::move(sent)](
       Result<CommitAnswer> aAnswer) {
       if (!guard.expired()) {
+        this->isStoreSlow = this->on.clock.Now() - now > kSlowAnswer;
         this->OnFlushed(written, sent, aAnswer);
       }
     });
 }
 
 void
-Conductor::AddToFlush(const Job& aJob, Transaction& aTransaction) const
+Conductor::Compact()
 {
-  auto key = JobRowKey(aJob.spec.id, JobRowKind::Progress);
-  aTransaction.conditions.push_back({ .key = key, .version = aJob.progressVersion });
-  if (aJob.outcome == JobOutcome::Active) {
-    aTransaction.writes.push_back(
-      { .key = std::move(key), .value = EncodeProgress(ProgressOf(aJob)) });
+  const auto now = this->on.clock.Now();
+  // Only with a good number at a time, and not while the store is slow: nobody waits for it.
+  const bool isWorthwhile = this->toCompact.size() >= kJobsPerCompaction && !this->isStoreSlow;
+  if (this->isCompactInFlight || !isWorthwhile || now < this->nextCompact) {
     return;
   }
-  aTransaction.writes.push_back({ .key = JobRowKey(aJob.spec.id, JobRowKind::Specification),
-                                  .value = EncodeEndedJob({ .outcome = aJob.outcome,
-                                                            .workspace = aJob.spec.workspace,
-                                                            .queue = aJob.spec.queue.name }) });
-  if (aJob.progressVersion > 0) {
-    aTransaction.removals.push_back(std::move(key));
+  Transaction transaction{ .spansParts = true };
+  std::vector<JobId> compacted;
+  while (compacted.size() < kJobsPerCompaction && !this->toCompact.empty()) {
+    const auto id = this->toCompact.front();
+    this->toCompact.pop_front();
+    const auto* job = this->FindJob(id);
+    if (job == nullptr) {
+      continue;
+    }
+    compacted.push_back(id);
+    transaction.writes.push_back({ .key = JobRowKey(id, JobRowKind::Specification),
+                                   .value = EncodeEndedJob({ .outcome = job->outcome,
+                                                             .workspace = job->spec.workspace,
+                                                             .queue = job->spec.queue.name }) });
+    transaction.removals.push_back(JobRowKey(id, JobRowKind::Progress));
   }
+  this->isCompactInFlight = true;
+  this->on.store.Commit(
+    std::move(transaction),
+    [this, guard = std::weak_ptr<bool>(this->alive), compacted](Result<CommitAnswer> aAnswer) {
+      if (guard.expired()) {
+        return;
+      }
+      this->isCompactInFlight = false;
+      this->nextCompact = this->on.clock.Now() + kCompactPause;
+      if (IsError(aAnswer)) {
+        // The rows are the same however often they are written.
+        this->toCompact.insert(this->toCompact.end(), compacted.begin(), compacted.end());
+        this->nextCompact += kCompactRetry;
+      }
+    });
 }
 
 void
@@ -111,7 +139,7 @@
   }
   this->dirty.erase(aJob.spec.id);
   if (aJob.outcome != JobOutcome::Active) {
-    aJob.isOutcomeDurable = true;
+    this->OnOutcomeDurable(aJob);
   }
 }
 
@@ -133,7 +161,6 @@
       continue;
     }
     if (version == 0) {
-      // Only the write of an end removes the row.
       job->progressVersion = 0;
       continue;
     }
--- a/Libraries/LibCell/Intake.cpp
+++ b/Libraries/LibCell/Intake.cpp
@@ -179,8 +179,11 @@
                      });
 }
 
+namespace {
+
+/// Reads what a job's own row and its cancellation say.
 void
-ReadStoredJob(StorePort& aStore, const JobId& aJob, Handler<StoredJob> aHandler)
+ReadOwnRow(StorePort& aStore, const JobId& aJob, Handler<StoredJob> aHandler)
 {
   aStore.Read(JobRowRange(aJob), [aJob, handler = std::move(aHandler)](Result<RowBatch> aBatch) {
     if (IsError(aBatch)) {
@@ -190,38 +193,73 @@
     StoredJob stored;
     for (const auto& row : ValueOf(aBatch).rows) {
       const auto name = ParseJobRowKey(row.key.key);
-      if (!name) {
+      if (name && name->kind == JobRowKind::Cancellation) {
+        stored.outcome = JobOutcome::Cancelled;
+      }
+      if (!name || name->kind != JobRowKind::Specification) {
         continue;
       }
-      if (name->kind == JobRowKind::Specification) {
-        if (const auto ended = DecodeEndedJob(row.value)) {
-          handler(StoredJob{ .isKnown = true,
-                             .workspace = ended->workspace,
-                             .queue = ended->queue,
-                             .outcome = ended->outcome,
-                             .hasStarted = true });
-          return;
-        }
-        const auto spec = DecodeSpecification(aJob, row.value);
-        if (IsError(spec)) {
-          handler(ErrorOf(spec));
-          return;
-        }
-        stored.isKnown = true;
-        stored.workspace = ValueOf(spec).workspace;
-        stored.queue = ValueOf(spec).queue.name;
-      } else if (name->kind == JobRowKind::Progress) {
+      stored.isKnown = true;
+      if (const auto ended = DecodeEndedJob(row.value)) {
+        handler(StoredJob{ .isKnown = true,
+                           .workspace = ended->workspace,
+                           .queue = ended->queue,
+                           .outcome = ended->outcome,
+                           .hasStarted = true });
+        return;
+      }
+      const auto spec = DecodeSpecification(aJob, row.value);
+      if (IsError(spec)) {
+        handler(ErrorOf(spec));
+        return;
+      }
+      stored.workspace = ValueOf(spec).workspace;
+      stored.queue = ValueOf(spec).queue.name;
+    }
+    handler(std::move(stored));
+  });
+}
+
+/// Adds what a job's progress row says.
+void
+ReadProgressRow(StorePort& aStore,
+                const JobId& aJob,
+                StoredJob aStored,
+                Handler<StoredJob> aHandler)
+{
+  aStore.Read(
+    ProgressRowRange(aJob),
+    [stored = std::move(aStored), handler = std::move(aHandler)](Result<RowBatch> aBatch) mutable {
+      if (IsError(aBatch)) {
+        handler(ErrorOf(aBatch));
+        return;
+      }
+      for (const auto& row : ValueOf(aBatch).rows) {
         const auto progress = DecodeProgress(row.value);
         if (IsError(progress)) {
           handler(ErrorOf(progress));
           return;
         }
+        stored.outcome = ValueOf(progress).outcome;
         stored.hasStarted = ValueOf(progress).hasStarted;
-      } else if (stored.outcome == JobOutcome::Active) {
-        stored.outcome = JobOutcome::Cancelled;
       }
+      handler(std::move(stored));
+    });
+}
+
+}
+
+void
+ReadStoredJob(StorePort& aStore, const JobId& aJob, Handler<StoredJob> aHandler)
+{
+  ReadOwnRow(aStore, aJob, [&aStore, aJob, handler = std::move(aHandler)](Result<StoredJob> aOwn) {
+    const bool isSettled =
+      IsError(aOwn) || !ValueOf(aOwn).isKnown || ValueOf(aOwn).outcome != JobOutcome::Active;
+    if (isSettled) {
+      handler(std::move(aOwn));
+      return;
     }
-    handler(std::move(stored));
+    ReadProgressRow(aStore, aJob, ValueOf(aOwn), handler);
   });
 }
 
--- a/Libraries/LibCell/Leadership.cpp
+++ b/Libraries/LibCell/Leadership.cpp
@@ -61,9 +61,14 @@
 }
 
 void
-Leadership::OnInstance(const std::string& aName, const std::string& aIncarnation)
+Leadership::OnInstance(const std::string& aName,
+                       const std::string& aIncarnation,
+                       std::uint64_t aVersion)
 {
-  this->incarnations[aName] = aIncarnation;
+  auto& known = this->incarnations[aName];
+  if (aVersion > known.version) {
+    known = { .name = aIncarnation, .version = aVersion };
+  }
 }
 
 bool
@@ -76,7 +81,9 @@
     return true;
   }
   const auto found = this->incarnations.find(this->owner->instance);
-  return found != this->incarnations.end() && found->second != this->owner->incarnation;
+  // A row written before the owner took over is of a life before.
+  return found != this->incarnations.end() && found->second.name != this->owner->incarnation &&
+         found->second.version > this->version;
 }
 
 bool
--- a/Libraries/LibCell/Leadership.h
+++ b/Libraries/LibCell/Leadership.h
@@ -81,7 +81,10 @@
   /// Takes the ownership row as it was read; an absent row has version 0.
   void OnOwnerRow(const Row& aRow);
   /// Takes another instance's incarnation as its own row says.
-  void OnInstance(const std::string& aName, const std::string& aIncarnation);
+  /// @param aVersion version of that row
+  void OnInstance(const std::string& aName,
+                  const std::string& aIncarnation,
+                  std::uint64_t aVersion);
   /// @param aLastRead when the cell's table was last read with success; nothing if it fails
   void Tick(std::optional<TimePoint> aLastRead);
   /// Stops taking over, and hands the term over if there is one.
@@ -124,7 +127,12 @@
   /// The record that this instance replaced.
   std::optional<OwnerRecord> replaced;
   bool isReplacedDead = false;
-  std::map<std::string, std::string> incarnations;
+  struct Incarnation
+  {
+    std::string name;
+    std::uint64_t version = 0;
+  };
+  std::map<std::string, Incarnation> incarnations;
   TimePoint unchangedSince{};
   TimePoint goneSince{};
   TimePoint termEnd{};
--- a/Libraries/LibCell/Records.cpp
+++ b/Libraries/LibCell/Records.cpp
@@ -214,8 +214,9 @@
 RowKey
 JobRowKey(const JobId& aJob, JobRowKind aKind)
 {
+  const bool isProgress = aKind == JobRowKind::Progress;
   return { .table = std::string(kJobTable),
-           .part = JobPart(aJob),
+           .part = isProgress ? std::string(kProgressPart) : JobPart(aJob),
            .key = fmt::format("{}.{}", aJob.value, kSuffixes[static_cast<std::size_t>(aKind)]) };
 }
 
@@ -228,6 +229,14 @@
            .to = aJob.value + "/" };
 }
 
+RowRange
+ProgressRowRange(const JobId& aJob)
+{
+  auto range = JobRowRange(aJob);
+  range.part = std::string(kProgressPart);
+  return range;
+}
+
 std::optional<JobRowName>
 ParseJobRowKey(std::string_view aKey)
 {
@@ -314,8 +323,12 @@
 ProgressRecord
 ProgressOf(const Job& aJob)
 {
-  ProgressRecord record{ .hasStarted = aJob.hasStarted,
+  ProgressRecord record{ .outcome = aJob.outcome,
+                         .hasStarted = aJob.hasStarted,
                          .occurrencesSucceeded = aJob.occurrencesSucceeded };
+  if (aJob.outcome != JobOutcome::Active) {
+    return record;
+  }
   for (const auto& [number, occurrence] : aJob.occurrences) {
     for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
       const auto& run = occurrence.steps[step];
@@ -342,6 +355,7 @@
 EncodeProgress(const ProgressRecord& aRecord)
 {
   Json::Value value(Json::objectValue);
+  value["outcome"] = static_cast<std::uint32_t>(aRecord.outcome);
   value["started"] = aRecord.hasStarted;
   value["occurrences"] = aRecord.occurrencesSucceeded;
   for (const auto& step : aRecord.steps) {
@@ -366,7 +380,12 @@
 {
   return Decoded<ProgressRecord>(
     aText, "progress", [](const Json::Value& aValue) -> Result<ProgressRecord> {
-      ProgressRecord record{ .hasStarted = aValue["started"].asBool(),
+      const auto outcome = aValue["outcome"].asUInt();
+      if (outcome > static_cast<std::uint32_t>(JobOutcome::Cancelled)) {
+        return NotRun(ErrorCode::BadRequest, "The progress row has an unknown outcome.");
+      }
+      ProgressRecord record{ .outcome = static_cast<JobOutcome>(outcome),
+                             .hasStarted = aValue["started"].asBool(),
                              .occurrencesSucceeded = aValue["occurrences"].asUInt() };
       for (const auto& step : aValue["steps"]) {
         record.steps.push_back(KeyFrom(step));
--- a/Libraries/LibCell/Records.h
+++ b/Libraries/LibCell/Records.h
@@ -23,8 +23,11 @@
 inline constexpr std::string_view kCellPart = "cell";
 inline constexpr std::string_view kOwnerKey = "owner";
 inline constexpr std::string_view kInstancePrefix = "instance/";
-/// Parts that job rows are spread over; a part commits one transaction after the other.
-inline constexpr std::uint32_t kJobParts = 8;
+/// Parts that the jobs' own rows are spread over. A part commits one transaction after the other, 4
+/// of them a second while the store is slow.
+inline constexpr std::uint32_t kJobParts = 48;
+/// Part of the progress rows, which the conductor alone writes, apart from those that accept jobs.
+inline constexpr std::string_view kProgressPart = "progress";
 
 /// What a row about a job holds.
 enum class JobRowKind : std::uint8_t
@@ -52,10 +55,14 @@
 [[nodiscard]] RowKey
 JobRowKey(const JobId& aJob, JobRowKind aKind);
 
-/// @return the range of all rows about a job.
+/// @return the range of a job's rows in the part of its own row.
 [[nodiscard]] RowRange
 JobRowRange(const JobId& aJob);
 
+/// @return the range of a job's progress row.
+[[nodiscard]] RowRange
+ProgressRowRange(const JobId& aJob);
+
 /// @return what a key of the job table names, if it is one of ours.
 [[nodiscard]] std::optional<JobRowName>
 ParseJobRowKey(std::string_view aKey);
@@ -92,9 +99,10 @@
   std::string checkpoint;
 };
 
-/// What the progress row of an active job holds.
+/// What the progress row of a job holds.
 struct ProgressRecord
 {
+  JobOutcome outcome = JobOutcome::Active;
   bool hasStarted = false;
   std::uint32_t occurrencesSucceeded = 0;
   /// Steps of which all tasks have succeeded; their tasks are left out.
--- a/Libraries/LibCell/TableFollower.cpp
+++ b/Libraries/LibCell/TableFollower.cpp
@@ -44,57 +44,82 @@
 void
 TableFollower::ReadWhole()
 {
-  auto view = std::make_shared<TableView>();
-  view->isWhole = true;
-  this->wholeVersion = 0;
-  this->ReadPart(std::move(view), 0, {});
+  auto read = std::make_shared<WholeRead>();
+  read->view.isWhole = true;
+  const auto count = std::min(this->options.readsAtOnce, this->options.parts.size());
+  for (std::size_t index = 0; index < count; ++index) {
+    this->ReadNextPart(read);
+  }
 }
 
 void
-TableFollower::ReadPart(std::shared_ptr<TableView> aView, std::size_t aPart, std::string aFrom)
+TableFollower::ReadNextPart(const std::shared_ptr<WholeRead>& aRead)
+{
+  if (aRead->nextPart < this->options.parts.size()) {
+    ++aRead->open;
+    this->ReadPart(aRead, aRead->nextPart++, {});
+  }
+}
+
+void
+TableFollower::ReadPart(const std::shared_ptr<WholeRead>& aRead,
+                        std::size_t aPart,
+                        std::string aFrom)
 {
   this->store.Read(
     { .table = this->options.table, .part = this->options.parts[aPart], .from = std::move(aFrom) },
-    [weak = this->weak_from_this(), view = std::move(aView), aPart](Result<RowBatch> aBatch) {
+    [weak = this->weak_from_this(), read = aRead, aPart](Result<RowBatch> aBatch) {
       const auto self = weak.lock();
       if (self && !self->isStopped) {
-        self->OnPart(view, aPart, std::move(aBatch));
+        self->OnPart(read, aPart, std::move(aBatch));
       }
     });
 }
 
 void
-TableFollower::OnPart(const std::shared_ptr<TableView>& aView,
+TableFollower::OnPart(const std::shared_ptr<WholeRead>& aRead,
                       std::size_t aPart,
                       Result<RowBatch> aBatch)
 {
   this->hasFailed = IsError(aBatch);
   if (IsError(aBatch)) {
-    this->Later(this->options.retry, &TableFollower::ReadWhole);
-    return;
-  }
-  this->lastAnswer = this->clock.Now();
-  auto& batch = ValueOf(aBatch);
-  // What changes while the parts are read is seen again as a change after the first answer.
-  if (this->wholeVersion == 0) {
-    this->wholeVersion = batch.version;
+    --aRead->open;
+    aRead->hasFailed = true;
+    aRead->nextPart = this->options.parts.size();
+  } else {
+    this->lastAnswer = this->clock.Now();
+    auto& batch = ValueOf(aBatch);
+    // What changes while the parts are read is seen again as a change after the first answer.
+    const bool isOldest = aRead->version == 0 || batch.version < aRead->version;
+    aRead->version = isOldest ? batch.version : aRead->version;
+    const bool hasMore = batch.hasMore && !batch.rows.empty();
+    const auto lastKey = batch.rows.empty() ? std::string() : batch.rows.back().key.key;
+    std::ranges::move(batch.rows, std::back_inserter(aRead->view.rows));
+    if (hasMore && !aRead->hasFailed) {
+      // The smallest key after the last one.
+      this->ReadPart(aRead, aPart, lastKey + '\0');
+      return;
+    }
+    --aRead->open;
+    this->ReadNextPart(aRead);
   }
-  const bool hasMore = batch.hasMore && !batch.rows.empty();
-  const auto lastKey = batch.rows.empty() ? std::string() : batch.rows.back().key.key;
-  std::ranges::move(batch.rows, std::back_inserter(aView->rows));
-  if (hasMore) {
-    // The smallest key after the last one.
-    this->ReadPart(aView, aPart, lastKey + '\0');
-    return;
+  if (aRead->open == 0) {
+    this->OnWhole(*aRead);
   }
-  if (aPart + 1 < this->options.parts.size()) {
-    this->ReadPart(aView, aPart + 1, {});
+}
+
+void
+TableFollower::OnWhole(WholeRead& aRead)
+{
+  if (aRead.hasFailed) {
+    this->hasFailed = true;
+    this->Later(this->options.retry, &TableFollower::ReadWhole);
     return;
   }
-  this->version = this->wholeVersion;
+  this->version = aRead.version;
   this->hasView = true;
   this->lastWhole = this->lastAnswer;
-  this->onView(*aView);
+  this->onView(aRead.view);
   this->FollowNext();
 }
 
--- a/Libraries/LibCell/TableFollower.h
+++ b/Libraries/LibCell/TableFollower.h
@@ -23,6 +23,8 @@
   Milliseconds wait{ 800 };
   /// Least time between two calls; changes meanwhile arrive together.
   Milliseconds pause{ 0 };
+  /// Parts that are read at a time.
+  std::size_t readsAtOnce = 8;
   /// Time until a failed call is made again.
   Milliseconds retry{ 150 };
   /// The first view is read anew this often, in case the store drops a change; 0 never.
@@ -57,8 +59,21 @@
 
 private:
   void ReadWhole();
-  void ReadPart(std::shared_ptr<TableView> aView, std::size_t aPart, std::string aFrom);
-  void OnPart(const std::shared_ptr<TableView>& aView, std::size_t aPart, Result<RowBatch> aBatch);
+  /// A view that is being read; parts are read several at a time.
+  struct WholeRead
+  {
+    TableView view;
+    std::size_t nextPart = 0;
+    std::size_t open = 0;
+    bool hasFailed = false;
+    /// The store's version before the first part was read.
+    std::uint64_t version = 0;
+  };
+
+  void ReadNextPart(const std::shared_ptr<WholeRead>& aRead);
+  void ReadPart(const std::shared_ptr<WholeRead>& aRead, std::size_t aPart, std::string aFrom);
+  void OnPart(const std::shared_ptr<WholeRead>& aRead, std::size_t aPart, Result<RowBatch> aBatch);
+  void OnWhole(WholeRead& aRead);
   void FollowNext();
   void OnChanges(Result<RowBatch> aBatch);
   void Later(Milliseconds aDelay, void (TableFollower::*aStep)());
@@ -75,7 +90,6 @@
   TimePoint lastWhole{};
   /// Changes after it were not seen.
   std::uint64_t version = 0;
-  std::uint64_t wholeVersion = 0;
 };
 
 }
--- a/Libraries/LibInstance/CellInstance.cpp
+++ b/Libraries/LibInstance/CellInstance.cpp
@@ -38,6 +38,7 @@
   for (std::uint32_t part = 0; part < cell::kJobParts; ++part) {
     parts.push_back(std::to_string(part));
   }
+  parts.emplace_back(cell::kProgressPart);
   return parts;
 }
 
@@ -162,7 +163,7 @@
   peer.record = ValueOf(record);
   peer.endpoint = { .address = peer.record.address, .port = peer.record.port };
   peer.changed = this->on.clock.Now();
-  this->leadership.OnInstance(name, peer.record.incarnation);
+  this->leadership.OnInstance(name, peer.record.incarnation, aRow.version);
 }
 
 void
--- a/Services/Entry/PlatformProgram.cpp
+++ b/Services/Entry/PlatformProgram.cpp
@@ -31,7 +31,7 @@
 constexpr int kExitBadSettings = 2;
 
 /// Calls of the store take a few ms and up to a quarter second while it is slow.
-constexpr Milliseconds kStoreTimeout{ 900 };
+constexpr Milliseconds kStoreTimeout{ 1200 };
 constexpr Milliseconds kOrderTimeout{ 700 };
 constexpr Milliseconds kInstanceTimeout{ 500 };
 /// Feeds and transactions at a time; each takes a connection.
--- a/Tests/LibCell/ConductorFixture.cpp
+++ b/Tests/LibCell/ConductorFixture.cpp
@@ -6,6 +6,7 @@
 {
   this->clock.Advance(Milliseconds{ 1'000'000 });
   this->options.urgentHeadroom = 0.0;
+  this->options.limitHeadroom = 0.0;
   this->policy.version = 1;
   this->policy.pools["pool"] = { .name = "pool" };
   QueueRoute route{ .host = "host", .pathPrefix = "/q/" };
--- /dev/null
+++ b/Tests/LibCell/TestAdviceDesk.cpp
@@ -0,0 +1,102 @@
+#include <LibCell/AdviceDesk.h>
+
+#include <gtest/gtest.h>
+
+namespace zinc::cell::test {
+
+namespace {
+
+/// Keeps the calls open until the test answers them.
+class OpenCalls final : public AdvicePort
+{
+public:
+  struct Call
+  {
+    std::string instance;
+    AdviceQuestion question;
+    Handler<AdviceAnswer> handler;
+  };
+
+  void Ask(const std::string& aInstance,
+           AdviceQuestion aQuestion,
+           Handler<AdviceAnswer> aHandler) override
+  {
+    this->calls.push_back({ aInstance, std::move(aQuestion), std::move(aHandler) });
+  }
+
+  std::vector<Call> calls;
+};
+
+class AdviceDeskTest : public testing::Test
+{
+protected:
+  void Ask(const std::string& aJob, Milliseconds aExpected, std::int64_t aUrgency)
+  {
+    this->desk.Ask(
+      { .step = { .job = { aJob } }, .expected = aExpected },
+      aUrgency,
+      this->now,
+      [this](const Result<AdviceAnswer>& aAnswer) { this->failures += IsError(aAnswer) ? 1 : 0; });
+  }
+
+  OpenCalls port;
+  AdviceDesk desk{ this->port };
+  TimePoint now{ Milliseconds{ 1000 } };
+  int failures = 0;
+};
+
+constexpr Milliseconds kShort{ 10 };
+constexpr Milliseconds kLong{ 800 };
+
+}
+
+// The load after a restart: many long questions and short ones whose answer is waited for.
+TEST_F(AdviceDeskTest, ShortQuestionsDoNotWaitBehindLongOnes)
+{
+  this->desk.SetInstances({ "a", "b", "c" });
+  for (int number = 0; number < 6; ++number) {
+    this->Ask("long", kLong, 1);
+  }
+  ASSERT_EQ(this->port.calls.size(), 2U) << "one instance is left to short questions";
+  for (int number = 0; number < 4; ++number) {
+    this->Ask("short", kShort, 0);
+  }
+  ASSERT_EQ(this->port.calls.size(), 4U);
+  EXPECT_EQ(this->port.calls[2].instance, this->port.calls[3].instance);
+  EXPECT_NE(this->port.calls[2].instance, this->port.calls[0].instance);
+  EXPECT_NE(this->port.calls[2].instance, this->port.calls[1].instance);
+}
+
+TEST_F(AdviceDeskTest, UrgentQuestionsGoFirst)
+{
+  this->desk.SetInstances({ "a" });
+  this->Ask("first", kShort, 5);
+  this->Ask("second", kShort, 5);
+  this->Ask("later", kShort, 5);
+  this->Ask("urgent", kShort, 1);
+  this->port.calls.front().handler(AdviceAnswer{});
+  this->desk.Pump(this->now);
+  EXPECT_EQ(this->port.calls.back().question.step.job.value, "urgent");
+}
+
+TEST_F(AdviceDeskTest, AvoidsAnInstanceWhoseCallFailed)
+{
+  this->desk.SetInstances({ "a", "b" });
+  this->Ask("one", kShort, 0);
+  const auto failed = this->port.calls.back().instance;
+  this->port.calls.back().handler(NotRun(ErrorCode::Unavailable, "gone"));
+  EXPECT_EQ(this->failures, 1);
+  for (int number = 0; number < 2; ++number) {
+    this->Ask("next", kShort, 0);
+    EXPECT_NE(this->port.calls.back().instance, failed);
+  }
+}
+
+TEST_F(AdviceDeskTest, AsksLongQuestionsThroughTheOnlyInstance)
+{
+  this->desk.SetInstances({ "a" });
+  this->Ask("long", kLong, 0);
+  EXPECT_EQ(this->port.calls.size(), 1U);
+}
+
+}
--- a/Tests/LibCell/TestConductor.cpp
+++ b/Tests/LibCell/TestConductor.cpp
@@ -76,6 +76,25 @@
   EXPECT_EQ(this->workers.At("w1").running.size(), 3U);
 }
 
+// The load: a workspace's batch jobs reach its limit, and its urgent ones arrive.
+TEST_F(ConductorTest, LeavesAPartOfTheLimitToUrgentTasks)
+{
+  this->entries = { this->workers.Add("w1", 32), this->workers.Add("w2", 32) };
+  this->policy.workspaces[{ "team" }].maximum = { .milliCores = 40'000 };
+  QueueRoute urgent{ .host = "host", .pathPrefix = "/u/" };
+  urgent.queue = { .name = { "urgent" }, .pool = "pool", .stretch = 2.0 };
+  this->policy.AddRoute(urgent);
+  this->options.limitHeadroom = ConductorOptions{}.limitHeadroom;
+  this->Begin();
+  this->Accept(JobOf("batch", 60, 1));
+  this->Run(Milliseconds{ 100 });
+  auto check = JobOf("check", 1, 2);
+  check.queue = urgent.queue;
+  this->Accept(check);
+  this->Run(Milliseconds{ 50 });
+  EXPECT_TRUE(this->StatusOf("check").hasStarted);
+}
+
 TEST_F(ConductorTest, StopsACancelledJobAndStartsNothingMore)
 {
   this->entries = { this->workers.Add("w1", 2) };
--- /dev/null
+++ b/Tests/LibCell/TestLeadership.cpp
@@ -0,0 +1,199 @@
+#include "MemoryStore.h"
+#include <LibCell/Leadership.h>
+
+#include <gtest/gtest.h>
+#include <optional>
+
+namespace zinc::cell::test {
+
+namespace {
+
+class LeadershipTest : public testing::Test
+{
+protected:
+  /// One instance with its view of the ownership row.
+  struct Instance
+  {
+    Instance(LeadershipTest& aTest, const std::string& aName, const std::string& aLife = "1")
+      : watched(aTest.store, aTest.clock, aTest.log, aTest.metrics)
+      , leadership(
+          { .store = this->watched,
+            .clock = aTest.clock,
+            .log = aTest.log,
+            .onBegun =
+              [this](const Term& aTerm) {
+                this->term = aTerm;
+                ++this->terms;
+              },
+            .onLost = [this](std::string_view) { this->term.reset(); },
+            .news =
+              [this] {
+                return OwnerNews{ .workers = this->workers, .isRecovering = this->isRecovering };
+              } },
+          { .name = aName, .incarnation = aName + aLife, .address = "10.0.0.1", .port = 1 })
+    {
+    }
+
+    WatchedStore watched;
+    std::vector<std::string> workers;
+    bool isRecovering = false;
+    std::optional<Term> term;
+    int terms = 0;
+    Leadership leadership;
+  };
+
+  LeadershipTest() { this->clock.Advance(Milliseconds{ 100'000 }); }
+
+  [[nodiscard]] Row OwnerRow() const
+  {
+    const auto found = this->store.rows.find(
+      { std::string(kCellTable), std::string(kCellPart), std::string(kOwnerKey) });
+    return found == this->store.rows.end() ? Row{} : found->second;
+  }
+
+  /// Lets instances that can read go on.
+  void Run(std::vector<Instance*> aInstances, Milliseconds aTime)
+  {
+    constexpr Milliseconds kStep{ 20 };
+    for (Milliseconds elapsed{ 0 }; elapsed < aTime; elapsed += kStep) {
+      for (auto* instance : aInstances) {
+        instance->leadership.OnOwnerRow(this->OwnerRow());
+        instance->leadership.Tick(this->clock.Now());
+      }
+      this->clock.Advance(kStep);
+    }
+  }
+
+  ManualClock clock;
+  MemoryStore store;
+  Logger log{ { .level = LogLevel::Error } };
+  MetricRegistry metrics;
+};
+
+}
+
+TEST_F(LeadershipTest, OneInstanceTakesAFreeRow)
+{
+  Instance first(*this, "first");
+  Instance second(*this, "second");
+  this->Run({ &first, &second }, Milliseconds{ 500 });
+  EXPECT_EQ(first.term.has_value() + second.term.has_value(), 1);
+}
+
+TEST_F(LeadershipTest, TakesOverWhenTheRowStandsStill)
+{
+  Instance first(*this, "first");
+  Instance second(*this, "second");
+  this->Run({ &first }, Milliseconds{ 300 });
+  first.workers = { "w1", "w2" };
+  this->Run({ &first, &second }, Milliseconds{ 1000 });
+  ASSERT_TRUE(first.term);
+  this->Run({ &second }, Milliseconds{ 1000 });
+  EXPECT_FALSE(second.term);
+  this->Run({ &second }, Milliseconds{ 1000 });
+  ASSERT_TRUE(second.term);
+  EXPECT_GT(second.term->token, first.term->token);
+  EXPECT_FALSE(second.term->isPredecessorDead);
+  EXPECT_EQ(second.term->previousWorkers.size(), 2U);
+  this->Run({ &first }, Milliseconds{ 100 });
+  EXPECT_FALSE(first.term);
+}
+
+TEST_F(LeadershipTest, TakesOverAtOnceFromARestartedOwner)
+{
+  Instance first(*this, "first");
+  Instance second(*this, "second");
+  this->Run({ &first, &second }, Milliseconds{ 300 });
+  auto& owner = first.term ? first : second;
+  auto& other = first.term ? second : first;
+  this->Run({ &owner, &other }, Milliseconds{ 700 });
+  const std::string name = first.term ? "first" : "second";
+  other.leadership.OnInstance(name, "another life", ++this->store.version);
+  this->Run({ &other }, Milliseconds{ 200 });
+  ASSERT_TRUE(other.term);
+  EXPECT_TRUE(other.term->isPredecessorDead);
+}
+
+TEST_F(LeadershipTest, DoesNotTakeAnOwnersFormerLifeForItsDeath)
+{
+  Instance first(*this, "first", "2");
+  Instance second(*this, "second");
+  second.leadership.OnInstance("first", "first1", ++this->store.version);
+  this->Run({ &first }, Milliseconds{ 300 });
+  this->Run({ &first, &second }, Milliseconds{ 1000 });
+  EXPECT_TRUE(first.term);
+  EXPECT_FALSE(second.term);
+}
+
+TEST_F(LeadershipTest, HandsOverWhenItLeaves)
+{
+  Instance first(*this, "first");
+  Instance second(*this, "second");
+  this->Run({ &first }, Milliseconds{ 300 });
+  first.leadership.Leave();
+  this->Run({ &first, &second }, Milliseconds{ 300 });
+  EXPECT_FALSE(first.term);
+  ASSERT_TRUE(second.term);
+  EXPECT_TRUE(second.term->isPredecessorDead);
+  this->Run({ &first }, Milliseconds{ 3000 });
+  EXPECT_FALSE(first.term) << "it does not come back";
+}
+
+TEST_F(LeadershipTest, WaitsAnewAfterTheStoreWasAway)
+{
+  Instance first(*this, "first");
+  Instance second(*this, "second");
+  this->Run({ &first, &second }, Milliseconds{ 300 });
+  auto& owner = first.term ? first : second;
+  auto& other = first.term ? second : first;
+  this->store.mode = StoreMode::Refusing;
+  for (int round = 0; round < 100; ++round) {
+    owner.leadership.Tick({});
+    other.leadership.Tick({});
+    this->clock.Advance(Milliseconds{ 40 });
+  }
+  this->store.mode = StoreMode::Serving;
+  this->Run({ &owner, &other }, Milliseconds{ 500 });
+  EXPECT_TRUE(owner.term);
+  EXPECT_FALSE(other.term);
+}
+
+TEST_F(LeadershipTest, RenewalWithoutAnAnswerIsNoLoss)
+{
+  Instance first(*this, "first");
+  this->Run({ &first }, Milliseconds{ 600 });
+  this->store.mode = StoreMode::LosingAnswers;
+  this->Run({ &first }, Milliseconds{ 1500 });
+  this->store.mode = StoreMode::Serving;
+  this->Run({ &first }, Milliseconds{ 1500 });
+  EXPECT_TRUE(first.term);
+  EXPECT_EQ(first.terms, 1);
+  EXPECT_GT(first.leadership.TermEnd(), this->clock.Now());
+}
+
+TEST_F(LeadershipTest, AnAttemptWithoutAnAnswerTakesEffect)
+{
+  Instance first(*this, "first");
+  this->store.mode = StoreMode::LosingAnswers;
+  this->Run({ &first }, Milliseconds{ 200 });
+  this->store.mode = StoreMode::Serving;
+  this->Run({ &first }, Milliseconds{ 200 });
+  EXPECT_TRUE(first.term);
+}
+
+TEST_F(LeadershipTest, PassesOnThatAPredecessorHadNotRecovered)
+{
+  Instance first(*this, "first");
+  Instance second(*this, "second");
+  Instance third(*this, "third");
+  this->Run({ &first }, Milliseconds{ 600 });
+  second.isRecovering = true;
+  this->Run({ &second }, Milliseconds{ 2500 });
+  ASSERT_TRUE(second.term);
+  second.leadership.Leave();
+  this->Run({ &second, &third }, Milliseconds{ 700 });
+  ASSERT_TRUE(third.term);
+  EXPECT_FALSE(third.term->isPredecessorDead);
+}
+
+}
--- a/Tests/LibPlatform/TestConnectionPool.cpp
+++ b/Tests/LibPlatform/TestConnectionPool.cpp
@@ -21,11 +21,11 @@
 protected:
   ConnectionPool()
     : acceptor(this->peer, { asio::ip::make_address("127.0.0.1"), 0 })
-    , client(ValueOf(HttpClient::Create(
-        { .endpoints = { { .address = "127.0.0.1",
-                           .port = this->acceptor.local_endpoint().port() } },
-          .traffic = this->traffic,
-          .control = this->traffic.get_executor() })))
+    , client(ValueOf(
+        HttpClient::Create({ .endpoints = { { .address = "127.0.0.1",
+                                              .port = this->acceptor.local_endpoint().port() } },
+                             .traffic = this->traffic,
+                             .control = this->traffic.get_executor() })))
   {
   }
 
