--- a/Libraries/LibCell/ConductorWorkers.cpp
+++ b/Libraries/LibCell/ConductorWorkers.cpp
@@ -698,11 +698,14 @@
 {
   const auto now = this->on.clock.Now();
   constexpr Milliseconds kLeastStill{ 1200 };
+  constexpr int kPercentDone = 99;
   for (auto& occupant : aWorker.occupants) {
     const auto bound = std::clamp(occupant.estimate / 2, kLeastStill, this->options.stillAfter);
     const bool isStill = occupant.phase == RunPhase::Running && !occupant.isPerpetual &&
                          now - occupant.percentChanged > bound && now - occupant.started > bound;
-    if (!isStill || occupant.isFiller) {
+    // A gang's member that has done its part waits for the others.
+    const bool hasDoneItsPart = occupant.percent >= kPercentDone;
+    if (!isStill || occupant.isFiller || hasDoneItsPart) {
       continue;
     }
     this->CountOutcome(aWorker, occupant.task.job, true);
--- a/Tests/LibCell/SimulatedWorkers.cpp
+++ b/Tests/LibCell/SimulatedWorkers.cpp
@@ -88,6 +88,7 @@
                        .ended = aWorker.ended };
   for (const auto& [key, entry] : aWorker.running) {
     report.running.push_back(entry);
+    report.running.back().percent = aWorker.hangingPercent;
     if (!aWorker.isHanging) {
       report.running.back().percent =
         static_cast<int>(this->clock.Now().time_since_epoch().count() / kPercentTime % kHundred);
--- a/Tests/LibCell/SimulatedWorkers.h
+++ b/Tests/LibCell/SimulatedWorkers.h
@@ -42,6 +42,8 @@
     bool ignoresStops = false;
     /// Its runs make no progress.
     bool isHanging = false;
+    /// What they show instead.
+    int hangingPercent = 0;
     std::uint64_t token = 0;
     std::uint64_t lastSequence = 0;
     TimePoint leaseEnd{};
--- a/Tests/LibCell/TestConductor.cpp
+++ b/Tests/LibCell/TestConductor.cpp
@@ -225,6 +225,30 @@
   EXPECT_FALSE(this->workers.starts.front().ticket.empty());
 }
 
+TEST_F(ConductorTest, StopsARunThatStandsStill)
+{
+  this->entries = { this->workers.Add("w1", 4) };
+  this->workers.At("w1").isHanging = true;
+  this->Begin();
+  this->Accept(JobOf("job", 1, 2));
+  this->Run(Milliseconds{ 2500 });
+  EXPECT_EQ(this->workers.stops.size(), 1U);
+}
+
+// The pattern: the members of a gang have unequal work, and end together.
+TEST_F(ConductorTest, LetsAMemberThatHasDoneItsPartWaitForItsGang)
+{
+  this->entries = { this->workers.Add("w1", 4) };
+  this->workers.At("w1").isHanging = true;
+  this->workers.At("w1").hangingPercent = 100;
+  this->Begin();
+  auto gang = JobOf("gang", 2, 2);
+  gang.steps.front().isGang = true;
+  this->Accept(gang);
+  this->Run(Milliseconds{ 5000 });
+  EXPECT_TRUE(this->workers.stops.empty());
+}
+
 TEST_F(ConductorTest, RestartsAPerpetualTaskHoweverItEnds)
 {
   this->entries = { this->workers.Add("w1", 4) };
