LibCell: Ask about as many workers as a step needs, and let a large instance conduct

Cause: each step named up to 100 workers, 14 ms of the policy service for a check that needs three; a gang whose good workers were full never asked about others. The instance that started first conducted, often one of 0.12 cores. Test: LeadershipTest.TheLargestInstanceTakesOver.

--- a/Libraries/LibCell/Conductor.h
+++ b/Libraries/LibCell/Conductor.h
@@ -60,6 +60,11 @@
   std::uint32_t startsPerWorker = 6;
   /// Workers named in one question to the policy service; its own limit.
   std::size_t advisedWorkers = 100;
+  /// A question names workers with room for this many times the step's tasks: others take room
+  /// before the answer comes.
+  double askedRoom = 3.0;
+  /// Fewest workers named, where there are as many.
+  std::size_t leastAsked = 10;
   /// Failed runs of different jobs in a row after which a worker is avoided.
   std::uint32_t failureStreak = 3;
   /// How long such a worker gets nothing.
@@ -276,6 +281,13 @@
                                   const StepSpecification& aStep,
                                   const CountAt& aCount) const;
   void RenewTickets(const Candidate& aCandidate, StepRun& aRun, const Pool& aPool);
+  /// @return workers that no question has named, those with the most room first, until they are
+  /// expected to have room for some times the step's tasks.
+  [[nodiscard]] std::vector<WorkerId> WorkersToAsk(const Candidate& aCandidate,
+                                                   const StepRun& aRun,
+                                                   const Pool& aPool) const;
+  /// Asks about workers that no question has named.
+  void AskForMore(const Candidate& aCandidate, StepRun& aRun, const Pool& aPool);
   void StartGang(const Candidate& aCandidate, StepRun& aRun, const std::vector<Worker*>& aAssigned);
   void Reserve(const Candidate& aCandidate, StepRun& aRun, const std::vector<Worker*>& aAssigned);
   void StartReserved(const Candidate& aCandidate, StepRun& aRun, Pool& aPool);
@@ -346,6 +358,8 @@
     TimePoint updated{};
   };
   std::map<WorkspaceId, WeightBucket> weightBuckets;
+  /// Part of the workers named that may run a step, smoothed, by queue.
+  std::map<QueueId, double> goodPart;
   /// Workers kept from batch tasks for a gang that waits for room.
   std::set<WorkerId> heldForGangs;
   std::size_t gangsHeld = 0;
--- a/Libraries/LibCell/ConductorPlacement.cpp
+++ b/Libraries/LibCell/ConductorPlacement.cpp
@@ -24,6 +24,10 @@
 constexpr Milliseconds kAdviceRetry{ 300 };
 /// A reservation is given up when its tickets do not arrive within this after the expected time.
 constexpr Milliseconds kReservationSlack{ 700 };
+/// Part of the workers taken to be good before a queue's first answer.
+constexpr double kUnknownGoodPart = 0.4;
+/// Weight of the newest answer in that part.
+constexpr double kGoodPartWeight = 0.1;
 /// Gangs that may keep workers free of batch tasks at a time.
 constexpr std::size_t kHeldGangs = 2;
 /// How long a worker without room for the task it accepted is left alone.
@@ -345,11 +349,31 @@
       break;
     }
   }
+  if (room < waiting) {
+    // The workers known to be good are full; others may be good as well.
+    for (auto& id : this->WorkersToAsk(aCandidate, aRun, aPool)) {
+      if (wanted.size() < this->options.advisedWorkers) {
+        wanted.push_back(std::move(id));
+      }
+    }
+  }
   if (!wanted.empty()) {
     this->AskAdvice(aCandidate, aRun, std::move(wanted));
   }
 }
 
+void
+Conductor::AskForMore(const Candidate& aCandidate, StepRun& aRun, const Pool& aPool)
+{
+  if (aRun.advice.questionsOpen > 0 || aRun.advice.retryAt > this->on.clock.Now()) {
+    return;
+  }
+  auto named = this->WorkersToAsk(aCandidate, aRun, aPool);
+  if (!named.empty()) {
+    this->AskAdvice(aCandidate, aRun, std::move(named));
+  }
+}
+
 void
 Conductor::PlaceGang(const Candidate& aCandidate, StepRun& aRun, Pool& aPool)
 {
@@ -394,6 +418,7 @@
   }
   assigned = AssignGang(this->EligibleWorkers(aCandidate, aRun, aPool, false), step);
   if (!assigned) {
+    this->AskForMore(aCandidate, aRun, aPool);
     this->HoldForGang(aCandidate, aRun, aPool);
     return;
   }
@@ -504,25 +529,39 @@
   }
 }
 
-void
-Conductor::AskInitialAdvice(const Candidate& aCandidate, StepRun& aRun, const Pool& aPool)
+std::vector<WorkerId>
+Conductor::WorkersToAsk(const Candidate& aCandidate, const StepRun& aRun, const Pool& aPool) const
 {
   const auto& step = aCandidate.job->spec.steps[aCandidate.step];
+  const auto demand = OccupiedBy(step);
   std::vector<Worker*> workers;
   for (auto* worker : aPool.workers) {
-    if (HasRequiredLabel(*worker, step)) {
+    if (HasRequiredLabel(*worker, step) && !aRun.advice.asked.contains(worker->entry.id)) {
       workers.push_back(worker);
     }
   }
   std::ranges::stable_sort(
     workers, std::greater{}, [](const Worker* aWorker) { return aWorker->Free().milliCores; });
+  const auto known = this->goodPart.find(this->QueueOf(*aCandidate.job).name);
+  const double part = known == this->goodPart.end() ? kUnknownGoodPart : known->second;
+  const double wanted = static_cast<double>(step.count) * this->options.askedRoom;
+  double expected = 0.0;
   std::vector<WorkerId> named;
   for (const auto* worker : workers) {
-    if (named.size() == this->options.advisedWorkers) {
+    const bool isEnough = expected >= wanted && named.size() >= this->options.leastAsked;
+    if (isEnough || named.size() == this->options.advisedWorkers) {
       break;
     }
+    expected += part * RoomFor(*worker, demand, step.count);
     named.push_back(worker->entry.id);
   }
+  return named;
+}
+
+void
+Conductor::AskInitialAdvice(const Candidate& aCandidate, StepRun& aRun, const Pool& aPool)
+{
+  auto named = this->WorkersToAsk(aCandidate, aRun, aPool);
   if (!named.empty()) {
     this->AskAdvice(aCandidate, aRun, std::move(named));
   }
@@ -538,6 +577,7 @@
     policyOfAdvice.baseMs + policyOfAdvice.perWorkerMs * static_cast<double>(aWorkers.size())));
   ++aRun.advice.questionsOpen;
   auto asked = aWorkers;
+  aRun.advice.asked.insert(asked.begin(), asked.end());
   this->desk->Ask({ .step = name, .workers = std::move(aWorkers), .expected = expected },
                   aCandidate.urgency,
                   now,
@@ -572,6 +612,13 @@
     return;
   }
   const auto validity = this->QueueOf(*job).advice.validity;
+  if (!run.advice.isComplete && !aAsked.empty()) {
+    const auto& queue = this->QueueOf(*job).name;
+    auto& part = this->goodPart.try_emplace(queue, kUnknownGoodPart).first->second;
+    part += kGoodPartWeight * (static_cast<double>(ValueOf(aAnswer).good.size()) /
+                                 static_cast<double>(aAsked.size()) -
+                               part);
+  }
   for (const auto& ticket : ValueOf(aAnswer).good) {
     // Tickets are counted from the question; the hop to the instance that asks is within the
     // margin.
--- a/Libraries/LibCell/Job.h
+++ b/Libraries/LibCell/Job.h
@@ -65,6 +65,8 @@
   std::uint32_t questionsOpen = 0;
   TimePoint retryAt{};
   std::map<WorkerId, HeldTicket> good;
+  /// Workers that a question has named.
+  std::set<WorkerId> asked;
 };
 
 /// Room set aside for a gang until its tickets arrive.
--- a/Libraries/LibCell/Leadership.cpp
+++ b/Libraries/LibCell/Leadership.cpp
@@ -8,6 +8,7 @@
   : on(std::move(aDependencies))
   , identity(std::move(aIdentity))
   , options(aOptions)
+  , created(this->on.clock.Now())
 {
 }
 
@@ -62,12 +63,14 @@
 
 void
 Leadership::OnInstance(const std::string& aName,
-                       const std::string& aIncarnation,
+                       const InstanceRecord& aRecord,
                        std::uint64_t aVersion)
 {
-  auto& known = this->incarnations[aName];
+  auto& known = this->instances[aName];
   if (aVersion > known.version) {
-    known = { .name = aIncarnation, .version = aVersion };
+    known = { .incarnation = aRecord.incarnation,
+              .milliCores = aRecord.milliCores,
+              .version = aVersion };
   }
 }
 
@@ -80,9 +83,9 @@
   if (this->owner->isLeaving || this->owner->instance == this->identity.name) {
     return true;
   }
-  const auto found = this->incarnations.find(this->owner->instance);
+  const auto found = this->instances.find(this->owner->instance);
   // A row written before the owner took over is of a life before.
-  return found != this->incarnations.end() && found->second.name != this->owner->incarnation &&
+  return found != this->instances.end() && found->second.incarnation != this->owner->incarnation &&
          found->second.version > this->version;
 }
 
@@ -96,19 +99,21 @@
   return this->IsOwnerDead() || now - this->unchangedSince > this->options.takeoverAfter;
 }
 
-Milliseconds
-Leadership::StaggerDelay() const
+std::size_t
+Leadership::Rank() const
 {
-  // Ranks by a hash of the name and the row's version, so that not always the same instance
-  // conducts.
-  const auto rankOf = [this](const std::string& aName) {
-    return std::hash<std::string>{}(aName + std::to_string(this->version));
+  // Those with more processor time go first; a hash that changes with the row spreads the others,
+  // so that not always the same instance conducts.
+  const auto rankOf = [this](const std::string& aName, std::uint32_t aMilliCores) {
+    return std::pair(
+      -static_cast<std::int64_t>(aMilliCores),
+      std::hash<std::string>{}(aName + std::to_string(this->owner ? this->owner->token : 0)));
   };
-  const auto own = rankOf(this->identity.name);
-  const auto before = std::ranges::count_if(this->incarnations, [&](const auto& aEntry) {
-    return aEntry.first != this->identity.name && rankOf(aEntry.first) < own;
-  });
-  return this->options.stagger * before;
+  const auto own = rankOf(this->identity.name, this->identity.milliCores);
+  return static_cast<std::size_t>(std::ranges::count_if(this->instances, [&](const auto& aEntry) {
+    return aEntry.first != this->identity.name &&
+           rankOf(aEntry.first, aEntry.second.milliCores) < own;
+  }));
 }
 
 void
@@ -137,7 +142,8 @@
   if (this->goneSince == TimePoint{}) {
     this->goneSince = now;
   }
-  if (now - this->goneSince >= this->StaggerDelay()) {
+  const bool isNew = now - this->created < this->options.firstTake;
+  if (!isNew && now - this->goneSince >= this->options.stagger * this->Rank()) {
     this->Take();
   }
 }
--- a/Libraries/LibCell/Leadership.h
+++ b/Libraries/LibCell/Leadership.h
@@ -27,6 +27,8 @@
   Milliseconds takeoverAfter{ 1600 };
   /// A row that was not read for this long says nothing of its owner.
   Milliseconds staleView{ 1500 };
+  /// An instance that has just started takes a free row only after this, when it knows the others.
+  Milliseconds firstTake{ 600 };
   /// Time between the attempts of two instances, so that one is first.
   Milliseconds stagger{ 60 };
 };
@@ -74,6 +76,7 @@
     std::string incarnation;
     std::string address;
     std::uint16_t port = 0;
+    std::uint32_t milliCores = 0;
   };
 
   Leadership(Dependencies aDependencies, Identity aIdentity, LeadershipOptions aOptions = {});
@@ -82,9 +85,7 @@
   void OnOwnerRow(const Row& aRow);
   /// Takes another instance's incarnation as its own row says.
   /// @param aVersion version of that row
-  void OnInstance(const std::string& aName,
-                  const std::string& aIncarnation,
-                  std::uint64_t aVersion);
+  void OnInstance(const std::string& aName, const InstanceRecord& aRecord, std::uint64_t aVersion);
   /// @param aLastRead when the cell's table was last read with success; nothing if it fails
   void Tick(std::optional<TimePoint> aLastRead);
   /// Stops taking over, and hands the term over if there is one.
@@ -93,6 +94,8 @@
   [[nodiscard]] bool IsOwner() const { return this->state == State::Owner; }
   /// @return until when this instance is certainly the owner.
   [[nodiscard]] TimePoint TermEnd() const { return this->termEnd; }
+  /// @return how many instances would take over before this one.
+  [[nodiscard]] std::size_t Rank() const;
   /// @return the owner as last read.
   [[nodiscard]] const std::optional<OwnerRecord>& Owner() const { return this->owner; }
 
@@ -106,7 +109,6 @@
   };
 
   [[nodiscard]] bool IsOwnerGone(std::optional<TimePoint> aLastRead) const;
-  [[nodiscard]] Milliseconds StaggerDelay() const;
   [[nodiscard]] bool IsOwnerDead() const;
   void Take();
   void OnTaken(TimePoint aSent, const Result<CommitAnswer>& aAnswer);
@@ -127,12 +129,14 @@
   /// The record that this instance replaced.
   std::optional<OwnerRecord> replaced;
   bool isReplacedDead = false;
-  struct Incarnation
+  struct Instance
   {
-    std::string name;
+    std::string incarnation;
+    std::uint32_t milliCores = 0;
     std::uint64_t version = 0;
   };
-  std::map<std::string, Incarnation> incarnations;
+  std::map<std::string, Instance> instances;
+  TimePoint created{};
   TimePoint unchangedSince{};
   TimePoint goneSince{};
   TimePoint termEnd{};
--- a/Libraries/LibCell/Records.cpp
+++ b/Libraries/LibCell/Records.cpp
@@ -452,6 +452,7 @@
   value["port"] = aRecord.port;
   value["zone"] = aRecord.zone;
   value["incarnation"] = aRecord.incarnation;
+  value["milli_cores"] = aRecord.milliCores;
   value["beat"] = Json::UInt64(aRecord.beat);
   return Write(value);
 }
@@ -465,6 +466,7 @@
                              .address = aValue["address"].asString(),
                              .port = static_cast<std::uint16_t>(aValue["port"].asUInt()),
                              .zone = aValue["zone"].asString(),
+                             .milliCores = aValue["milli_cores"].asUInt(),
                              .beat = aValue["beat"].asUInt64() };
     });
 }
--- a/Libraries/LibCell/Records.h
+++ b/Libraries/LibCell/Records.h
@@ -156,6 +156,8 @@
   std::string address;
   std::uint16_t port = 0;
   std::string zone;
+  /// Thousandths of a core that the instance has.
+  std::uint32_t milliCores = 0;
   /// Rises with each write, so that a row that stands still tells of an instance that is gone.
   std::uint64_t beat = 0;
 };
--- a/Libraries/LibCell/TableFollower.h
+++ b/Libraries/LibCell/TableFollower.h
@@ -52,6 +52,8 @@
                 OnView aOnView);
 
   void Start();
+  /// Changes the least time between two calls.
+  void SetPause(Milliseconds aPause) { this->options.pause = aPause; }
   void Stop() { this->isStopped = true; }
   /// @return when the newest answer arrived; nothing if the last call failed.
   [[nodiscard]] std::optional<TimePoint> LastAnswer() const;
--- a/Libraries/LibInstance/CellInstance.cpp
+++ b/Libraries/LibInstance/CellInstance.cpp
@@ -78,6 +78,7 @@
   };
   this->documentFollower = follow({ .table = this->on.layout.documentTable,
                                     .parts = { "" },
+                                    .wait = this->options.documentWait,
                                     .reread = this->options.documentReread },
                                   &CellInstance::OnDocument);
   this->cellFollower = follow({ .table = std::string(cell::kCellTable),
@@ -163,7 +164,7 @@
   peer.record = ValueOf(record);
   peer.endpoint = { .address = peer.record.address, .port = peer.record.port };
   peer.changed = this->on.clock.Now();
-  this->leadership.OnInstance(name, peer.record.incarnation, aRow.version);
+  this->leadership.OnInstance(name, peer.record, aRow.version);
 }
 
 void
@@ -179,6 +180,7 @@
                                       .address = this->options.identity.address,
                                       .port = this->options.identity.port,
                                       .zone = this->options.zone,
+                                      .milliCores = this->options.identity.milliCores,
                                       .beat = ++this->beatCount }) });
   this->store.Commit(std::move(transaction), [this](Result<cell::CommitAnswer> aAnswer) {
     constexpr Milliseconds kRetry{ 200 };
@@ -197,6 +199,8 @@
     this->NameInstances();
   }
   this->endedConductors.clear();
+  const bool isNext = this->leadership.Rank() < this->options.successors;
+  this->cellFollower->SetPause(isNext ? this->options.cellPause : this->options.idleCellPause);
   this->on.timer.After(this->options.leadershipTick, [this] { this->TickLeadership(); });
 }
 
--- a/Libraries/LibInstance/CellInstance.h
+++ b/Libraries/LibInstance/CellInstance.h
@@ -49,12 +49,19 @@
   Milliseconds jobPause{ 40 };
   /// Least time between two reads of the ownership row and the instances; each renewal is a change.
   Milliseconds cellPause{ 250 };
+  /// The same for instances that are not among the next to take over.
+  Milliseconds idleCellPause{ 800 };
+  /// Instances that watch the ownership row closely.
+  std::size_t successors = 4;
+  /// How long the store may hold back its answer on the document; bounds how long a silent
+  /// connection hides a change, which has to be in force within 2 s.
+  Milliseconds documentWait{ 900 };
   /// The document is read anew this often, in case the store drops a change from its feed.
-  Milliseconds documentReread{ 1000 };
+  Milliseconds documentReread{ 4000 };
   /// Time between two writes of the instance's own row.
-  Milliseconds beat{ 2000 };
+  Milliseconds beat{ 3000 };
   /// An instance whose row stands still for longer makes no calls to the policy service.
-  Milliseconds instanceGoneAfter{ 6000 };
+  Milliseconds instanceGoneAfter{ 8000 };
 };
 
 /// The instance.
--- a/Services/Entry/PlatformProgram.cpp
+++ b/Services/Entry/PlatformProgram.cpp
@@ -195,7 +195,8 @@
     .identity = { .name = this->boot.instance,
                   .incarnation = fmt::format("{:08x}{:08x}", random(), random()),
                   .address = this->boot.address,
-                  .port = this->boot.peerPort },
+                  .port = this->boot.peerPort,
+                  .milliCores = this->boot.milliCores },
     .zone = this->boot.zone,
   };
   figures.conductor.longestLease = this->boot.longestLease;
--- a/Tests/LibCell/TestLeadership.cpp
+++ b/Tests/LibCell/TestLeadership.cpp
@@ -14,23 +14,31 @@
   /// One instance with its view of the ownership row.
   struct Instance
   {
-    Instance(LeadershipTest& aTest, const std::string& aName, const std::string& aLife = "1")
+    Instance(LeadershipTest& aTest,
+             const std::string& aName,
+             const std::string& aLife = "1",
+             std::uint32_t aMilliCores = 120)
       : watched(aTest.store, aTest.clock, aTest.log, aTest.metrics)
-      , leadership(
-          { .store = this->watched,
-            .clock = aTest.clock,
-            .log = aTest.log,
-            .onBegun =
-              [this](const Term& aTerm) {
-                this->term = aTerm;
-                ++this->terms;
-              },
-            .onLost = [this](std::string_view) { this->term.reset(); },
-            .news =
-              [this] {
-                return OwnerNews{ .workers = this->workers, .isRecovering = this->isRecovering };
-              } },
-          { .name = aName, .incarnation = aName + aLife, .address = "10.0.0.1", .port = 1 })
+      , leadership({ .store = this->watched,
+                     .clock = aTest.clock,
+                     .log = aTest.log,
+                     .onBegun =
+                       [this](const Term& aTerm) {
+                         this->term = aTerm;
+                         ++this->terms;
+                       },
+                     .onLost = [this](std::string_view) { this->term.reset(); },
+                     .news =
+                       [this] {
+                         return OwnerNews{ .workers = this->workers,
+                                           .isRecovering = this->isRecovering };
+                       } },
+                   { .name = aName,
+                     .incarnation = aName + aLife,
+                     .address = "10.0.0.1",
+                     .port = 1,
+                     .milliCores = aMilliCores },
+                   aTest.options)
     {
     }
 
@@ -42,7 +50,11 @@
     Leadership leadership;
   };
 
-  LeadershipTest() { this->clock.Advance(Milliseconds{ 100'000 }); }
+  LeadershipTest()
+  {
+    this->options.firstTake = Milliseconds{ 0 };
+    this->clock.Advance(Milliseconds{ 100'000 });
+  }
 
   [[nodiscard]] Row OwnerRow() const
   {
@@ -64,6 +76,7 @@
     }
   }
 
+  LeadershipOptions options;
   ManualClock clock;
   MemoryStore store;
   Logger log{ { .level = LogLevel::Error } };
@@ -108,7 +121,7 @@
   auto& other = first.term ? second : first;
   this->Run({ &owner, &other }, Milliseconds{ 700 });
   const std::string name = first.term ? "first" : "second";
-  other.leadership.OnInstance(name, "another life", ++this->store.version);
+  other.leadership.OnInstance(name, { .incarnation = "another life" }, ++this->store.version);
   this->Run({ &other }, Milliseconds{ 200 });
   ASSERT_TRUE(other.term);
   EXPECT_TRUE(other.term->isPredecessorDead);
@@ -118,13 +131,24 @@
 {
   Instance first(*this, "first", "2");
   Instance second(*this, "second");
-  second.leadership.OnInstance("first", "first1", ++this->store.version);
+  second.leadership.OnInstance("first", { .incarnation = "first1" }, ++this->store.version);
   this->Run({ &first }, Milliseconds{ 300 });
   this->Run({ &first, &second }, Milliseconds{ 1000 });
   EXPECT_TRUE(first.term);
   EXPECT_FALSE(second.term);
 }
 
+// The pattern: instances of unequal size, all restarted at once.
+TEST_F(LeadershipTest, TheLargestInstanceTakesOver)
+{
+  Instance small(*this, "small");
+  Instance large(*this, "large", "1", 500);
+  small.leadership.OnInstance("large", { .milliCores = 500 }, ++this->store.version);
+  large.leadership.OnInstance("small", { .milliCores = 120 }, ++this->store.version);
+  this->Run({ &small, &large }, Milliseconds{ 500 });
+  EXPECT_TRUE(large.term);
+}
+
 TEST_F(LeadershipTest, HandsOverWhenItLeaves)
 {
   Instance first(*this, "first");
