platform: Test the adapter against the protocol, bound the log, serve metrics

Lines go to standard output without blocking, within a budget by kind and by bytes; what is left out is counted. Metrics are served on a port of their own. The adapter's decoders, clients and caller interface are tested against a scripted peer.

--- a/Libraries/LibCell/Conductor.h
+++ b/Libraries/LibCell/Conductor.h
@@ -29,7 +29,7 @@
 /// Bounds that the platform sets and the conductor's own figures.
 struct ConductorOptions
 {
-  /// Longest lease that a worker grants; `HoldMaxMs`.
+  /// Longest lease that a worker grants; the platform's bound.
   Milliseconds longestLease{ 6000 };
   /// Part by which a worker's clock may be slow; from the platform's pages.
   double clockDrift = 0.02;
@@ -69,9 +69,10 @@
   std::uint32_t failureStreak = 3;
   /// How long such a worker gets nothing.
   Milliseconds avoidance{ 6000 };
-  /// How long the state of an ended job can be asked for; `status_s`.
+  /// How long the state of an ended job can be asked for; the platform's bound.
   Milliseconds statusKept{ 125'000 };
-  /// How early an occurrence may start; `early_ms` leaves room for the difference of clocks.
+  /// How early an occurrence may start; the platform's bound leaves room for the clocks'
+  /// difference.
   Milliseconds earliness{ 0 };
   /// A run whose progress stands still for longer than this and a part of its estimate hangs.
   Milliseconds stillAfter{ 2500 };
--- a/Libraries/LibLog/Logger.cpp
+++ b/Libraries/LibLog/Logger.cpp
@@ -1,5 +1,7 @@
 #include <LibLog/Logger.h>
 
+#include <LibLog/LineWriter.h>
+
 #include <algorithm>
 #include <array>
 #include <chrono>
@@ -130,6 +132,10 @@
     AppendField(line, format, field);
   }
   Append(line, format == LogFormat::Json ? "}\n" : "\n");
+  if (this->options.writer != nullptr) {
+    this->options.writer->Write(aEvent, { line.data(), line.size() });
+    return;
+  }
   std::fwrite(line.data(), 1, line.size(), this->options.output);
 }
 
--- a/Libraries/LibLog/Logger.h
+++ b/Libraries/LibLog/Logger.h
@@ -13,6 +13,8 @@
 
 namespace zinc {
 
+class LineWriter;
+
 /// Weight of a line.
 enum class LogLevel : std::uint8_t
 {
@@ -83,6 +85,8 @@
     LogLevel level = LogLevel::Info;
     /// Has to outlive the logger.
     std::FILE* output = stderr;
+    /// Takes the lines instead if it is set; has to outlive the logger.
+    LineWriter* writer = nullptr;
   };
 
   Logger() = default;
--- a/Meta/test-sanitized.sh
+++ b/Meta/test-sanitized.sh
@@ -16,5 +16,5 @@
   done
 }
 
-run build-asan address,undefined "TestBase TestDocument TestLedger TestLimits TestMembership TestPeer TestPlacement TestSettings TestTraffic"
+run build-asan address,undefined "TestBase TestCell TestAdapter TestDocument TestLedger TestLimits TestMembership TestPeer TestPlacement TestSettings TestTraffic"
 run build-tsan thread "TestPeer TestTraffic TestLog TestMetrics"
--- a/Services/Entry/PlatformProgram.cpp
+++ b/Services/Entry/PlatformProgram.cpp
@@ -4,6 +4,7 @@
 #include <LibBase/BootClock.h>
 #include <LibInstance/CellInstance.h>
 #include <LibInstanceCalls/InstanceCalls.h>
+#include <LibLog/LineWriter.h>
 #include <LibTraffic/HttpServer.h>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
@@ -44,6 +45,8 @@
 /// Left of the grace period when the process ends by itself at the latest.
 constexpr Milliseconds kExitMargin{ 400 };
 constexpr Milliseconds kLeaveTick{ 50 };
+/// Lines are written at the latest after this.
+constexpr Milliseconds kLogFlush{ 200 };
 
 class AsioTimer final : public cell::TimerPort
 {
@@ -104,7 +107,7 @@
   PlatformProgram(const PlatformProgramOptions& aOptions, platform::BootSettings aBoot)
     : options(aOptions)
     , boot(std::move(aBoot))
-    , log({ .output = stdout })
+    , log({ .writer = &this->lines })
     , timer(this->control)
   {
   }
@@ -130,11 +133,13 @@
   void Reload();
   void Leave();
   void LeaveTick();
+  void FlushLog();
 
   PlatformProgramOptions options;
   platform::BootSettings boot;
   boost::asio::io_context control{ 1 };
   boost::asio::io_context traffic;
+  LineWriter lines{ {} };
   Logger log;
   BootClock clock;
   MetricRegistry metrics;
@@ -257,21 +262,27 @@
 Result<Done>
 PlatformProgram::OpenServers()
 {
-  const std::vector<std::pair<Endpoint, std::function<void(const IncomingRequest&, Respond)>>>
-    wanted = {
-      { this->boot.readiness,
-        [this](const IncomingRequest& aRequest, Respond aRespond) {
-          this->callers->HandleReadiness(aRequest, aRespond);
-        } },
-      { { .address = this->boot.address, .port = this->boot.peerPort },
-        [this](const IncomingRequest& aRequest, Respond aRespond) {
-          this->callServer->Handle(aRequest, std::move(aRespond));
-        } },
-      { this->boot.callers,
-        [this](const IncomingRequest& aRequest, Respond aRespond) {
-          this->callers->Handle(aRequest, std::move(aRespond));
-        } },
-    };
+  std::vector<std::pair<Endpoint, std::function<void(const IncomingRequest&, Respond)>>> wanted = {
+    { this->boot.readiness,
+      [this](const IncomingRequest& aRequest, Respond aRespond) {
+        this->callers->HandleReadiness(aRequest, aRespond);
+      } },
+    { { .address = this->boot.address, .port = this->boot.peerPort },
+      [this](const IncomingRequest& aRequest, Respond aRespond) {
+        this->callServer->Handle(aRequest, std::move(aRespond));
+      } },
+    { this->boot.callers,
+      [this](const IncomingRequest& aRequest, Respond aRespond) {
+        this->callers->Handle(aRequest, std::move(aRespond));
+      } },
+  };
+  if (this->options.metricsPort != 0) {
+    wanted.push_back(
+      { { .address = this->boot.address, .port = this->options.metricsPort },
+        [this](const IncomingRequest&, const Respond& aRespond) {
+          aRespond({ .contentType = "text/plain; version=0.0.4", .body = this->metrics.Render() });
+        } });
+  }
   for (const auto& [endpoint, handler] : wanted) {
     auto opened = this->Open(endpoint, handler);
     if (IsError(opened)) {
@@ -358,6 +369,13 @@
   this->timer.After(kLeaveTick, [this] { this->LeaveTick(); });
 }
 
+void
+PlatformProgram::FlushLog()
+{
+  this->lines.Flush();
+  this->timer.After(kLogFlush, [this] { this->FlushLog(); });
+}
+
 int
 PlatformProgram::Run()
 {
@@ -381,6 +399,7 @@
                   { "threads", this->options.trafficThreads } });
   const TrafficThreads threads(this->traffic, this->options.trafficThreads);
   this->instance->Start();
+  this->FlushLog();
   this->control.run();
   return kExitOk;
 }
@@ -395,6 +414,8 @@
     fmt::print(stderr, "zinc-entry: {}: {}\n", aOptions.settingsPath, ErrorOf(boot).message);
     return kExitBadSettings;
   }
+  // A reader of the log that goes away must not end the process.
+  std::signal(SIGPIPE, SIG_IGN);
   PlatformProgram program(aOptions, std::move(ValueOf(boot)));
   return program.Run();
 }
--- a/Services/Entry/PlatformProgram.h
+++ b/Services/Entry/PlatformProgram.h
@@ -13,6 +13,8 @@
 {
   /// The platform's settings file.
   std::string settingsPath;
+  /// Where metrics are served on the instance's address; 0 serves none.
+  std::uint16_t metricsPort = 0;
   /// Threads for connections beside the control thread; 0 runs everything on that one.
   std::uint32_t trafficThreads = 1;
 };
--- a/Services/Entry/main.cpp
+++ b/Services/Entry/main.cpp
@@ -100,6 +100,9 @@
   add("platform",
       "run on the platform whose settings file this variable names",
       cxxopts::value<std::string>());
+  add("metrics-port",
+      "port of the metrics on the platform",
+      cxxopts::value<std::uint16_t>()->default_value("0"));
   add("traffic-threads-on-platform",
       "threads for connections on the platform",
       cxxopts::value<std::uint32_t>()->default_value("1"));
@@ -122,6 +125,7 @@
     }
     return RunOnPlatform(
       { .settingsPath = path,
+        .metricsPort = arguments["metrics-port"].as<std::uint16_t>(),
         .trafficThreads = arguments["traffic-threads-on-platform"].as<std::uint32_t>() });
   }
   std::string yaml = "{}";
--- /dev/null
+++ b/Tests/Platform/ScriptedPeer.h
@@ -0,0 +1,93 @@
+#pragma once
+
+/// @file
+/// The other end of the platform's protocol: answers as the test says and keeps what it was asked.
+
+#include <LibPlatform/HttpClient.h>
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/http.hpp>
+#include <functional>
+#include <gtest/gtest.h>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace zinc::platform::test {
+
+/// A request as it arrived.
+struct ReceivedRequest
+{
+  std::string method;
+  std::string target;
+  std::string body;
+  std::string expectedInstance;
+};
+
+/// Serves one connection after the other on a thread of its own.
+class ScriptedPeer
+{
+public:
+  /// Status 0 closes the connection without an answer.
+  struct Reply
+  {
+    unsigned status = 200;
+    std::string body = "{}";
+  };
+
+  explicit ScriptedPeer(std::function<Reply(const ReceivedRequest&)> aScript);
+  ~ScriptedPeer();
+  ScriptedPeer(const ScriptedPeer&) = delete;
+  ScriptedPeer& operator=(const ScriptedPeer&) = delete;
+
+  [[nodiscard]] std::uint16_t Port() const { return this->port; }
+  [[nodiscard]] std::vector<ReceivedRequest> Requests() const;
+
+private:
+  void Serve();
+  void ServeConnection(boost::asio::ip::tcp::socket& aSocket);
+
+  std::function<Reply(const ReceivedRequest&)> script;
+  boost::asio::io_context context;
+  boost::asio::ip::tcp::acceptor acceptor;
+  std::uint16_t port = 0;
+  std::atomic<bool> isStopped = false;
+  mutable std::mutex mutex;
+  std::vector<ReceivedRequest> requests;
+  std::thread thread;
+};
+
+/// Runs a client's calls on the test's own thread.
+class AdapterFixture : public testing::Test
+{
+protected:
+  [[nodiscard]] HttpOptions OptionsFor(const ScriptedPeer& aPeer)
+  {
+    return { .endpoints = { { .address = "127.0.0.1", .port = aPeer.Port() } },
+             .connections = 1,
+             .requestTimeout = Milliseconds{ 2000 },
+             .traffic = this->context,
+             .control = this->context.get_executor() };
+  }
+
+  /// Starts a call and runs it to its answer.
+  template<typename T>
+  Result<T> Await(const std::function<void(std::function<void(Result<T>)>)>& aStart)
+  {
+    std::optional<Result<T>> answer;
+    aStart([&answer](Result<T> aResult) { answer = std::move(aResult); });
+    this->context.restart();
+    while (!answer) {
+      this->context.run_one();
+    }
+    return std::move(*answer);
+  }
+
+  boost::asio::io_context context;
+};
+
+}
--- /dev/null
+++ b/Tests/Platform/TestCallerInterface.cpp
@@ -0,0 +1,147 @@
+#include <gtest/gtest.h>
+#include <platform/CallerInterface.h>
+
+namespace zinc::platform::test {
+
+namespace {
+
+/// An instance whose answers the test sets.
+class ScriptedCaller final : public cell::CallerPort
+{
+public:
+  [[nodiscard]] std::shared_ptr<const cell::CellPolicy> Policy() const override
+  {
+    return this->policy;
+  }
+  [[nodiscard]] bool IsReady() const override { return this->policy != nullptr; }
+  void Submit(const cell::JobSpecification& aSpec, cell::Handler<Done> aHandler) override
+  {
+    this->submitted.push_back(aSpec);
+    aHandler(this->submitAnswer);
+  }
+  void Status(const JobId&,
+              const WorkspaceId& aWorkspace,
+              cell::Handler<cell::CallerJobState> aHandler) override
+  {
+    this->workspace = aWorkspace;
+    aHandler(this->statusAnswer);
+  }
+  void Cancel(const JobId&, const WorkspaceId&, cell::Handler<cell::CancelAnswer> aHandler) override
+  {
+    aHandler(this->cancelAnswer);
+  }
+  [[nodiscard]] Result<std::uint64_t> Waiting(const QueueId&) const override
+  {
+    return Result<std::uint64_t>(std::uint64_t{ 12 });
+  }
+
+  std::shared_ptr<cell::CellPolicy> policy;
+  std::vector<cell::JobSpecification> submitted;
+  Result<Done> submitAnswer = Done{};
+  Result<cell::CallerJobState> statusAnswer = cell::CallerJobState::Succeeded;
+  Result<cell::CancelAnswer> cancelAnswer = cell::CancelAnswer::Recorded;
+  WorkspaceId workspace;
+};
+
+class CallerInterfaceTest : public testing::Test
+{
+protected:
+  CallerInterfaceTest()
+  {
+    this->caller.policy = std::make_shared<cell::CellPolicy>();
+    cell::QueueRoute route{ .host = "h", .pathPrefix = "/q/" };
+    route.queue.name = { "queue" };
+    this->caller.policy->AddRoute(route);
+    route.pathPrefix = "/open/";
+    route.isPublic = true;
+    this->caller.policy->AddRoute(route);
+    this->caller.policy->workspaceByKey["key"] = { "team" };
+  }
+
+  OutgoingResponse Call(RequestMethod aMethod,
+                        const std::string& aPath,
+                        const std::string& aKey = "key",
+                        const std::string& aBody = R"({"Phases":[{"Count":1}]})")
+  {
+    OutgoingResponse answer;
+    IncomingRequest request{ .method = aMethod, .path = aPath, .bearer = aKey, .host = "h" };
+    request.body = aBody;
+    this->interface.Handle(
+      request, [&answer](OutgoingResponse aResponse) { answer = std::move(aResponse); });
+    return answer;
+  }
+
+  ScriptedCaller caller;
+  Logger log{ { .level = LogLevel::Error } };
+  MetricRegistry metrics;
+  CallerInterface interface {
+    {
+      .caller = this->caller, .log = this->log, .metrics = this->metrics,
+      .wallClock = [] { return cell::WallTime{}; }
+    }
+  };
+};
+
+const std::string kJob = "/q/0123456789abcdef";
+
+}
+
+TEST_F(CallerInterfaceTest, AcceptsAJobForTheTeamOfItsKey)
+{
+  EXPECT_EQ(this->Call(RequestMethod::Post, kJob).status, 200U);
+  ASSERT_EQ(this->caller.submitted.size(), 1U);
+  EXPECT_EQ(this->caller.submitted[0].workspace.value, "team");
+  EXPECT_EQ(this->caller.submitted[0].id.value, "0123456789abcdef");
+}
+
+TEST_F(CallerInterfaceTest, RefusesWhatMayNotEnter)
+{
+  EXPECT_EQ(this->Call(RequestMethod::Post, kJob, "other").status, 401U);
+  EXPECT_EQ(this->Call(RequestMethod::Post, kJob, "").status, 401U);
+  EXPECT_EQ(this->Call(RequestMethod::Post, "/none/0123456789abcdef").status, 404U);
+  EXPECT_EQ(this->Call(RequestMethod::Post, "/q/short").status, 400U);
+  EXPECT_EQ(this->Call(RequestMethod::Post, kJob, "key", "nonsense").status, 400U);
+  EXPECT_TRUE(this->caller.submitted.empty());
+  EXPECT_EQ(this->Call(RequestMethod::Post, "/open/0123456789abcdef", "").status, 200U);
+}
+
+TEST_F(CallerInterfaceTest, RefusesEverythingBeforeADocumentIsKnown)
+{
+  this->caller.policy = nullptr;
+  EXPECT_EQ(this->Call(RequestMethod::Post, kJob).status, 503U);
+  OutgoingResponse ready;
+  this->interface.HandleReadiness({}, [&ready](OutgoingResponse aResponse) { ready = aResponse; });
+  EXPECT_EQ(ready.status, 503U);
+}
+
+TEST_F(CallerInterfaceTest, PromisesThatAJobNeverRunsOnlyWhenItIsCertain)
+{
+  this->caller.submitAnswer = NotRun(ErrorCode::Unavailable, "away", Milliseconds{ 1000 });
+  const auto refused = this->Call(RequestMethod::Post, kJob);
+  EXPECT_EQ(refused.status, 503U);
+  EXPECT_EQ(refused.retryAfter, Milliseconds{ 1000 });
+  this->caller.submitAnswer = NotRun(ErrorCode::Overloaded, "full");
+  EXPECT_EQ(this->Call(RequestMethod::Post, kJob).status, 429U);
+  this->caller.submitAnswer = MayHaveRun(ErrorCode::Timeout, "lost");
+  EXPECT_EQ(this->Call(RequestMethod::Post, kJob).status, 504U);
+}
+
+TEST_F(CallerInterfaceTest, TellsAJobsState)
+{
+  EXPECT_EQ(this->Call(RequestMethod::Fetch, kJob).body, R"({"State":"done"})");
+  EXPECT_EQ(this->caller.workspace.value, "team");
+  this->caller.statusAnswer = NotRun(ErrorCode::NotFound, "none");
+  EXPECT_EQ(this->Call(RequestMethod::Fetch, kJob).status, 410U);
+  this->caller.statusAnswer = NotRun(ErrorCode::Unavailable, "away");
+  EXPECT_EQ(this->Call(RequestMethod::Fetch, kJob).status, 503U);
+  EXPECT_EQ(this->Call(RequestMethod::Fetch, "/q/").body, R"({"Waiting":12})");
+}
+
+TEST_F(CallerInterfaceTest, CancelsAJob)
+{
+  EXPECT_EQ(this->Call(RequestMethod::Delete, kJob).status, 200U);
+  this->caller.cancelAnswer = cell::CancelAnswer::UnknownJob;
+  EXPECT_EQ(this->Call(RequestMethod::Delete, kJob).status, 410U);
+}
+
+}
--- /dev/null
+++ b/Tests/Platform/TestClients.cpp
@@ -0,0 +1,169 @@
+#include "ScriptedPeer.h"
+
+#include <LibPlatform/Json.h>
+#include <gtest/gtest.h>
+#include <json/json.h>
+#include <platform/AdviceClient.h>
+#include <platform/Base64.h>
+#include <platform/StoreClient.h>
+#include <platform/WorkerClient.h>
+
+namespace zinc::platform::test {
+
+namespace {
+
+using Clients = AdapterFixture;
+using Reply = ScriptedPeer::Reply;
+
+}
+
+TEST_F(Clients, CommitsUnderConditions)
+{
+  ScriptedPeer peer(
+    [](const ReceivedRequest&) { return Reply{ .body = R"({"Ver":41,"NowMs":5})" }; });
+  StoreClient store(ValueOf(HttpClient::Create(this->OptionsFor(peer))));
+  cell::Transaction transaction{ .spansParts = true };
+  transaction.conditions.push_back({ { "t", "p", "k" }, 7 });
+  transaction.writes.push_back({ { "t", "p", "k" }, "value" });
+  const auto answer = this->Await<cell::CommitAnswer>(
+    [&](auto aHandler) { store.Commit(transaction, std::move(aHandler)); });
+  ASSERT_FALSE(IsError(answer));
+  EXPECT_TRUE(ValueOf(answer).isCommitted);
+  EXPECT_EQ(ValueOf(answer).version, 41U);
+  const auto request = peer.Requests().front();
+  EXPECT_EQ(request.method, "POST");
+  EXPECT_EQ(request.target, "/v1/rows-tx");
+  const auto body = ValueOf(ParseJson(request.body));
+  EXPECT_EQ(body["ExpectedRev"][0]["Ver"].asInt(), 7);
+  EXPECT_EQ(body["Writes"][0]["Value"].asString(), EncodeBase64("value"));
+  EXPECT_TRUE(body["Across"].asBool());
+}
+
+TEST_F(Clients, TellsWhatStandsInTheWay)
+{
+  ScriptedPeer peer([](const ReceivedRequest&) {
+    return Reply{ 412,
+                  R"({"rows":[{"Table":"t","part":"p","Key":"k","Value":")" + EncodeBase64("old") +
+                    R"(","Ver":9}],"Ver":41})" };
+  });
+  StoreClient store(ValueOf(HttpClient::Create(this->OptionsFor(peer))));
+  const auto answer =
+    this->Await<cell::CommitAnswer>([&](auto aHandler) { store.Commit({}, std::move(aHandler)); });
+  ASSERT_FALSE(IsError(answer));
+  EXPECT_FALSE(ValueOf(answer).isCommitted);
+  ASSERT_EQ(ValueOf(answer).standing.size(), 1U);
+  EXPECT_EQ(ValueOf(answer).standing[0].value, "old");
+  EXPECT_EQ(ValueOf(answer).standing[0].version, 9U);
+}
+
+TEST_F(Clients, SaysWhetherACommitMayStillTakeEffect)
+{
+  const std::vector<std::pair<Reply, RunState>> cases = { { { 503, "" }, RunState::NotRun },
+                                                          { { 429, "" }, RunState::NotRun },
+                                                          { { 500, "" }, RunState::MayHaveRun },
+                                                          { { 0, "" }, RunState::MayHaveRun },
+                                                          { { 200, "x" }, RunState::MayHaveRun } };
+  for (const auto& [reply, run] : cases) {
+    ScriptedPeer peer([&reply](const ReceivedRequest&) { return reply; });
+    StoreClient store(ValueOf(HttpClient::Create(this->OptionsFor(peer))));
+    const auto answer = this->Await<cell::CommitAnswer>(
+      [&](auto aHandler) { store.Commit({}, std::move(aHandler)); });
+    ASSERT_TRUE(IsError(answer)) << reply.status;
+    EXPECT_EQ(ErrorOf(answer).run, run) << reply.status;
+  }
+}
+
+TEST_F(Clients, FollowsATableAndTellsThatItsHistoryIsGone)
+{
+  std::atomic<unsigned> status = 200;
+  ScriptedPeer peer([&status](const ReceivedRequest&) {
+    return Reply{ status, R"({"rows":[{"Table":"t","Key":"k","Deleted":true,"Ver":8}],"Ver":9})" };
+  });
+  StoreClient store(ValueOf(HttpClient::Create(this->OptionsFor(peer))));
+  const auto follow = [&] {
+    return this->Await<cell::RowBatch>(
+      [&](auto aHandler) { store.Follow("a b", 7, Milliseconds{ 50 }, std::move(aHandler)); });
+  };
+  const auto changes = follow();
+  ASSERT_FALSE(IsError(changes));
+  EXPECT_TRUE(ValueOf(changes).rows.at(0).isDeleted);
+  EXPECT_EQ(ValueOf(changes).version, 9U);
+  EXPECT_EQ(peer.Requests().front().target, "/v1/rows-feed?Table=a%20b&After=7&WaitMs=50");
+  status = 410;
+  const auto gone = follow();
+  ASSERT_TRUE(IsError(gone));
+  EXPECT_EQ(ErrorOf(gone).code, ErrorCode::StaleVersion);
+}
+
+TEST_F(Clients, OrdersNameTheLifeOfTheWorker)
+{
+  ScriptedPeer peer([](const ReceivedRequest&) { return Reply{ .body = R"({"ClockMs":1})" }; });
+  const Logger log({ .level = LogLevel::Error });
+  WorkerClient workers({ .http = this->OptionsFor(peer) }, log);
+  const cell::OrderTarget target{
+    .worker = { "i-7" }, .address = "127.0.0.1", .port = peer.Port(), .fencingToken = 5
+  };
+  const auto answer = this->Await<cell::OrderAnswer>([&](auto aHandler) {
+    workers.Start({ .target = target,
+                    .task = { { "0123456789abcdef" }, { 0, 1, 2 } },
+                    .run = 3,
+                    .payload = "p",
+                    .deadline = 600,
+                    .ticket = "t" },
+                  std::move(aHandler));
+  });
+  EXPECT_EQ(ValueOf(answer), cell::OrderAnswer::Accepted);
+  const auto request = peer.Requests().front();
+  EXPECT_EQ(request.target, "/v1/run-start");
+  EXPECT_EQ(request.expectedInstance, "i-7");
+  const auto body = ValueOf(ParseJson(request.body));
+  EXPECT_EQ(body["Task"].asString(), "0123456789abcdef.0.1.2");
+  EXPECT_EQ(body["FencingToken"].asInt(), 5);
+  EXPECT_EQ(body["Ticket"].asString(), "t");
+  EXPECT_FALSE(body.isMember("Checkpoint"));
+}
+
+TEST_F(Clients, UnderstandsEveryRefusalOfAnOrder)
+{
+  const std::vector<std::pair<Reply, cell::OrderAnswer>> cases = {
+    { { 409, R"({"Reason":"fence"})" }, cell::OrderAnswer::Fenced },
+    { { 409, R"({"Reason":"old"})" }, cell::OrderAnswer::Outdated },
+    { { 409, R"({"Reason":"late"})" }, cell::OrderAnswer::Late },
+    { { 409, R"({"Reason":"room"})" }, cell::OrderAnswer::NoRoom },
+    { { 409, R"({"Reason":"ticket"})" }, cell::OrderAnswer::BadTicket },
+    { { 409, R"({"Reason":"new"})" }, cell::OrderAnswer::Refused },
+    { { 421, "" }, cell::OrderAnswer::OtherLife },
+    { { 503, "" }, cell::OrderAnswer::Refused },
+  };
+  const Logger log({ .level = LogLevel::Error });
+  for (const auto& [reply, expected] : cases) {
+    ScriptedPeer peer([&reply](const ReceivedRequest&) { return reply; });
+    WorkerClient workers({ .http = this->OptionsFor(peer) }, log);
+    const auto answer = this->Await<cell::OrderAnswer>([&](auto aHandler) {
+      workers.Stop({ .target = { .worker = { "i" }, .address = "127.0.0.1", .port = peer.Port() } },
+                   std::move(aHandler));
+    });
+    ASSERT_FALSE(IsError(answer)) << reply.body;
+    EXPECT_EQ(ValueOf(answer), expected) << reply.status << reply.body;
+  }
+}
+
+TEST_F(Clients, AsksThePolicyServiceAboutAStep)
+{
+  ScriptedPeer peer([](const ReceivedRequest&) {
+    return Reply{ .body = R"({"Good":[["w2","t-2"]],"ValidMs":9})" };
+  });
+  AdviceClient advice(ValueOf(HttpClient::Create(this->OptionsFor(peer))));
+  const auto answer = this->Await<cell::AdviceAnswer>([&](auto aHandler) {
+    advice.Ask({ .step = { { "0123456789abcdef" }, 0, 2 }, .workers = { { "w1" }, { "w2" } } },
+               std::move(aHandler));
+  });
+  ASSERT_FALSE(IsError(answer));
+  ASSERT_EQ(ValueOf(answer).good.size(), 1U);
+  EXPECT_EQ(ValueOf(answer).good[0].text, "t-2");
+  const auto body = ValueOf(ParseJson(peer.Requests().front().body));
+  EXPECT_EQ(body["Step"].asString(), "0123456789abcdef.0.2");
+  EXPECT_EQ(body["Workers"].size(), 2U);
+}
+
+}
--- /dev/null
+++ b/Tests/Platform/TestDecoders.cpp
@@ -0,0 +1,176 @@
+#include <LibPlatform/Json.h>
+#include <gtest/gtest.h>
+#include <json/json.h>
+#include <platform/Base64.h>
+#include <platform/BootSettings.h>
+#include <platform/Decoders.h>
+
+namespace zinc::platform::test {
+
+namespace {
+
+constexpr std::string_view kDocument = R"({
+  "Version": 12,
+  "Routes": [
+    {"Name": "q1", "Host": "h1", "PathPrefix": "/a/", "Service": "svc", "Priority": 0,
+     "SloMs": 250, "Attempts": 3, "Stretch": 1.5, "Public": false,
+     "Advice": {"DecideMs": 5.5, "EachMs": 0.25, "ValidMs": 1500}},
+    {"Name": "q2", "Host": "h1", "PathPrefix": "/a/b/", "Service": "svc", "Public": true}],
+  "Services": [{"Name": "svc", "HealthPath": "/health", "EnforcesCapacity": false}],
+  "Limits": {"BodyBytes": 1000},
+  "Tenants": [{"Name": "t1", "ApiKeys": ["k1", "k2"], "Weight": 38,
+               "Maximum": {"Cpu": 5000, "MemMb": 6000}}]})";
+
+constexpr std::string_view kSettings = R"({
+  "Node": "n1", "Zone": "z1", "Ip": "10.0.0.1",
+  "Listen": {"Front": "10.0.0.1:81", "Ready": "10.0.0.1:82"},
+  "PortRange": [7400, 7410], "Limits": {"CpuShare": 0.25, "Cores": 1},
+  "Bounds": {"GraceS": 6, "HoldMaxMs": 9000, "status_s": 60},
+  "platform": {"Address": "10.0.0.9:80"}, "Advice": "10.0.0.8:80", "Unknown": [1]})";
+
+}
+
+TEST(Decoders, ReadsTheDocument)
+{
+  const auto decoded = DecodeDocument(kDocument);
+  ASSERT_FALSE(IsError(decoded)) << ErrorOf(decoded).message;
+  const auto& policy = ValueOf(decoded);
+  EXPECT_EQ(policy.version, 12U);
+  EXPECT_EQ(policy.maxBodyBytes, 1000U);
+  const auto* longest = policy.FindRoute("h1", "/a/b/0123");
+  ASSERT_NE(longest, nullptr);
+  EXPECT_EQ(longest->queue.name.value, "q2");
+  EXPECT_TRUE(longest->isPublic);
+  const auto& queue = policy.FindQueue({ "q1" })->queue;
+  EXPECT_TRUE(queue.isAdvised);
+  EXPECT_EQ(queue.advice.validity, Milliseconds{ 1500 });
+  EXPECT_EQ(queue.slack, Milliseconds{ 250 });
+  EXPECT_EQ(policy.workspaceByKey.at("k2").value, "t1");
+  EXPECT_EQ(policy.workspaces.at({ "t1" }).maximum.milliCores, 5000);
+  EXPECT_EQ(policy.FindRoute("h2", "/a/"), nullptr);
+}
+
+TEST(Decoders, RefusesADocumentThatCannotBeRead)
+{
+  for (const std::string_view text :
+       { "", "[]", "{\"Version\":1,\"Routes\":[{}]}", "{\"Version\":\"x\"}", "\xff" }) {
+    EXPECT_TRUE(IsError(DecodeDocument(text))) << text;
+  }
+}
+
+TEST(Decoders, ReadsAWorkersRow)
+{
+  const auto decoded = DecodeWorkerEntry(
+    "i-1",
+    R"({"Service":"svc","Address":"10.1.2.3:80","Zone":"z","State":"draining","Labels":["a","r1-3"],
+        "Capacity":{"Cpu":16000,"MemMb":32768},"Machine":"m-1","born":17,"Seq":4})");
+  ASSERT_FALSE(IsError(decoded)) << ErrorOf(decoded).message;
+  const auto& entry = ValueOf(decoded);
+  EXPECT_TRUE(entry.isDraining);
+  EXPECT_EQ(entry.rack.value, "r1-3");
+  EXPECT_EQ(entry.address, "10.1.2.3");
+  EXPECT_EQ(entry.port, 80);
+  EXPECT_EQ(entry.capacity.memoryMiB, 32768);
+  EXPECT_EQ(entry.born, 17);
+}
+
+// Rows of other writers: a missing field, another type, a state that is not named, bytes.
+TEST(Decoders, RefusesForeignWorkerRows)
+{
+  const std::string rest = R"("Zone":"z","Labels":["a","r"],"Capacity":{"Cpu":1,"MemMb":1})";
+  for (const std::string& text :
+       { std::string("{}"),
+         "{\"Service\":\"s\",\"Address\":\"10.1.2.3:80\",\"State\":\"odd\"," + rest + "}",
+         "{\"Service\":\"s\",\"Address\":\"10.1.2.3\",\"State\":\"ready\"," + rest + "}",
+         "{\"Service\":\"s\",\"Address\":\"10.1.2.3:x\",\"State\":\"ready\"," + rest + "}",
+         "{\"Service\":7,\"Address\":\"10.1.2.3:80\",\"State\":\"ready\"," + rest + "}",
+         std::string("\x00\xff\x80", 3) }) {
+    EXPECT_TRUE(IsError(DecodeWorkerEntry("i-1", text))) << text;
+  }
+}
+
+TEST(Decoders, ReadsAJobAndLeavesOutWhatIsZero)
+{
+  const auto decoded = DecodeJob(
+    R"({"Spec":"s","Phases":[{"Count":2,"Cpu":500,"EstimateMs":900,"Affinity":"r1"},
+        {"Count":3,"Gang":true,"After":[0],"AntiAffinity":1,"Constraints":"b","Checkpointing":true}]})");
+  ASSERT_FALSE(IsError(decoded)) << ErrorOf(decoded).message;
+  const auto& spec = ValueOf(decoded);
+  ASSERT_EQ(spec.steps.size(), 2U);
+  EXPECT_EQ(spec.steps[0].dataRack, "r1");
+  EXPECT_EQ(spec.steps[0].demand.memoryMiB, 0);
+  EXPECT_TRUE(spec.steps[1].isGang);
+  EXPECT_EQ(spec.steps[1].maxPerWorker, 1U);
+  EXPECT_EQ(spec.steps[1].requiredLabel, "b");
+  EXPECT_EQ(spec.steps[1].after, std::vector<std::uint32_t>{ 0 });
+  EXPECT_FALSE(spec.steps[1].hasAvailabilityBudget);
+}
+
+TEST(Decoders, RefusesJobsThatCannotBeRun)
+{
+  for (const std::string_view text : { "",
+                                       "{}",
+                                       R"({"Phases":[]})",
+                                       R"({"Phases":[{"Count":0}]})",
+                                       R"({"Phases":[{"Count":-1}]})",
+                                       R"({"Phases":[{"Count":1,"After":[0]}]})",
+                                       R"({"Phases":[{"Count":1,"Cpu":"many"}]})",
+                                       R"({"Phases":[{"Count":99999999999}]})" }) {
+    EXPECT_TRUE(IsError(DecodeJob(text))) << text;
+  }
+}
+
+TEST(Decoders, ReadsAWorkersListsAndCountsWhatItCannotRead)
+{
+  const auto parsed = ParseJson(
+    R"({"ClockMs":500,"born":9,
+        "Running":[["0123456789abcdef.0.1.17",2,"saved",41,12],["bad",1,"",0]],
+        "Ended":[[8,"0123456789abcdef.0.1.9",1,"lapsed",""],[7,"0123456789abcdef.0.1.8",1,"done",""],
+                 [9,"0123456789abcdef.0.1.9",1,"odd",""]]})");
+  std::size_t unreadable = 0;
+  const auto report = DecodeReport(ValueOf(parsed), unreadable);
+  ASSERT_FALSE(IsError(report));
+  EXPECT_EQ(unreadable, 2U);
+  ASSERT_EQ(ValueOf(report).running.size(), 1U);
+  EXPECT_EQ(ValueOf(report).running[0].percent, 41);
+  EXPECT_EQ(ValueOf(report).running[0].load, 12);
+  ASSERT_EQ(ValueOf(report).ended.size(), 2U);
+  EXPECT_EQ(ValueOf(report).ended[0].sequence, 7U) << "in the order in which they ended";
+  EXPECT_EQ(ValueOf(report).ended[1].kind, cell::EndKind::Lapsed);
+}
+
+TEST(Decoders, TaskNamesSurviveTheWire)
+{
+  const cell::TaskName name{ { "0123456789abcdef" }, { 3, 1, 42 } };
+  EXPECT_EQ(DecodeTaskName(EncodeTaskName(name)), name);
+  for (const std::string_view text : { "", "a", "a.b.c.d", "a.1.2", "a.1.2.3x" }) {
+    EXPECT_FALSE(DecodeTaskName(text).has_value()) << text;
+  }
+}
+
+TEST(Decoders, ReadsTheSettingsAndNamesTheFieldAtFault)
+{
+  const auto settings = DecodeBootSettings(kSettings);
+  ASSERT_FALSE(IsError(settings)) << ErrorOf(settings).message;
+  EXPECT_EQ(ValueOf(settings).callers.port, 81);
+  EXPECT_EQ(ValueOf(settings).longestLease, Milliseconds{ 9000 });
+  EXPECT_EQ(ValueOf(settings).statusKept, Milliseconds{ 60'000 });
+  EXPECT_EQ(ValueOf(settings).milliCores, 250U);
+  EXPECT_FALSE(ValueOf(settings).machines.has_value());
+  const auto faulty = DecodeBootSettings(R"({"Node":"n","Zone":"z","Ip":"i","Listen":{},
+    "PortRange":[1,2],"platform":{"Address":"10.0.0.9:80"},"Bounds":{}})");
+  ASSERT_TRUE(IsError(faulty));
+  EXPECT_NE(ErrorOf(faulty).message.find("Front"), std::string::npos) << ErrorOf(faulty).message;
+}
+
+TEST(Decoders, RowValuesSurviveTheirEncoding)
+{
+  for (std::size_t size = 0; size < 20; ++size) {
+    const std::string bytes(size, '\xfe');
+    EXPECT_EQ(DecodeBase64(EncodeBase64(bytes)), bytes);
+  }
+  EXPECT_FALSE(DecodeBase64("abc").has_value());
+  EXPECT_FALSE(DecodeBase64("!!!!").has_value());
+}
+
+}
