LibCell: Keep a round of the conductor short with thousands of jobs waiting

Cause: every question to the policy service looked through all that waited, so that a take-over with 3,400 waiting jobs blocked the conductor for more than the 1.6 s after which its row counts as abandoned; the next instance took over and did the same, for ever. Ruled out: reading the rows (0.4 s) and the workers (0.3 s).

--- a/Libraries/LibCell/AdviceDesk.cpp
+++ b/Libraries/LibCell/AdviceDesk.cpp
@@ -25,8 +25,9 @@
 void
 AdviceDesk::Ask(AdviceQuestion aQuestion, std::int64_t aUrgency, TimePoint aNow, Answer aHandler)
 {
-  this->queue.emplace(aUrgency,
-                      Entry{ .question = std::move(aQuestion), .handler = std::move(aHandler) });
+  auto& queue = this->IsLong(aQuestion) ? this->longOnes : this->shortOnes;
+  queue.emplace(aUrgency,
+                Entry{ .question = std::move(aQuestion), .handler = std::move(aHandler) });
   this->Pump(aNow);
 }
 
@@ -34,14 +35,20 @@
 AdviceDesk::Pump(TimePoint aNow)
 {
   this->now = aNow;
-  for (auto entry = this->queue.begin(); entry != this->queue.end();) {
-    const auto caller = this->Choose(this->IsLong(entry->second.question), aNow);
+  this->PumpQueue(this->shortOnes, false, aNow);
+  this->PumpQueue(this->longOnes, true, aNow);
+}
+
+void
+AdviceDesk::PumpQueue(Queue& aQueue, bool aIsLong, TimePoint aNow)
+{
+  while (!aQueue.empty()) {
+    const auto caller = this->Choose(aIsLong, aNow);
     if (caller == this->callers.end()) {
-      ++entry;
-      continue;
+      return;
     }
-    auto taken = std::move(entry->second);
-    entry = this->queue.erase(entry);
+    auto taken = std::move(aQueue.begin()->second);
+    aQueue.erase(aQueue.begin());
     this->Send(caller, std::move(taken), aNow);
   }
 }
--- a/Libraries/LibCell/AdviceDesk.h
+++ b/Libraries/LibCell/AdviceDesk.h
@@ -25,6 +25,8 @@
   Milliseconds longCall{ 150 };
   /// Part of the instances that take no long calls, so that short ones never wait behind them.
   double shortOnlyPart = 0.34;
+  /// Questions that wait for each instance before the desk counts as crowded.
+  std::size_t waitingPerInstance = 2;
   /// An instance whose call failed gets none for this long.
   Milliseconds avoidAfterFailure{ 1000 };
 };
@@ -46,7 +48,15 @@
   /// Sends what can be sent.
   void Pump(TimePoint aNow);
 
-  [[nodiscard]] std::size_t Waiting() const { return this->queue.size(); }
+  [[nodiscard]] std::size_t Waiting() const
+  {
+    return this->shortOnes.size() + this->longOnes.size();
+  }
+  /// @return true if a question that is not urgent would only wait with many others.
+  [[nodiscard]] bool IsCrowded() const
+  {
+    return this->Waiting() >= this->options.waitingPerInstance * this->callers.size();
+  }
 
 private:
   struct Caller
@@ -67,6 +77,7 @@
   {
     return aQuestion.expected > this->options.longCall;
   }
+  void PumpQueue(std::multimap<std::int64_t, Entry>& aQueue, bool aIsLong, TimePoint aNow);
   /// @return the caller that is free first, or the end if none may take the question.
   [[nodiscard]] std::map<std::string, Caller>::iterator Choose(bool aIsLong, TimePoint aNow);
   void Send(std::map<std::string, Caller>::iterator aCaller, Entry aEntry, TimePoint aNow);
@@ -74,7 +85,10 @@
   AdvicePort& port;
   AdviceDeskOptions options;
   std::map<std::string, Caller> callers;
-  std::multimap<std::int64_t, Entry> queue;
+  using Queue = std::multimap<std::int64_t, Entry>;
+  /// Long and short calls wait apart, so that neither is looked through for the other.
+  Queue shortOnes;
+  Queue longOnes;
   /// Tells answers that arrive after the desk is gone.
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
   /// Time of the newest call, for answers that carry none.
--- a/Libraries/LibCell/Conductor.h
+++ b/Libraries/LibCell/Conductor.h
@@ -50,6 +50,8 @@
   Milliseconds flushPause{ 25 };
   /// Longest time between two placements while something may wait.
   Milliseconds placementPause{ 50 };
+  /// A placement ends after this even if steps are left.
+  Milliseconds longestPlacement{ 60 };
   /// After a placement the conductor does other work for this many times as long as it took.
   int placementRest = 2;
   /// Part of a pool's processors kept free of all but the most urgent queue's tasks.
--- a/Libraries/LibCell/ConductorPlacement.cpp
+++ b/Libraries/LibCell/ConductorPlacement.cpp
@@ -131,8 +131,10 @@
   this->BuildPools();
   for (const auto& candidate : candidates) {
     this->PlaceStep(candidate);
-    if (this->isDeposed) {
-      return;
+    // The rest waits for the next placement, so that nothing else waits for this one.
+    const bool isLong = this->on.clock.Now() - now > this->options.longestPlacement;
+    if (this->isDeposed || isLong) {
+      break;
     }
   }
   // Placement takes a part of the time at most, so that a long queue leaves time for the workers.
@@ -177,7 +179,9 @@
   }
   const bool needsAdvice = queue.isAdvised && !run.advice.isComplete;
   if (needsAdvice) {
-    if (run.advice.questionsOpen == 0 && run.advice.retryAt <= now) {
+    // Tickets lapse soon: those of steps far back in the queue would be of no use.
+    const bool isEarly = this->desk->IsCrowded() && this->IsHeldBack(aCandidate);
+    if (run.advice.questionsOpen == 0 && run.advice.retryAt <= now && !isEarly) {
       this->AskInitialAdvice(aCandidate, run, *pool);
     }
     return;
--- a/Libraries/LibCell/ConductorRecords.cpp
+++ b/Libraries/LibCell/ConductorRecords.cpp
@@ -33,8 +33,9 @@
   std::size_t bytes = 0;
   // Outcomes go first, since callers wait for them.
   std::vector<JobId> order(this->dirty.begin(), this->dirty.end());
-  std::ranges::stable_partition(
-    order, [this](const JobId& aJob) { return this->jobs.at(aJob).outcome != JobOutcome::Active; });
+  std::stable_partition(order.begin(), order.end(), [this](const JobId& aJob) {
+    return this->jobs.at(aJob).outcome != JobOutcome::Active;
+  });
   for (const auto& id : order) {
     if (written.size() == kJobsPerFlush || bytes > kBytesPerFlush) {
       break;
--- a/Libraries/LibCell/Ports.h
+++ b/Libraries/LibCell/Ports.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace zinc::cell {
@@ -25,7 +26,12 @@
   std::string part;
   std::string key;
 
-  friend auto operator<=>(const RowKey&, const RowKey&) = default;
+  friend bool operator==(const RowKey&, const RowKey&) = default;
+  friend bool operator<(const RowKey& aLeft, const RowKey& aRight)
+  {
+    return std::tie(aLeft.table, aLeft.part, aLeft.key) <
+           std::tie(aRight.table, aRight.part, aRight.key);
+  }
 };
 
 /// A row as it stands.
@@ -258,7 +264,6 @@
   std::uint32_t step = 0;
 
   friend bool operator==(const StepName&, const StepName&) = default;
-  friend auto operator<=>(const StepName&, const StepName&) = default;
 };
 
 /// A worker that may run a step and the ticket to present to it.
--- a/Libraries/LibCell/Specification.h
+++ b/Libraries/LibCell/Specification.h
@@ -6,7 +6,6 @@
 #include <LibBase/Identifier.h>
 #include <LibBase/Resources.h>
 #include <LibBase/Time.h>
-#include <compare>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -106,7 +105,7 @@
   std::uint32_t step = 0;
   std::uint32_t index = 0;
 
-  friend auto operator<=>(const TaskKey&, const TaskKey&) = default;
+  friend bool operator==(const TaskKey&, const TaskKey&) = default;
 };
 
 /// Names a task within the cell.
--- a/Tests/LibCell/TestAdviceDesk.cpp
+++ b/Tests/LibCell/TestAdviceDesk.cpp
@@ -1,5 +1,6 @@
 #include <LibCell/AdviceDesk.h>
 
+#include <chrono>
 #include <gtest/gtest.h>
 
 namespace zinc::cell::test {
@@ -67,6 +68,27 @@
   EXPECT_NE(this->port.calls[2].instance, this->port.calls[1].instance);
 }
 
+// The load after a restart with thousands of jobs: each question must cost little.
+TEST_F(AdviceDeskTest, ManyWaitingQuestionsCostLittle)
+{
+  this->desk.SetInstances({ "a", "b", "c" });
+  constexpr int kQuestions = 20'000;
+  // The time of two queues is a few ms; looking through one for each question takes minutes.
+  constexpr auto kBound = std::chrono::seconds(2);
+  const auto begin = std::chrono::steady_clock::now();
+  for (int number = 0; number < kQuestions; ++number) {
+    this->Ask("long", kLong, number);
+    this->Ask("short", kShort, number);
+  }
+  EXPECT_TRUE(this->desk.IsCrowded());
+  for (std::size_t call = 0; call < this->port.calls.size(); ++call) {
+    this->port.calls[call].handler(AdviceAnswer{});
+    this->desk.Pump(this->now);
+  }
+  EXPECT_EQ(this->port.calls.size(), 2U * kQuestions);
+  EXPECT_LT(std::chrono::steady_clock::now() - begin, kBound);
+}
+
 TEST_F(AdviceDeskTest, UrgentQuestionsGoFirst)
 {
   this->desk.SetInstances({ "a" });
