LibCell: Start new jobs as soon as the workers in reach were read

Cause: after a take-over with one worker out of reach nothing was started for 1.5 s, and after a restart of all instances the row stayed free for 0.6 s more. Tests: TakeOver.WaitsForAWorkerOutOfReachOnlyUntilAnAttemptHasFailed, LeadershipTest.ARestartedCellHasAnOwnerAtOnce.

--- a/Libraries/LibCell/ConductorPlacement.cpp
+++ b/Libraries/LibCell/ConductorPlacement.cpp
@@ -21,7 +21,7 @@
 /// A ticket that lapses sooner than this would not reach the worker in time.
 constexpr Milliseconds kTicketMargin{ 40 };
 /// Time until a question that failed is asked again.
-constexpr Milliseconds kAdviceRetry{ 300 };
+constexpr Milliseconds kAdviceRetry{ 20 };
 /// A reservation is given up when its tickets do not arrive within this after the expected time.
 constexpr Milliseconds kReservationSlack{ 700 };
 /// Part of the workers taken to be good before a queue's first answer.
@@ -160,10 +160,16 @@
 bool
 Conductor::HasReadEnough() const
 {
-  // A worker that was not read may hold runs whose room and limits are not counted yet; those in
-  // reach answer at once.
+  // A worker that was not read may hold runs that count against a workspace's limit. Each is waited
+  // for until it has answered or an attempt to reach it has failed.
   constexpr Milliseconds kReadTime{ 1500 };
-  return this->unread.empty() || this->on.clock.Now() - this->begun > kReadTime;
+  if (this->on.clock.Now() - this->begun > kReadTime) {
+    return true;
+  }
+  return std::ranges::all_of(this->unread, [this](const WorkerId& aId) {
+    const auto worker = this->workers.find(aId);
+    return worker == this->workers.end() || worker->second->holdFailures > 0;
+  });
 }
 
 void
--- a/Libraries/LibCell/Leadership.cpp
+++ b/Libraries/LibCell/Leadership.cpp
@@ -142,7 +142,8 @@
   if (this->goneSince == TimePoint{}) {
     this->goneSince = now;
   }
-  const bool isNew = now - this->created < this->options.firstTake;
+  // The rows of the others are in the store already if there was an owner before.
+  const bool isNew = !this->owner && now - this->created < this->options.firstTake;
   if (!isNew && now - this->goneSince >= this->options.stagger * this->Rank()) {
     this->Take();
   }
--- a/Libraries/LibInstanceCalls/InstanceCalls.cpp
+++ b/Libraries/LibInstanceCalls/InstanceCalls.cpp
@@ -15,7 +15,7 @@
 constexpr std::size_t kTextLimit = 512;
 constexpr std::int64_t kNumberLimit = 1'000'000;
 /// Time that an instance's own call to the policy service may wait behind another one.
-constexpr Milliseconds kAdviceAllowance{ 1500 };
+constexpr Milliseconds kAdviceAllowance{ 700 };
 
 std::string
 EncodeQuestion(const cell::AdviceQuestion& aQuestion)
--- a/Services/Entry/PlatformProgram.cpp
+++ b/Services/Entry/PlatformProgram.cpp
@@ -34,6 +34,8 @@
 /// Calls of the store take a few ms and up to a quarter second while it is slow.
 constexpr Milliseconds kStoreTimeout{ 1200 };
 constexpr Milliseconds kOrderTimeout{ 700 };
+/// A worker in reach accepts a connection within a few ms; a new conductor waits for each.
+constexpr Milliseconds kWorkerConnectTimeout{ 300 };
 constexpr Milliseconds kInstanceTimeout{ 500 };
 /// Feeds and transactions at a time; each takes a connection.
 constexpr std::size_t kStoreConnections = 24;
@@ -185,8 +187,10 @@
     }
     this->advice = std::make_unique<platform::AdviceClient>(ValueOf(adviceHttp));
   }
+  auto workerHttp = this->HttpFor({}, 1, kOrderTimeout);
+  workerHttp.connectTimeout = kWorkerConnectTimeout;
   this->workers = std::make_unique<platform::WorkerClient>(
-    platform::WorkerClient::Options{ .http = this->HttpFor({}, 1, kOrderTimeout) }, this->log);
+    platform::WorkerClient::Options{ .http = std::move(workerHttp) }, this->log);
   this->calls =
     std::make_unique<InstanceCallClient>(this->HttpFor({}, kInstanceConnections, kInstanceTimeout));
   return Done{};
--- a/Tests/LibCell/TestLeadership.cpp
+++ b/Tests/LibCell/TestLeadership.cpp
@@ -149,6 +149,26 @@
   EXPECT_TRUE(large.term);
 }
 
+TEST_F(LeadershipTest, ARestartedCellHasAnOwnerAtOnce)
+{
+  Instance before(*this, "first");
+  this->Run({ &before }, Milliseconds{ 600 });
+  this->options.firstTake = LeadershipOptions{}.firstTake;
+  Instance after(*this, "first", "2");
+  this->Run({ &after }, Milliseconds{ 100 });
+  EXPECT_TRUE(after.term);
+}
+
+TEST_F(LeadershipTest, AFreeRowIsTakenWhenTheOthersAreKnown)
+{
+  this->options.firstTake = Milliseconds{ 600 };
+  Instance first(*this, "first");
+  this->Run({ &first }, Milliseconds{ 500 });
+  EXPECT_FALSE(first.term);
+  this->Run({ &first }, Milliseconds{ 300 });
+  EXPECT_TRUE(first.term);
+}
+
 TEST_F(LeadershipTest, HandsOverWhenItLeaves)
 {
   Instance first(*this, "first");
--- a/Tests/LibCell/TestTakeOver.cpp
+++ b/Tests/LibCell/TestTakeOver.cpp
@@ -100,6 +100,18 @@
   EXPECT_EQ(this->StartsOf("new"), 1U);
 }
 
+TEST_F(TakeOver, WaitsForAWorkerOutOfReachOnlyUntilAnAttemptHasFailed)
+{
+  this->entries = { this->workers.Add("w1", 4), this->workers.Add("w2", 4) };
+  this->workers.At("w2").isReachable = false;
+  this->Accept(JobOf("old", 1, 1));
+  this->Begin(true);
+  this->Accept(JobOf("new", 1, 1));
+  this->Run(Milliseconds{ 200 });
+  EXPECT_EQ(this->StartsOf("new"), 1U);
+  EXPECT_EQ(this->StartsOf("old"), 0U);
+}
+
 TEST_F(TakeOver, IsFencedByASuccessor)
 {
   this->entries = { this->workers.Add("w1", 4) };
