LibCell: Ask again after a failed question, and count what may run out of reach

Tests, both failing before: ConductorTest.AsksAgainWhenAQuestionFailed, TakeOver.CountsWhatMayRunOutOfReachAgainstTheLimit.

--- a/Libraries/LibCell/Conductor.h
+++ b/Libraries/LibCell/Conductor.h
@@ -268,6 +268,8 @@
   /// @return true if the step leaves room to urgent tasks and to gangs that wait.
   [[nodiscard]] bool IsHeldBack(const Candidate& aCandidate) const;
   [[nodiscard]] bool HasReadEnough() const;
+  /// Adds up what a predecessor may have running at workers that were not read.
+  void CountOutOfReach();
   /// @return true if a task of the step, or its whole gang, fits anywhere in the pool.
   [[nodiscard]] static bool HasRoom(const Pool& aPool, const StepSpecification& aStep);
   [[nodiscard]] bool LeavesHeadroom(const Candidate& aCandidate,
@@ -354,6 +356,8 @@
   std::unordered_map<WorkerId, std::unique_ptr<Worker>> workers;
   std::unordered_map<std::string, Pool> pools;
   std::map<WorkspaceId, Resources> running;
+  /// What a predecessor may have running at workers that were not read, by workspace.
+  std::map<WorkspaceId, Resources> mayRun;
   /// Tokens of each workspace for jobs within its weight.
   struct WeightBucket
   {
--- a/Libraries/LibCell/ConductorPlacement.cpp
+++ b/Libraries/LibCell/ConductorPlacement.cpp
@@ -122,6 +122,7 @@
   if (now >= this->termEnd || !this->HasReadEnough()) {
     return;
   }
+  this->CountOutOfReach();
   this->heldForGangs.clear();
   this->gangsHeld = 0;
   const auto candidates = this->CollectCandidates();
@@ -157,6 +158,41 @@
   return false;
 }
 
+void
+Conductor::CountOutOfReach()
+{
+  this->mayRun.clear();
+  if (this->unread.empty()) {
+    return;
+  }
+  // No more than the workers hold that were not read.
+  Resources most;
+  for (const auto& id : this->unread) {
+    const auto worker = this->workers.find(id);
+    if (worker != this->workers.end()) {
+      most += worker->second->entry.capacity;
+    }
+  }
+  for (const auto& id : this->active) {
+    const auto& job = this->jobs.at(id);
+    for (const auto& [number, occurrence] : job.occurrences) {
+      for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+        const auto& tasks = occurrence.steps[step].tasks;
+        const auto count = std::ranges::count(tasks, TaskPhase::Unresolved, &Task::phase);
+        auto& amount = this->mayRun[job.spec.workspace];
+        for (std::ptrdiff_t task = 0; task < count; ++task) {
+          amount += OccupiedBy(job.spec.steps[step]);
+        }
+      }
+    }
+  }
+  for (auto& [workspace, amount] : this->mayRun) {
+    amount.milliCores = std::min(amount.milliCores, most.milliCores);
+    amount.memoryMiB = std::min(amount.memoryMiB, most.memoryMiB);
+    amount.accelerators = std::min(amount.accelerators, most.accelerators);
+  }
+}
+
 bool
 Conductor::HasReadEnough() const
 {
@@ -264,7 +300,11 @@
   }
   const auto& maximum = found->second.maximum;
   const auto used = this->running.find(workspace);
-  const auto amount = used == this->running.end() ? Resources{} : used->second;
+  auto amount = used == this->running.end() ? Resources{} : used->second;
+  const auto outOfReach = this->mayRun.find(workspace);
+  if (outOfReach != this->mayRun.end()) {
+    amount += outOfReach->second;
+  }
   auto room = static_cast<std::int64_t>(aMost);
   const auto bound = [&room, part](std::int64_t aMaximum, std::int64_t aUsed, std::int64_t aNeed) {
     if (aMaximum > 0 && aNeed > 0) {
@@ -613,6 +653,11 @@
   --run.advice.questionsOpen;
   if (IsError(aAnswer)) {
     run.advice.retryAt = now + kAdviceRetry;
+    for (const auto& worker : aAsked) {
+      if (!run.advice.good.contains(worker)) {
+        run.advice.asked.erase(worker);
+      }
+    }
     this->ReleaseReservation(run, job->spec.steps[aStep.step]);
     this->on.log.Log(LogLevel::Info,
                      "advice_failed",
--- a/Tests/LibCell/ConductorFixture.h
+++ b/Tests/LibCell/ConductorFixture.h
@@ -30,6 +30,11 @@
     auto due = std::move(this->open);
     this->open.clear();
     for (const auto& [question, handler] : due) {
+      if (this->failures > 0) {
+        --this->failures;
+        handler(NotRun(ErrorCode::Unavailable, "lost"));
+        continue;
+      }
       AdviceAnswer answer;
       for (const auto& worker : question.workers) {
         if (this->isGood(worker)) {
@@ -45,6 +50,8 @@
   std::vector<AdviceQuestion> questions;
   std::vector<std::pair<AdviceQuestion, Handler<AdviceAnswer>>> open;
   int issued = 0;
+  /// Questions that are answered with an error.
+  int failures = 0;
 };
 
 class ConductorFixture : public testing::Test
--- a/Tests/LibCell/TestConductor.cpp
+++ b/Tests/LibCell/TestConductor.cpp
@@ -225,6 +225,19 @@
   EXPECT_FALSE(this->workers.starts.front().ticket.empty());
 }
 
+TEST_F(ConductorTest, AsksAgainWhenAQuestionFailed)
+{
+  this->entries = { this->workers.Add("w1", 4), this->workers.Add("w2", 4) };
+  auto& queue = this->policy.routes.front().queue;
+  queue.isAdvised = true;
+  queue.advice = { .baseMs = 5.0, .perWorkerMs = 1.0, .validity = Milliseconds{ 1500 } };
+  this->advice.failures = 2;
+  this->Begin();
+  this->Accept(JobOf("job", 1, 4));
+  this->Run(Milliseconds{ 2500 });
+  EXPECT_EQ(this->workers.starts.size(), 1U);
+}
+
 TEST_F(ConductorTest, StopsARunThatStandsStill)
 {
   this->entries = { this->workers.Add("w1", 4) };
--- a/Tests/LibCell/TestTakeOver.cpp
+++ b/Tests/LibCell/TestTakeOver.cpp
@@ -112,6 +112,26 @@
   EXPECT_EQ(this->StartsOf("old"), 0U);
 }
 
+TEST_F(TakeOver, CountsWhatMayRunOutOfReachAgainstTheLimit)
+{
+  this->policy.workspaces[{ "team" }].maximum = { .milliCores = 5000 };
+  this->entries = { this->workers.Add("w1", 4), this->workers.Add("w2", 8) };
+  this->Accept(JobOf("old", 1, 4));
+  this->Begin();
+  this->Run(Milliseconds{ 100 });
+  ASSERT_EQ(this->workers.starts.front().worker.value, "w1");
+  this->workers.At("w1").isReachable = false;
+  this->Begin(true);
+  this->Accept(JobOf("new", 1, 2));
+  this->Run(Milliseconds{ 3000 });
+  EXPECT_EQ(this->StartsOf("new"), 0U);
+  this->workers.At("w1").isReachable = true;
+  this->Run(Milliseconds{ 600 });
+  this->workers.EndAll();
+  this->Run(Milliseconds{ 300 });
+  EXPECT_EQ(this->StartsOf("new"), 1U);
+}
+
 TEST_F(TakeOver, IsFencedByASuccessor)
 {
   this->entries = { this->workers.Add("w1", 4) };
--- a/Tests/Platform/TestClients.cpp
+++ b/Tests/Platform/TestClients.cpp
@@ -64,7 +64,7 @@
                                                           { { 0, "" }, RunState::MayHaveRun },
                                                           { { 200, "x" }, RunState::MayHaveRun } };
   for (const auto& [reply, run] : cases) {
-    ScriptedPeer peer([&reply](const ReceivedRequest&) { return reply; });
+    ScriptedPeer peer([answer = reply](const ReceivedRequest&) { return answer; });
     StoreClient store(ValueOf(HttpClient::Create(this->OptionsFor(peer))));
     const auto answer = this->Await<cell::CommitAnswer>(
       [&](auto aHandler) { store.Commit({}, std::move(aHandler)); });
@@ -137,7 +137,7 @@
   };
   const Logger log({ .level = LogLevel::Error });
   for (const auto& [reply, expected] : cases) {
-    ScriptedPeer peer([&reply](const ReceivedRequest&) { return reply; });
+    ScriptedPeer peer([answer = reply](const ReceivedRequest&) { return answer; });
     WorkerClient workers({ .http = this->OptionsFor(peer) }, log);
     const auto answer = this->Await<cell::OrderAnswer>([&](auto aHandler) {
       workers.Stop({ .target = { .worker = { "i" }, .address = "127.0.0.1", .port = peer.Port() } },
