--- a/Services/Entry/PlatformProgram.cpp
+++ b/Services/Entry/PlatformProgram.cpp
@@ -45,7 +45,7 @@
 /// Part of the grace period after which connections are closed once they are answered.
 constexpr double kServeWhileLeaving = 0.75;
 /// Left of the grace period when the process ends by itself at the latest.
-constexpr Milliseconds kExitMargin{ 400 };
+constexpr Milliseconds kExitMargin{ 800 };
 constexpr Milliseconds kLeaveTick{ 50 };
 /// Lines are written at the latest after this.
 constexpr Milliseconds kLogFlush{ 200 };
