LibCell: Leave a worker alone until its last run of unknown size has ended

Cause: after a take-over the first run of an ended job on a worker was taken to fill it and the second to take nothing; when the first ended, the second's room was given away. Test: TakeOver.LeavesAWorkerAloneUntilTheLastRunOfUnknownSizeHasEnded.

--- a/Libraries/LibCell/ConductorPlacement.cpp
+++ b/Libraries/LibCell/ConductorPlacement.cpp
@@ -47,7 +47,8 @@
 {
   const auto now = this->on.clock.Now();
   return aWorker.isListed && !aWorker.entry.isDraining && aWorker.contact == Contact::Open &&
-         aWorker.isClockKnown && aWorker.holdFailures == 0 && aWorker.avoidUntil <= now;
+         aWorker.isClockKnown && aWorker.holdFailures == 0 && aWorker.avoidUntil <= now &&
+         aWorker.runsOfUnknownSize == 0;
 }
 
 void
--- a/Libraries/LibCell/ConductorWorkers.cpp
+++ b/Libraries/LibCell/ConductorWorkers.cpp
@@ -424,8 +424,9 @@
     occupant.tailTarget = step.tailTarget;
     occupant.estimate = step.estimate;
   } else {
-    // What it takes is no longer known; the worker counts as full until it has ended.
-    occupant.demand = aWorker.Free();
+    // What it takes is no longer known; the worker gets nothing until it has ended.
+    occupant.isSizeUnknown = true;
+    ++aWorker.runsOfUnknownSize;
   }
   aWorker.used += occupant.demand;
   this->running[occupant.workspace] += occupant.demand;
@@ -605,6 +606,7 @@
     return;
   }
   aWorker.used -= found->demand;
+  aWorker.runsOfUnknownSize -= found->isSizeUnknown ? 1 : 0;
   this->running[found->workspace] -= found->demand;
   aWorker.occupants.erase(found);
   this->placementDue = true;
--- a/Libraries/LibCell/Worker.h
+++ b/Libraries/LibCell/Worker.h
@@ -42,6 +42,8 @@
   TaskName task;
   std::uint64_t run = 0;
   Resources demand;
+  /// The job has ended and its steps are no longer known.
+  bool isSizeUnknown = false;
   WorkspaceId workspace;
   RunPhase phase = RunPhase::Starting;
   /// When the phase began.
@@ -95,6 +97,7 @@
   std::uint32_t holdFailures = 0;
   Resources used;
   Resources reserved;
+  std::uint32_t runsOfUnknownSize = 0;
   std::vector<Occupant> occupants;
   /// Failed runs in a row, of different jobs.
   std::uint32_t failureStreak = 0;
--- a/Tests/LibCell/TestTakeOver.cpp
+++ b/Tests/LibCell/TestTakeOver.cpp
@@ -191,6 +191,26 @@
   EXPECT_EQ(this->StartsOf("new"), 1U);
 }
 
+TEST_F(TakeOver, LeavesAWorkerAloneUntilTheLastRunOfUnknownSizeHasEnded)
+{
+  this->entries = { this->workers.Add("w1", 4) };
+  this->Accept(JobOf("ended", 2, 2));
+  this->Begin();
+  this->Run(Milliseconds{ 100 });
+  this->store.Put(JobRowKey({ "ended" }, JobRowKind::Specification),
+                  EncodeEndedJob({ .outcome = JobOutcome::Cancelled, .workspace = { "team" } }));
+  this->Accept(JobOf("new", 1, 3));
+  this->workers.At("w1").ignoresStops = true;
+  this->Begin(true);
+  this->Run(Milliseconds{ 300 });
+  this->workers.End("w1", { { "ended" }, { 0, 0, 0 } }, EndKind::Stopped);
+  this->Run(Milliseconds{ 300 });
+  EXPECT_EQ(this->StartsOf("new"), 0U);
+  this->workers.End("w1", { { "ended" }, { 0, 0, 1 } }, EndKind::Stopped);
+  this->Run(Milliseconds{ 300 });
+  EXPECT_EQ(this->StartsOf("new"), 1U);
+}
+
 TEST_F(TakeOver, CountsAFailureOnceOverTwoTerms)
 {
   this->entries = { this->workers.Add("w1", 4), this->workers.Add("w2", 4) };
