--- a/Libraries/LibCell/Conductor.h
+++ b/Libraries/LibCell/Conductor.h
@@ -58,8 +58,6 @@
   double urgentHeadroom = 0.05;
   /// Part of a workspace's limit that its batch work leaves to its urgent tasks.
   double limitHeadroom = 0.06;
-  /// Start orders to one worker on their way at a time.
-  std::uint32_t startsPerWorker = 6;
   /// Workers named in one question to the policy service; its own limit.
   std::size_t advisedWorkers = 100;
   /// A question names workers with room for this many times the step's tasks: others take room
@@ -295,7 +293,7 @@
   void AskForMore(const Candidate& aCandidate, StepRun& aRun, const Pool& aPool);
   void StartGang(const Candidate& aCandidate, StepRun& aRun, const std::vector<Worker*>& aAssigned);
   void Reserve(const Candidate& aCandidate, StepRun& aRun, const std::vector<Worker*>& aAssigned);
-  void StartReserved(const Candidate& aCandidate, StepRun& aRun, Pool& aPool);
+  void StartReserved(const Candidate& aCandidate, StepRun& aRun);
   void HoldForGang(const Candidate& aCandidate, const StepRun& aRun, const Pool& aPool);
   void ReleaseReservation(StepRun& aRun, const StepSpecification& aStep);
   [[nodiscard]] bool HasTicket(const StepRun& aRun, const WorkerId& aWorker) const;
@@ -350,8 +348,6 @@
   bool isCompactInFlight = false;
   bool isStoreSlow = false;
   TimePoint nextCompact{};
-  /// Jobs whose rows are no longer needed.
-  std::deque<JobId> retired;
 
   std::unordered_map<WorkerId, std::unique_ptr<Worker>> workers;
   std::unordered_map<std::string, Pool> pools;
--- a/Libraries/LibCell/ConductorJobs.cpp
+++ b/Libraries/LibCell/ConductorJobs.cpp
@@ -477,7 +477,6 @@
       return;
     }
     if (job != nullptr) {
-      this->retired.push_back(this->ended.front());
       this->jobs.erase(this->ended.front());
     }
     this->ended.pop_front();
--- a/Libraries/LibCell/ConductorPlacement.cpp
+++ b/Libraries/LibCell/ConductorPlacement.cpp
@@ -450,7 +450,7 @@
     return;
   }
   if (aRun.reservation) {
-    this->StartReserved(aCandidate, aRun, aPool);
+    this->StartReserved(aCandidate, aRun);
     return;
   }
   if (!this->LeavesHeadroom(aCandidate, total, aPool) || !HasRoom(aPool, step)) {
@@ -519,7 +519,7 @@
 }
 
 void
-Conductor::StartReserved(const Candidate& aCandidate, StepRun& aRun, Pool& aPool)
+Conductor::StartReserved(const Candidate& aCandidate, StepRun& aRun)
 {
   const auto& step = aCandidate.job->spec.steps[aCandidate.step];
   std::vector<Worker*> assigned;
@@ -536,7 +536,6 @@
   }
   this->ReleaseReservation(aRun, step);
   this->StartGang(aCandidate, aRun, assigned);
-  (void)aPool;
 }
 
 void
--- a/Libraries/LibCell/Worker.h
+++ b/Libraries/LibCell/Worker.h
@@ -93,7 +93,6 @@
   bool isHoldInFlight = false;
   TimePoint nextHold{};
   TimePoint lastAnswer{};
-  TimePoint silentSince{};
   std::uint32_t holdFailures = 0;
   Resources used;
   Resources reserved;
@@ -105,7 +104,6 @@
   TimePoint avoidUntil{};
   /// Run time over the estimate, smoothed; 1 is the cell's mean.
   double slowness = 1.0;
-  std::uint32_t startsInFlight = 0;
 
   [[nodiscard]] Resources Free() const
   {
