LibCell: Count a step's runs on a worker by what the worker has

Counting by the tasks left out runs on a worker whose tasks have gone elsewhere or that are being stopped.

--- a/Libraries/LibCell/ConductorPlacement.cpp
+++ b/Libraries/LibCell/ConductorPlacement.cpp
@@ -331,10 +331,13 @@
     return;
   }
   const auto eligible = this->EligibleWorkers(aCandidate, aRun, aPool, true);
-  const auto countAt = [&aRun](const Worker& aWorker) {
+  // Runs that are being stopped and those that nobody wants any more are beside the others as well.
+  const auto countAt = [&aCandidate](const Worker& aWorker) {
     return static_cast<std::uint32_t>(
-      std::ranges::count_if(aRun.tasks, [&aWorker](const Task& aTask) {
-        return aTask.phase == TaskPhase::Placed && aTask.worker == aWorker.entry.id;
+      std::ranges::count_if(aWorker.occupants, [&aCandidate](const Occupant& aOccupant) {
+        const auto& key = aOccupant.task.key;
+        return key.step == aCandidate.step && key.occurrence == aCandidate.occurrence &&
+               aOccupant.task.job == aCandidate.job->spec.id;
       }));
   };
   std::uint32_t unplaced = 0;
--- a/Tests/LibCell/TestConductor.cpp
+++ b/Tests/LibCell/TestConductor.cpp
@@ -238,6 +238,29 @@
   EXPECT_EQ(this->workers.starts.size(), 1U);
 }
 
+// The pattern: a worker that was out of reach still lists a run whose task has gone elsewhere.
+TEST_F(ConductorTest, CountsUnwantedRunsOfAStepOnAWorker)
+{
+  this->entries = { this->workers.Add("w1", 4) };
+  this->Begin();
+  auto spec = JobOf("job", 2, 1);
+  spec.steps.front().maxPerWorker = 1;
+  this->Accept(spec);
+  this->Run(Milliseconds{ 100 });
+  ASSERT_EQ(this->workers.starts.size(), 1U);
+  auto& worker = this->workers.At("w1");
+  worker.ignoresStops = true;
+  const TaskName unwanted{ { "job" }, { 0, 0, 0 } };
+  worker.running["other run"] = { .task = unwanted, .run = 1 };
+  this->Run(Milliseconds{ 900 });
+  this->workers.End("w1", this->workers.starts.front().task, EndKind::Succeeded);
+  this->Run(Milliseconds{ 300 });
+  EXPECT_EQ(this->workers.starts.size(), 1U) << "the unwanted run is still there";
+  worker.running.clear();
+  this->Run(Milliseconds{ 2000 });
+  EXPECT_EQ(this->workers.starts.size(), 2U);
+}
+
 TEST_F(ConductorTest, StopsARunThatStandsStill)
 {
   this->entries = { this->workers.Add("w1", 4) };
