--- a/Libraries/LibCell/ConductorPlacement.cpp
+++ b/Libraries/LibCell/ConductorPlacement.cpp
@@ -166,13 +166,18 @@
   if (this->unread.empty()) {
     return;
   }
-  // No more than the workers hold that were not read.
+  // No more than the workers hold that were not read. One whose row is gone counts as the largest.
+  Resources largest;
+  for (const auto& [id, worker] : this->workers) {
+    const auto& capacity = worker->entry.capacity;
+    largest = { .milliCores = std::max(largest.milliCores, capacity.milliCores),
+                .memoryMiB = std::max(largest.memoryMiB, capacity.memoryMiB),
+                .accelerators = std::max(largest.accelerators, capacity.accelerators) };
+  }
   Resources most;
   for (const auto& id : this->unread) {
     const auto worker = this->workers.find(id);
-    if (worker != this->workers.end()) {
-      most += worker->second->entry.capacity;
-    }
+    most += worker != this->workers.end() ? worker->second->entry.capacity : largest;
   }
   for (const auto& id : this->active) {
     const auto& job = this->jobs.at(id);
--- a/Tests/LibCell/TestTakeOver.cpp
+++ b/Tests/LibCell/TestTakeOver.cpp
@@ -132,6 +132,22 @@
   EXPECT_EQ(this->StartsOf("new"), 1U);
 }
 
+TEST_F(TakeOver, CountsWhatMayRunAtAWorkerThatIsNoLongerListed)
+{
+  this->policy.workspaces[{ "team" }].maximum = { .milliCores = 5000 };
+  this->entries = { this->workers.Add("w1", 4) };
+  this->Accept(JobOf("old", 1, 4));
+  this->Begin();
+  this->Run(Milliseconds{ 100 });
+  ASSERT_EQ(this->StartsOf("old"), 1U);
+  this->workers.At("w1").isReachable = false;
+  this->entries = { this->workers.Add("w2", 8) };
+  this->Begin(true, Milliseconds{ 12'400 }, { { "w1" } });
+  this->Accept(JobOf("new", 1, 2));
+  this->Run(Milliseconds{ 3000 });
+  EXPECT_EQ(this->StartsOf("new"), 0U);
+}
+
 TEST_F(TakeOver, IsFencedByASuccessor)
 {
   this->entries = { this->workers.Add("w1", 4) };
