--- a/Libraries/LibCell/ConductorJobs.cpp
+++ b/Libraries/LibCell/ConductorJobs.cpp
@@ -335,13 +335,13 @@
   if (task.phase == TaskPhase::Succeeded) {
     return;
   }
+  if (run.succeeded + 1 == run.tasks.size()) {
+    this->SucceedStep(aJob, aKey.occurrence, aKey.step);
+    return;
+  }
   task.phase = TaskPhase::Succeeded;
   task.checkpoint.clear();
   ++run.succeeded;
-  if (run.succeeded == run.tasks.size()) {
-    --run.succeeded;
-    this->SucceedStep(aJob, aKey.occurrence, aKey.step);
-  }
 }
 
 void
--- a/Libraries/LibCell/ConductorRecords.cpp
+++ b/Libraries/LibCell/ConductorRecords.cpp
@@ -165,8 +165,7 @@
       job->progressVersion = 0;
       continue;
     }
-    const auto& write = aSent.writes[index];
-    if (found->second.key == write.key && found->second.value == write.value) {
+    if (found->second.value == aSent.writes[index].value) {
       // An earlier write of the same was carried out although its answer was lost.
       this->OnProgressDurable(*job, aJobs[index].second, version);
       continue;
--- a/Services/Entry/PlatformProgram.cpp
+++ b/Services/Entry/PlatformProgram.cpp
@@ -1,5 +1,6 @@
 #include "PlatformProgram.h"
 
+#include "ReadFile.h"
 #include "TrafficThreads.h"
 #include <LibBase/BootClock.h>
 #include <LibInstance/CellInstance.h>
@@ -12,8 +13,6 @@
 #include <boost/asio/steady_timer.hpp>
 #include <csignal>
 #include <fmt/format.h>
-#include <fstream>
-#include <iterator>
 #include <platform/AdviceClient.h>
 #include <platform/BootSettings.h>
 #include <platform/CallerInterface.h>
@@ -82,16 +81,6 @@
   return std::chrono::time_point_cast<Milliseconds>(std::chrono::system_clock::now());
 }
 
-std::optional<std::string>
-ReadFile(const std::string& aPath)
-{
-  std::ifstream file(aPath);
-  if (!file) {
-    return {};
-  }
-  return std::string(std::istreambuf_iterator<char>(file), {});
-}
-
 Result<platform::BootSettings>
 LoadBootSettings(const std::string& aPath)
 {
--- a/Services/Entry/main.cpp
+++ b/Services/Entry/main.cpp
@@ -4,6 +4,7 @@
 #include "Entry.h"
 #include "Gateway.h"
 #include "PlatformProgram.h"
+#include "ReadFile.h"
 #include "TrafficThreads.h"
 #include <LibSettings/EntrySettings.h>
 #include <boost/asio/io_context.hpp>
@@ -12,8 +13,6 @@
 #include <cstdlib>
 #include <cxxopts.hpp>
 #include <fmt/format.h>
-#include <fstream>
-#include <iterator>
 #include <unistd.h>
 
 namespace zinc {
@@ -25,16 +24,6 @@
 constexpr int kExitBadSettings = 2;
 constexpr std::string_view kVariablePrefix = "ZINC_ENTRY_";
 
-std::optional<std::string>
-ReadFile(const std::string& aPath)
-{
-  std::ifstream file(aPath);
-  if (!file) {
-    return {};
-  }
-  return std::string(std::istreambuf_iterator<char>(file), {});
-}
-
 int
 ReportFaults(const Faults& aFaults)
 {
