LibCell: Read and write rows with the project's one JSON reader and writer

LibCell had made its own beside LibPlatform's ParseJson and WriteJson. The rows are the same; a row that is nested too deeply is now refused like any other unreadable one.

--- a/Libraries/LibCell/Records.cpp
+++ b/Libraries/LibCell/Records.cpp
@@ -1,5 +1,6 @@
 #include <LibCell/Records.h>
 
+#include <LibPlatform/Json.h>
 #include <algorithm>
 #include <fmt/format.h>
 #include <json/json.h>
@@ -8,45 +9,14 @@
 
 namespace {
 
-std::string
-Write(const Json::Value& aValue)
-{
-  thread_local const std::unique_ptr<Json::StreamWriter> writer = [] {
-    Json::StreamWriterBuilder builder;
-    builder["indentation"] = "";
-    builder["emitUTF8"] = true;
-    return std::unique_ptr<Json::StreamWriter>(builder.newStreamWriter());
-  }();
-  std::ostringstream stream;
-  writer->write(aValue, &stream);
-  return stream.str();
-}
-
-Result<Json::Value>
-Parse(std::string_view aText, std::string_view aWhat)
-{
-  thread_local const std::unique_ptr<Json::CharReader> reader = [] {
-    Json::CharReaderBuilder builder;
-    builder["failIfExtra"] = true;
-    return std::unique_ptr<Json::CharReader>(builder.newCharReader());
-  }();
-  Json::Value value;
-  std::string fault;
-  if (!reader->parse(aText.data(), aText.data() + aText.size(), &value, &fault) ||
-      !value.isObject()) {
-    return NotRun(ErrorCode::BadRequest, fmt::format("The {} row cannot be read.", aWhat));
-  }
-  return value;
-}
-
 /// Decodes with jsoncpp's checked conversions, whose failures are exceptions.
 template<typename T, typename Decode>
 Result<T>
 Decoded(std::string_view aText, std::string_view aWhat, Decode aDecode)
 {
-  const auto parsed = Parse(aText, aWhat);
-  if (IsError(parsed)) {
-    return ErrorOf(parsed);
+  const auto parsed = ParseJson(aText);
+  if (IsError(parsed) || !ValueOf(parsed).isObject()) {
+    return NotRun(ErrorCode::BadRequest, fmt::format("The {} row cannot be read.", aWhat));
   }
   try {
     return aDecode(ValueOf(parsed));
@@ -265,7 +235,7 @@
   value["due"] = Json::Int64(aSpec.firstDue.time_since_epoch().count());
   value["interval"] = Json::Int64(aSpec.interval.count());
   value["received"] = Json::Int64(aSpec.received.time_since_epoch().count());
-  return Write(value);
+  return WriteJson(value);
 }
 
 Result<JobSpecification>
@@ -372,7 +342,7 @@
     entry.append(std::move(runs));
     value["tasks"].append(std::move(entry));
   }
-  return Write(value);
+  return WriteJson(value);
 }
 
 Result<ProgressRecord>
@@ -419,7 +389,7 @@
   for (const auto& [queue, count] : aRecord.waiting) {
     value["waiting"][queue] = Json::UInt64(count);
   }
-  return Write(value);
+  return WriteJson(value);
 }
 
 Result<OwnerRecord>
@@ -454,7 +424,7 @@
   value["incarnation"] = aRecord.incarnation;
   value["milli_cores"] = aRecord.milliCores;
   value["beat"] = Json::UInt64(aRecord.beat);
-  return Write(value);
+  return WriteJson(value);
 }
 
 Result<InstanceRecord>
