--- a/Libraries/LibInstance/CellInstance.cpp
+++ b/Libraries/LibInstance/CellInstance.cpp
@@ -65,30 +65,33 @@
 void
 CellInstance::Start()
 {
-  const auto follow = [this](cell::TableFollowerOptions aOptions,
-                             void (CellInstance::*aOnView)(const cell::TableView&)) {
-    auto follower = std::make_shared<cell::TableFollower>(
-      this->store,
-      this->on.timer,
-      this->on.clock,
-      std::move(aOptions),
-      [this, aOnView](const cell::TableView& aView) { (this->*aOnView)(aView); });
-    follower->Start();
-    return follower;
-  };
-  this->documentFollower = follow({ .table = this->on.layout.documentTable,
-                                    .parts = { "" },
-                                    .wait = this->options.documentWait,
-                                    .reread = this->options.documentReread },
-                                  &CellInstance::OnDocument);
-  this->cellFollower = follow({ .table = std::string(cell::kCellTable),
-                                .parts = { std::string(cell::kCellPart) },
-                                .pause = this->options.cellPause },
-                              &CellInstance::OnCell);
+  this->documentFollower = this->Follow({ .table = this->on.layout.documentTable,
+                                          .parts = { "" },
+                                          .wait = this->options.documentWait,
+                                          .reread = this->options.documentReread },
+                                        &CellInstance::OnDocument);
+  this->cellFollower = this->Follow({ .table = std::string(cell::kCellTable),
+                                      .parts = { std::string(cell::kCellPart) },
+                                      .pause = this->options.cellPause },
+                                    &CellInstance::OnCell);
   this->Beat();
   this->TickLeadership();
 }
 
+std::shared_ptr<cell::TableFollower>
+CellInstance::Follow(cell::TableFollowerOptions aOptions,
+                     void (CellInstance::*aOnView)(const cell::TableView&))
+{
+  auto follower = std::make_shared<cell::TableFollower>(
+    this->store,
+    this->on.timer,
+    this->on.clock,
+    std::move(aOptions),
+    [this, aOnView](const cell::TableView& aView) { (this->*aOnView)(aView); });
+  follower->Start();
+  return follower;
+}
+
 void
 CellInstance::Leave()
 {
@@ -227,22 +230,12 @@
                      { "previous_workers", aTerm.previousWorkers.size() } });
   this->termStart = TermStart{ .term = aTerm };
   this->listedWorkers.clear();
-  this->jobFollower = std::make_shared<cell::TableFollower>(
-    this->store,
-    this->on.timer,
-    this->on.clock,
-    cell::TableFollowerOptions{ .table = std::string(cell::kJobTable),
-                                .parts = AllJobParts(),
-                                .pause = this->options.jobPause },
-    [this](const cell::TableView& aView) { this->OnJobs(aView); });
-  this->workerFollower = std::make_shared<cell::TableFollower>(
-    this->store,
-    this->on.timer,
-    this->on.clock,
-    cell::TableFollowerOptions{ .table = this->on.layout.workerTable, .parts = { "" } },
-    [this](const cell::TableView& aView) { this->OnWorkers(aView); });
-  this->jobFollower->Start();
-  this->workerFollower->Start();
+  this->jobFollower = this->Follow({ .table = std::string(cell::kJobTable),
+                                     .parts = AllJobParts(),
+                                     .pause = this->options.jobPause },
+                                   &CellInstance::OnJobs);
+  this->workerFollower = this->Follow({ .table = this->on.layout.workerTable, .parts = { "" } },
+                                      &CellInstance::OnWorkers);
 }
 
 void
--- a/Libraries/LibInstance/CellInstance.h
+++ b/Libraries/LibInstance/CellInstance.h
@@ -129,6 +129,10 @@
     std::optional<std::vector<cell::WorkerEntry>> workers;
   };
 
+  /// Starts to follow a table; views go to a member.
+  [[nodiscard]] std::shared_ptr<cell::TableFollower> Follow(
+    cell::TableFollowerOptions aOptions,
+    void (CellInstance::*aOnView)(const cell::TableView&));
   void OnDocument(const cell::TableView& aView);
   void OnCell(const cell::TableView& aView);
   void OnPeerRow(const cell::Row& aRow);
