LibCell: Look the store's latencies up once, and drop a call that nobody makes

Each call of the store built the labels of its histogram and looked it up under the registry's lock, which asks its callers to keep the reference. The list of a table's parts is not read anywhere.

--- a/Libraries/LibCell/Ports.h
+++ b/Libraries/LibCell/Ports.h
@@ -112,8 +112,6 @@
                       std::uint64_t aAfter,
                       Milliseconds aWait,
                       Handler<RowBatch> aHandler) = 0;
-  /// Lists the parts of a table.
-  virtual void ListParts(const std::string& aTable, Handler<std::vector<std::string>> aHandler) = 0;
   /// Applies a transaction. A verdict says whether it may still take effect.
   virtual void Commit(Transaction aTransaction, Handler<CommitAnswer> aHandler) = 0;
 };
--- a/Libraries/LibCell/WatchedStore.cpp
+++ b/Libraries/LibCell/WatchedStore.cpp
@@ -2,6 +2,13 @@
 
 namespace zinc::cell {
 
+namespace {
+
+constexpr MetricFamily kLatencies{ .name = "zinc_cell_store_seconds",
+                                   .help = "Calls to the store." };
+
+}
+
 WatchedStore::WatchedStore(StorePort& aStore,
                            const Clock& aClock,
                            const Logger& aLog,
@@ -9,22 +16,27 @@
   : store(aStore)
   , clock(aClock)
   , log(aLog)
-  , metrics(aMetrics)
+  , reads(aMetrics, "read")
+  , feeds(aMetrics, "follow")
+  , commits(aMetrics, "commit")
+{
+}
+
+WatchedStore::Latencies::Latencies(MetricRegistry& aMetrics, const std::string& aCall)
+  : served(aMetrics.FindHistogram(kLatencies, { { "call", aCall }, { "outcome", "served" } }))
+  , failed(aMetrics.FindHistogram(kLatencies, { { "call", aCall }, { "outcome", "failed" } }))
 {
 }
 
 template<typename T>
 Handler<T>
-WatchedStore::Watch(std::string_view aCall, Handler<T> aHandler)
+WatchedStore::Watch(Latencies& aLatencies, Handler<T> aHandler)
 {
   const auto sent = this->clock.Now();
-  return [this, call = std::string(aCall), sent, handler = std::move(aHandler)](Result<T> aResult) {
+  return [this, &aLatencies, sent, handler = std::move(aHandler)](Result<T> aResult) {
     // An answer that history was dropped is an answer.
     const bool isServed = !IsError(aResult) || ErrorOf(aResult).code == ErrorCode::StaleVersion;
-    const auto outcome = isServed ? "served" : "failed";
-    this->metrics
-      .FindHistogram({ .name = "zinc_cell_store_seconds", .help = "Calls to the store." },
-                     { { "call", call }, { "outcome", outcome } })
+    (isServed ? aLatencies.served : aLatencies.failed)
       .Record(std::chrono::duration<double>(this->clock.Now() - sent).count());
     if (isServed) {
       this->OnAnswer();
@@ -62,7 +74,7 @@
 void
 WatchedStore::Read(const RowRange& aRange, Handler<RowBatch> aHandler)
 {
-  this->store.Read(aRange, this->Watch("read", std::move(aHandler)));
+  this->store.Read(aRange, this->Watch(this->reads, std::move(aHandler)));
 }
 
 void
@@ -71,19 +83,13 @@
                      Milliseconds aWait,
                      Handler<RowBatch> aHandler)
 {
-  this->store.Follow(aTable, aAfter, aWait, this->Watch("follow", std::move(aHandler)));
-}
-
-void
-WatchedStore::ListParts(const std::string& aTable, Handler<std::vector<std::string>> aHandler)
-{
-  this->store.ListParts(aTable, this->Watch("parts", std::move(aHandler)));
+  this->store.Follow(aTable, aAfter, aWait, this->Watch(this->feeds, std::move(aHandler)));
 }
 
 void
 WatchedStore::Commit(Transaction aTransaction, Handler<CommitAnswer> aHandler)
 {
-  this->store.Commit(std::move(aTransaction), this->Watch("commit", std::move(aHandler)));
+  this->store.Commit(std::move(aTransaction), this->Watch(this->commits, std::move(aHandler)));
 }
 
 }
--- a/Libraries/LibCell/WatchedStore.h
+++ b/Libraries/LibCell/WatchedStore.h
@@ -6,6 +6,7 @@
 #include <LibCell/Ports.h>
 #include <LibLog/Logger.h>
 #include <LibMetrics/MetricRegistry.h>
+#include <string>
 
 namespace zinc::cell {
 
@@ -23,7 +24,6 @@
               std::uint64_t aAfter,
               Milliseconds aWait,
               Handler<RowBatch> aHandler) override;
-  void ListParts(const std::string& aTable, Handler<std::vector<std::string>> aHandler) override;
   void Commit(Transaction aTransaction, Handler<CommitAnswer> aHandler) override;
 
   /// @return false after several calls in a row that the store did not serve.
@@ -34,15 +34,26 @@
   /// Calls in a row after which the store is taken to be away: one may be lost by itself.
   static constexpr std::uint32_t kFailuresToDoubt = 2;
 
+  /// Latencies of one kind of call; looked up once, since calls are frequent.
+  struct Latencies
+  {
+    Latencies(MetricRegistry& aMetrics, const std::string& aCall);
+
+    Histogram& served;
+    Histogram& failed;
+  };
+
   template<typename T>
-  [[nodiscard]] Handler<T> Watch(std::string_view aCall, Handler<T> aHandler);
+  [[nodiscard]] Handler<T> Watch(Latencies& aLatencies, Handler<T> aHandler);
   void OnAnswer();
   void OnFailure(const Verdict& aVerdict);
 
   StorePort& store;
   const Clock& clock;
   const Logger& log;
-  MetricRegistry& metrics;
+  Latencies reads;
+  Latencies feeds;
+  Latencies commits;
   std::uint32_t failures = 0;
   TimePoint lastAnswer{};
 };
--- a/Tests/LibCell/MemoryStore.cpp
+++ b/Tests/LibCell/MemoryStore.cpp
@@ -46,18 +46,6 @@
   aHandler(std::move(batch));
 }
 
-void
-MemoryStore::ListParts(const std::string& aTable, Handler<std::vector<std::string>> aHandler)
-{
-  std::vector<std::string> parts;
-  for (const auto& [key, row] : this->rows) {
-    if (key.table == aTable && (parts.empty() || parts.back() != key.part)) {
-      parts.push_back(key.part);
-    }
-  }
-  aHandler(std::move(parts));
-}
-
 void
 MemoryStore::Commit(Transaction aTransaction, Handler<CommitAnswer> aHandler)
 {
--- a/Tests/LibCell/MemoryStore.h
+++ b/Tests/LibCell/MemoryStore.h
@@ -28,7 +28,6 @@
               std::uint64_t aAfter,
               Milliseconds aWait,
               Handler<RowBatch> aHandler) override;
-  void ListParts(const std::string& aTable, Handler<std::vector<std::string>> aHandler) override;
   void Commit(Transaction aTransaction, Handler<CommitAnswer> aHandler) override;
 
   /// Writes a row as another party would.
