Entry: Say of a repeated submission that it may have run while the instance starts

Cause: the instance that took the place of the one shut down refuses submissions until it knows the document. That refusal alone did not pass through VerdictForRequest, which turns 'not run' into 'may have run' where the caller had asked before. Ruled out: the other refusals of a submission, all of which pass through it.

Test: an instance none of whose dependencies can be reached answers a repeated submission; it said 'not run' before and says 'may have run' now.

--- a/Services/Entry/Gateway.cpp
+++ b/Services/Entry/Gateway.cpp
@@ -217,8 +217,9 @@
 Gateway::AdmitJob(Exchange aExchange, Submission aSubmission)
 {
   if (this->entry.Stage() == LifeStage::Starting) {
-    aExchange.respond(ErrorResponse(NotRun(
-      ErrorCode::Unavailable, "The instance does not know the document yet.", kStartingRetry)));
+    const auto starting = NotRun(
+      ErrorCode::Unavailable, "The instance does not know the document yet.", kStartingRetry);
+    aExchange.respond(ErrorResponse(VerdictForRequest(starting, aSubmission)));
     return;
   }
   const auto queue =
