--- a/Tests/StandIns/HttpServer.h
+++ b/Tests/StandIns/HttpServer.h
@@ -3,11 +3,13 @@
 /// @file
 /// The HTTP server of the stand-ins, with the faults of a server built in.
 
+#include <LibBase/Time.h>
 #include <LibBase/Verdict.h>
 #include <LibPlatform/InstanceList.h>
 #include <LibPlatform/Url.h>
 #include <functional>
 #include <json/forwards.h>
+#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -32,7 +34,11 @@
   std::string method;
   Target target;
   std::string userAgent;
+  /// Header fields by their names as they came.
+  std::map<std::string, std::string> headers;
   std::string body;
+  /// When it arrived, however long it is kept waiting.
+  TimePoint receivedAt = SteadyClock().Now();
 };
 
 using HttpCallPointer = std::shared_ptr<HttpCall>;
--- a/Tests/System/ChildProcess.cpp
+++ b/Tests/System/ChildProcess.cpp
@@ -20,12 +20,14 @@
 
 /// Runs in the new process; calls only what is safe between fork and exec.
 [[noreturn]] void
-BecomeProgram(const char* aProgram, char* const* aArguments, int aLog)
+BecomeProgram(const char* aProgram, char* const* aArguments, char* const* aEnvironment, int aLog)
 {
   ::prctl(PR_SET_PDEATHSIG, SIGKILL);
   ::dup2(aLog, STDOUT_FILENO);
   ::dup2(aLog, STDERR_FILENO);
-  ::execv(aProgram, aArguments);
+  // Sockets of this process would otherwise stay open in the new one after they are closed here.
+  ::close_range(STDERR_FILENO + 1, ~0U, 0);
+  ::execve(aProgram, aArguments, aEnvironment);
   ::_exit(kExecFailed);
 }
 
@@ -41,6 +43,15 @@
     arguments.push_back(word.data());
   }
   arguments.push_back(nullptr);
+  std::vector<std::string> variables = aOptions.environment;
+  std::vector<char*> environment;
+  for (std::string& variable : variables) {
+    environment.push_back(variable.data());
+  }
+  for (char** variable = environ; *variable != nullptr; ++variable) {
+    environment.push_back(*variable);
+  }
+  environment.push_back(nullptr);
   constexpr int kLogMode = 0644;
   const int log =
     ::open(aOptions.logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, kLogMode);
@@ -49,7 +60,7 @@
   }
   const pid_t process = ::fork();
   if (process == 0) {
-    BecomeProgram(aOptions.program.c_str(), arguments.data(), log);
+    BecomeProgram(aOptions.program.c_str(), arguments.data(), environment.data(), log);
   }
   ::close(log);
   if (process < 0) {
--- a/Tests/System/ChildProcess.h
+++ b/Tests/System/ChildProcess.h
@@ -18,6 +18,8 @@
   /// Path of the program.
   std::string program;
   std::vector<std::string> arguments;
+  /// Variables besides those of this process, as NAME=value.
+  std::vector<std::string> environment;
   /// Standard output and standard error are appended to this file.
   std::string logFile;
 };
