LibInstance: Have a peer answer callers while the store turns this instance away

Cause: the store (or the network before it) often turns some instances away and serves the others.

An instance whose store does not answer asks four peers each 400 ms whether theirs does, and passes callers' requests on to those that said so. The peer admits and answers them itself, with its own document; a request is passed on once. A peer that did nothing is followed by another one; one that may have done something ends in 504. With no peer at hand callers are refused at once, as before. A call without an answer for 500 ms counts as away, since a silent store is noticed only after 1.2 s otherwise.

--- a/Libraries/LibCell/WatchedStore.cpp
+++ b/Libraries/LibCell/WatchedStore.cpp
@@ -47,6 +47,25 @@
   };
 }
 
+template<typename T>
+Handler<T>
+WatchedStore::WatchPrompt(Latencies& aLatencies, Handler<T> aHandler)
+{
+  const auto sent = this->open.insert(this->clock.Now());
+  return this->Watch(aLatencies,
+                     Handler<T>([this, sent, handler = std::move(aHandler)](Result<T> aResult) {
+                       this->open.erase(sent);
+                       handler(std::move(aResult));
+                     }));
+}
+
+bool
+WatchedStore::IsPrompt() const
+{
+  const bool waitsLong = !this->open.empty() && this->clock.Now() - *this->open.begin() > kPatience;
+  return this->IsServing() && !waitsLong;
+}
+
 void
 WatchedStore::OnAnswer()
 {
@@ -74,7 +93,7 @@
 void
 WatchedStore::Read(const RowRange& aRange, Handler<RowBatch> aHandler)
 {
-  this->store.Read(aRange, this->Watch(this->reads, std::move(aHandler)));
+  this->store.Read(aRange, this->WatchPrompt(this->reads, std::move(aHandler)));
 }
 
 void
@@ -89,7 +108,8 @@
 void
 WatchedStore::Commit(Transaction aTransaction, Handler<CommitAnswer> aHandler)
 {
-  this->store.Commit(std::move(aTransaction), this->Watch(this->commits, std::move(aHandler)));
+  this->store.Commit(std::move(aTransaction),
+                     this->WatchPrompt(this->commits, std::move(aHandler)));
 }
 
 }
--- a/Libraries/LibCell/WatchedStore.h
+++ b/Libraries/LibCell/WatchedStore.h
@@ -6,6 +6,7 @@
 #include <LibCell/Ports.h>
 #include <LibLog/Logger.h>
 #include <LibMetrics/MetricRegistry.h>
+#include <set>
 #include <string>
 
 namespace zinc::cell {
@@ -28,11 +29,15 @@
 
   /// @return false after several calls in a row that the store did not serve.
   [[nodiscard]] bool IsServing() const { return this->failures < kFailuresToDoubt; }
+  /// @return true if the store serves and no call but a feed has waited long for its answer.
+  [[nodiscard]] bool IsPrompt() const;
   [[nodiscard]] TimePoint LastAnswer() const { return this->lastAnswer; }
 
 private:
   /// Calls in a row after which the store is taken to be away: one may be lost by itself.
   static constexpr std::uint32_t kFailuresToDoubt = 2;
+  /// Wait after which an answer is not expected soon; a slow store takes up to 250 ms for a call.
+  static constexpr Milliseconds kPatience{ 500 };
 
   /// Latencies of one kind of call; looked up once, since calls are frequent.
   struct Latencies
@@ -45,6 +50,9 @@
 
   template<typename T>
   [[nodiscard]] Handler<T> Watch(Latencies& aLatencies, Handler<T> aHandler);
+  /// As @ref Watch, for calls that the store answers at once.
+  template<typename T>
+  [[nodiscard]] Handler<T> WatchPrompt(Latencies& aLatencies, Handler<T> aHandler);
   void OnAnswer();
   void OnFailure(const Verdict& aVerdict);
 
@@ -56,6 +64,8 @@
   Latencies commits;
   std::uint32_t failures = 0;
   TimePoint lastAnswer{};
+  /// When the calls were sent that have no answer yet, without feeds.
+  std::multiset<TimePoint> open;
 };
 
 }
--- /dev/null
+++ b/Libraries/LibInstance/CallRelay.h
@@ -0,0 +1,66 @@
+#pragma once
+
+/// @file
+/// Passes callers' requests on to an instance that reaches the store while this one does not.
+
+#include <LibBase/Verdict.h>
+#include <LibCell/Timer.h>
+#include <LibInstance/ReachablePeers.h>
+#include <LibLog/Logger.h>
+#include <LibTraffic/HttpServer.h>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace zinc {
+
+/// Lives on the control thread. A request is passed on once: the peer answers it itself.
+class CallRelay
+{
+public:
+  struct Dependencies
+  {
+    cell::TimerPort& timer;
+    const Clock& clock;
+    const Logger& log;
+    /// @return whether the store answers this instance.
+    std::function<bool()> reachesStore;
+    /// @return the names of all other instances.
+    std::function<std::vector<std::string>()> peers;
+    /// Asks a peer whether the store answers it.
+    std::function<void(const std::string&, std::function<void(Result<bool>)>)> ask;
+    /// Has a peer answer a request.
+    std::function<void(const std::string&,
+                       const IncomingRequest&,
+                       std::function<void(Result<OutgoingResponse>)>)>
+      pass;
+    /// Answers a request here.
+    std::function<void(const IncomingRequest&, Respond)> answer;
+  };
+
+  CallRelay(Dependencies aDependencies, std::uint64_t aSeed);
+
+  /// Begins to look for peers whenever the store is away.
+  void Start();
+
+  /// Answers a request here, or has a peer answer it.
+  void Handle(const IncomingRequest& aRequest, Respond aRespond);
+
+private:
+  void Tick();
+  void PassOn(const std::shared_ptr<const IncomingRequest>& aRequest,
+              Respond aRespond,
+              std::uint32_t aTries);
+  void OnPassed(const std::shared_ptr<const IncomingRequest>& aRequest,
+                Respond aRespond,
+                std::uint32_t aTries,
+                const std::string& aPeer,
+                Result<OutgoingResponse> aAnswer);
+
+  Dependencies on;
+  ReachablePeers reachable;
+  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+};
+
+}
--- a/Libraries/LibInstance/CellInstance.cpp
+++ b/Libraries/LibInstance/CellInstance.cpp
@@ -412,6 +412,18 @@
            .isRecovering = this->conductor->IsRecovering() };
 }
 
+std::map<std::string, Endpoint>
+CellInstance::Peers() const
+{
+  std::map<std::string, Endpoint> others;
+  for (const auto& [name, peer] : this->peers) {
+    if (name != this->options.identity.name) {
+      others[name] = peer.endpoint;
+    }
+  }
+  return others;
+}
+
 std::optional<cell::JobStatus>
 CellInstance::ConductorStatus(const JobId& aJob) const
 {
--- a/Libraries/LibInstance/CellInstance.h
+++ b/Libraries/LibInstance/CellInstance.h
@@ -92,6 +92,11 @@
   /// Reports not ready and hands over the term.
   void Leave();
 
+  /// @return whether the store answers this instance, and soon.
+  [[nodiscard]] bool ReachesStore() const { return this->store.IsPrompt(); }
+  /// @return the other instances with their addresses, as the store last told.
+  [[nodiscard]] std::map<std::string, Endpoint> Peers() const;
+
   /// @return a job's state if this instance is the conductor.
   [[nodiscard]] std::optional<cell::JobStatus> ConductorStatus(const JobId& aJob) const;
 
--- a/Libraries/LibInstanceCalls/InstanceCalls.cpp
+++ b/Libraries/LibInstanceCalls/InstanceCalls.cpp
@@ -11,11 +11,18 @@
 
 constexpr std::string_view kAdvisePath = "/instance/advise";
 constexpr std::string_view kStatusPath = "/instance/status";
+constexpr std::string_view kReachPath = "/instance/reach";
+constexpr std::string_view kCallPath = "/instance/call";
 constexpr unsigned kNotConductor = 409;
 constexpr std::size_t kTextLimit = 512;
 constexpr std::int64_t kNumberLimit = 1'000'000;
 /// Time that an instance's own call to the policy service may wait behind another one.
 constexpr Milliseconds kAdviceAllowance{ 700 };
+/// Time that the other instance may take for a caller's request: two calls to a store that is slow.
+constexpr Milliseconds kCallAllowance{ 1500 };
+constexpr std::size_t kCallerTextLimit = 4096;
+constexpr std::size_t kCallerBodyLimit = 4 << 20;
+constexpr std::int64_t kStatusLimit = 599;
 
 std::string
 EncodeQuestion(const cell::AdviceQuestion& aQuestion)
@@ -113,6 +120,86 @@
   return status;
 }
 
+std::string
+EncodeCall(const IncomingRequest& aRequest)
+{
+  Json::Value value(Json::objectValue);
+  value["method"] = static_cast<std::uint32_t>(aRequest.method);
+  value["path"] = aRequest.path;
+  value["host"] = aRequest.host;
+  value["bearer"] = aRequest.bearer;
+  value["body"] = aRequest.body;
+  return WriteJson(value);
+}
+
+Result<IncomingRequest>
+DecodeCall(const IncomingRequest& aRequest)
+{
+  const auto parsed = ParseJson(aRequest.body);
+  if (IsError(parsed)) {
+    return ErrorOf(parsed);
+  }
+  JsonFields fields(ValueOf(parsed), "call");
+  IncomingRequest call{ .path = fields.Text("path", kCallerTextLimit),
+                        .bearer = fields.OptionalText("bearer", kCallerTextLimit),
+                        .host = fields.OptionalText("host", kCallerTextLimit),
+                        .body = fields.OptionalText("body", kCallerBodyLimit),
+                        .received = aRequest.received };
+  call.method = static_cast<RequestMethod>(
+    fields.Integer("method", 0, static_cast<std::int64_t>(RequestMethod::Delete)));
+  if (fields.Fault()) {
+    return *fields.Fault();
+  }
+  return call;
+}
+
+std::string
+EncodeResponse(const OutgoingResponse& aResponse)
+{
+  Json::Value value(Json::objectValue);
+  value["status"] = aResponse.status;
+  value["body"] = aResponse.body;
+  if (aResponse.retryAfter) {
+    value["retry_after_ms"] = Json::Int64(aResponse.retryAfter->count());
+  }
+  return WriteJson(value);
+}
+
+Result<OutgoingResponse>
+DecodeResponse(const Json::Value& aValue)
+{
+  JsonFields fields(aValue, "response");
+  OutgoingResponse response;
+  response.status = static_cast<unsigned>(fields.Integer("status", 0, kStatusLimit));
+  response.body = fields.OptionalText("body", kCallerBodyLimit);
+  if (const auto retryAfter = fields.OptionalInteger("retry_after_ms")) {
+    response.retryAfter = Milliseconds(*retryAfter);
+  }
+  if (fields.Fault()) {
+    return *fields.Fault();
+  }
+  return response;
+}
+
+Result<bool>
+DecodeReach(const Json::Value& aValue)
+{
+  JsonFields fields(aValue, "reach");
+  const bool reachesStore = fields.Boolean("store");
+  return fields.Fault() ? Result<bool>(*fields.Fault()) : reachesStore;
+}
+
+/// @return a reply's content, or the verdict that it carries.
+template<typename T>
+Result<T>
+DecodeAny(const HttpReply& aReply, Result<T> (*aDecode)(const Json::Value&))
+{
+  if (!detail::IsSuccess(aReply)) {
+    return detail::VerdictOf(aReply);
+  }
+  return detail::DecodeReply<T>(aReply, aDecode);
+}
+
 }
 
 InstanceCallServer::InstanceCallServer(Handlers aHandlers)
@@ -127,6 +214,14 @@
     this->Advise(aRequest, std::move(aRespond));
     return;
   }
+  if (aRequest.path == kCallPath) {
+    this->Call(aRequest, std::move(aRespond));
+    return;
+  }
+  if (aRequest.path == kReachPath) {
+    this->Reach(aRequest, aRespond);
+    return;
+  }
   if (aRequest.path == kStatusPath) {
     this->Status(aRequest, aRespond);
     return;
@@ -164,6 +259,27 @@
   aRespond({ .body = EncodeStatus(*status) });
 }
 
+void
+InstanceCallServer::Reach(const IncomingRequest&, const Respond& aRespond)
+{
+  Json::Value value(Json::objectValue);
+  value["store"] = this->on.reachesStore();
+  aRespond({ .body = WriteJson(value) });
+}
+
+void
+InstanceCallServer::Call(const IncomingRequest& aRequest, Respond aRespond)
+{
+  const auto call = DecodeCall(aRequest);
+  if (IsError(call)) {
+    aRespond(ErrorResponse(ErrorOf(call)));
+    return;
+  }
+  this->on.call(ValueOf(call), [respond = std::move(aRespond)](const OutgoingResponse& aResponse) {
+    respond({ .body = EncodeResponse(aResponse) });
+  });
+}
+
 InstanceCallClient::InstanceCallClient(HttpOptions aOptions)
   : options(std::move(aOptions))
 {
@@ -203,12 +319,7 @@
                           .body = body };
     },
     aQuestion.expected + kAdviceAllowance,
-    [](HttpReply aReply) -> Result<cell::AdviceAnswer> {
-      if (!detail::IsSuccess(aReply)) {
-        return detail::VerdictOf(aReply);
-      }
-      return detail::DecodeReply<cell::AdviceAnswer>(aReply, &DecodeAnswer);
-    },
+    [](HttpReply aReply) { return DecodeAny<cell::AdviceAnswer>(aReply, &DecodeAnswer); },
     std::move(aHandler));
 }
 
@@ -232,11 +343,46 @@
       if (aReply.status == kNotConductor) {
         return NotRun(ErrorCode::StaleTerm, "The instance is not the conductor.");
       }
-      if (!detail::IsSuccess(aReply)) {
-        return detail::VerdictOf(aReply);
-      }
-      return detail::DecodeReply<cell::JobStatus>(aReply, &DecodeStatus);
+      return DecodeAny<cell::JobStatus>(aReply, &DecodeStatus);
+    },
+    std::move(aHandler));
+}
+
+void
+InstanceCallClient::AskReach(const Endpoint& aInstance, cell::Handler<bool> aHandler)
+{
+  const auto client = this->ClientOf(aInstance);
+  if (IsError(client)) {
+    aHandler(ErrorOf(client));
+    return;
+  }
+  detail::Exchange<bool>(
+    ValueOf(client),
+    [] { return HttpRequest{ .method = HttpMethod::Get, .target = std::string(kReachPath) }; },
+    Milliseconds{ 0 },
+    [](HttpReply aReply) { return DecodeAny<bool>(aReply, &DecodeReach); },
+    std::move(aHandler));
+}
+
+void
+InstanceCallClient::PassOn(const Endpoint& aInstance,
+                           const IncomingRequest& aRequest,
+                           cell::Handler<OutgoingResponse> aHandler)
+{
+  const auto client = this->ClientOf(aInstance);
+  if (IsError(client)) {
+    aHandler(ErrorOf(client));
+    return;
+  }
+  detail::Exchange<OutgoingResponse>(
+    ValueOf(client),
+    [body = EncodeCall(aRequest)] {
+      return HttpRequest{ .method = HttpMethod::Post,
+                          .target = std::string(kCallPath),
+                          .body = body };
     },
+    kCallAllowance,
+    [](HttpReply aReply) { return DecodeAny<OutgoingResponse>(aReply, &DecodeResponse); },
     std::move(aHandler));
 }
 
--- a/Libraries/LibInstanceCalls/InstanceCalls.h
+++ b/Libraries/LibInstanceCalls/InstanceCalls.h
@@ -2,7 +2,8 @@
 
 /// @file
 /// The protocol between the instances: the conductor has another instance ask the policy service,
-/// and any instance asks the conductor for a job's state.
+/// any instance asks the conductor for a job's state, and one that does not reach the store has
+/// another one answer its callers.
 
 #include <LibCell/Conductor.h>
 #include <LibCell/Ports.h>
@@ -24,6 +25,10 @@
     std::function<void(const cell::AdviceQuestion&, cell::Handler<cell::AdviceAnswer>)> advise;
     /// @return nothing if this instance is not the conductor.
     std::function<std::optional<cell::JobStatus>(const JobId&)> status;
+    /// @return whether the store answers this instance.
+    std::function<bool()> reachesStore;
+    /// Answers a caller's request that came through another instance.
+    std::function<void(const IncomingRequest&, Respond)> call;
   };
 
   explicit InstanceCallServer(Handlers aHandlers);
@@ -34,6 +39,8 @@
 private:
   void Advise(const IncomingRequest& aRequest, Respond aRespond);
   void Status(const IncomingRequest& aRequest, const Respond& aRespond);
+  void Reach(const IncomingRequest& aRequest, const Respond& aRespond);
+  void Call(const IncomingRequest& aRequest, Respond aRespond);
 
   Handlers on;
 };
@@ -51,6 +58,12 @@
   void Status(const Endpoint& aInstance,
               const JobId& aJob,
               cell::Handler<cell::JobStatus> aHandler);
+  /// Asks whether the store answers the instance.
+  void AskReach(const Endpoint& aInstance, cell::Handler<bool> aHandler);
+  /// Has the instance answer a caller's request.
+  void PassOn(const Endpoint& aInstance,
+              const IncomingRequest& aRequest,
+              cell::Handler<OutgoingResponse> aHandler);
 
 private:
   [[nodiscard]] Result<std::shared_ptr<HttpClient>> ClientOf(const Endpoint& aInstance);
--- a/Services/Entry/PlatformProgram.cpp
+++ b/Services/Entry/PlatformProgram.cpp
@@ -3,6 +3,7 @@
 #include "ReadFile.h"
 #include "TrafficThreads.h"
 #include <LibBase/BootClock.h>
+#include <LibInstance/CallRelay.h>
 #include <LibInstance/CellInstance.h>
 #include <LibInstanceCalls/InstanceCalls.h>
 #include <LibLog/LineWriter.h>
@@ -115,6 +116,7 @@
   }
   [[nodiscard]] Result<Done> MakeClients();
   void MakeInstance();
+  void MakeRelay(std::uint64_t aSeed);
   [[nodiscard]] Result<Done> OpenServers();
   [[nodiscard]] Result<std::shared_ptr<HttpServer>> Open(
     const Endpoint& aEndpoint,
@@ -142,6 +144,7 @@
   std::unique_ptr<CellInstance> instance;
   std::unique_ptr<platform::CallerInterface> callers;
   std::unique_ptr<InstanceCallServer> callServer;
+  std::unique_ptr<CallRelay> relay;
   std::vector<std::shared_ptr<HttpServer>> servers;
   std::unique_ptr<boost::asio::signal_set> signals;
   std::optional<TimePoint> leavingSince;
@@ -233,7 +236,45 @@
       [this](const cell::AdviceQuestion& aQuestion, cell::Handler<cell::AdviceAnswer> aHandler) {
         this->instance->Ask(this->boot.instance, aQuestion, std::move(aHandler));
       },
-    .status = [this](const JobId& aJob) { return this->instance->ConductorStatus(aJob); } });
+    .status = [this](const JobId& aJob) { return this->instance->ConductorStatus(aJob); },
+    .reachesStore = [this] { return this->instance->ReachesStore(); },
+    .call = [this](const IncomingRequest& aRequest,
+                   Respond aRespond) { this->callers->Handle(aRequest, std::move(aRespond)); } });
+  this->MakeRelay(random());
+}
+
+void
+PlatformProgram::MakeRelay(std::uint64_t aSeed)
+{
+  this->relay = std::make_unique<CallRelay>(
+    CallRelay::Dependencies{
+      .timer = this->timer,
+      .clock = this->clock,
+      .log = this->log,
+      .reachesStore = [this] { return this->instance->ReachesStore(); },
+      .peers =
+        [this] {
+          std::vector<std::string> names;
+          for (const auto& [name, endpoint] : this->instance->Peers()) {
+            names.push_back(name);
+          }
+          return names;
+        },
+      .ask =
+        [this](const std::string& aPeer, std::function<void(Result<bool>)> aHandler) {
+          this->calls->AskReach(this->instance->Peers()[aPeer], std::move(aHandler));
+        },
+      .pass =
+        [this](const std::string& aPeer,
+               const IncomingRequest& aRequest,
+               std::function<void(Result<OutgoingResponse>)> aHandler) {
+          this->calls->PassOn(this->instance->Peers()[aPeer], aRequest, std::move(aHandler));
+        },
+      .answer =
+        [this](const IncomingRequest& aRequest, Respond aRespond) {
+          this->callers->Handle(aRequest, std::move(aRespond));
+        } },
+    aSeed);
 }
 
 Result<std::shared_ptr<HttpServer>>
@@ -266,7 +307,7 @@
       } },
     { this->boot.callers,
       [this](const IncomingRequest& aRequest, Respond aRespond) {
-        this->callers->Handle(aRequest, std::move(aRespond));
+        this->relay->Handle(aRequest, std::move(aRespond));
       } },
   };
   if (this->options.metricsPort != 0) {
@@ -392,6 +433,7 @@
                   { "threads", this->options.trafficThreads } });
   const TrafficThreads threads(this->traffic, this->options.trafficThreads);
   this->instance->Start();
+  this->relay->Start();
   this->FlushLog();
   this->control.run();
   return kExitOk;
--- /dev/null
+++ b/Tests/Platform/TestInstanceCalls.cpp
@@ -0,0 +1,89 @@
+#include "ScriptedPeer.h"
+
+#include <LibInstanceCalls/InstanceCalls.h>
+#include <gtest/gtest.h>
+#include <json/json.h>
+
+namespace zinc::platform::test {
+
+namespace {
+
+constexpr unsigned kBusy = 429;
+
+/// The two ends of the protocol between instances, on a socket.
+class InstanceCallTest : public AdapterFixture
+{
+protected:
+  InstanceCallTest()
+    : server({ .reachesStore = [this] { return this->reachesStore; },
+               .call =
+                 [this](const IncomingRequest& aRequest, const Respond& aRespond) {
+                   this->received = aRequest;
+                   aRespond({ .status = kBusy,
+                              .body = R"({"error":"full"})",
+                              .retryAfter = Milliseconds{ 700 } });
+                 } })
+    , peer([this](const ReceivedRequest& aRequest) { return this->Answer(aRequest); })
+    , client(this->OptionsFor(this->peer))
+    , endpoint{ "127.0.0.1", this->peer.Port() }
+  {
+  }
+
+  ScriptedPeer::Reply Answer(const ReceivedRequest& aRequest)
+  {
+    ScriptedPeer::Reply reply;
+    this->server.Handle({ .path = aRequest.target, .body = aRequest.body },
+                        [&reply](const OutgoingResponse& aResponse) {
+                          reply = { .status = aResponse.status, .body = aResponse.body };
+                        });
+    return reply;
+  }
+
+  bool reachesStore = false;
+  IncomingRequest received;
+  InstanceCallServer server;
+  ScriptedPeer peer;
+  InstanceCallClient client;
+  Endpoint endpoint;
+};
+
+}
+
+TEST_F(InstanceCallTest, TellsWhetherTheStoreAnswers)
+{
+  for (const bool reaches : { false, true }) {
+    this->reachesStore = reaches;
+    const auto answer = this->Await<bool>(
+      [&](auto aHandler) { this->client.AskReach(this->endpoint, std::move(aHandler)); });
+    ASSERT_FALSE(IsError(answer));
+    EXPECT_EQ(ValueOf(answer), reaches);
+  }
+}
+
+TEST_F(InstanceCallTest, CarriesARequestAndItsAnswerWhole)
+{
+  const IncomingRequest request{ .method = RequestMethod::Delete,
+                                 .path = "/queue/00ff",
+                                 .bearer = "key-1",
+                                 .host = "jobs.example",
+                                 .body = R"({"text":"\u00e4"})" };
+  const auto answer = this->Await<OutgoingResponse>(
+    [&](auto aHandler) { this->client.PassOn(this->endpoint, request, std::move(aHandler)); });
+  ASSERT_FALSE(IsError(answer));
+  EXPECT_EQ(ValueOf(answer).status, kBusy);
+  EXPECT_EQ(ValueOf(answer).body, R"({"error":"full"})");
+  EXPECT_EQ(ValueOf(answer).retryAfter, Milliseconds{ 700 });
+  EXPECT_EQ(this->received.method, request.method);
+  EXPECT_EQ(this->received.path, request.path);
+  EXPECT_EQ(this->received.bearer, request.bearer);
+  EXPECT_EQ(this->received.host, request.host);
+  EXPECT_EQ(this->received.body, request.body);
+}
+
+TEST_F(InstanceCallTest, RefusesACallThatCannotBeRead)
+{
+  EXPECT_EQ(this->Answer({ .method = "POST", .target = "/instance/call", .body = "{}" }).status,
+            400U);
+}
+
+}
