LibCell: Let a conductor that loses the store hand over through a peer

A conductor without an answer of the store for 700 ms asks the largest peers whether the store answers them. A peer that asked the store anew and got an answer is told that the term is over, with the workers that may hold runs, and takes the row at once; the conductor has stopped before it says so. The word names the term's token, so that a late one means nothing. Where no peer reaches the store the conductor goes on, as before.

Tests: a resignation takes effect at once with its workers; a late one does not; the protocol between instances carries it.

--- a/Libraries/LibCell/Leadership.cpp
+++ b/Libraries/LibCell/Leadership.cpp
@@ -80,7 +80,8 @@
   if (!this->owner) {
     return true;
   }
-  if (this->owner->isLeaving || this->owner->instance == this->identity.name) {
+  if (this->owner->isLeaving || this->owner->instance == this->identity.name ||
+      this->HasOwnerResigned()) {
     return true;
   }
   const auto found = this->instances.find(this->owner->instance);
@@ -89,6 +90,13 @@
          found->second.version > this->version;
 }
 
+bool
+Leadership::HasOwnerResigned() const
+{
+  return this->owner && this->resigned && this->resigned->token != 0 &&
+         this->owner->token == this->resigned->token;
+}
+
 bool
 Leadership::IsOwnerGone(std::optional<TimePoint> aLastRead) const
 {
@@ -144,11 +152,35 @@
   }
   // The rows of the others are in the store already if there was an owner before.
   const bool isNew = !this->owner && now - this->created < this->options.firstTake;
-  if (!isNew && now - this->goneSince >= this->options.stagger * this->Rank()) {
+  // Nobody else knows of a resignation, so that there is nobody to wait for.
+  const std::size_t rank = this->HasOwnerResigned() ? 0 : this->Rank();
+  if (!isNew && now - this->goneSince >= this->options.stagger * rank) {
     this->Take();
   }
 }
 
+std::optional<Resignation>
+Leadership::Resign()
+{
+  if (this->state != State::Owner) {
+    return {};
+  }
+  Resignation resignation{ .token = this->token, .workers = this->on.news().workers };
+  this->Lose("resigned without the store");
+  return resignation;
+}
+
+void
+Leadership::OnResigned(Resignation aResignation)
+{
+  this->on.log.Log(LogLevel::Info,
+                   "owner_resigned",
+                   { { "token", aResignation.token },
+                     { "workers", aResignation.workers.size() },
+                     { "row", this->owner ? this->owner->token : 0 } });
+  this->resigned = std::move(aResignation);
+}
+
 void
 Leadership::Take()
 {
@@ -156,13 +188,21 @@
   this->state = State::Taking;
   this->replaced = this->owner;
   this->isReplacedDead = this->IsOwnerDead();
+  if (this->HasOwnerResigned()) {
+    auto& workers = this->replaced->workers;
+    for (const auto& worker : this->resigned->workers) {
+      if (std::ranges::find(workers, worker) == workers.end()) {
+        workers.push_back(worker);
+      }
+    }
+  }
   OwnerRecord record{ .instance = this->identity.name,
                       .incarnation = this->identity.incarnation,
                       .address = this->identity.address,
                       .port = this->identity.port,
                       .isRecovering = true };
   if (this->owner) {
-    record.workers = this->owner->workers;
+    record.workers = this->replaced->workers;
     record.waiting = this->owner->waiting;
   }
   const auto key = this->OwnerKey();
--- a/Libraries/LibCell/Leadership.h
+++ b/Libraries/LibCell/Leadership.h
@@ -52,6 +52,15 @@
   std::vector<WorkerId> previousWorkers;
 };
 
+/// What an owner that lost the store tells the instance that is to take over.
+struct Resignation
+{
+  /// Token of the term that has ended.
+  std::uint64_t token = 0;
+  /// Workers at which runs of that term may be.
+  std::vector<std::string> workers;
+};
+
 /// Takes, renews and gives up the ownership row. Decisions only: it reads the row as the follower
 /// of the cell's table tells it.
 class Leadership
@@ -91,6 +100,12 @@
   /// Stops taking over, and hands the term over if there is one.
   void Leave();
 
+  /// Ends the term at once, without the store.
+  /// @return what the next owner has to know; nothing if there is no term.
+  [[nodiscard]] std::optional<Resignation> Resign();
+  /// Takes over from an owner that has resigned, once its row is the one that stands.
+  void OnResigned(Resignation aResignation);
+
   [[nodiscard]] bool IsOwner() const { return this->state == State::Owner; }
   /// @return until when this instance is certainly the owner.
   [[nodiscard]] TimePoint TermEnd() const { return this->termEnd; }
@@ -110,6 +125,8 @@
 
   [[nodiscard]] bool IsOwnerGone(std::optional<TimePoint> aLastRead) const;
   [[nodiscard]] bool IsOwnerDead() const;
+  /// @return true if the owner of the row that stands has told this instance that it stopped.
+  [[nodiscard]] bool HasOwnerResigned() const;
   void Take();
   void OnTaken(TimePoint aSent, const Result<CommitAnswer>& aAnswer);
   void Begin(std::uint64_t aToken, TimePoint aSent);
@@ -129,6 +146,7 @@
   /// The record that this instance replaced.
   std::optional<OwnerRecord> replaced;
   bool isReplacedDead = false;
+  std::optional<Resignation> resigned;
   struct Instance
   {
     std::string incarnation;
--- a/Libraries/LibInstance/CallRelay.cpp
+++ b/Libraries/LibInstance/CallRelay.cpp
@@ -34,6 +34,9 @@
                      if (!guard.expired()) {
                        const bool reachesStore = !IsError(aAnswer) && ValueOf(aAnswer);
                        this->reachable.OnAnswer(peer, reachesStore, this->on.clock.Now());
+                       if (reachesStore) {
+                         this->on.onReachable(peer);
+                       }
                      }
                    });
     }
--- a/Libraries/LibInstance/CallRelay.h
+++ b/Libraries/LibInstance/CallRelay.h
@@ -28,6 +28,8 @@
     std::function<bool()> reachesStore;
     /// @return the names of all other instances.
     std::function<std::vector<std::string>()> peers;
+    /// Called when a peer has said that it reaches the store.
+    std::function<void(const std::string&)> onReachable;
     /// Asks a peer whether the store answers it.
     std::function<void(const std::string&, std::function<void(Result<bool>)>)> ask;
     /// Has a peer answer a request.
--- a/Libraries/LibInstance/CellInstance.cpp
+++ b/Libraries/LibInstance/CellInstance.cpp
@@ -412,16 +412,76 @@
            .isRecovering = this->conductor->IsRecovering() };
 }
 
+void
+CellInstance::AskStore(cell::Handler<bool> aHandler)
+{
+  const bool isFresh = this->on.clock.Now() - this->store.LastAnswer() <= this->options.freshAnswer;
+  if (isFresh && this->ReachesStore()) {
+    aHandler(true);
+    return;
+  }
+  const std::string owner(cell::kOwnerKey);
+  this->store.Read({ .table = std::string(cell::kCellTable),
+                     .part = std::string(cell::kCellPart),
+                     .from = owner,
+                     .to = owner + '\0' },
+                   [handler = std::move(aHandler)](const Result<cell::RowBatch>& aBatch) {
+                     handler(!IsError(aBatch));
+                   });
+}
+
 std::map<std::string, Endpoint>
 CellInstance::Peers() const
 {
-  std::map<std::string, Endpoint> others;
-  for (const auto& [name, peer] : this->peers) {
-    if (name != this->options.identity.name) {
-      others[name] = peer.endpoint;
+  std::vector<const std::pair<const std::string, Peer>*> others;
+  for (const auto& peer : this->peers) {
+    if (peer.first != this->options.identity.name) {
+      others.push_back(&peer);
     }
   }
-  return others;
+  if (this->leadership.IsOwner()) {
+    std::ranges::sort(
+      others, std::greater<>{}, [](const auto* aPeer) { return aPeer->second.record.milliCores; });
+    others.resize(std::min(others.size(), this->options.heirs));
+  }
+  std::map<std::string, Endpoint> endpoints;
+  for (const auto* peer : others) {
+    endpoints[peer->first] = peer->second.endpoint;
+  }
+  return endpoints;
+}
+
+void
+CellInstance::OnPeerReachesStore(const std::string& aPeer)
+{
+  const auto peer = this->peers.find(aPeer);
+  const auto silent = this->on.clock.Now() - this->store.LastAnswer();
+  if (peer == this->peers.end() || this->ReachesStore() || silent < this->options.resignAfter) {
+    return;
+  }
+  const auto resignation = this->leadership.Resign();
+  if (!resignation) {
+    return;
+  }
+  this->on.log.Log(
+    LogLevel::Warning,
+    "term_resigned",
+    { { "token", resignation->token }, { "to", aPeer }, { "store_silent_ms", silent.count() } });
+  this->on.calls.Resign(
+    peer->second.endpoint, *resignation, [this, aPeer](const Result<Done>& aAnswer) {
+      if (IsError(aAnswer)) {
+        // The others take over when the row has stood still for long enough.
+        this->on.log.Log(LogLevel::Warning,
+                         "resignation_unanswered",
+                         { { "to", aPeer }, { "reason", ErrorOf(aAnswer).message } });
+      }
+    });
+}
+
+void
+CellInstance::OnResigned(cell::Resignation aResignation)
+{
+  this->leadership.OnResigned(std::move(aResignation));
 }
 
 std::optional<cell::JobStatus>
--- a/Libraries/LibInstance/CellInstance.h
+++ b/Libraries/LibInstance/CellInstance.h
@@ -60,6 +60,14 @@
   Milliseconds documentReread{ 4000 };
   /// Time between two writes of the instance's own row.
   Milliseconds beat{ 3000 };
+  /// A conductor without an answer of the store for this long hands over to an instance that
+  /// reaches it: more than a slow store takes for a call, less than the others wait before they
+  /// take over.
+  Milliseconds resignAfter{ 700 };
+  /// Instances of which a conductor that lost the store asks some; the largest ones.
+  std::size_t heirs = 8;
+  /// The store's last answer is good enough for a peer that asks if it is younger.
+  Milliseconds freshAnswer{ 150 };
   /// An instance whose row stands still for longer makes no calls to the policy service.
   Milliseconds instanceGoneAfter{ 8000 };
 };
@@ -94,8 +102,15 @@
 
   /// @return whether the store answers this instance, and soon.
   [[nodiscard]] bool ReachesStore() const { return this->store.IsPrompt(); }
-  /// @return the other instances with their addresses, as the store last told.
+  /// Finds out whether the store answers now.
+  void AskStore(cell::Handler<bool> aHandler);
+  /// @return the other instances with their addresses, as the store last told; for the conductor
+  /// only those that would be its best successors.
   [[nodiscard]] std::map<std::string, Endpoint> Peers() const;
+  /// Takes notice that another instance reaches the store: a conductor that does not hands over.
+  void OnPeerReachesStore(const std::string& aPeer);
+  /// Takes over from a conductor that has stopped.
+  void OnResigned(cell::Resignation aResignation);
 
   /// @return a job's state if this instance is the conductor.
   [[nodiscard]] std::optional<cell::JobStatus> ConductorStatus(const JobId& aJob) const;
--- a/Libraries/LibInstanceCalls/InstanceCalls.cpp
+++ b/Libraries/LibInstanceCalls/InstanceCalls.cpp
@@ -12,6 +12,7 @@
 constexpr std::string_view kAdvisePath = "/instance/advise";
 constexpr std::string_view kStatusPath = "/instance/status";
 constexpr std::string_view kReachPath = "/instance/reach";
+constexpr std::string_view kResignPath = "/instance/resign";
 constexpr std::string_view kCallPath = "/instance/call";
 constexpr unsigned kNotConductor = 409;
 constexpr std::size_t kTextLimit = 512;
@@ -181,6 +182,36 @@
   return response;
 }
 
+std::string
+EncodeResignation(const cell::Resignation& aResignation)
+{
+  Json::Value value(Json::objectValue);
+  value["token"] = Json::UInt64(aResignation.token);
+  value["workers"] = Json::Value(Json::arrayValue);
+  for (const auto& worker : aResignation.workers) {
+    value["workers"].append(worker);
+  }
+  return WriteJson(value);
+}
+
+Result<cell::Resignation>
+DecodeResignation(std::string_view aText)
+{
+  const auto parsed = ParseJson(aText);
+  if (IsError(parsed)) {
+    return ErrorOf(parsed);
+  }
+  JsonFields fields(ValueOf(parsed), "resignation");
+  cell::Resignation resignation{ .token = fields.Unsigned("token") };
+  for (const auto& worker : fields.Array("workers")) {
+    resignation.workers.push_back(worker.isString() ? worker.asString() : "");
+  }
+  if (fields.Fault()) {
+    return *fields.Fault();
+  }
+  return resignation;
+}
+
 Result<bool>
 DecodeReach(const Json::Value& aValue)
 {
@@ -219,7 +250,11 @@
     return;
   }
   if (aRequest.path == kReachPath) {
-    this->Reach(aRequest, aRespond);
+    this->Reach(std::move(aRespond));
+    return;
+  }
+  if (aRequest.path == kResignPath) {
+    this->Resigned(aRequest, aRespond);
     return;
   }
   if (aRequest.path == kStatusPath) {
@@ -260,11 +295,25 @@
 }
 
 void
-InstanceCallServer::Reach(const IncomingRequest&, const Respond& aRespond)
+InstanceCallServer::Reach(Respond aRespond)
 {
-  Json::Value value(Json::objectValue);
-  value["store"] = this->on.reachesStore();
-  aRespond({ .body = WriteJson(value) });
+  this->on.askStore([respond = std::move(aRespond)](const Result<bool>& aReaches) {
+    Json::Value value(Json::objectValue);
+    value["store"] = !IsError(aReaches) && ValueOf(aReaches);
+    respond({ .body = WriteJson(value) });
+  });
+}
+
+void
+InstanceCallServer::Resigned(const IncomingRequest& aRequest, const Respond& aRespond)
+{
+  auto resignation = DecodeResignation(aRequest.body);
+  if (IsError(resignation)) {
+    aRespond(ErrorResponse(ErrorOf(resignation)));
+    return;
+  }
+  this->on.resigned(std::move(ValueOf(resignation)));
+  aRespond({ .body = "{}" });
 }
 
 void
@@ -364,6 +413,28 @@
     std::move(aHandler));
 }
 
+void
+InstanceCallClient::Resign(const Endpoint& aInstance,
+                           const cell::Resignation& aResignation,
+                           cell::Handler<Done> aHandler)
+{
+  const auto client = this->ClientOf(aInstance);
+  if (IsError(client)) {
+    aHandler(ErrorOf(client));
+    return;
+  }
+  detail::Exchange<Done>(
+    ValueOf(client),
+    [body = EncodeResignation(aResignation)] {
+      return HttpRequest{ .method = HttpMethod::Post,
+                          .target = std::string(kResignPath),
+                          .body = body };
+    },
+    Milliseconds{ 0 },
+    [](HttpReply aReply) { return detail::DecodeDone(aReply); },
+    std::move(aHandler));
+}
+
 void
 InstanceCallClient::PassOn(const Endpoint& aInstance,
                            const IncomingRequest& aRequest,
--- a/Libraries/LibInstanceCalls/InstanceCalls.h
+++ b/Libraries/LibInstanceCalls/InstanceCalls.h
@@ -6,6 +6,7 @@
 /// another one answer its callers.
 
 #include <LibCell/Conductor.h>
+#include <LibCell/Leadership.h>
 #include <LibCell/Ports.h>
 #include <LibPlatform/HttpClient.h>
 #include <LibTraffic/HttpServer.h>
@@ -25,8 +26,10 @@
     std::function<void(const cell::AdviceQuestion&, cell::Handler<cell::AdviceAnswer>)> advise;
     /// @return nothing if this instance is not the conductor.
     std::function<std::optional<cell::JobStatus>(const JobId&)> status;
-    /// @return whether the store answers this instance.
-    std::function<bool()> reachesStore;
+    /// Finds out whether the store answers this instance.
+    std::function<void(cell::Handler<bool>)> askStore;
+    /// Takes over from a conductor that has stopped.
+    std::function<void(cell::Resignation)> resigned;
     /// Answers a caller's request that came through another instance.
     std::function<void(const IncomingRequest&, Respond)> call;
   };
@@ -39,7 +42,8 @@
 private:
   void Advise(const IncomingRequest& aRequest, Respond aRespond);
   void Status(const IncomingRequest& aRequest, const Respond& aRespond);
-  void Reach(const IncomingRequest& aRequest, const Respond& aRespond);
+  void Reach(Respond aRespond);
+  void Resigned(const IncomingRequest& aRequest, const Respond& aRespond);
   void Call(const IncomingRequest& aRequest, Respond aRespond);
 
   Handlers on;
@@ -60,6 +64,10 @@
               cell::Handler<cell::JobStatus> aHandler);
   /// Asks whether the store answers the instance.
   void AskReach(const Endpoint& aInstance, cell::Handler<bool> aHandler);
+  /// Tells the instance that this one has stopped conducting.
+  void Resign(const Endpoint& aInstance,
+              const cell::Resignation& aResignation,
+              cell::Handler<Done> aHandler);
   /// Has the instance answer a caller's request.
   void PassOn(const Endpoint& aInstance,
               const IncomingRequest& aRequest,
--- a/Services/Entry/PlatformProgram.cpp
+++ b/Services/Entry/PlatformProgram.cpp
@@ -237,7 +237,12 @@
         this->instance->Ask(this->boot.instance, aQuestion, std::move(aHandler));
       },
     .status = [this](const JobId& aJob) { return this->instance->ConductorStatus(aJob); },
-    .reachesStore = [this] { return this->instance->ReachesStore(); },
+    .askStore =
+      [this](cell::Handler<bool> aHandler) { this->instance->AskStore(std::move(aHandler)); },
+    .resigned =
+      [this](cell::Resignation aResignation) {
+        this->instance->OnResigned(std::move(aResignation));
+      },
     .call = [this](const IncomingRequest& aRequest,
                    Respond aRespond) { this->callers->Handle(aRequest, std::move(aRespond)); } });
   this->MakeRelay(random());
@@ -260,6 +265,8 @@
           }
           return names;
         },
+      .onReachable =
+        [this](const std::string& aPeer) { this->instance->OnPeerReachesStore(aPeer); },
       .ask =
         [this](const std::string& aPeer, std::function<void(Result<bool>)> aHandler) {
           this->calls->AskReach(this->instance->Peers()[aPeer], std::move(aHandler));
--- a/Tests/LibCell/TestLeadership.cpp
+++ b/Tests/LibCell/TestLeadership.cpp
@@ -225,6 +225,46 @@
   EXPECT_TRUE(first.term);
 }
 
+TEST_F(LeadershipTest, TakesOverAtOnceFromAnOwnerThatResigned)
+{
+  Instance first(*this, "first");
+  Instance second(*this, "second");
+  this->Run({ &first }, Milliseconds{ 300 });
+  first.workers = { "w1" };
+  this->Run({ &first, &second }, Milliseconds{ 1000 });
+  ASSERT_TRUE(first.term);
+  const auto token = first.term->token;
+  // A worker that was reached after the last renewal.
+  first.workers = { "w1", "w2" };
+  const auto resignation = first.leadership.Resign();
+  ASSERT_TRUE(resignation);
+  EXPECT_EQ(resignation->token, token);
+  EXPECT_FALSE(first.term);
+  EXPECT_FALSE(first.leadership.Resign());
+
+  second.leadership.OnResigned(*resignation);
+  this->Run({ &second }, Milliseconds{ 40 });
+  ASSERT_TRUE(second.term);
+  EXPECT_TRUE(second.term->isPredecessorDead);
+  EXPECT_EQ(second.term->previousWorkers.size(), 2U);
+}
+
+TEST_F(LeadershipTest, ALateWordOfAResignationMeansNothingToTheNextTerm)
+{
+  Instance first(*this, "first");
+  Instance second(*this, "second");
+  this->Run({ &first }, Milliseconds{ 300 });
+  const auto resignation = first.leadership.Resign();
+  ASSERT_TRUE(resignation);
+  // The store is back; the first takes a new term before the second learns anything.
+  this->Run({ &first }, Milliseconds{ 300 });
+  ASSERT_TRUE(first.term);
+  second.leadership.OnResigned(*resignation);
+  this->Run({ &first, &second }, Milliseconds{ 1000 });
+  EXPECT_FALSE(second.term);
+  EXPECT_EQ(first.terms, 2);
+}
+
 TEST_F(LeadershipTest, PassesOnThatAPredecessorHadNotRecovered)
 {
   Instance first(*this, "first");
--- a/Tests/LibInstance/TestCallRelay.cpp
+++ b/Tests/LibInstance/TestCallRelay.cpp
@@ -54,6 +54,7 @@
           .log = this->log,
           .reachesStore = [this] { return this->reachesStore; },
           .peers = [this] { return this->peers; },
+          .onReachable = [this](const std::string& aPeer) { this->reported.insert(aPeer); },
           .ask =
             [this](const std::string& aPeer, const std::function<void(Result<bool>)>& aHandler) {
               ++this->questions;
@@ -100,6 +101,7 @@
   std::set<std::string> serving = { "a", "b", "c", "d" };
   std::optional<Verdict> failure;
   std::vector<std::string> passedTo;
+  std::set<std::string> reported;
   std::uint32_t answeredHere = 0;
   std::uint32_t questions = 0;
   CallRelay relay;
@@ -124,6 +126,7 @@
     EXPECT_EQ(this->Submit(), kAnsweredThere);
   }
   EXPECT_EQ(this->answeredHere, 0U);
+  EXPECT_FALSE(this->reported.empty());
   for (const auto& peer : this->passedTo) {
     EXPECT_TRUE(this->serving.contains(peer));
   }
@@ -138,6 +141,7 @@
   this->serving.clear();
   this->timer.Advance(kRounds);
   EXPECT_EQ(this->Submit(), kAnsweredHere);
+  EXPECT_TRUE(this->reported.empty());
   EXPECT_TRUE(this->passedTo.empty());
 }
 
--- a/Tests/Platform/TestInstanceCalls.cpp
+++ b/Tests/Platform/TestInstanceCalls.cpp
@@ -15,14 +15,17 @@
 {
 protected:
   InstanceCallTest()
-    : server({ .reachesStore = [this] { return this->reachesStore; },
-               .call =
-                 [this](const IncomingRequest& aRequest, const Respond& aRespond) {
-                   this->received = aRequest;
-                   aRespond({ .status = kBusy,
-                              .body = R"({"error":"full"})",
-                              .retryAfter = Milliseconds{ 700 } });
-                 } })
+    : server(
+        { .askStore = [this](const cell::Handler<bool>& aHandler) { aHandler(this->reachesStore); },
+          .resigned =
+            [this](cell::Resignation aResignation) { this->resignation = std::move(aResignation); },
+          .call =
+            [this](const IncomingRequest& aRequest, const Respond& aRespond) {
+              this->received = aRequest;
+              aRespond({ .status = kBusy,
+                         .body = R"({"error":"full"})",
+                         .retryAfter = Milliseconds{ 700 } });
+            } })
     , peer([this](const ReceivedRequest& aRequest) { return this->Answer(aRequest); })
     , client(this->OptionsFor(this->peer))
     , endpoint{ "127.0.0.1", this->peer.Port() }
@@ -41,6 +44,7 @@
 
   bool reachesStore = false;
   IncomingRequest received;
+  cell::Resignation resignation;
   InstanceCallServer server;
   ScriptedPeer peer;
   InstanceCallClient client;
@@ -80,6 +84,16 @@
   EXPECT_EQ(this->received.body, request.body);
 }
 
+TEST_F(InstanceCallTest, TellsOfAResignation)
+{
+  const cell::Resignation resignation{ .token = 42, .workers = { "w1", "w2" } };
+  const auto answer = this->Await<Done>(
+    [&](auto aHandler) { this->client.Resign(this->endpoint, resignation, std::move(aHandler)); });
+  ASSERT_FALSE(IsError(answer));
+  EXPECT_EQ(this->resignation.token, resignation.token);
+  EXPECT_EQ(this->resignation.workers, resignation.workers);
+}
+
 TEST_F(InstanceCallTest, RefusesACallThatCannotBeRead)
 {
   EXPECT_EQ(this->Answer({ .method = "POST", .target = "/instance/call", .body = "{}" }).status,
