LibCell: Count failures of one job against the only worker at which they fail

Of the failures of a job that fails nowhere else, each of another task counts now. A task that fails again and a job that fails at other workers too still say nothing of the worker.

Test: a wide job started 24 tasks at the failing worker before, 8 now.

--- a/Libraries/LibCell/Conductor.h
+++ b/Libraries/LibCell/Conductor.h
@@ -65,7 +65,8 @@
   double askedRoom = 3.0;
   /// Fewest workers named, where there are as many.
   std::size_t leastAsked = 10;
-  /// Failed runs of different jobs in a row after which a worker is avoided.
+  /// Failed runs in a row, of different jobs or of different tasks of one that fails nowhere else,
+  /// after which a worker is avoided.
   std::uint32_t failureStreak = 3;
   /// How long such a worker gets nothing.
   Milliseconds avoidance{ 6000 };
@@ -240,7 +241,7 @@
   void OnStopAnswer(const RunOrder& aOrder, const Result<OrderAnswer>& aAnswer);
   void StopsDue();
   void StopStillRuns(Worker& aWorker);
-  void CountOutcome(Worker& aWorker, const JobId& aJob, bool aHasFailed);
+  void CountOutcome(Worker& aWorker, const TaskName& aTask, bool aHasFailed);
   void Deposed(std::string_view aReason);
 
   // Sharing of workers by serving tasks and fillers.
--- a/Libraries/LibCell/ConductorWorkers.cpp
+++ b/Libraries/LibCell/ConductorWorkers.cpp
@@ -300,7 +300,7 @@
   const bool isSuccess = aEnd.kind == EndKind::Succeeded && !step.isPerpetual;
   this->MarkStarted(aJob);
   if (isSuccess) {
-    this->CountOutcome(aWorker, aJob.spec.id, false);
+    this->CountOutcome(aWorker, aEnd.task, false);
     if (aTask.phase != TaskPhase::Succeeded) {
       this->Changed(aJob);
       this->SucceedTask(aJob, aEnd.task.key);
@@ -322,7 +322,7 @@
     this->Changed(aJob);
   }
   if (aEnd.kind == EndKind::Failed) {
-    this->CountOutcome(aWorker, aJob.spec.id, true);
+    this->CountOutcome(aWorker, aEnd.task, true);
     aTask.failedAt = aWorker.entry.id;
     if (!step.isPerpetual) {
       this->FailRun(aJob, aEnd.task.key, aEnd.run);
@@ -710,7 +710,7 @@
     if (!isStill || occupant.isFiller || hasDoneItsPart) {
       continue;
     }
-    this->CountOutcome(aWorker, occupant.task.job, true);
+    this->CountOutcome(aWorker, occupant.task, true);
     aWorker.avoidUntil = now + this->options.avoidance;
     this->StopRun(aWorker, occupant, "stands_still");
     if (auto* job = this->FindJob(occupant.task.job)) {
@@ -722,17 +722,23 @@
 }
 
 void
-Conductor::CountOutcome(Worker& aWorker, const JobId& aJob, bool aHasFailed)
+Conductor::CountOutcome(Worker& aWorker, const TaskName& aTask, bool aHasFailed)
 {
   if (!aHasFailed) {
     aWorker.failureStreak = 0;
     return;
   }
-  // One job that always fails says nothing of the worker.
-  if (aWorker.lastFailedJob == aJob) {
+  bool failsElsewhere = false;
+  if (auto* job = this->FindJob(aTask.job)) {
+    job->failedAt.insert(aWorker.entry.id);
+    failsElsewhere = job->failedAt.size() > 1;
+  }
+  const bool isSameJob = aWorker.lastFailed.job == aTask.job;
+  // A task that fails again, or a job that fails at other workers too, says nothing of this one.
+  if (isSameJob && (failsElsewhere || aWorker.lastFailed == aTask)) {
     return;
   }
-  aWorker.lastFailedJob = aJob;
+  aWorker.lastFailed = aTask;
   ++aWorker.failureStreak;
   if (aWorker.failureStreak < this->options.failureStreak) {
     return;
--- a/Libraries/LibCell/Job.h
+++ b/Libraries/LibCell/Job.h
@@ -109,6 +109,8 @@
   bool isBeyondWeight = false;
   /// The end is in the store.
   bool isOutcomeDurable = false;
+  /// Workers at which runs of it have failed.
+  std::set<WorkerId> failedAt;
   /// A conductor before this one may have started tasks of it.
   bool mayRunElsewhere = false;
   TimePoint firstSeen{};
--- a/Libraries/LibCell/Worker.h
+++ b/Libraries/LibCell/Worker.h
@@ -98,9 +98,9 @@
   Resources reserved;
   std::uint32_t runsOfUnknownSize = 0;
   std::vector<Occupant> occupants;
-  /// Failed runs in a row, of different jobs.
+  /// Failed runs in a row that speak against the worker.
   std::uint32_t failureStreak = 0;
-  JobId lastFailedJob;
+  TaskName lastFailed;
   TimePoint avoidUntil{};
   /// Run time over the estimate, smoothed; 1 is the cell's mean.
   double slowness = 1.0;
--- a/Tests/LibCell/TestConductor.cpp
+++ b/Tests/LibCell/TestConductor.cpp
@@ -285,6 +285,43 @@
   EXPECT_TRUE(this->workers.stops.empty());
 }
 
+// The pattern: a worker is well by its own account and fails all that it starts, so that it always
+// has room for the next tasks of a wide job.
+TEST_F(ConductorTest, AvoidsAWorkerThatFailsTheTasksOfOneJob)
+{
+  this->entries = { this->workers.Add("bad", 8), this->workers.Add("good", 4) };
+  this->Begin();
+  constexpr std::uint32_t kTasks = 40;
+  this->Accept(JobOf("wide", kTasks, 1));
+  constexpr int kSteps = 20;
+  for (int step = 0; step < kSteps; ++step) {
+    this->Run(Milliseconds{ 50 });
+    const auto running = this->workers.At("bad").running;
+    for (const auto& [key, entry] : running) {
+      this->workers.End("bad", entry.task, EndKind::Failed);
+    }
+  }
+  const auto atBad =
+    std::ranges::count(this->workers.starts, WorkerId{ "bad" }, &ObservedStart::worker);
+  EXPECT_EQ(atBad, 8);
+}
+
+TEST_F(ConductorTest, DoesNotHoldATaskThatAlwaysFailsAgainstItsWorker)
+{
+  this->policy.routes.front().queue.attempts = 10;
+  this->entries = { this->workers.Add("w1", 4) };
+  this->Begin();
+  this->Accept(JobOf("poisoned", 1, 1));
+  constexpr int kFailures = 5;
+  for (int failure = 0; failure < kFailures; ++failure) {
+    this->Run(Milliseconds{ 100 });
+    this->workers.EndAll(EndKind::Failed);
+  }
+  this->Accept(JobOf("sound", 1, 1));
+  this->Run(Milliseconds{ 200 });
+  EXPECT_TRUE(this->StatusOf("sound").hasStarted);
+}
+
 TEST_F(ConductorTest, RestartsAPerpetualTaskHoweverItEnds)
 {
   this->entries = { this->workers.Add("w1", 4) };
