LibInstance: Never show callers an older document by passing requests on

A request that is passed on names the newest document that has answered callers of this instance, or its own if that is newer; a peer with an older one does nothing, and another is asked. Nor does the instance go back to its own older document afterwards: it refuses until it has read the newer one.

Tests: peers with an older document, and an instance that is behind what its callers saw, both failing before; the protocol carries the versions.

--- a/Libraries/LibInstance/CallRelay.cpp
+++ b/Libraries/LibInstance/CallRelay.cpp
@@ -1,5 +1,7 @@
 #include <LibInstance/CallRelay.h>
 
+#include <algorithm>
+
 namespace zinc {
 
 namespace {
@@ -8,6 +10,8 @@
 constexpr Milliseconds kTick{ 100 };
 /// Peers that a request is passed to, one after the other, before it is refused.
 constexpr std::uint32_t kMostTries = 3;
+/// When a caller should come back that needs a newer document; it is read anew within this time.
+constexpr Milliseconds kDocumentDelay{ 500 };
 
 }
 
@@ -51,15 +55,37 @@
 void
 CallRelay::Handle(const IncomingRequest& aRequest, Respond aRespond)
 {
-  if (this->on.reachesStore()) {
-    this->on.answer(aRequest, std::move(aRespond));
+  const auto document = this->on.documentVersion();
+  if (this->on.reachesStore() && document >= this->newestDocument) {
+    this->AnswerHere(aRequest, std::move(aRespond));
+    return;
+  }
+  const auto least = std::max(document, this->newestDocument);
+  this->PassOn(std::make_shared<const PassedRequest>(
+                 PassedRequest{ .request = aRequest, .leastDocument = least }),
+               std::move(aRespond),
+               0);
+}
+
+void
+CallRelay::AnswerHere(const IncomingRequest& aRequest, Respond aRespond)
+{
+  const auto document = this->on.documentVersion();
+  if (document < this->newestDocument) {
+    this->on.log.Log(
+      LogLevel::Info,
+      "request_refused_for_document",
+      { { "path", aRequest.path }, { "document", document }, { "needed", this->newestDocument } });
+    aRespond(ErrorResponse(
+      NotRun(ErrorCode::Unavailable, "The document is not known here yet.", kDocumentDelay)));
     return;
   }
-  this->PassOn(std::make_shared<const IncomingRequest>(aRequest), std::move(aRespond), 0);
+  this->newestDocument = document;
+  this->on.answer(aRequest, std::move(aRespond));
 }
 
 void
-CallRelay::PassOn(const std::shared_ptr<const IncomingRequest>& aRequest,
+CallRelay::PassOn(const std::shared_ptr<const PassedRequest>& aRequest,
                   Respond aRespond,
                   std::uint32_t aTries)
 {
@@ -67,7 +93,7 @@
     aTries < kMostTries ? this->reachable.Choose(this->on.clock.Now()) : std::nullopt;
   if (!peer) {
     // What can be answered without the store is; all else is refused at once.
-    this->on.answer(*aRequest, std::move(aRespond));
+    this->AnswerHere(aRequest->request, std::move(aRespond));
     return;
   }
   this->on.pass(*peer,
@@ -77,7 +103,7 @@
                  aRequest,
                  aTries,
                  peer = *peer,
-                 respond = std::move(aRespond)](Result<OutgoingResponse> aAnswer) mutable {
+                 respond = std::move(aRespond)](Result<PassedResponse> aAnswer) mutable {
                   if (!guard.expired()) {
                     this->OnPassed(aRequest, std::move(respond), aTries, peer, std::move(aAnswer));
                   }
@@ -85,25 +111,28 @@
 }
 
 void
-CallRelay::OnPassed(const std::shared_ptr<const IncomingRequest>& aRequest,
+CallRelay::OnPassed(const std::shared_ptr<const PassedRequest>& aRequest,
                     Respond aRespond,
                     std::uint32_t aTries,
                     const std::string& aPeer,
-                    Result<OutgoingResponse> aAnswer)
+                    Result<PassedResponse> aAnswer)
 {
   this->on.log.Log(LogLevel::Info,
                    "request_passed_on",
-                   { { "path", aRequest->path },
+                   { { "path", aRequest->request.path },
                      { "peer", aPeer },
-                     { "status", IsError(aAnswer) ? 0 : ValueOf(aAnswer).status },
+                     { "least_document", aRequest->leastDocument },
+                     { "document", IsError(aAnswer) ? 0 : ValueOf(aAnswer).document },
+                     { "status", IsError(aAnswer) ? 0 : ValueOf(aAnswer).response.status },
                      { "reason", IsError(aAnswer) ? ErrorOf(aAnswer).message : "" } });
   if (!IsError(aAnswer)) {
-    aRespond(std::move(ValueOf(aAnswer)));
+    this->newestDocument = std::max(this->newestDocument, ValueOf(aAnswer).document);
+    aRespond(std::move(ValueOf(aAnswer).response));
     return;
   }
   this->reachable.Doubt(aPeer);
   const bool isRepeatable =
-    ErrorOf(aAnswer).run == RunState::NotRun || aRequest->method == RequestMethod::Fetch;
+    ErrorOf(aAnswer).run == RunState::NotRun || aRequest->request.method == RequestMethod::Fetch;
   if (isRepeatable) {
     this->PassOn(aRequest, std::move(aRespond), aTries + 1);
     return;
--- a/Libraries/LibInstance/CallRelay.h
+++ b/Libraries/LibInstance/CallRelay.h
@@ -6,6 +6,7 @@
 #include <LibBase/Verdict.h>
 #include <LibCell/Timer.h>
 #include <LibInstance/ReachablePeers.h>
+#include <LibInstanceCalls/InstanceCalls.h>
 #include <LibLog/Logger.h>
 #include <LibTraffic/HttpServer.h>
 #include <functional>
@@ -15,7 +16,8 @@
 
 namespace zinc {
 
-/// Lives on the control thread. A request is passed on once: the peer answers it itself.
+/// Lives on the control thread. A request is passed on once: the peer answers it itself. Callers of
+/// this instance never meet a document older than one that they have met, whoever answers.
 class CallRelay
 {
 public:
@@ -32,10 +34,11 @@
     std::function<void(const std::string&)> onReachable;
     /// Asks a peer whether the store answers it.
     std::function<void(const std::string&, std::function<void(Result<bool>)>)> ask;
+    /// @return the version of the document in force here.
+    std::function<std::uint64_t()> documentVersion;
     /// Has a peer answer a request.
-    std::function<void(const std::string&,
-                       const IncomingRequest&,
-                       std::function<void(Result<OutgoingResponse>)>)>
+    std::function<
+      void(const std::string&, const PassedRequest&, std::function<void(Result<PassedResponse>)>)>
       pass;
     /// Answers a request here.
     std::function<void(const IncomingRequest&, Respond)> answer;
@@ -51,16 +54,21 @@
 
 private:
   void Tick();
-  void PassOn(const std::shared_ptr<const IncomingRequest>& aRequest,
+  void PassOn(const std::shared_ptr<const PassedRequest>& aRequest,
               Respond aRespond,
               std::uint32_t aTries);
-  void OnPassed(const std::shared_ptr<const IncomingRequest>& aRequest,
+  void OnPassed(const std::shared_ptr<const PassedRequest>& aRequest,
                 Respond aRespond,
                 std::uint32_t aTries,
                 const std::string& aPeer,
-                Result<OutgoingResponse> aAnswer);
+                Result<PassedResponse> aAnswer);
+
+  /// Answers here if the document in force is not older than one that answered callers.
+  void AnswerHere(const IncomingRequest& aRequest, Respond aRespond);
 
   Dependencies on;
+  /// Newest document that answered callers of this instance.
+  std::uint64_t newestDocument = 0;
   ReachablePeers reachable;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
--- a/Libraries/LibInstanceCalls/InstanceCalls.cpp
+++ b/Libraries/LibInstanceCalls/InstanceCalls.cpp
@@ -122,18 +122,20 @@
 }
 
 std::string
-EncodeCall(const IncomingRequest& aRequest)
+EncodeCall(const PassedRequest& aPassed)
 {
+  const auto& request = aPassed.request;
   Json::Value value(Json::objectValue);
-  value["method"] = static_cast<std::uint32_t>(aRequest.method);
-  value["path"] = aRequest.path;
-  value["host"] = aRequest.host;
-  value["bearer"] = aRequest.bearer;
-  value["body"] = aRequest.body;
+  value["method"] = static_cast<std::uint32_t>(request.method);
+  value["path"] = request.path;
+  value["host"] = request.host;
+  value["bearer"] = request.bearer;
+  value["body"] = request.body;
+  value["least_document"] = Json::UInt64(aPassed.leastDocument);
   return WriteJson(value);
 }
 
-Result<IncomingRequest>
+Result<PassedRequest>
 DecodeCall(const IncomingRequest& aRequest)
 {
   const auto parsed = ParseJson(aRequest.body);
@@ -141,23 +143,27 @@
     return ErrorOf(parsed);
   }
   JsonFields fields(ValueOf(parsed), "call");
-  IncomingRequest call{ .path = fields.Text("path", kCallerTextLimit),
-                        .bearer = fields.OptionalText("bearer", kCallerTextLimit),
-                        .host = fields.OptionalText("host", kCallerTextLimit),
-                        .body = fields.OptionalText("body", kCallerBodyLimit),
-                        .received = aRequest.received };
-  call.method = static_cast<RequestMethod>(
+  PassedRequest passed;
+  auto& request = passed.request;
+  request = { .path = fields.Text("path", kCallerTextLimit),
+              .bearer = fields.OptionalText("bearer", kCallerTextLimit),
+              .host = fields.OptionalText("host", kCallerTextLimit),
+              .body = fields.OptionalText("body", kCallerBodyLimit),
+              .received = aRequest.received };
+  request.method = static_cast<RequestMethod>(
     fields.Integer("method", 0, static_cast<std::int64_t>(RequestMethod::Delete)));
+  passed.leastDocument = fields.Unsigned("least_document");
   if (fields.Fault()) {
     return *fields.Fault();
   }
-  return call;
+  return passed;
 }
 
 std::string
-EncodeResponse(const OutgoingResponse& aResponse)
+EncodeResponse(const OutgoingResponse& aResponse, std::uint64_t aDocument)
 {
   Json::Value value(Json::objectValue);
+  value["document"] = Json::UInt64(aDocument);
   value["status"] = aResponse.status;
   value["body"] = aResponse.body;
   if (aResponse.retryAfter) {
@@ -166,11 +172,12 @@
   return WriteJson(value);
 }
 
-Result<OutgoingResponse>
+Result<PassedResponse>
 DecodeResponse(const Json::Value& aValue)
 {
   JsonFields fields(aValue, "response");
-  OutgoingResponse response;
+  PassedResponse passed{ .document = fields.Unsigned("document") };
+  auto& response = passed.response;
   response.status = static_cast<unsigned>(fields.Integer("status", 0, kStatusLimit));
   response.body = fields.OptionalText("body", kCallerBodyLimit);
   if (const auto retryAfter = fields.OptionalInteger("retry_after_ms")) {
@@ -179,7 +186,7 @@
   if (fields.Fault()) {
     return *fields.Fault();
   }
-  return response;
+  return passed;
 }
 
 std::string
@@ -324,9 +331,16 @@
     aRespond(ErrorResponse(ErrorOf(call)));
     return;
   }
-  this->on.call(ValueOf(call), [respond = std::move(aRespond)](const OutgoingResponse& aResponse) {
-    respond({ .body = EncodeResponse(aResponse) });
-  });
+  const auto document = this->on.documentVersion();
+  if (document < ValueOf(call).leastDocument) {
+    aRespond(ErrorResponse(
+      NotRun(ErrorCode::StaleVersion, "The document here is older than the caller's instance's.")));
+    return;
+  }
+  this->on.call(ValueOf(call).request,
+                [document, respond = std::move(aRespond)](const OutgoingResponse& aResponse) {
+                  respond({ .body = EncodeResponse(aResponse, document) });
+                });
 }
 
 InstanceCallClient::InstanceCallClient(HttpOptions aOptions)
@@ -437,15 +451,15 @@
 
 void
 InstanceCallClient::PassOn(const Endpoint& aInstance,
-                           const IncomingRequest& aRequest,
-                           cell::Handler<OutgoingResponse> aHandler)
+                           const PassedRequest& aRequest,
+                           cell::Handler<PassedResponse> aHandler)
 {
   const auto client = this->ClientOf(aInstance);
   if (IsError(client)) {
     aHandler(ErrorOf(client));
     return;
   }
-  detail::Exchange<OutgoingResponse>(
+  detail::Exchange<PassedResponse>(
     ValueOf(client),
     [body = EncodeCall(aRequest)] {
       return HttpRequest{ .method = HttpMethod::Post,
@@ -453,7 +467,7 @@
                           .body = body };
     },
     kCallAllowance,
-    [](HttpReply aReply) { return DecodeAny<OutgoingResponse>(aReply, &DecodeResponse); },
+    [](HttpReply aReply) { return DecodeAny<PassedResponse>(aReply, &DecodeResponse); },
     std::move(aHandler));
 }
 
--- a/Libraries/LibInstanceCalls/InstanceCalls.h
+++ b/Libraries/LibInstanceCalls/InstanceCalls.h
@@ -17,6 +17,22 @@
 
 namespace zinc {
 
+/// A caller's request that another instance is to answer.
+struct PassedRequest
+{
+  IncomingRequest request;
+  /// Version of the document that the caller's instance has followed; an older one may not answer.
+  std::uint64_t leastDocument = 0;
+};
+
+/// The answer to one.
+struct PassedResponse
+{
+  OutgoingResponse response;
+  /// Version of the document that it follows.
+  std::uint64_t document = 0;
+};
+
 /// Answers the other instances.
 class InstanceCallServer
 {
@@ -30,6 +46,8 @@
     std::function<void(cell::Handler<bool>)> askStore;
     /// Takes over from a conductor that has stopped.
     std::function<void(cell::Resignation)> resigned;
+    /// @return the version of the document in force here.
+    std::function<std::uint64_t()> documentVersion;
     /// Answers a caller's request that came through another instance.
     std::function<void(const IncomingRequest&, Respond)> call;
   };
@@ -68,10 +86,11 @@
   void Resign(const Endpoint& aInstance,
               const cell::Resignation& aResignation,
               cell::Handler<Done> aHandler);
-  /// Has the instance answer a caller's request.
+  /// Has the instance answer a caller's request. Handler gets @ref ErrorCode::StaleVersion if its
+  /// document is too old.
   void PassOn(const Endpoint& aInstance,
-              const IncomingRequest& aRequest,
-              cell::Handler<OutgoingResponse> aHandler);
+              const PassedRequest& aRequest,
+              cell::Handler<PassedResponse> aHandler);
 
 private:
   [[nodiscard]] Result<std::shared_ptr<HttpClient>> ClientOf(const Endpoint& aInstance);
--- a/Services/Entry/PlatformProgram.cpp
+++ b/Services/Entry/PlatformProgram.cpp
@@ -117,6 +117,8 @@
   [[nodiscard]] Result<Done> MakeClients();
   void MakeInstance();
   void MakeRelay(std::uint64_t aSeed);
+  /// @return the version of the document in force; 0 before the first one is known.
+  [[nodiscard]] std::uint64_t DocumentVersion() const;
   [[nodiscard]] Result<Done> OpenServers();
   [[nodiscard]] Result<std::shared_ptr<HttpServer>> Open(
     const Endpoint& aEndpoint,
@@ -248,6 +250,13 @@
   this->MakeRelay(random());
 }
 
+std::uint64_t
+PlatformProgram::DocumentVersion() const
+{
+  const auto policy = this->instance->Policy();
+  return policy ? policy->version : 0;
+}
+
 void
 PlatformProgram::MakeRelay(std::uint64_t aSeed)
 {
@@ -271,10 +280,11 @@
         [this](const std::string& aPeer, std::function<void(Result<bool>)> aHandler) {
           this->calls->AskReach(this->instance->Peers()[aPeer], std::move(aHandler));
         },
+      .documentVersion = [this] { return this->DocumentVersion(); },
       .pass =
         [this](const std::string& aPeer,
-               const IncomingRequest& aRequest,
-               std::function<void(Result<OutgoingResponse>)> aHandler) {
+               const PassedRequest& aRequest,
+               std::function<void(Result<PassedResponse>)> aHandler) {
           this->calls->PassOn(this->instance->Peers()[aPeer], aRequest, std::move(aHandler));
         },
       .answer =
--- a/Tests/LibInstance/TestCallRelay.cpp
+++ b/Tests/LibInstance/TestCallRelay.cpp
@@ -60,16 +60,22 @@
               ++this->questions;
               aHandler(this->serving.contains(aPeer));
             },
+          .documentVersion = [this] { return this->documentHere; },
           .pass =
             [this](const std::string& aPeer,
-                   const IncomingRequest&,
-                   const std::function<void(Result<OutgoingResponse>)>& aHandler) {
+                   const PassedRequest& aRequest,
+                   const std::function<void(Result<PassedResponse>)>& aHandler) {
               this->passedTo.push_back(aPeer);
               if (this->failure) {
                 aHandler(*this->failure);
                 return;
               }
-              aHandler(OutgoingResponse{ .status = kAnsweredThere });
+              if (this->documentThere < aRequest.leastDocument) {
+                aHandler(NotRun(ErrorCode::StaleVersion, "older"));
+                return;
+              }
+              aHandler(PassedResponse{ .response = { .status = kAnsweredThere },
+                                       .document = this->documentThere });
             },
           .answer =
             [this](const IncomingRequest&, const Respond& aRespond) {
@@ -99,6 +105,8 @@
   bool reachesStore = true;
   std::vector<std::string> peers = { "a", "b", "c", "d", "e", "f", "g", "h" };
   std::set<std::string> serving = { "a", "b", "c", "d" };
+  std::uint64_t documentHere = 5;
+  std::uint64_t documentThere = 5;
   std::optional<Verdict> failure;
   std::vector<std::string> passedTo;
   std::set<std::string> reported;
@@ -181,6 +189,33 @@
   EXPECT_EQ(this->passedTo.size(), 1U);
 }
 
+// The pattern: while some instances do not reach the store they also miss new documents.
+TEST_F(CallRelayTest, LetsNoPeerWithAnOlderDocumentAnswer)
+{
+  this->reachesStore = false;
+  this->documentThere = 4;
+  this->timer.Advance(kRounds);
+  EXPECT_EQ(this->Submit(), kAnsweredHere);
+  EXPECT_EQ(this->answeredHere, 1U);
+}
+
+TEST_F(CallRelayTest, DoesNotGoBackToItsOwnOlderDocument)
+{
+  this->reachesStore = false;
+  this->documentThere = 6;
+  this->timer.Advance(kRounds);
+  EXPECT_EQ(this->Submit(), kAnsweredThere);
+
+  // The store is back; the newer document is not read yet, and no peer is known any more.
+  this->reachesStore = true;
+  this->timer.Advance(kRounds);
+  EXPECT_EQ(this->Submit(), kAnsweredHere);
+  EXPECT_EQ(this->answeredHere, 0U);
+  this->documentHere = 6;
+  EXPECT_EQ(this->Submit(), kAnsweredThere);
+  EXPECT_EQ(this->answeredHere, 1U);
+}
+
 TEST_F(CallRelayTest, RepeatsAQuestionThatMayHaveBeenAnswered)
 {
   this->reachesStore = false;
--- a/Tests/Platform/TestInstanceCalls.cpp
+++ b/Tests/Platform/TestInstanceCalls.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr unsigned kBusy = 429;
+constexpr std::uint64_t kDocument = 7;
 
 /// The two ends of the protocol between instances, on a socket.
 class InstanceCallTest : public AdapterFixture
@@ -19,6 +20,7 @@
         { .askStore = [this](const cell::Handler<bool>& aHandler) { aHandler(this->reachesStore); },
           .resigned =
             [this](cell::Resignation aResignation) { this->resignation = std::move(aResignation); },
+          .documentVersion = [] { return kDocument; },
           .call =
             [this](const IncomingRequest& aRequest, const Respond& aRespond) {
               this->received = aRequest;
@@ -71,12 +73,15 @@
                                  .bearer = "key-1",
                                  .host = "jobs.example",
                                  .body = R"({"text":"\u00e4"})" };
-  const auto answer = this->Await<OutgoingResponse>(
-    [&](auto aHandler) { this->client.PassOn(this->endpoint, request, std::move(aHandler)); });
+  const PassedRequest passed{ .request = request, .leastDocument = kDocument };
+  const auto answer = this->Await<PassedResponse>(
+    [&](auto aHandler) { this->client.PassOn(this->endpoint, passed, std::move(aHandler)); });
   ASSERT_FALSE(IsError(answer));
-  EXPECT_EQ(ValueOf(answer).status, kBusy);
-  EXPECT_EQ(ValueOf(answer).body, R"({"error":"full"})");
-  EXPECT_EQ(ValueOf(answer).retryAfter, Milliseconds{ 700 });
+  EXPECT_EQ(ValueOf(answer).document, kDocument);
+  const auto& response = ValueOf(answer).response;
+  EXPECT_EQ(response.status, kBusy);
+  EXPECT_EQ(response.body, R"({"error":"full"})");
+  EXPECT_EQ(response.retryAfter, Milliseconds{ 700 });
   EXPECT_EQ(this->received.method, request.method);
   EXPECT_EQ(this->received.path, request.path);
   EXPECT_EQ(this->received.bearer, request.bearer);
@@ -84,6 +89,18 @@
   EXPECT_EQ(this->received.body, request.body);
 }
 
+TEST_F(InstanceCallTest, DoesNotAnswerWithAnOlderDocument)
+{
+  const PassedRequest passed{ .request = { .path = "/queue/00ff" },
+                              .leastDocument = kDocument + 1 };
+  const auto answer = this->Await<PassedResponse>(
+    [&](auto aHandler) { this->client.PassOn(this->endpoint, passed, std::move(aHandler)); });
+  ASSERT_TRUE(IsError(answer));
+  EXPECT_EQ(ErrorOf(answer).code, ErrorCode::StaleVersion);
+  EXPECT_EQ(ErrorOf(answer).run, RunState::NotRun);
+  EXPECT_TRUE(this->received.path.empty());
+}
+
 TEST_F(InstanceCallTest, TellsOfAResignation)
 {
   const cell::Resignation resignation{ .token = 42, .workers = { "w1", "w2" } };
