--- a/Services/Entry/PlatformProgram.cpp
+++ b/Services/Entry/PlatformProgram.cpp
@@ -245,6 +245,7 @@
       [this](cell::Resignation aResignation) {
         this->instance->OnResigned(std::move(aResignation));
       },
+    .documentVersion = [this] { return this->DocumentVersion(); },
     .call = [this](const IncomingRequest& aRequest,
                    Respond aRespond) { this->callers->Handle(aRequest, std::move(aRespond)); } });
   this->MakeRelay(random());
