platform: Refuse settings whose optional addresses cannot be read

A malformed address of the policy or the machine service was taken for none. It is a fault with its field now; an empty one still means that there is none.

--- a/Tests/Platform/TestDecoders.cpp
+++ b/Tests/Platform/TestDecoders.cpp
@@ -163,6 +163,23 @@
   EXPECT_NE(ErrorOf(faulty).message.find("Front"), std::string::npos) << ErrorOf(faulty).message;
 }
 
+TEST(Decoders, TellsAnUnreadableAddressFromNone)
+{
+  const auto with = [](const std::string& aFields) {
+    auto text = std::string(kSettings);
+    const std::string_view advice = R"("Advice": "10.0.0.8:80")";
+    return DecodeBootSettings(text.replace(text.find(advice), advice.size(), aFields));
+  };
+  for (const char* none : { R"("Advice": "")", R"("Cloud": {"Address": ""})", R"("Other": 1)" }) {
+    const auto settings = with(none);
+    ASSERT_FALSE(IsError(settings)) << none;
+    EXPECT_FALSE(ValueOf(settings).advice) << none;
+    EXPECT_FALSE(ValueOf(settings).machines) << none;
+  }
+  EXPECT_TRUE(IsError(with(R"("Advice": "10.0.0.8")")));
+  EXPECT_TRUE(IsError(with(R"("Cloud": {"Address": "nowhere"})")));
+}
+
 TEST(Decoders, RowValuesSurviveTheirEncoding)
 {
   for (std::size_t size = 0; size < 20; ++size) {
