LibCell: Start nothing that a next conductor would take for untouched

The store was silent from 9.3 to 13.8 s. At 32.209 front-telford-2 took the row from front-leicester-1, which was alive; at 32.406 a job was accepted; at 32.418 leicester-1, whose feed of jobs was back before that of the ownership row, read and started it; at 32.703 the new conductor, which rightly held that the job came after its take-over, started it as well. Ruled out: the resignation (none took place), workers read too late.

Every term now writes a row among the jobs in the transaction that takes the ownership row; a conductor that meets a newer one there stops before it looks at the jobs that came with it. The last part of a whole read is read after the others, so that this row is never the older one.

On the way: a worker could get a start before the ownership row named it; if its own row lapsed while the store was away a next conductor would not have asked it. A worker gets its first start once the row that names it is in the store, and the row is renewed at once when such a worker comes in reach.

Tests: the later term among the jobs, no start at a worker that is not named, listed workers are named, the row is renewed soon.

--- a/Libraries/LibCell/Conductor.cpp
+++ b/Libraries/LibCell/Conductor.cpp
@@ -137,23 +137,40 @@
 }
 
 std::vector<std::string>
-Conductor::OccupiedWorkers() const
+Conductor::WorkersToPublish()
 {
-  std::vector<std::string> occupied;
+  std::set<WorkerId> named = this->unread;
   const auto now = this->on.clock.Now();
   for (const auto& [id, worker] : this->workers) {
-    // Any worker in reach may get a start before the next record of the occupied ones.
-    const bool isOpen = worker->contact == Contact::Open;
-    if (isOpen || (!worker->occupants.empty() && worker->leaseEnd > now)) {
-      occupied.push_back(id.value);
+    // Any listed worker may come in reach and get a start before the next record.
+    if (worker->isListed || (!worker->occupants.empty() && worker->leaseEnd > now)) {
+      named.insert(id);
     }
   }
-  for (const auto& id : this->unread) {
-    if (!this->workers.contains(id)) {
-      occupied.push_back(id.value);
-    }
+  std::erase_if(this->published, [&named](const WorkerId& aId) { return !named.contains(aId); });
+  std::vector<std::string> names;
+  for (const auto& id : named) {
+    names.push_back(id.value);
+  }
+  return names;
+}
+
+void
+Conductor::OnPublished(const std::vector<std::string>& aWorkers)
+{
+  const auto before = this->published.size();
+  for (const auto& worker : aWorkers) {
+    this->published.insert({ worker });
+  }
+  this->placementDue = this->placementDue || this->published.size() != before;
+}
+
+void
+Conductor::AskToPublish()
+{
+  if (this->on.onUnpublished) {
+    this->on.onUnpublished();
   }
-  return occupied;
 }
 
 std::uint64_t
--- a/Libraries/LibCell/Conductor.h
+++ b/Libraries/LibCell/Conductor.h
@@ -119,6 +119,8 @@
     std::function<void()> onDeposed;
     /// Called when a placement would help before the next tick; may be empty.
     std::function<void()> onPlacementDue;
+    /// Called when a worker is in reach that was not published; may be empty.
+    std::function<void()> onUnpublished;
   };
 
   Conductor(Dependencies aDependencies, ConductorOptions aOptions);
@@ -148,8 +150,11 @@
   [[nodiscard]] JobStatus StatusOf(const JobId& aJob) const;
   /// @return for each queue the accepted jobs without times that have not started.
   [[nodiscard]] std::map<std::string, std::uint64_t> WaitingByQueue() const;
-  /// @return the workers at which something may run.
-  [[nodiscard]] std::vector<std::string> OccupiedWorkers() const;
+  /// @return the workers at which something may run or may start, for the ownership row. Those left
+  /// out get nothing until they have been published again.
+  [[nodiscard]] std::vector<std::string> WorkersToPublish();
+  /// The ownership row names these workers now; a next conductor will ask each of them.
+  void OnPublished(const std::vector<std::string>& aWorkers);
   /// @return true while a predecessor's tasks may run at workers that were not read.
   [[nodiscard]] bool IsRecovering() const { return !this->unread.empty(); }
 
@@ -261,6 +266,7 @@
                                                      const Pool& aPool,
                                                      bool aNeedsTicket) const;
   [[nodiscard]] bool IsUsable(const Worker& aWorker) const;
+  void AskToPublish();
   [[nodiscard]] std::uint32_t LimitRoom(const Candidate& aCandidate,
                                         const Resources& aDemand,
                                         std::uint32_t aMost) const;
@@ -355,6 +361,8 @@
   std::map<WorkspaceId, Resources> running;
   /// What a predecessor may have running at workers that were not read, by workspace.
   std::map<WorkspaceId, Resources> mayRun;
+  /// Workers that the ownership row names.
+  std::set<WorkerId> published;
   /// Tokens of each workspace for jobs within its weight.
   struct WeightBucket
   {
--- a/Libraries/LibCell/ConductorPlacement.cpp
+++ b/Libraries/LibCell/ConductorPlacement.cpp
@@ -48,7 +48,7 @@
   const auto now = this->on.clock.Now();
   return aWorker.isListed && !aWorker.entry.isDraining && aWorker.contact == Contact::Open &&
          aWorker.isClockKnown && aWorker.holdFailures == 0 && aWorker.avoidUntil <= now &&
-         aWorker.runsOfUnknownSize == 0;
+         aWorker.runsOfUnknownSize == 0 && this->published.contains(aWorker.entry.id);
 }
 
 void
--- a/Libraries/LibCell/Leadership.cpp
+++ b/Libraries/LibCell/Leadership.cpp
@@ -61,6 +61,14 @@
   }
 }
 
+void
+Leadership::OnTermRow(std::uint64_t aVersion)
+{
+  if (this->state == State::Owner && aVersion > this->token) {
+    this->Lose("a later term has begun");
+  }
+}
+
 void
 Leadership::OnInstance(const std::string& aName,
                        const InstanceRecord& aRecord,
@@ -209,6 +217,12 @@
   Transaction transaction;
   transaction.conditions.push_back({ .key = key, .version = this->version });
   transaction.writes.push_back({ .key = key, .value = EncodeOwner(record) });
+  // Whoever follows the jobs learns of this term before any job that is accepted after it.
+  transaction.writes.push_back({ .key = { .table = std::string(kJobTable),
+                                          .part = std::string(kTermPart),
+                                          .key = std::string(kOwnerKey) },
+                                 .value = "{}" });
+  transaction.spansParts = true;
   this->on.log.Log(LogLevel::Info,
                    "term_sought",
                    { { "version", this->version },
@@ -279,13 +293,17 @@
   transaction.conditions.push_back({ .key = key, .version = this->version });
   transaction.writes.push_back({ .key = key, .value = EncodeOwner(record) });
   this->isRenewing = true;
-  this->on.store.Commit(std::move(transaction), [this, now](Result<CommitAnswer> aAnswer) {
-    this->OnRenewed(now, aAnswer);
-  });
+  this->isRenewalOld = false;
+  this->on.store.Commit(std::move(transaction),
+                        [this, now, workers = news.workers](Result<CommitAnswer> aAnswer) {
+                          this->OnRenewed(now, workers, aAnswer);
+                        });
 }
 
 void
-Leadership::OnRenewed(TimePoint aSent, const Result<CommitAnswer>& aAnswer)
+Leadership::OnRenewed(TimePoint aSent,
+                      const std::vector<std::string>& aWorkers,
+                      const Result<CommitAnswer>& aAnswer)
 {
   this->isRenewing = false;
   if (this->state != State::Owner) {
@@ -312,7 +330,10 @@
   this->version = std::max(this->version, answer.version);
   this->unchangedSince = this->on.clock.Now();
   this->termEnd = aSent + this->options.term;
-  this->nextRenewal = aSent + this->options.renewEvery;
+  this->nextRenewal = this->isRenewalOld ? this->on.clock.Now() : aSent + this->options.renewEvery;
+  if (this->on.onPublished) {
+    this->on.onPublished(aWorkers);
+  }
   if (this->isLeaving) {
     this->Lose("handed over");
     this->state = State::Left;
@@ -329,6 +350,13 @@
   this->on.onLost(aReason);
 }
 
+void
+Leadership::RenewSoon()
+{
+  this->isRenewalOld = true;
+  this->nextRenewal = {};
+}
+
 void
 Leadership::Leave()
 {
--- a/Libraries/LibCell/Leadership.h
+++ b/Libraries/LibCell/Leadership.h
@@ -75,6 +75,8 @@
     std::function<void(std::string_view)> onLost;
     /// Called before each renewal.
     std::function<OwnerNews()> news;
+    /// Called when the row names these workers for certain; may be empty.
+    std::function<void(const std::vector<std::string>&)> onPublished;
   };
 
   /// Who this instance is.
@@ -92,11 +94,15 @@
 
   /// Takes the ownership row as it was read; an absent row has version 0.
   void OnOwnerRow(const Row& aRow);
+  /// Takes the version of the row that every new term writes among the jobs.
+  void OnTermRow(std::uint64_t aVersion);
   /// Takes another instance's incarnation as its own row says.
   /// @param aVersion version of that row
   void OnInstance(const std::string& aName, const InstanceRecord& aRecord, std::uint64_t aVersion);
   /// @param aLastRead when the cell's table was last read with success; nothing if it fails
   void Tick(std::optional<TimePoint> aLastRead);
+  /// Renews the row with the next tick.
+  void RenewSoon();
   /// Stops taking over, and hands the term over if there is one.
   void Leave();
 
@@ -131,7 +137,9 @@
   void OnTaken(TimePoint aSent, const Result<CommitAnswer>& aAnswer);
   void Begin(std::uint64_t aToken, TimePoint aSent);
   void Renew();
-  void OnRenewed(TimePoint aSent, const Result<CommitAnswer>& aAnswer);
+  void OnRenewed(TimePoint aSent,
+                 const std::vector<std::string>& aWorkers,
+                 const Result<CommitAnswer>& aAnswer);
   void Lose(std::string_view aReason);
   [[nodiscard]] RowKey OwnerKey() const;
   [[nodiscard]] bool IsMine(const OwnerRecord& aRecord) const;
@@ -161,6 +169,8 @@
   TimePoint nextRenewal{};
   std::uint64_t token = 0;
   bool isRenewing = false;
+  /// The record has changed since the renewal that is under way.
+  bool isRenewalOld = false;
   bool isLeaving = false;
 };
 
--- a/Libraries/LibCell/Records.h
+++ b/Libraries/LibCell/Records.h
@@ -28,6 +28,8 @@
 inline constexpr std::uint32_t kJobParts = 48;
 /// Part of the progress rows, which the conductor alone writes, apart from those that accept jobs.
 inline constexpr std::string_view kProgressPart = "progress";
+/// Part of the one row that each new term writes among the jobs.
+inline constexpr std::string_view kTermPart = "term";
 
 /// What a row about a job holds.
 enum class JobRowKind : std::uint8_t
--- a/Libraries/LibCell/TableFollower.cpp
+++ b/Libraries/LibCell/TableFollower.cpp
@@ -55,7 +55,9 @@
 void
 TableFollower::ReadNextPart(const std::shared_ptr<WholeRead>& aRead)
 {
-  if (aRead->nextPart < this->options.parts.size()) {
+  // The last part is read when the others have been, so that it is never older than they are.
+  const bool isLast = aRead->nextPart + 1 == this->options.parts.size();
+  if (aRead->nextPart < this->options.parts.size() && !(isLast && aRead->open > 0)) {
     ++aRead->open;
     this->ReadPart(aRead, aRead->nextPart++, {});
   }
--- a/Libraries/LibInstance/CellInstance.cpp
+++ b/Libraries/LibInstance/CellInstance.cpp
@@ -31,6 +31,17 @@
   return NotRun(ErrorCode::NotFound, "There is no such job.");
 }
 
+/// @return the range that holds the ownership row alone.
+cell::RowRange
+OwnerRow()
+{
+  const std::string owner(cell::kOwnerKey);
+  return { .table = std::string(cell::kCellTable),
+           .part = std::string(cell::kCellPart),
+           .from = owner,
+           .to = owner + '\0' };
+}
+
 std::vector<std::string>
 AllJobParts()
 {
@@ -39,6 +50,7 @@
     parts.push_back(std::to_string(part));
   }
   parts.emplace_back(cell::kProgressPart);
+  parts.emplace_back(cell::kTermPart);
   return parts;
 }
 
@@ -54,7 +66,13 @@
                  .log = this->on.log,
                  .onBegun = [this](const cell::Term& aTerm) { this->OnTermBegun(aTerm); },
                  .onLost = [this](std::string_view) { this->OnTermLost(); },
-                 .news = [this] { return this->News(); } },
+                 .news = [this] { return this->News(); },
+                 .onPublished =
+                   [this](const std::vector<std::string>& aWorkers) {
+                     if (this->conductor) {
+                       this->conductor->OnPublished(aWorkers);
+                     }
+                   } },
                this->options.identity,
                this->options.leadership)
 {
@@ -256,6 +274,12 @@
 void
 CellInstance::OnJobs(const cell::TableView& aView)
 {
+  // A term that has begun since ends this one before any job that came after it is looked at.
+  for (const auto& row : aView.rows) {
+    if (row.key.part == cell::kTermPart) {
+      this->leadership.OnTermRow(row.version);
+    }
+  }
   if (this->conductor) {
     this->conductor->OnJobRows(aView.rows);
     return;
@@ -355,7 +379,8 @@
                                            }
                                          });
                                        }
-                                     } },
+                                     },
+                                   .onUnpublished = [this] { this->leadership.RenewSoon(); } },
     this->options.conductor);
   const auto now = this->on.clock.Now();
   const auto& figures = this->options.conductor;
@@ -376,6 +401,7 @@
                            .hadPredecessor = start.term.hadPredecessor,
                            .jobRows = std::move(*start.jobRows),
                            .workers = std::move(*start.workers) });
+  this->leadership.RenewSoon();
   this->TickConductor();
 }
 
@@ -395,7 +421,7 @@
 }
 
 cell::OwnerNews
-CellInstance::News() const
+CellInstance::News()
 {
   if (!this->conductor) {
     // Until the conductor has begun, what the predecessor published holds.
@@ -407,7 +433,7 @@
     }
     return news;
   }
-  return { .workers = this->conductor->OccupiedWorkers(),
+  return { .workers = this->conductor->WorkersToPublish(),
            .waiting = this->conductor->WaitingByQueue(),
            .isRecovering = this->conductor->IsRecovering() };
 }
@@ -420,11 +446,7 @@
     aHandler(true);
     return;
   }
-  const std::string owner(cell::kOwnerKey);
-  this->store.Read({ .table = std::string(cell::kCellTable),
-                     .part = std::string(cell::kCellPart),
-                     .from = owner,
-                     .to = owner + '\0' },
+  this->store.Read(OwnerRow(),
                    [handler = std::move(aHandler)](const Result<cell::RowBatch>& aBatch) {
                      handler(!IsError(aBatch));
                    });
@@ -439,10 +461,12 @@
       others.push_back(&peer);
     }
   }
-  if (this->leadership.IsOwner()) {
-    std::ranges::sort(
-      others, std::greater<>{}, [](const auto* aPeer) { return aPeer->second.record.milliCores; });
-    others.resize(std::min(others.size(), this->options.heirs));
+  if (this->leadership.IsOwner() && !others.empty()) {
+    const auto sizeOf = [](const auto* aPeer) { return aPeer->second.record.milliCores; };
+    const auto largest = sizeOf(*std::ranges::max_element(others, {}, sizeOf));
+    std::erase_if(others, [&](const auto* aPeer) {
+      return sizeOf(aPeer) < this->options.heirSize * static_cast<double>(largest);
+    });
   }
   std::map<std::string, Endpoint> endpoints;
   for (const auto* peer : others) {
@@ -453,10 +477,27 @@
 
 void
 CellInstance::OnPeerReachesStore(const std::string& aPeer)
+{
+  const auto silent = this->on.clock.Now() - this->store.LastAnswer();
+  const bool hasLostStore = !this->ReachesStore() && silent >= this->options.resignAfter;
+  if (!this->leadership.IsOwner() || !hasLostStore || this->isCheckingStore) {
+    return;
+  }
+  // The store may be back for all; calls of before may wait for their answers yet.
+  this->isCheckingStore = true;
+  this->store.Read(OwnerRow(), [](const Result<cell::RowBatch>&) {});
+  this->on.timer.After(this->options.ownAnswer, [this, aPeer] {
+    this->isCheckingStore = false;
+    this->ResignTo(aPeer);
+  });
+}
+
+void
+CellInstance::ResignTo(const std::string& aPeer)
 {
   const auto peer = this->peers.find(aPeer);
   const auto silent = this->on.clock.Now() - this->store.LastAnswer();
-  if (peer == this->peers.end() || this->ReachesStore() || silent < this->options.resignAfter) {
+  if (peer == this->peers.end() || silent < this->options.resignAfter) {
     return;
   }
   const auto resignation = this->leadership.Resign();
--- a/Libraries/LibInstance/CellInstance.h
+++ b/Libraries/LibInstance/CellInstance.h
@@ -64,8 +64,11 @@
   /// reaches it: more than a slow store takes for a call, less than the others wait before they
   /// take over.
   Milliseconds resignAfter{ 700 };
-  /// Instances of which a conductor that lost the store asks some; the largest ones.
-  std::size_t heirs = 8;
+  /// The store answers a conductor that it serves within this; a transaction takes 4 ms.
+  Milliseconds ownAnswer{ 150 };
+  /// A conductor that lost the store asks only instances of this part of the largest one's
+  /// processor or more: a small one falls behind a large cell.
+  double heirSize = 0.75;
   /// The store's last answer is good enough for a peer that asks if it is younger.
   Milliseconds freshAnswer{ 150 };
   /// An instance whose row stands still for longer makes no calls to the policy service.
@@ -162,11 +165,13 @@
   void OnWorkers(const cell::TableView& aView);
   [[nodiscard]] std::optional<cell::WorkerEntry> DecodeWorker(const cell::Row& aRow);
   void BeginIfComplete();
-  [[nodiscard]] cell::OwnerNews News() const;
+  [[nodiscard]] cell::OwnerNews News();
   void TickConductor();
   void TickLeadership();
   void Beat();
   void NameInstances();
+  /// Hands the term over unless the store has answered meanwhile.
+  void ResignTo(const std::string& aPeer);
   void StatusFromStore(const JobId& aJob,
                        const WorkspaceId& aWorkspace,
                        cell::Handler<cell::CallerJobState> aHandler);
@@ -190,6 +195,7 @@
   std::map<std::string, Peer> peers;
   std::uint64_t beatCount = 0;
   bool isLeaving = false;
+  bool isCheckingStore = false;
   bool isPlacementPosted = false;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
--- a/Tests/LibCell/ConductorFixture.cpp
+++ b/Tests/LibCell/ConductorFixture.cpp
@@ -79,6 +79,9 @@
   constexpr Milliseconds kStep{ 10 };
   for (auto elapsed = Milliseconds{ 0 }; elapsed < aTime; elapsed += kStep) {
     this->conductor->Tick();
+    if (this->publishes) {
+      this->conductor->OnPublished(this->conductor->WorkersToPublish());
+    }
     this->workers.Deliver();
     this->advice.Deliver();
     this->clock.Advance(kStep);
--- a/Tests/LibCell/ConductorFixture.h
+++ b/Tests/LibCell/ConductorFixture.h
@@ -87,6 +87,8 @@
   CellPolicy policy;
   std::vector<WorkerEntry> entries;
   bool isDeposed = false;
+  /// The ownership row is renewed with each step.
+  bool publishes = true;
   std::uint64_t token = 0;
   /// Time that a look at the clock takes, as decoding many rows does.
   std::unique_ptr<Clock> ownClock;
--- a/Tests/LibCell/TestLeadership.cpp
+++ b/Tests/LibCell/TestLeadership.cpp
@@ -19,31 +19,34 @@
              const std::string& aLife = "1",
              std::uint32_t aMilliCores = 120)
       : watched(aTest.store, aTest.clock, aTest.log, aTest.metrics)
-      , leadership({ .store = this->watched,
-                     .clock = aTest.clock,
-                     .log = aTest.log,
-                     .onBegun =
-                       [this](const Term& aTerm) {
-                         this->term = aTerm;
-                         ++this->terms;
-                       },
-                     .onLost = [this](std::string_view) { this->term.reset(); },
-                     .news =
-                       [this] {
-                         return OwnerNews{ .workers = this->workers,
-                                           .isRecovering = this->isRecovering };
-                       } },
-                   { .name = aName,
-                     .incarnation = aName + aLife,
-                     .address = "10.0.0.1",
-                     .port = 1,
-                     .milliCores = aMilliCores },
-                   aTest.options)
+      , leadership(
+          { .store = this->watched,
+            .clock = aTest.clock,
+            .log = aTest.log,
+            .onBegun =
+              [this](const Term& aTerm) {
+                this->term = aTerm;
+                ++this->terms;
+              },
+            .onLost = [this](std::string_view) { this->term.reset(); },
+            .news =
+              [this] {
+                return OwnerNews{ .workers = this->workers, .isRecovering = this->isRecovering };
+              },
+            .onPublished =
+              [this](const std::vector<std::string>& aWorkers) { this->published = aWorkers; } },
+          { .name = aName,
+            .incarnation = aName + aLife,
+            .address = "10.0.0.1",
+            .port = 1,
+            .milliCores = aMilliCores },
+          aTest.options)
     {
     }
 
     WatchedStore watched;
     std::vector<std::string> workers;
+    std::vector<std::string> published;
     bool isRecovering = false;
     std::optional<Term> term;
     int terms = 0;
@@ -265,6 +268,41 @@
   EXPECT_EQ(first.terms, 2);
 }
 
+TEST_F(LeadershipTest, TellsWhichWorkersTheRowNamesAndRenewsItSoon)
+{
+  Instance first(*this, "first");
+  this->Run({ &first }, Milliseconds{ 300 });
+  first.workers = { "w1" };
+  this->Run({ &first }, Milliseconds{ 100 });
+  EXPECT_TRUE(first.published.empty());
+  first.leadership.RenewSoon();
+  this->Run({ &first }, Milliseconds{ 40 });
+  EXPECT_EQ(first.published, first.workers);
+}
+
+// The pattern: an owner that did not reach the store reads it again, and would start a job that was
+// accepted in the next owner's term before it has read the ownership row.
+TEST_F(LeadershipTest, LearnsOfALaterTermAmongTheJobs)
+{
+  Instance first(*this, "first");
+  Instance second(*this, "second");
+  this->Run({ &first }, Milliseconds{ 300 });
+  ASSERT_TRUE(first.term);
+  const RowKey key{ .table = std::string(kJobTable),
+                    .part = std::string(kTermPart),
+                    .key = std::string(kOwnerKey) };
+  first.leadership.OnTermRow(this->store.rows.at(key).version);
+  ASSERT_TRUE(first.term);
+
+  this->Run({ &second }, Milliseconds{ 3000 });
+  ASSERT_TRUE(second.term);
+  EXPECT_EQ(this->store.rows.at(key).version, second.term->token);
+  first.leadership.OnTermRow(this->store.rows.at(key).version);
+  EXPECT_FALSE(first.term);
+  second.leadership.OnTermRow(this->store.rows.at(key).version);
+  EXPECT_TRUE(second.term);
+}
+
 TEST_F(LeadershipTest, PassesOnThatAPredecessorHadNotRecovered)
 {
   Instance first(*this, "first");
--- a/Tests/LibCell/TestTakeOver.cpp
+++ b/Tests/LibCell/TestTakeOver.cpp
@@ -246,4 +246,30 @@
   EXPECT_EQ(this->StartsOf("job"), 3U);
 }
 
+// The pattern: a worker that has just come is used before the ownership row names it, and its own
+// row lapses while the store is away. The next conductor would not know that it has to be asked.
+TEST_F(TakeOver, StartsNothingAtAWorkerThatANextConductorWouldNotAsk)
+{
+  this->publishes = false;
+  this->entries = { this->workers.Add("w1", 4) };
+  this->Begin();
+  this->Accept(JobOf("job", 1, 1));
+  this->Run(Milliseconds{ 500 });
+  EXPECT_TRUE(this->workers.starts.empty());
+  this->publishes = true;
+  this->Run(Milliseconds{ 100 });
+  EXPECT_EQ(this->workers.starts.size(), 1U);
+}
+
+TEST_F(TakeOver, NamesAListedWorkerThatDoesNotAnswer)
+{
+  this->entries = { this->workers.Add("w1", 4) };
+  this->workers.At("w1").isReachable = false;
+  this->Begin();
+  this->Run(Milliseconds{ 2000 });
+  EXPECT_EQ(this->conductor->WorkersToPublish(), std::vector<std::string>{ "w1" });
+  this->conductor->OnWorkerUnlisted({ "w1" });
+  EXPECT_TRUE(this->conductor->WorkersToPublish().empty());
+}
+
 }
