LibInstanceCalls: Make every call between instances in one place

Read-through: five calls each looked the client up and refused for want of one; they share Perform now, and the server finds its handlers in a table as the other servers do. Whom to ask and where a peer is were answered by one map that was built, sorted and copied for each request passed on; they are two questions now, of which the second is a look-up. A wrapper around one callback is gone.

--- a/Libraries/LibCell/Conductor.cpp
+++ b/Libraries/LibCell/Conductor.cpp
@@ -165,14 +165,6 @@
   this->placementDue = this->placementDue || this->published.size() != before;
 }
 
-void
-Conductor::AskToPublish()
-{
-  if (this->on.onUnpublished) {
-    this->on.onUnpublished();
-  }
-}
-
 std::uint64_t
 Conductor::NextRun()
 {
--- a/Libraries/LibCell/Conductor.h
+++ b/Libraries/LibCell/Conductor.h
@@ -266,7 +266,6 @@
                                                      const Pool& aPool,
                                                      bool aNeedsTicket) const;
   [[nodiscard]] bool IsUsable(const Worker& aWorker) const;
-  void AskToPublish();
   [[nodiscard]] std::uint32_t LimitRoom(const Candidate& aCandidate,
                                         const Resources& aDemand,
                                         std::uint32_t aMost) const;
--- a/Libraries/LibCell/ConductorWorkers.cpp
+++ b/Libraries/LibCell/ConductorWorkers.cpp
@@ -251,8 +251,8 @@
     aWorker.nextHold = !wasOpen ? now : now + this->options.holdPause;
   }
   this->placementDue = this->placementDue || hasEnds || !wasOpen;
-  if (!wasOpen && !this->published.contains(aWorker.entry.id)) {
-    this->AskToPublish();
+  if (!wasOpen && !this->published.contains(aWorker.entry.id) && this->on.onUnpublished) {
+    this->on.onUnpublished();
   }
 }
 
--- a/Libraries/LibInstance/CellInstance.cpp
+++ b/Libraries/LibInstance/CellInstance.cpp
@@ -452,27 +452,30 @@
                    });
 }
 
-std::map<std::string, Endpoint>
-CellInstance::Peers() const
+std::vector<std::string>
+CellInstance::PeersToAsk() const
 {
-  std::vector<const std::pair<const std::string, Peer>*> others;
-  for (const auto& peer : this->peers) {
-    if (peer.first != this->options.identity.name) {
-      others.push_back(&peer);
-    }
-  }
-  if (this->leadership.IsOwner() && !others.empty()) {
-    const auto sizeOf = [](const auto* aPeer) { return aPeer->second.record.milliCores; };
-    const auto largest = sizeOf(*std::ranges::max_element(others, {}, sizeOf));
-    std::erase_if(others, [&](const auto* aPeer) {
-      return sizeOf(aPeer) < this->options.heirSize * static_cast<double>(largest);
-    });
+  std::uint32_t largest = 0;
+  for (const auto& [name, peer] : this->peers) {
+    largest =
+      name == this->options.identity.name ? largest : std::max(largest, peer.record.milliCores);
   }
-  std::map<std::string, Endpoint> endpoints;
-  for (const auto* peer : others) {
-    endpoints[peer->first] = peer->second.endpoint;
+  const auto least =
+    this->leadership.IsOwner() ? this->options.heirSize * static_cast<double>(largest) : 0.0;
+  std::vector<std::string> names;
+  for (const auto& [name, peer] : this->peers) {
+    if (name != this->options.identity.name && peer.record.milliCores >= least) {
+      names.push_back(name);
+    }
   }
-  return endpoints;
+  return names;
+}
+
+Endpoint
+CellInstance::EndpointOf(const std::string& aPeer) const
+{
+  const auto peer = this->peers.find(aPeer);
+  return peer == this->peers.end() ? Endpoint{} : peer->second.endpoint;
 }
 
 void
--- a/Libraries/LibInstance/CellInstance.h
+++ b/Libraries/LibInstance/CellInstance.h
@@ -107,9 +107,12 @@
   [[nodiscard]] bool ReachesStore() const { return this->store.IsPrompt(); }
   /// Finds out whether the store answers now.
   void AskStore(cell::Handler<bool> aHandler);
-  /// @return the other instances with their addresses, as the store last told; for the conductor
-  /// only those that would be its best successors.
-  [[nodiscard]] std::map<std::string, Endpoint> Peers() const;
+  /// @return the other instances, as the store last told; for the conductor only those that would
+  /// be its best successors.
+  [[nodiscard]] std::vector<std::string> PeersToAsk() const;
+  /// @return where an instance takes calls of others; an address that cannot be called if it is not
+  /// known.
+  [[nodiscard]] Endpoint EndpointOf(const std::string& aPeer) const;
   /// Takes notice that another instance reaches the store: a conductor that does not hands over.
   void OnPeerReachesStore(const std::string& aPeer);
   /// Takes over from a conductor that has stopped.
--- a/Libraries/LibInstanceCalls/InstanceCalls.cpp
+++ b/Libraries/LibInstanceCalls/InstanceCalls.cpp
@@ -245,28 +245,20 @@
 {
 }
 
+const InstanceCallServer::Route InstanceCallServer::kRoutes[] = {
+  { kAdvisePath, &InstanceCallServer::Advise }, { kStatusPath, &InstanceCallServer::Status },
+  { kReachPath, &InstanceCallServer::Reach },   { kResignPath, &InstanceCallServer::Resigned },
+  { kCallPath, &InstanceCallServer::Call },
+};
+
 void
 InstanceCallServer::Handle(const IncomingRequest& aRequest, Respond aRespond)
 {
-  if (aRequest.path == kAdvisePath) {
-    this->Advise(aRequest, std::move(aRespond));
-    return;
-  }
-  if (aRequest.path == kCallPath) {
-    this->Call(aRequest, std::move(aRespond));
-    return;
-  }
-  if (aRequest.path == kReachPath) {
-    this->Reach(std::move(aRespond));
-    return;
-  }
-  if (aRequest.path == kResignPath) {
-    this->Resigned(aRequest, aRespond);
-    return;
-  }
-  if (aRequest.path == kStatusPath) {
-    this->Status(aRequest, aRespond);
-    return;
+  for (const auto& route : kRoutes) {
+    if (route.path == aRequest.path) {
+      (this->*route.handler)(aRequest, std::move(aRespond));
+      return;
+    }
   }
   aRespond(ErrorResponse(NotRun(ErrorCode::NotFound, "There is no such call.")));
 }
@@ -290,7 +282,7 @@
 }
 
 void
-InstanceCallServer::Status(const IncomingRequest& aRequest, const Respond& aRespond)
+InstanceCallServer::Status(const IncomingRequest& aRequest, Respond aRespond)
 {
   const auto job = aRequest.Query("job");
   const auto status = this->on.status({ std::string(job.value_or("")) });
@@ -302,7 +294,7 @@
 }
 
 void
-InstanceCallServer::Reach(Respond aRespond)
+InstanceCallServer::Reach(const IncomingRequest&, Respond aRespond)
 {
   this->on.askStore([respond = std::move(aRespond)](const Result<bool>& aReaches) {
     Json::Value value(Json::objectValue);
@@ -312,7 +304,7 @@
 }
 
 void
-InstanceCallServer::Resigned(const IncomingRequest& aRequest, const Respond& aRespond)
+InstanceCallServer::Resigned(const IncomingRequest& aRequest, Respond aRespond)
 {
   auto resignation = DecodeResignation(aRequest.body);
   if (IsError(resignation)) {
@@ -364,18 +356,30 @@
   return client;
 }
 
+template<typename T, typename Encoder, typename Decoder>
 void
-InstanceCallClient::Advise(const Endpoint& aInstance,
-                           const cell::AdviceQuestion& aQuestion,
-                           cell::Handler<cell::AdviceAnswer> aHandler)
+InstanceCallClient::Perform(const Endpoint& aInstance,
+                            Encoder aEncode,
+                            Milliseconds aWait,
+                            Decoder aDecode,
+                            cell::Handler<T> aHandler)
 {
   const auto client = this->ClientOf(aInstance);
   if (IsError(client)) {
     aHandler(ErrorOf(client));
     return;
   }
-  detail::Exchange<cell::AdviceAnswer>(
-    ValueOf(client),
+  detail::Exchange<T>(
+    ValueOf(client), std::move(aEncode), aWait, std::move(aDecode), std::move(aHandler));
+}
+
+void
+InstanceCallClient::Advise(const Endpoint& aInstance,
+                           const cell::AdviceQuestion& aQuestion,
+                           cell::Handler<cell::AdviceAnswer> aHandler)
+{
+  this->Perform<cell::AdviceAnswer>(
+    aInstance,
     [body = EncodeQuestion(aQuestion)] {
       return HttpRequest{ .method = HttpMethod::Post,
                           .target = std::string(kAdvisePath),
@@ -391,13 +395,8 @@
                            const JobId& aJob,
                            cell::Handler<cell::JobStatus> aHandler)
 {
-  const auto client = this->ClientOf(aInstance);
-  if (IsError(client)) {
-    aHandler(ErrorOf(client));
-    return;
-  }
-  detail::Exchange<cell::JobStatus>(
-    ValueOf(client),
+  this->Perform<cell::JobStatus>(
+    aInstance,
     [target = fmt::format("{}?job={}", kStatusPath, aJob.value)] {
       return HttpRequest{ .method = HttpMethod::Get, .target = target };
     },
@@ -414,13 +413,8 @@
 void
 InstanceCallClient::AskReach(const Endpoint& aInstance, cell::Handler<bool> aHandler)
 {
-  const auto client = this->ClientOf(aInstance);
-  if (IsError(client)) {
-    aHandler(ErrorOf(client));
-    return;
-  }
-  detail::Exchange<bool>(
-    ValueOf(client),
+  this->Perform<bool>(
+    aInstance,
     [] { return HttpRequest{ .method = HttpMethod::Get, .target = std::string(kReachPath) }; },
     Milliseconds{ 0 },
     [](HttpReply aReply) { return DecodeAny<bool>(aReply, &DecodeReach); },
@@ -432,13 +426,8 @@
                            const cell::Resignation& aResignation,
                            cell::Handler<Done> aHandler)
 {
-  const auto client = this->ClientOf(aInstance);
-  if (IsError(client)) {
-    aHandler(ErrorOf(client));
-    return;
-  }
-  detail::Exchange<Done>(
-    ValueOf(client),
+  this->Perform<Done>(
+    aInstance,
     [body = EncodeResignation(aResignation)] {
       return HttpRequest{ .method = HttpMethod::Post,
                           .target = std::string(kResignPath),
@@ -454,13 +443,8 @@
                            const PassedRequest& aRequest,
                            cell::Handler<PassedResponse> aHandler)
 {
-  const auto client = this->ClientOf(aInstance);
-  if (IsError(client)) {
-    aHandler(ErrorOf(client));
-    return;
-  }
-  detail::Exchange<PassedResponse>(
-    ValueOf(client),
+  this->Perform<PassedResponse>(
+    aInstance,
     [body = EncodeCall(aRequest)] {
       return HttpRequest{ .method = HttpMethod::Post,
                           .target = std::string(kCallPath),
--- a/Libraries/LibInstanceCalls/InstanceCalls.h
+++ b/Libraries/LibInstanceCalls/InstanceCalls.h
@@ -13,6 +13,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 
 namespace zinc {
@@ -58,10 +59,18 @@
   void Handle(const IncomingRequest& aRequest, Respond aRespond);
 
 private:
+  struct Route
+  {
+    std::string_view path;
+    void (InstanceCallServer::*handler)(const IncomingRequest& aRequest, Respond aRespond);
+  };
+
+  static const Route kRoutes[];
+
   void Advise(const IncomingRequest& aRequest, Respond aRespond);
-  void Status(const IncomingRequest& aRequest, const Respond& aRespond);
-  void Reach(Respond aRespond);
-  void Resigned(const IncomingRequest& aRequest, const Respond& aRespond);
+  void Status(const IncomingRequest& aRequest, Respond aRespond);
+  void Reach(const IncomingRequest& aRequest, Respond aRespond);
+  void Resigned(const IncomingRequest& aRequest, Respond aRespond);
   void Call(const IncomingRequest& aRequest, Respond aRespond);
 
   Handlers on;
@@ -94,6 +103,13 @@
 
 private:
   [[nodiscard]] Result<std::shared_ptr<HttpClient>> ClientOf(const Endpoint& aInstance);
+  /// Makes a call, or tells that the instance's address cannot be used.
+  template<typename T, typename Encoder, typename Decoder>
+  void Perform(const Endpoint& aInstance,
+               Encoder aEncode,
+               Milliseconds aWait,
+               Decoder aDecode,
+               cell::Handler<T> aHandler);
 
   HttpOptions options;
   std::unordered_map<std::string, std::shared_ptr<HttpClient>> clients;
--- a/Services/Entry/PlatformProgram.cpp
+++ b/Services/Entry/PlatformProgram.cpp
@@ -267,26 +267,19 @@
       .clock = this->clock,
       .log = this->log,
       .reachesStore = [this] { return this->instance->ReachesStore(); },
-      .peers =
-        [this] {
-          std::vector<std::string> names;
-          for (const auto& [name, endpoint] : this->instance->Peers()) {
-            names.push_back(name);
-          }
-          return names;
-        },
+      .peers = [this] { return this->instance->PeersToAsk(); },
       .onReachable =
         [this](const std::string& aPeer) { this->instance->OnPeerReachesStore(aPeer); },
       .ask =
         [this](const std::string& aPeer, std::function<void(Result<bool>)> aHandler) {
-          this->calls->AskReach(this->instance->Peers()[aPeer], std::move(aHandler));
+          this->calls->AskReach(this->instance->EndpointOf(aPeer), std::move(aHandler));
         },
       .documentVersion = [this] { return this->DocumentVersion(); },
       .pass =
         [this](const std::string& aPeer,
                const PassedRequest& aRequest,
                std::function<void(Result<PassedResponse>)> aHandler) {
-          this->calls->PassOn(this->instance->Peers()[aPeer], aRequest, std::move(aHandler));
+          this->calls->PassOn(this->instance->EndpointOf(aPeer), aRequest, std::move(aHandler));
         },
       .answer =
         [this](const IncomingRequest& aRequest, Respond aRespond) {
