Soak: Read task names, wait and refuse in one place each

Read-through: the soak took task names apart by itself, twice, where the adapter's DecodeTaskName does; workers checked the fencing token in three operations; an order that waits for an end was parsed again each 10 ms, by a second copy of the code that carries orders out, which did not look again whose life the call was for; two servers had a timer of their own; a maximum stood in two files, and a status was compared that cannot occur. The stand-ins' server keeps the user agent among the other headers.

--- a/Tests/Soak/Checks.cpp
+++ b/Tests/Soak/Checks.cpp
@@ -1,9 +1,9 @@
 #include <Soak/Checks.h>
 
 #include <algorithm>
-#include <charconv>
 #include <fmt/format.h>
 #include <optional>
+#include <platform/Decoders.h>
 #include <set>
 
 namespace zinc::soak {
@@ -38,29 +38,20 @@
                      aEvent.at.count());
 }
 
-std::string
-JobOf(const std::string& aTask)
-{
-  return aTask.substr(0, aTask.find('.'));
-}
-
 std::size_t
 StepOf(const std::string& aTask)
 {
-  const auto last = aTask.rfind('.');
-  const auto before = aTask.rfind('.', last - 1);
-  std::size_t step = 0;
-  std::from_chars(aTask.data() + before + 1, aTask.data() + last, step);
-  return step;
+  const auto name = platform::DecodeTaskName(aTask);
+  return name ? name->key.step : 0;
 }
 
 const StepPlan*
 PlanOf(const CheckContext& aContext, const std::string& aTask)
 {
-  const auto job = aContext.plans.find(JobOf(aTask));
-  const auto step = StepOf(aTask);
-  const bool isKnown = job != aContext.plans.end() && step < job->second.steps.size();
-  return isKnown ? &job->second.steps[step] : nullptr;
+  const auto name = platform::DecodeTaskName(aTask);
+  const auto job = name ? aContext.plans.find(name->job.value) : aContext.plans.end();
+  const bool isKnown = job != aContext.plans.end() && name->key.step < job->second.steps.size();
+  return isKnown ? &job->second.steps[name->key.step] : nullptr;
 }
 
 RunsByTask
@@ -321,7 +312,7 @@
   return found;
 }
 
-/// @return the end of an accepted job that nobody cancelled and that should have one, or nothing.
+/// @return true if a job in this state changes no more.
 bool
 IsFinal(const std::string& aState)
 {
--- a/Tests/Soak/SoakCallers.cpp
+++ b/Tests/Soak/SoakCallers.cpp
@@ -12,7 +12,6 @@
 
 constexpr unsigned kOk = 200;
 constexpr unsigned kGone = 410;
-constexpr unsigned kOutcomeUnknown = 504;
 /// Time limit of a caller, from the site files.
 constexpr Milliseconds kPatience{ 3000 };
 constexpr Milliseconds kBeforeRetry{ 250 };
@@ -190,7 +189,7 @@
     if (kind == EventKind::Accepted) {
       return true;
     }
-    if (kind == EventKind::Refused && status != kOutcomeUnknown) {
+    if (kind == EventKind::Refused) {
       return false;
     }
     std::this_thread::sleep_for(kBeforeRetry);
--- a/Tests/Soak/SoakCell.cpp
+++ b/Tests/Soak/SoakCell.cpp
@@ -29,8 +29,6 @@
 constexpr Milliseconds kSlowStore{ 250 };
 constexpr Milliseconds kSlowWorker{ 400 };
 constexpr Milliseconds kSlowPath{ 200 };
-/// Thousandths of a core that the second workspace may have running.
-constexpr std::int64_t kSecondMaximum = 6000;
 /// Hosts of the platform and of the first instance in the run's own loopback network.
 constexpr std::size_t kPlatform = 1;
 constexpr std::size_t kFirstInstance = 10;
@@ -348,12 +346,13 @@
     }
   }
   for (auto& instance : this->instances) {
-    if (instance.process && instance.process->WaitFor(kGracePeriod + kExitMargin)) {
-      this->NoteEnd(instance);
-    } else if (instance.process) {
+    if (!instance.process) {
+      continue;
+    }
+    if (!instance.process->WaitFor(kGracePeriod + kExitMargin)) {
       instance.process->Kill();
-      this->NoteEnd(instance);
     }
+    this->NoteEnd(instance);
   }
 }
 
--- a/Tests/Soak/SoakCell.h
+++ b/Tests/Soak/SoakCell.h
@@ -16,6 +16,9 @@
 
 namespace zinc::soak {
 
+/// Thousandths of a core that the second workspace may have running.
+inline constexpr std::int64_t kSecondMaximum = 6000;
+
 /// Where and with what a cell runs.
 struct SoakCellOptions
 {
--- a/Tests/Soak/SoakRun.cpp
+++ b/Tests/Soak/SoakRun.cpp
@@ -13,8 +13,6 @@
 namespace {
 
 constexpr Milliseconds kStep{ 20 };
-/// What the second workspace may have running; the document says the same.
-constexpr std::int64_t kSecondMaximum = 6000;
 
 /// A fault's beginning or end.
 struct Moment
--- a/Tests/Soak/StoreServer.cpp
+++ b/Tests/Soak/StoreServer.cpp
@@ -1,8 +1,7 @@
 #include <Soak/StoreServer.h>
 
 #include <LibPlatform/Json.h>
-#include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
+#include <Soak/RunLater.h>
 #include <charconv>
 
 namespace zinc::soak {
@@ -72,13 +71,7 @@
 void
 StoreServer::After(Milliseconds aDelay, std::function<void()> aFunction)
 {
-  auto timer = std::make_shared<boost::asio::steady_timer>(this->context, aDelay);
-  timer->async_wait([timer, weak = this->weak_from_this(), function = std::move(aFunction)](
-                      boost::system::error_code) {
-    if (weak.lock()) {
-      function();
-    }
-  });
+  RunLater(this->context, aDelay, this->weak_from_this(), std::move(aFunction));
 }
 
 bool
--- a/Tests/Soak/WorkerFleet.cpp
+++ b/Tests/Soak/WorkerFleet.cpp
@@ -2,8 +2,8 @@
 
 #include <LibPlatform/Json.h>
 #include <algorithm>
-#include <charconv>
 #include <fmt/format.h>
+#include <platform/Decoders.h>
 #include <xxhash.h>
 
 namespace zinc::soak {
@@ -21,29 +21,6 @@
 constexpr std::size_t kListedEnds = 500;
 constexpr std::uint64_t kPercent = 100;
 
-/// Parts of a task's name.
-struct TaskParts
-{
-  std::string job;
-  std::string group;
-  std::size_t step = 0;
-};
-
-std::optional<TaskParts>
-PartsOf(const std::string& aTask)
-{
-  const auto last = aTask.rfind('.');
-  const auto before = last == std::string::npos || last == 0 ? last : aTask.rfind('.', last - 1);
-  const auto first = aTask.find('.');
-  if (before == std::string::npos || first == before) {
-    return {};
-  }
-  TaskParts parts{ .job = aTask.substr(0, first), .group = aTask.substr(0, last) };
-  const auto* digits = aTask.data() + before + 1;
-  const auto read = std::from_chars(digits, aTask.data() + last, parts.step);
-  return read.ec == std::errc() ? std::optional(parts) : std::nullopt;
-}
-
 bool
 Fails(const RunName& aName, std::uint64_t aPercent)
 {
@@ -123,23 +100,26 @@
   this->orderedAt = aOrderedAt;
   auto* life = this->Find(aWorker);
   for (const auto& route : kRoutes) {
-    if (route.path == aPath && life != nullptr) {
-      this->EndDue(*life);
-      return (this->*route.operation)(*life, aOrder);
+    if (route.path != aPath || life == nullptr) {
+      continue;
     }
+    this->EndDue(*life);
+    const auto token = aOrder["FencingToken"].asUInt64();
+    if (token < life->fencingToken) {
+      return this->Refuse(*life, "fence");
+    }
+    life->fencingToken = token;
+    return (this->*route.operation)(*life, aOrder);
   }
   return { .status = kNotFound };
 }
 
-std::string
-WorkerFleet::RefusalOf(WorkerLife& aLife, const Json::Value& aOrder) const
+OrderReply
+WorkerFleet::Refuse(const WorkerLife& aLife, const std::string& aReason) const
 {
-  const auto token = aOrder["FencingToken"].asUInt64();
-  if (token < aLife.fencingToken) {
-    return "fence";
-  }
-  aLife.fencingToken = token;
-  return {};
+  auto reply = this->Reply(aLife, kConflict);
+  reply.body["Reason"] = aReason;
+  return reply;
 }
 
 void
@@ -156,42 +136,41 @@
 OrderReply
 WorkerFleet::Start(WorkerLife& aLife, const Json::Value& aOrder)
 {
-  auto reason = this->RefusalOf(aLife, aOrder);
   const auto name = NameOf(aOrder);
-  if (reason.empty()) {
-    this->Extend(aLife, aOrder);
-    const auto ended = aLife.ended.find(name.task);
-    const bool isOld = ended != aLife.ended.end() && name.run <= ended->second;
-    const bool isLate = aLife.deadline <= aLife.Clock(this->recorder.Now());
-    reason = isOld ? "old" : isLate ? "late" : "";
+  this->Extend(aLife, aOrder);
+  const auto ended = aLife.ended.find(name.task);
+  if (ended != aLife.ended.end() && name.run <= ended->second) {
+    return this->Refuse(aLife, "old");
   }
-  if (!reason.empty()) {
-    auto reply = this->Reply(aLife, kConflict);
-    reply.body["Reason"] = reason;
-    return reply;
+  if (aLife.deadline <= aLife.Clock(this->recorder.Now())) {
+    return this->Refuse(aLife, "late");
   }
+  const auto task = platform::DecodeTaskName(name.task);
   const auto spec = ParseJson(aOrder["Spec"].asString());
-  if (IsError(spec)) {
+  if (!task || IsError(spec)) {
     return this->Reply(aLife, kBadRequest);
   }
   if (!aLife.running.contains(name)) {
-    this->Begin(aLife, name, ValueOf(spec));
+    this->Begin(aLife, name, *task, ValueOf(spec));
   }
   return this->Reply(aLife);
 }
 
 void
-WorkerFleet::Begin(WorkerLife& aLife, const RunName& aName, const Json::Value& aSpec)
+WorkerFleet::Begin(WorkerLife& aLife,
+                   const RunName& aName,
+                   const cell::TaskName& aTask,
+                   const Json::Value& aSpec)
 {
-  const auto parts = PartsOf(aName.task);
-  const auto& step = parts ? aSpec["steps"][Json::ArrayIndex(parts->step)] : Json::Value();
+  const auto& step = aSpec["steps"][Json::ArrayIndex(aTask.key.step)];
   const Milliseconds duration(step["ms"].asInt64());
   const auto now = this->recorder.Now();
   const bool isGang = step["gang"].asBool();
   WorkerLife::Run run{ .startedAt = now, .milliCores = step["cpu"].asInt64() };
   run.end = Fails(aName, step["fails"].asUInt64()) ? "failed" : "done";
   if (isGang) {
-    run.gang = fmt::format("{}#{}", parts->group, aName.run);
+    run.gang =
+      fmt::format("{}.{}.{}#{}", aTask.job.value, aTask.key.occurrence, aTask.key.step, aName.run);
   } else {
     run.endsAt = now + duration;
   }
@@ -201,7 +180,7 @@
   }
   aLife.running[aName] = run;
   this->recorder.Record({ .kind = EventKind::Started,
-                          .job = parts ? parts->job : "",
+                          .job = aTask.job.value,
                           .task = aName.task,
                           .run = aName.run,
                           .place = fmt::format("{}@{}", aLife.id, aLife.born),
@@ -236,12 +215,6 @@
 OrderReply
 WorkerFleet::Stop(WorkerLife& aLife, const Json::Value& aOrder)
 {
-  const auto reason = this->RefusalOf(aLife, aOrder);
-  if (!reason.empty()) {
-    auto reply = this->Reply(aLife, kConflict);
-    reply.body["Reason"] = reason;
-    return reply;
-  }
   const auto name = NameOf(aOrder);
   auto& highest = aLife.ended[name.task];
   highest = std::max(highest, name.run);
@@ -258,12 +231,6 @@
 OrderReply
 WorkerFleet::Hold(WorkerLife& aLife, const Json::Value& aOrder)
 {
-  const auto reason = this->RefusalOf(aLife, aOrder);
-  if (!reason.empty()) {
-    auto reply = this->Reply(aLife, kConflict);
-    reply.body["Reason"] = reason;
-    return reply;
-  }
   this->Extend(aLife, aOrder);
   const auto seen = aOrder["LastSeen"].asUInt64();
   auto reply = this->Reply(aLife);
@@ -320,9 +287,8 @@
   auto& highest = aLife.ended[aName.task];
   highest = std::max(highest, aName.run);
   aLife.ends.push_back({ .number = ++aLife.lastEnd, .name = aName, .kind = aKind });
-  const auto parts = PartsOf(aName.task);
   this->recorder.Record({ .kind = EventKind::Ended,
-                          .job = parts ? parts->job : "",
+                          .job = aName.task.substr(0, aName.task.find('.')),
                           .task = aName.task,
                           .run = aName.run,
                           .place = fmt::format("{}@{}", aLife.id, aLife.born),
--- a/Tests/Soak/WorkerFleet.h
+++ b/Tests/Soak/WorkerFleet.h
@@ -3,6 +3,7 @@
 /// @file
 /// The workers of a run: what they start, run, end and list.
 
+#include <LibCell/Specification.h>
 #include <Soak/Event.h>
 #include <json/value.h>
 #include <map>
@@ -120,9 +121,12 @@
   OrderReply Stop(WorkerLife& aLife, const Json::Value& aOrder);
   OrderReply Hold(WorkerLife& aLife, const Json::Value& aOrder);
 
-  [[nodiscard]] std::string RefusalOf(WorkerLife& aLife, const Json::Value& aOrder) const;
+  [[nodiscard]] OrderReply Refuse(const WorkerLife& aLife, const std::string& aReason) const;
   void Extend(WorkerLife& aLife, const Json::Value& aOrder) const;
-  void Begin(WorkerLife& aLife, const RunName& aName, const Json::Value& aSpec);
+  void Begin(WorkerLife& aLife,
+             const RunName& aName,
+             const cell::TaskName& aTask,
+             const Json::Value& aSpec);
   void JoinGang(const std::string& aGang, std::size_t aSize, Milliseconds aDuration);
   void End(WorkerLife& aLife, const RunName& aName, const std::string& aKind);
   void BreakGang(const std::string& aGang);
--- a/Tests/Soak/WorkerServers.cpp
+++ b/Tests/Soak/WorkerServers.cpp
@@ -1,8 +1,8 @@
 #include <Soak/WorkerServers.h>
 
 #include <LibPlatform/Json.h>
+#include <Soak/RunLater.h>
 #include <System/HttpCaller.h>
-#include <boost/asio/steady_timer.hpp>
 #include <fmt/format.h>
 #include <json/json.h>
 
@@ -51,11 +51,6 @@
   }
 }
 
-WorkerServers::~WorkerServers()
-{
-  *this->alive = false;
-}
-
 Result<Done>
 WorkerServers::Start()
 {
@@ -73,13 +68,7 @@
 void
 WorkerServers::After(Milliseconds aDelay, std::function<void()> aFunction)
 {
-  auto timer = std::make_shared<boost::asio::steady_timer>(this->options.context, aDelay);
-  timer->async_wait(
-    [timer, alive = this->alive, function = std::move(aFunction)](boost::system::error_code) {
-      if (*alive) {
-        function();
-      }
-    });
+  RunLater(this->options.context, aDelay, this->alive, std::move(aFunction));
 }
 
 Result<Done>
@@ -201,49 +190,42 @@
 void
 WorkerServers::Perform(std::size_t aWorker, const HttpCallPointer& aCall, bool aAnswers)
 {
-  const auto& slot = this->slots[aWorker];
-  const auto expected = aCall->headers.find("X-Expect-Instance");
-  const bool isOther = expected != aCall->headers.end() && expected->second != slot.id;
-  if (slot.id.empty() || isOther) {
-    aCall->Reply(kOtherLife, "{}");
-    return;
-  }
   const auto order = ParseJson(aCall->body);
   if (IsError(order)) {
     aCall->Reply(kBadRequest, "{}");
     return;
   }
-  const auto wait = ValueOf(order)["WaitMs"].asInt64();
-  if (aCall->target.path == "/v1/hold" && wait > 0) {
-    this->AnswerHold(aWorker, aCall, this->options.recorder.Now() + Milliseconds(wait));
-    return;
-  }
-  const auto reply = this->fleet.Perform(
-    slot.id, aCall->target.path, ValueOf(order), this->options.recorder.At(aCall->receivedAt));
-  if (aAnswers) {
-    aCall->Reply(reply.status, WriteJson(reply.body));
-  } else {
-    aCall->Drop();
-  }
+  const auto wait = Milliseconds(ValueOf(order)["WaitMs"].asInt64());
+  this->CarryOut(aWorker,
+                 { .call = aCall,
+                   .order = ValueOf(order),
+                   .answers = aAnswers,
+                   .until = this->options.recorder.Now() + wait });
 }
 
 void
-WorkerServers::AnswerHold(std::size_t aWorker, const HttpCallPointer& aCall, Milliseconds aUntil)
+WorkerServers::CarryOut(std::size_t aWorker, const PendingOrder& aPending)
 {
   const auto& slot = this->slots[aWorker];
-  if (slot.id.empty()) {
-    aCall->Reply(kOtherLife, "{}");
+  const auto& call = *aPending.call;
+  const auto expected = call.headers.find("X-Expect-Instance");
+  const bool isOther = expected != call.headers.end() && expected->second != slot.id;
+  if (slot.id.empty() || isOther) {
+    aPending.call->Reply(kOtherLife, "{}");
     return;
   }
-  const auto order = ParseJson(aCall->body);
   const auto reply = this->fleet.Perform(
-    slot.id, aCall->target.path, ValueOf(order), this->options.recorder.At(aCall->receivedAt));
-  const bool isOver = this->options.recorder.Now() >= aUntil;
-  if (isOver || reply.status != kOk || !reply.body["Ended"].empty()) {
-    aCall->Reply(reply.status, WriteJson(reply.body));
+    slot.id, call.target.path, aPending.order, this->options.recorder.At(call.receivedAt));
+  const bool mayWait = this->options.recorder.Now() < aPending.until;
+  if (mayWait && reply.status == kOk && reply.body["Ended"].empty()) {
+    this->After(kTick, [this, aWorker, aPending] { this->CarryOut(aWorker, aPending); });
     return;
   }
-  this->After(kTick, [this, aWorker, aCall, aUntil] { this->AnswerHold(aWorker, aCall, aUntil); });
+  if (aPending.answers) {
+    aPending.call->Reply(reply.status, WriteJson(reply.body));
+  } else {
+    aPending.call->Drop();
+  }
 }
 
 void
--- a/Tests/Soak/WorkerServers.h
+++ b/Tests/Soak/WorkerServers.h
@@ -48,7 +48,7 @@
   };
 
   explicit WorkerServers(Options aOptions);
-  ~WorkerServers();
+  ~WorkerServers() = default;
   WorkerServers(const WorkerServers&) = delete;
   WorkerServers& operator=(const WorkerServers&) = delete;
 
@@ -84,12 +84,22 @@
     Milliseconds lastHeartbeat{ 0 };
   };
 
+  /// A call that was read.
+  struct PendingOrder
+  {
+    HttpCallPointer call;
+    Json::Value order;
+    bool answers = true;
+    Milliseconds until{ 0 };
+  };
+
   [[nodiscard]] Result<Done> Begin(std::size_t aWorker, bool aKeepsId);
   void End(std::size_t aWorker, Milliseconds aDown);
   void Handle(std::size_t aWorker, HttpCallPointer aCall);
   void Perform(std::size_t aWorker, const HttpCallPointer& aCall, bool aAnswers);
-  /// Answers a list of runs when an end is there or the time to wait is over.
-  void AnswerHold(std::size_t aWorker, const HttpCallPointer& aCall, Milliseconds aUntil);
+  /// Carries an order out; one that waits for an end is answered when there is one or its time is
+  /// over.
+  void CarryOut(std::size_t aWorker, const PendingOrder& aPending);
   void Publish(Slot& aSlot);
   void Heartbeat();
   void Tick();
--- a/Tests/StandIns/HttpServer.cpp
+++ b/Tests/StandIns/HttpServer.cpp
@@ -172,7 +172,6 @@
   auto request = this->parser->release();
   auto call = std::make_shared<Call>(this->shared_from_this());
   call->method = std::string(request.method_string());
-  call->userAgent = std::string(request[http::field::user_agent]);
   for (const auto& field : request) {
     call->headers[std::string(field.name_string())] = std::string(field.value());
   }
--- a/Tests/StandIns/HttpServer.h
+++ b/Tests/StandIns/HttpServer.h
@@ -33,7 +33,6 @@
 
   std::string method;
   Target target;
-  std::string userAgent;
   /// Header fields by their names as they came.
   std::map<std::string, std::string> headers;
   std::string body;
--- a/Tests/StandIns/StandInPlatform.cpp
+++ b/Tests/StandIns/StandInPlatform.cpp
@@ -191,7 +191,7 @@
   this->fault = aFault;
   this->random.seed(aFault.seed);
   std::erase_if(this->swallowed, [this](const HttpCallPointer& aCall) {
-    const bool isHealed = !this->IsCut(aCall->userAgent);
+    const bool isHealed = !this->IsCut(aCall->headers["User-Agent"]);
     if (isHealed) {
       aCall->Drop();
     }
@@ -214,7 +214,7 @@
     RouteEntry{ "POST", "/instances", &Core::ServeRegister },
     RouteEntry{ "DELETE", "/instances", &Core::ServeUnregister },
   };
-  if (this->IsCut(aCall->userAgent)) {
+  if (this->IsCut(aCall->headers["User-Agent"])) {
     this->swallowed.push_back(aCall);
     return;
   }
