LibCell: Say what waiting steps wait for, and how loaded the cell is

Nothing told whether a step waits for the policy service, for its workspace's limit, for room or for a ticket.

Change: a line `cell_load` each second (active jobs, used and usable processors, time spent placing, longest gap between rounds, steps by what they wait for) and a line `step_waits` for a step that waits for 2 s, again each 2 s, with the reason, the size, and what is known of the workers.

--- a/Libraries/LibCell/Conductor.cpp
+++ b/Libraries/LibCell/Conductor.cpp
@@ -4,6 +4,13 @@
 
 namespace zinc::cell {
 
+namespace {
+
+/// Often enough to tell a burst from a lasting queue, rare enough to cost nothing.
+constexpr Milliseconds kLoadLineEvery{ 1000 };
+
+}
+
 Conductor::Conductor(Dependencies aDependencies, ConductorOptions aOptions)
   : on(std::move(aDependencies))
   , options(aOptions)
@@ -68,6 +75,10 @@
     return;
   }
   const auto now = this->on.clock.Now();
+  if (this->lastTick != TimePoint{}) {
+    this->load.longestTickGap = std::max(this->load.longestTickGap, now - this->lastTick);
+  }
+  this->lastTick = now;
   if (!this->unread.empty() && now >= this->predecessorEnd) {
     this->on.log.Log(
       LogLevel::Info, "predecessor_waited_out", { { "unread", this->unread.size() } });
@@ -92,6 +103,54 @@
   }
   this->Flush();
   this->Compact();
+  this->TellLoad();
+}
+
+void
+Conductor::TellLoad()
+{
+  const auto now = this->on.clock.Now();
+  if (now < this->nextLoadLine) {
+    return;
+  }
+  this->nextLoadLine = now + kLoadLineEvery;
+  Resources used;
+  Resources capacity;
+  std::size_t usable = 0;
+  for (const auto& [id, worker] : this->workers) {
+    if (this->IsUsable(*worker)) {
+      ++usable;
+      used += worker->used;
+      capacity += worker->entry.capacity;
+    }
+  }
+  const auto waits = [this](StepWait aWait) {
+    return this->load.waits.at(static_cast<std::size_t>(aWait));
+  };
+  this->on.log.Log(LogLevel::Info,
+                   "cell_load",
+                   { { "active", this->active.size() },
+                     { "workers", this->workers.size() },
+                     { "usable", usable },
+                     { "used_millicores", used.milliCores },
+                     { "millicores", capacity.milliCores },
+                     { "used_mib", used.memoryMiB },
+                     { "mib", capacity.memoryMiB },
+                     { "unwritten", this->dirty.size() },
+                     { "questions", this->desk->Waiting() },
+                     { "placements", this->load.placements },
+                     { "cut_short", this->load.cutShort },
+                     { "placing_ms", this->load.placing.count() },
+                     { "longest_tick_gap_ms", this->load.longestTickGap.count() },
+                     { "placed", waits(StepWait::Nothing) },
+                     { "wait_workers", waits(StepWait::NoWorkers) },
+                     { "wait_advice", waits(StepWait::Advice) },
+                     { "wait_limit", waits(StepWait::Limit) },
+                     { "wait_headroom", waits(StepWait::Headroom) },
+                     { "wait_room", waits(StepWait::Room) },
+                     { "wait_ticket", waits(StepWait::Ticket) },
+                     { "wait_members", waits(StepWait::Members) } });
+  this->load = {};
 }
 
 void
--- a/Libraries/LibCell/Conductor.h
+++ b/Libraries/LibCell/Conductor.h
@@ -13,6 +13,7 @@
 #include <LibCell/Worker.h>
 #include <LibLog/Logger.h>
 #include <LibMetrics/MetricRegistry.h>
+#include <array>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -176,6 +177,30 @@
     Resources free;
   };
 
+  /// What a step's tasks wait for after they were looked at.
+  enum class StepWait : std::uint8_t
+  {
+    Nothing,
+    NoWorkers,
+    Advice,
+    Limit,
+    Headroom,
+    Room,
+    Ticket,
+    Members,
+    Last,
+  };
+
+  /// What happened since the last line about the load.
+  struct LoadSample
+  {
+    std::array<std::uint32_t, static_cast<std::size_t>(StepWait::Last)> waits{};
+    std::uint32_t placements = 0;
+    std::uint32_t cutShort = 0;
+    Milliseconds placing{ 0 };
+    Milliseconds longestTickGap{ 0 };
+  };
+
   // Jobs.
   void AdoptSpecification(const Row& aRow);
   void AdoptEnded(const JobId& aJob, const EndedJobRecord& aRecord);
@@ -258,9 +283,13 @@
   [[nodiscard]] std::int64_t UrgencyOf(const Job& aJob,
                                        const OccurrenceRun& aOccurrence,
                                        std::uint32_t aStep) const;
-  void PlaceStep(const Candidate& aCandidate);
-  void PlaceTasks(const Candidate& aCandidate, StepRun& aRun, Pool& aPool);
-  void PlaceGang(const Candidate& aCandidate, StepRun& aRun, Pool& aPool);
+  StepWait PlaceStep(const Candidate& aCandidate);
+  StepWait PlaceTasks(const Candidate& aCandidate, StepRun& aRun, Pool& aPool);
+  StepWait PlaceGang(const Candidate& aCandidate, StepRun& aRun, Pool& aPool);
+  /// Writes a line about the cell's load once a second.
+  void TellLoad();
+  /// Writes a line about a step that waits for long.
+  void TellWait(const Candidate& aCandidate, StepWait aWait);
   [[nodiscard]] std::vector<Worker*> EligibleWorkers(const Candidate& aCandidate,
                                                      const StepRun& aRun,
                                                      const Pool& aPool,
@@ -375,6 +404,9 @@
   std::set<WorkerId> heldForGangs;
   std::size_t gangsHeld = 0;
   bool placementDue = true;
+  LoadSample load;
+  TimePoint lastTick{};
+  TimePoint nextLoadLine{};
   TimePoint lastPlacement{};
   TimePoint nextPlacement{};
 };
--- a/Libraries/LibCell/ConductorPlacement.cpp
+++ b/Libraries/LibCell/ConductorPlacement.cpp
@@ -30,6 +30,8 @@
 constexpr double kGoodPartWeight = 0.1;
 /// Gangs that may keep workers free of batch tasks at a time.
 constexpr std::size_t kHeldGangs = 2;
+/// A step that waits for longer is told of in the log, again each time this passes.
+constexpr Milliseconds kLongWait{ 2000 };
 /// How long a worker without room for the task it accepted is left alone.
 constexpr Milliseconds kRefusedAvoidance{ 1000 };
 
@@ -132,18 +134,60 @@
   }
   this->BuildPools();
   for (const auto& candidate : candidates) {
-    this->PlaceStep(candidate);
+    const auto wait = this->PlaceStep(candidate);
+    ++this->load.waits.at(static_cast<std::size_t>(wait));
+    this->TellWait(candidate, wait);
     // The rest waits for the next placement, so that nothing else waits for this one.
     const bool isLong = this->on.clock.Now() - now > this->options.longestPlacement;
     if (this->isDeposed || isLong) {
+      ++this->load.cutShort;
       break;
     }
   }
+  ++this->load.placements;
+  this->load.placing += this->on.clock.Now() - now;
   // Placement takes a part of the time at most, so that a long queue leaves time for the workers.
   this->nextPlacement =
     this->on.clock.Now() + (this->on.clock.Now() - now) * this->options.placementRest;
 }
 
+void
+Conductor::TellWait(const Candidate& aCandidate, StepWait aWait)
+{
+  constexpr std::array kNames = { "nothing",  "workers", "advice", "limit",
+                                  "headroom", "room",    "ticket", "members" };
+  static_assert(kNames.size() == static_cast<std::size_t>(StepWait::Last));
+  const auto now = this->on.clock.Now();
+  auto& run = aCandidate.job->occurrences.at(aCandidate.occurrence).steps[aCandidate.step];
+  if (aWait == StepWait::Nothing) {
+    run.waitsSince = {};
+    return;
+  }
+  if (run.waitsSince == TimePoint{}) {
+    run.waitsSince = now;
+    run.nextWaitLine = now + kLongWait;
+  }
+  if (now < run.nextWaitLine) {
+    return;
+  }
+  run.nextWaitLine = now + kLongWait;
+  const auto& step = aCandidate.job->spec.steps[aCandidate.step];
+  this->on.log.Log(LogLevel::Info,
+                   "step_waits",
+                   { { "job", aCandidate.job->spec.id.value },
+                     { "step", aCandidate.step },
+                     { "for", kNames.at(static_cast<std::size_t>(aWait)) },
+                     { "waited_ms", (now - run.waitsSince).count() },
+                     { "tasks", step.count },
+                     { "millicores", step.demand.milliCores },
+                     { "mib", step.demand.memoryMiB },
+                     { "gang", step.isGang },
+                     { "rank", aCandidate.urgency / kRankSpan },
+                     { "asked", run.advice.asked.size() },
+                     { "good", run.advice.good.size() },
+                     { "workspace", aCandidate.job->spec.workspace.value } });
+}
+
 bool
 Conductor::HasRoom(const Pool& aPool, const StepSpecification& aStep)
 {
@@ -214,7 +258,7 @@
   });
 }
 
-void
+Conductor::StepWait
 Conductor::PlaceStep(const Candidate& aCandidate)
 {
   const auto now = this->on.clock.Now();
@@ -223,7 +267,7 @@
   const auto& queue = this->QueueOf(*aCandidate.job);
   auto* pool = this->FindPool(queue.pool);
   if (pool == nullptr) {
-    return;
+    return StepWait::NoWorkers;
   }
   const bool needsAdvice = queue.isAdvised && !run.advice.isComplete;
   if (needsAdvice) {
@@ -232,13 +276,10 @@
     if (run.advice.questionsOpen == 0 && run.advice.retryAt <= now && !isEarly) {
       this->AskInitialAdvice(aCandidate, run, *pool);
     }
-    return;
-  }
-  if (step.isGang) {
-    this->PlaceGang(aCandidate, run, *pool);
-  } else {
-    this->PlaceTasks(aCandidate, run, *pool);
+    return StepWait::Advice;
   }
+  return step.isGang ? this->PlaceGang(aCandidate, run, *pool)
+                     : this->PlaceTasks(aCandidate, run, *pool);
 }
 
 bool
@@ -324,16 +365,21 @@
   return static_cast<std::uint32_t>(room);
 }
 
-void
+Conductor::StepWait
 Conductor::PlaceTasks(const Candidate& aCandidate, StepRun& aRun, Pool& aPool)
 {
   const auto now = this->on.clock.Now();
   const auto& step = aCandidate.job->spec.steps[aCandidate.step];
   // Limits count processors of fillers as well, since they do run.
   const auto occupied = OccupiedBy(step);
-  const bool isFull = !this->LeavesHeadroom(aCandidate, occupied, aPool) || !HasRoom(aPool, step);
-  if (isFull || this->LimitRoom(aCandidate, step.demand, 1) == 0) {
-    return;
+  if (this->LimitRoom(aCandidate, step.demand, 1) == 0) {
+    return StepWait::Limit;
+  }
+  if (!this->LeavesHeadroom(aCandidate, occupied, aPool)) {
+    return StepWait::Headroom;
+  }
+  if (!HasRoom(aPool, step)) {
+    return StepWait::Room;
   }
   const auto eligible = this->EligibleWorkers(aCandidate, aRun, aPool, true);
   // Runs that are being stopped and those that nobody wants any more are beside the others as well.
@@ -351,9 +397,11 @@
     if (task.phase != TaskPhase::Waiting || task.notBefore > now) {
       continue;
     }
-    if (this->LimitRoom(aCandidate, step.demand, 1) == 0 ||
-        !this->LeavesHeadroom(aCandidate, occupied, aPool)) {
-      return;
+    if (this->LimitRoom(aCandidate, step.demand, 1) == 0) {
+      return StepWait::Limit;
+    }
+    if (!this->LeavesHeadroom(aCandidate, occupied, aPool)) {
+      return StepWait::Headroom;
     }
     auto* worker = this->ChooseFor(task, eligible, step, countAt);
     if (worker == nullptr) {
@@ -365,7 +413,9 @@
   }
   if (unplaced > 0 && this->QueueOf(*aCandidate.job).isAdvised) {
     this->RenewTickets(aCandidate, aRun, aPool);
+    return StepWait::Ticket;
   }
+  return unplaced > 0 ? StepWait::Room : StepWait::Nothing;
 }
 
 Worker*
@@ -433,7 +483,7 @@
   }
 }
 
-void
+Conductor::StepWait
 Conductor::PlaceGang(const Candidate& aCandidate, StepRun& aRun, Pool& aPool)
 {
   const auto now = this->on.clock.Now();
@@ -442,7 +492,7 @@
     return aTask.phase == TaskPhase::Waiting && aTask.notBefore <= now;
   });
   if (!isWhole) {
-    return;
+    return StepWait::Members;
   }
   const auto demand = OccupiedBy(step);
   Resources total;
@@ -455,34 +505,36 @@
   }
   if (this->LimitRoom(aCandidate, step.demand, step.count) < step.count) {
     this->ReleaseReservation(aRun, step);
-    return;
+    return StepWait::Limit;
   }
   if (aRun.reservation) {
     this->StartReserved(aCandidate, aRun);
-    return;
+    return StepWait::Ticket;
   }
-  if (!this->LeavesHeadroom(aCandidate, total, aPool) || !HasRoom(aPool, step)) {
+  const bool leavesHeadroom = this->LeavesHeadroom(aCandidate, total, aPool);
+  if (!leavesHeadroom || !HasRoom(aPool, step)) {
     this->HoldForGang(aCandidate, aRun, aPool);
-    return;
+    return leavesHeadroom ? StepWait::Room : StepWait::Headroom;
   }
   auto assigned = AssignGang(this->EligibleWorkers(aCandidate, aRun, aPool, true), step);
   if (assigned) {
     this->StartGang(aCandidate, aRun, *assigned);
     aPool.free -= total;
-    return;
+    return StepWait::Nothing;
   }
   if (!this->QueueOf(*aCandidate.job).isAdvised) {
     this->HoldForGang(aCandidate, aRun, aPool);
-    return;
+    return StepWait::Room;
   }
   assigned = AssignGang(this->EligibleWorkers(aCandidate, aRun, aPool, false), step);
   if (!assigned) {
     this->AskForMore(aCandidate, aRun, aPool);
     this->HoldForGang(aCandidate, aRun, aPool);
-    return;
+    return aRun.advice.questionsOpen > 0 ? StepWait::Advice : StepWait::Room;
   }
   this->Reserve(aCandidate, aRun, *assigned);
   aPool.free -= total;
+  return StepWait::Ticket;
 }
 
 void
--- a/Libraries/LibCell/Job.h
+++ b/Libraries/LibCell/Job.h
@@ -85,6 +85,9 @@
   bool isOpen = false;
   StepAdvice advice;
   std::optional<GangReservation> reservation;
+  /// When its tasks were found waiting for the first time since the last start.
+  TimePoint waitsSince{};
+  TimePoint nextWaitLine{};
 };
 
 /// One occurrence of a job.
