LibInstance: Read the workers' rows five times a second

Cause: each heartbeat of a worker changes its row, so that the feed of 350 workers answers at once each time.

Ruled out: that another reader spins (calls counted by table in a trial).

Change: 200 ms between two reads, a tenth of the 2 s after which a draining worker must get nothing.

--- a/Libraries/LibInstance/CellInstance.cpp
+++ b/Libraries/LibInstance/CellInstance.cpp
@@ -252,8 +252,9 @@
                                      .parts = AllJobParts(),
                                      .pause = this->options.jobPause },
                                    &CellInstance::OnJobs);
-  this->workerFollower = this->Follow({ .table = this->on.layout.workerTable, .parts = { "" } },
-                                      &CellInstance::OnWorkers);
+  this->workerFollower = this->Follow(
+    { .table = this->on.layout.workerTable, .parts = { "" }, .pause = this->options.workerPause },
+    &CellInstance::OnWorkers);
 }
 
 void
--- a/Libraries/LibInstance/CellInstance.h
+++ b/Libraries/LibInstance/CellInstance.h
@@ -47,6 +47,9 @@
   Milliseconds leadershipTick{ 50 };
   /// Least time between two reads of new jobs; they wait for each other that long.
   Milliseconds jobPause{ 40 };
+  /// Least time between two reads of the workers' rows, each of which changes with every heartbeat;
+  /// a tenth of the time in which a worker that drains must get no more tasks.
+  Milliseconds workerPause{ 200 };
   /// Least time between two reads of the ownership row and the instances; each renewal is a change.
   Milliseconds cellPause{ 250 };
   /// The same for instances that are not among the next to take over.
