LibCell: Ask for a gang at once, and only for steps that could start

Cause: a gang asked the policy service about a hundred workers at a time, one question after the other, also about workers without room and while its workspace was at its limit: 4 to 5 questions of 1.3 s each, so that it started 5 to 8 s after it came, and long calls kept all 28 instances that take them busy. A gang that waited for its workspace's limit never got it while narrow tasks took each core. After a take-over every task not yet known counted as running out of reach, up to all that is there, for each workspace: quick checks of every workspace waited for the end of the predecessor's leases.

Change: a gang's questions go out together as far as instances are idle, about workers with room alone; one that is not expected to fit asks each 2 s. Steps beyond their limit ask nothing. An on-time gang holds its workspace's limit against that workspace's later batch work; what needs more than batch work may use has the whole limit. What may run out of reach is at most the highest recent limit less what was found. Gangs are looked at each 50 ms, and their workers ranked once.

--- a/Libraries/LibBase/Resources.h
+++ b/Libraries/LibBase/Resources.h
@@ -40,6 +40,14 @@
   friend Resources operator+(Resources aLeft, const Resources& aRight) { return aLeft += aRight; }
   friend Resources operator-(Resources aLeft, const Resources& aRight) { return aLeft -= aRight; }
 
+  friend Resources operator*(const Resources& aAmount, std::int64_t aTimes)
+  {
+    return { .milliCores = aAmount.milliCores * aTimes,
+             .memoryMiB = aAmount.memoryMiB * aTimes,
+             .accelerators = aAmount.accelerators * aTimes,
+             .slots = aAmount.slots * aTimes };
+  }
+
   /// @return true if every amount is at most that of @p aCapacity.
   [[nodiscard]] bool FitsIn(const Resources& aCapacity) const
   {
--- a/Libraries/LibCell/AdviceDesk.cpp
+++ b/Libraries/LibCell/AdviceDesk.cpp
@@ -53,17 +53,34 @@
   }
 }
 
+std::size_t
+AdviceDesk::MostWithLong() const
+{
+  const auto reserved = static_cast<std::size_t>(static_cast<double>(this->callers.size()) *
+                                                 this->options.shortOnlyPart);
+  return std::max<std::size_t>(1, this->callers.size()) - reserved;
+}
+
+std::size_t
+AdviceDesk::WithLong() const
+{
+  return static_cast<std::size_t>(std::ranges::count_if(
+    this->callers, [](const auto& aEntry) { return aEntry.second.openLong > 0; }));
+}
+
+std::size_t
+AdviceDesk::IdleForLong() const
+{
+  const auto taken = this->WithLong() + this->longOnes.size();
+  const auto most = this->MostWithLong();
+  return taken < most ? most - taken : 0;
+}
+
 std::map<std::string, AdviceDesk::Caller>::iterator
 AdviceDesk::Choose(bool aIsLong, TimePoint aNow)
 {
-  if (aIsLong) {
-    const auto reserved = static_cast<std::size_t>(static_cast<double>(this->callers.size()) *
-                                                   this->options.shortOnlyPart);
-    const auto withLong = static_cast<std::size_t>(std::ranges::count_if(
-      this->callers, [](const auto& aEntry) { return aEntry.second.openLong > 0; }));
-    if (withLong + reserved >= std::max<std::size_t>(1, this->callers.size())) {
-      return this->callers.end();
-    }
+  if (aIsLong && this->WithLong() >= this->MostWithLong()) {
+    return this->callers.end();
   }
   auto best = this->callers.end();
   for (auto caller = this->callers.begin(); caller != this->callers.end(); ++caller) {
--- a/Libraries/LibCell/AdviceDesk.h
+++ b/Libraries/LibCell/AdviceDesk.h
@@ -52,6 +52,8 @@
   {
     return this->shortOnes.size() + this->longOnes.size();
   }
+  /// @return the long questions that would be sent at once.
+  [[nodiscard]] std::size_t IdleForLong() const;
   /// @return true if a question that is not urgent would only wait with many others.
   [[nodiscard]] bool IsCrowded() const
   {
@@ -77,6 +79,9 @@
   {
     return aQuestion.expected > this->options.longCall;
   }
+  /// @return the instances that may be busy with a long call at the same time.
+  [[nodiscard]] std::size_t MostWithLong() const;
+  [[nodiscard]] std::size_t WithLong() const;
   void PumpQueue(std::multimap<std::int64_t, Entry>& aQueue, bool aIsLong, TimePoint aNow);
   /// @return the caller that is free first, or the end if none may take the question.
   [[nodiscard]] std::map<std::string, Caller>::iterator Choose(bool aIsLong, TimePoint aNow);
--- a/Libraries/LibCell/Conductor.cpp
+++ b/Libraries/LibCell/Conductor.cpp
@@ -59,6 +59,17 @@
 Conductor::SetPolicy(std::shared_ptr<const CellPolicy> aPolicy)
 {
   this->policy = std::move(aPolicy);
+  const auto higher = [](std::int64_t aLeft, std::int64_t aRight) {
+    return aLeft == 0 || aRight == 0 ? 0 : std::max(aLeft, aRight);
+  };
+  for (const auto& [id, workspace] : this->policy->workspaces) {
+    const auto& maximum = workspace.maximum;
+    const auto [known, isNew] = this->highestMaximum.try_emplace(id, maximum);
+    auto& highest = known->second;
+    highest = { .milliCores = higher(highest.milliCores, maximum.milliCores),
+                .memoryMiB = higher(highest.memoryMiB, maximum.memoryMiB),
+                .accelerators = higher(highest.accelerators, maximum.accelerators) };
+  }
   this->placementDue = true;
 }
 
--- a/Libraries/LibCell/Conductor.h
+++ b/Libraries/LibCell/Conductor.h
@@ -51,6 +51,9 @@
   Milliseconds flushPause{ 25 };
   /// Longest time between two placements while something may wait.
   Milliseconds placementPause{ 50 };
+  /// Least time between two looks at the gangs that wait for room: each goes through all workers,
+  /// and a gang's objective is seconds away.
+  Milliseconds gangPause{ 50 };
   /// A placement ends after this even if steps are left.
   Milliseconds longestPlacement{ 60 };
   /// After a placement the conductor does other work for this many times as long as it took.
@@ -283,6 +286,8 @@
   [[nodiscard]] std::int64_t UrgencyOf(const Job& aJob,
                                        const OccurrenceRun& aOccurrence,
                                        std::uint32_t aStep) const;
+  /// @return false for a gang of which nothing is new and whose next look is not due.
+  [[nodiscard]] bool IsLookedAt(const Candidate& aCandidate) const;
   StepWait PlaceStep(const Candidate& aCandidate);
   StepWait PlaceTasks(const Candidate& aCandidate, StepRun& aRun, Pool& aPool);
   StepWait PlaceGang(const Candidate& aCandidate, StepRun& aRun, Pool& aPool);
@@ -298,6 +303,8 @@
   [[nodiscard]] std::uint32_t LimitRoom(const Candidate& aCandidate,
                                         const Resources& aDemand,
                                         std::uint32_t aMost) const;
+  /// Keeps a workspace's limit from its other batch work for a gang that would be within it alone.
+  void HoldLimitForGang(const Candidate& aCandidate, StepRun& aRun);
   /// @return true if the step leaves room to urgent tasks and to gangs that wait.
   [[nodiscard]] bool IsHeldBack(const Candidate& aCandidate) const;
   [[nodiscard]] bool HasReadEnough() const;
@@ -309,7 +316,6 @@
                                     const Resources& aDemand,
                                     const Pool& aPool) const;
   void AskAdvice(const Candidate& aCandidate, StepRun& aRun, std::vector<WorkerId> aWorkers);
-  void AskInitialAdvice(const Candidate& aCandidate, StepRun& aRun, const Pool& aPool);
   void OnAdvice(const StepName& aStep,
                 const std::vector<WorkerId>& aAsked,
                 const Result<AdviceAnswer>& aAnswer);
@@ -319,13 +325,15 @@
                                   const StepSpecification& aStep,
                                   const CountAt& aCount) const;
   void RenewTickets(const Candidate& aCandidate, StepRun& aRun, const Pool& aPool);
-  /// @return workers that no question has named, those with the most room first, until they are
-  /// expected to have room for some times the step's tasks.
+  /// @return workers with room that no question has named, those with the most first, until they
+  /// and those known to be good are expected to have room for some times the step's tasks; none if
+  /// a gang would not fit at all of them.
   [[nodiscard]] std::vector<WorkerId> WorkersToAsk(const Candidate& aCandidate,
                                                    const StepRun& aRun,
-                                                   const Pool& aPool) const;
-  /// Asks about workers that no question has named.
-  void AskForMore(const Candidate& aCandidate, StepRun& aRun, const Pool& aPool);
+                                                   const Pool& aPool,
+                                                   std::size_t aMost) const;
+  /// Asks about workers that no question has named, unless answers are still expected.
+  void AskMore(const Candidate& aCandidate, StepRun& aRun, const Pool& aPool);
   void StartGang(const Candidate& aCandidate, StepRun& aRun, const std::vector<Worker*>& aAssigned);
   void Reserve(const Candidate& aCandidate, StepRun& aRun, const std::vector<Worker*>& aAssigned);
   void StartReserved(const Candidate& aCandidate, StepRun& aRun);
@@ -389,6 +397,12 @@
   std::map<WorkspaceId, Resources> running;
   /// What a predecessor may have running at workers that were not read, by workspace.
   std::map<WorkspaceId, Resources> mayRun;
+  /// Runs of a predecessor that were found at the workers, by workspace. Ends that are still listed
+  /// do not count: the predecessor may have used their room again.
+  std::map<WorkspaceId, Resources> found;
+  /// Highest limit of each workspace in the documents of this term and shortly before; an amount of
+  /// 0 does not limit.
+  std::map<WorkspaceId, Resources> highestMaximum;
   /// Workers that the ownership row names.
   std::set<WorkerId> published;
   /// Tokens of each workspace for jobs within its weight.
@@ -400,13 +414,18 @@
   std::map<WorkspaceId, WeightBucket> weightBuckets;
   /// Part of the workers named that may run a step, smoothed, by queue.
   std::map<QueueId, double> goodPart;
-  /// Workers kept from batch tasks for a gang that waits for room.
+  /// Workers kept from batch tasks for a gang that waits for room, until the next look at the
+  /// gangs.
   std::set<WorkerId> heldForGangs;
   std::size_t gangsHeld = 0;
+  /// What gangs that wait for their workspace's limit need of it.
+  std::map<WorkspaceId, Resources> limitHeld;
   bool placementDue = true;
   LoadSample load;
   TimePoint lastTick{};
   TimePoint nextLoadLine{};
+  TimePoint nextGangLook{};
+  bool looksAtGangs = true;
   TimePoint lastPlacement{};
   TimePoint nextPlacement{};
 };
--- a/Libraries/LibCell/ConductorPlacement.cpp
+++ b/Libraries/LibCell/ConductorPlacement.cpp
@@ -2,6 +2,8 @@
 #include <LibCell/Placement.h>
 
 #include <algorithm>
+#include <array>
+#include <iterator>
 #include <limits>
 
 namespace zinc::cell {
@@ -28,6 +30,11 @@
 constexpr double kUnknownGoodPart = 0.4;
 /// Weight of the newest answer in that part.
 constexpr double kGoodPartWeight = 0.1;
+/// Time between the questions of a gang that is not expected to fit at the workers named; two or
+/// three questions of that time would be under way otherwise.
+constexpr Milliseconds kGuessPause{ 2000 };
+/// Questions of one gang at a time; four name every worker of a cell of 400.
+constexpr std::size_t kQuestionsOfGang = 4;
 /// Gangs that may keep workers free of batch tasks at a time.
 constexpr std::size_t kHeldGangs = 2;
 /// A step that waits for longer is told of in the log, again each time this passes.
@@ -35,6 +42,39 @@
 /// How long a worker without room for the task it accepted is left alone.
 constexpr Milliseconds kRefusedAvoidance{ 1000 };
 
+Resources
+Least(const Resources& aLeft, const Resources& aRight)
+{
+  return { .milliCores = std::min(aLeft.milliCores, aRight.milliCores),
+           .memoryMiB = std::min(aLeft.memoryMiB, aRight.memoryMiB),
+           .accelerators = std::min(aLeft.accelerators, aRight.accelerators) };
+}
+
+/// @return what is left of a limit, whose amounts of 0 do not limit.
+Resources
+LeftOf(const Resources& aLimit, const Resources& aUsed)
+{
+  constexpr auto kNoLimit = std::numeric_limits<std::int64_t>::max();
+  const auto left = [](std::int64_t aMost, std::int64_t aTaken) {
+    return aMost == 0 ? kNoLimit : std::max<std::int64_t>(0, aMost - aTaken);
+  };
+  return { .milliCores = left(aLimit.milliCores, aUsed.milliCores),
+           .memoryMiB = left(aLimit.memoryMiB, aUsed.memoryMiB),
+           .accelerators = left(aLimit.accelerators, aUsed.accelerators) };
+}
+
+/// @return true if the amount is at most the limit, whose amounts of 0 do not limit.
+bool
+IsWithinLimit(const Resources& aAmount, const Resources& aLimit)
+{
+  const auto isWithin = [](std::int64_t aUsed, std::int64_t aMost) {
+    return aMost == 0 || aUsed <= aMost;
+  };
+  return isWithin(aAmount.milliCores, aLimit.milliCores) &&
+         isWithin(aAmount.memoryMiB, aLimit.memoryMiB) &&
+         isWithin(aAmount.accelerators, aLimit.accelerators);
+}
+
 }
 
 Conductor::Pool*
@@ -126,14 +166,22 @@
     return;
   }
   this->CountOutOfReach();
-  this->heldForGangs.clear();
-  this->gangsHeld = 0;
+  this->looksAtGangs = now >= this->nextGangLook;
+  if (this->looksAtGangs) {
+    this->nextGangLook = now + this->options.gangPause;
+    this->heldForGangs.clear();
+    this->limitHeld.clear();
+    this->gangsHeld = 0;
+  }
   const auto candidates = this->CollectCandidates();
   if (candidates.empty()) {
     return;
   }
   this->BuildPools();
   for (const auto& candidate : candidates) {
+    if (!this->IsLookedAt(candidate)) {
+      continue;
+    }
     const auto wait = this->PlaceStep(candidate);
     ++this->load.waits.at(static_cast<std::size_t>(wait));
     this->TellWait(candidate, wait);
@@ -151,6 +199,14 @@
     this->on.clock.Now() + (this->on.clock.Now() - now) * this->options.placementRest;
 }
 
+bool
+Conductor::IsLookedAt(const Candidate& aCandidate) const
+{
+  const auto& run = aCandidate.job->occurrences.at(aCandidate.occurrence).steps[aCandidate.step];
+  return this->looksAtGangs || !aCandidate.job->spec.steps[aCandidate.step].isGang ||
+         run.advice.isNews || run.reservation.has_value();
+}
+
 void
 Conductor::TellWait(const Candidate& aCandidate, StepWait aWait)
 {
@@ -237,9 +293,13 @@
     }
   }
   for (auto& [workspace, amount] : this->mayRun) {
-    amount.milliCores = std::min(amount.milliCores, most.milliCores);
-    amount.memoryMiB = std::min(amount.memoryMiB, most.memoryMiB);
-    amount.accelerators = std::min(amount.accelerators, most.accelerators);
+    amount = Least(amount, most);
+    // The predecessor kept to the limit over all workers, so that what it has out of reach and what
+    // was found of it are within the limit together.
+    const auto limit = this->highestMaximum.find(workspace);
+    if (limit != this->highestMaximum.end()) {
+      amount = Least(amount, LeftOf(limit->second, this->found[workspace]));
+    }
   }
 }
 
@@ -261,7 +321,6 @@
 Conductor::StepWait
 Conductor::PlaceStep(const Candidate& aCandidate)
 {
-  const auto now = this->on.clock.Now();
   auto& run = aCandidate.job->occurrences.at(aCandidate.occurrence).steps[aCandidate.step];
   const auto& step = aCandidate.job->spec.steps[aCandidate.step];
   const auto& queue = this->QueueOf(*aCandidate.job);
@@ -269,12 +328,19 @@
   if (pool == nullptr) {
     return StepWait::NoWorkers;
   }
+  run.advice.isNews = false;
+  // Tickets lapse soon: those of a step that cannot start for another reason would be of no use.
+  const std::uint32_t needed = step.isGang ? step.count : 1;
+  if (this->LimitRoom(aCandidate, step.demand, needed) < needed) {
+    this->HoldLimitForGang(aCandidate, run);
+    return StepWait::Limit;
+  }
   const bool needsAdvice = queue.isAdvised && !run.advice.isComplete;
   if (needsAdvice) {
     // Tickets lapse soon: those of steps far back in the queue would be of no use.
     const bool isEarly = this->desk->IsCrowded() && this->IsHeldBack(aCandidate);
-    if (run.advice.questionsOpen == 0 && run.advice.retryAt <= now && !isEarly) {
-      this->AskInitialAdvice(aCandidate, run, *pool);
+    if (!isEarly) {
+      this->AskMore(aCandidate, run, *pool);
     }
     return StepWait::Advice;
   }
@@ -314,6 +380,26 @@
   return eligible;
 }
 
+void
+Conductor::HoldLimitForGang(const Candidate& aCandidate, StepRun& aRun)
+{
+  const auto& step = aCandidate.job->spec.steps[aCandidate.step];
+  if (!step.isGang) {
+    return;
+  }
+  this->ReleaseReservation(aRun, step);
+  const auto& workspace = aCandidate.job->spec.workspace;
+  const auto total = step.demand * step.count;
+  const bool isOnTime = aCandidate.urgency < static_cast<std::int64_t>(Rank::Late) * kRankSpan;
+  const auto found = this->policy->workspaces.find(workspace);
+  if (!isOnTime || found == this->policy->workspaces.end() ||
+      !IsWithinLimit(total, found->second.maximum)) {
+    return;
+  }
+  // One gang of a workspace at a time: the rest of its batch work goes on beside it.
+  this->limitHeld.try_emplace(workspace, total);
+}
+
 bool
 Conductor::IsHeldBack(const Candidate& aCandidate) const
 {
@@ -352,13 +438,20 @@
   if (outOfReach != this->mayRun.end()) {
     amount += outOfReach->second;
   }
+  const auto held = this->limitHeld.find(workspace);
+  if (held != this->limitHeld.end() && this->IsHeldBack(aCandidate)) {
+    amount += held->second;
+  }
   auto room = static_cast<std::int64_t>(aMost);
-  const auto bound = [&room, part](std::int64_t aMaximum, std::int64_t aUsed, std::int64_t aNeed) {
-    if (aMaximum > 0 && aNeed > 0) {
-      const auto usable = static_cast<std::int64_t>(static_cast<double>(aMaximum) * part);
-      room = std::min(room, std::max<std::int64_t>(0, usable - aUsed) / aNeed);
-    }
-  };
+  const auto bound =
+    [&room, part, aMost](std::int64_t aMaximum, std::int64_t aUsed, std::int64_t aNeed) {
+      if (aMaximum > 0 && aNeed > 0) {
+        // What needs more than that part may have the whole, or it would never start.
+        const auto leaving = static_cast<std::int64_t>(static_cast<double>(aMaximum) * part);
+        const auto usable = aNeed * aMost > leaving ? aMaximum : leaving;
+        room = std::min(room, std::max<std::int64_t>(0, usable - aUsed) / aNeed);
+      }
+    };
   bound(maximum.milliCores, amount.milliCores, aDemand.milliCores);
   bound(maximum.memoryMiB, amount.memoryMiB, aDemand.memoryMiB);
   bound(maximum.accelerators, amount.accelerators, aDemand.accelerators);
@@ -372,9 +465,6 @@
   const auto& step = aCandidate.job->spec.steps[aCandidate.step];
   // Limits count processors of fillers as well, since they do run.
   const auto occupied = OccupiedBy(step);
-  if (this->LimitRoom(aCandidate, step.demand, 1) == 0) {
-    return StepWait::Limit;
-  }
   if (!this->LeavesHeadroom(aCandidate, occupied, aPool)) {
     return StepWait::Headroom;
   }
@@ -460,29 +550,15 @@
   }
   if (room < waiting) {
     // The workers known to be good are full; others may be good as well.
-    for (auto& id : this->WorkersToAsk(aCandidate, aRun, aPool)) {
-      if (wanted.size() < this->options.advisedWorkers) {
-        wanted.push_back(std::move(id));
-      }
-    }
+    std::ranges::move(
+      this->WorkersToAsk(aCandidate, aRun, aPool, this->options.advisedWorkers - wanted.size()),
+      std::back_inserter(wanted));
   }
   if (!wanted.empty()) {
     this->AskAdvice(aCandidate, aRun, std::move(wanted));
   }
 }
 
-void
-Conductor::AskForMore(const Candidate& aCandidate, StepRun& aRun, const Pool& aPool)
-{
-  if (aRun.advice.questionsOpen > 0 || aRun.advice.retryAt > this->on.clock.Now()) {
-    return;
-  }
-  auto named = this->WorkersToAsk(aCandidate, aRun, aPool);
-  if (!named.empty()) {
-    this->AskAdvice(aCandidate, aRun, std::move(named));
-  }
-}
-
 Conductor::StepWait
 Conductor::PlaceGang(const Candidate& aCandidate, StepRun& aRun, Pool& aPool)
 {
@@ -495,18 +571,11 @@
     return StepWait::Members;
   }
   const auto demand = OccupiedBy(step);
-  Resources total;
-  for (std::uint32_t index = 0; index < step.count; ++index) {
-    total += demand;
-  }
+  const auto total = demand * step.count;
   const bool isReserved = aRun.reservation.has_value();
   if (isReserved && aRun.reservation->expires < now) {
     this->ReleaseReservation(aRun, step);
   }
-  if (this->LimitRoom(aCandidate, step.demand, step.count) < step.count) {
-    this->ReleaseReservation(aRun, step);
-    return StepWait::Limit;
-  }
   if (aRun.reservation) {
     this->StartReserved(aCandidate, aRun);
     return StepWait::Ticket;
@@ -528,7 +597,7 @@
   }
   assigned = AssignGang(this->EligibleWorkers(aCandidate, aRun, aPool, false), step);
   if (!assigned) {
-    this->AskForMore(aCandidate, aRun, aPool);
+    this->AskMore(aCandidate, aRun, aPool);
     this->HoldForGang(aCandidate, aRun, aPool);
     return aRun.advice.questionsOpen > 0 ? StepWait::Advice : StepWait::Room;
   }
@@ -640,40 +709,78 @@
 }
 
 std::vector<WorkerId>
-Conductor::WorkersToAsk(const Candidate& aCandidate, const StepRun& aRun, const Pool& aPool) const
+Conductor::WorkersToAsk(const Candidate& aCandidate,
+                        const StepRun& aRun,
+                        const Pool& aPool,
+                        std::size_t aMost) const
 {
   const auto& step = aCandidate.job->spec.steps[aCandidate.step];
   const auto demand = OccupiedBy(step);
-  std::vector<Worker*> workers;
-  for (auto* worker : aPool.workers) {
-    if (HasRequiredLabel(*worker, step) && !aRun.advice.asked.contains(worker->entry.id)) {
-      workers.push_back(worker);
+  std::vector<std::pair<std::uint32_t, const Worker*>> workers;
+  std::uint32_t known = 0;
+  std::uint32_t unknown = 0;
+  for (const auto* worker : aPool.workers) {
+    const auto room = RoomFor(*worker, demand, step.count);
+    if (room == 0 || !HasRequiredLabel(*worker, step)) {
+      continue;
+    }
+    if (!aRun.advice.asked.contains(worker->entry.id)) {
+      workers.emplace_back(room, worker);
+      unknown += room;
+    } else if (aRun.advice.good.contains(worker->entry.id)) {
+      known += room;
     }
   }
-  std::ranges::stable_sort(
-    workers, std::greater{}, [](const Worker* aWorker) { return aWorker->Free().milliCores; });
-  const auto known = this->goodPart.find(this->QueueOf(*aCandidate.job).name);
-  const double part = known == this->goodPart.end() ? kUnknownGoodPart : known->second;
+  if (step.isGang && known + unknown < step.count) {
+    return {};
+  }
+  std::ranges::stable_sort(workers, std::greater{}, [](const auto& aEntry) {
+    return std::pair(aEntry.first, aEntry.second->Free().milliCores);
+  });
+  const auto seen = this->goodPart.find(this->QueueOf(*aCandidate.job).name);
+  const double part = seen == this->goodPart.end() ? kUnknownGoodPart : seen->second;
   const double wanted = static_cast<double>(step.count) * this->options.askedRoom;
-  double expected = 0.0;
+  double expected = known;
   std::vector<WorkerId> named;
-  for (const auto* worker : workers) {
+  for (const auto& [room, worker] : workers) {
     const bool isEnough = expected >= wanted && named.size() >= this->options.leastAsked;
-    if (isEnough || named.size() == this->options.advisedWorkers) {
+    if (isEnough || named.size() == aMost) {
       break;
     }
-    expected += part * RoomFor(*worker, demand, step.count);
+    expected += part * room;
     named.push_back(worker->entry.id);
   }
-  return named;
+  // A gang that is not expected to fit even so asks rarely, since the expectation is rough.
+  const bool isOfUse = !step.isGang || expected >= static_cast<double>(step.count) ||
+                       this->on.clock.Now() >= aRun.advice.nextGuess;
+  return isOfUse ? named : std::vector<WorkerId>();
 }
 
 void
-Conductor::AskInitialAdvice(const Candidate& aCandidate, StepRun& aRun, const Pool& aPool)
+Conductor::AskMore(const Candidate& aCandidate, StepRun& aRun, const Pool& aPool)
 {
-  auto named = this->WorkersToAsk(aCandidate, aRun, aPool);
-  if (!named.empty()) {
-    this->AskAdvice(aCandidate, aRun, std::move(named));
+  if (aRun.advice.questionsOpen > 0 || aRun.advice.retryAt > this->on.clock.Now()) {
+    return;
+  }
+  // A gang needs room at many workers at once, so that it is asked for in several questions if
+  // instances are free to ask them.
+  const bool isGang = aCandidate.job->spec.steps[aCandidate.step].isGang;
+  const auto questions =
+    isGang ? std::clamp<std::size_t>(this->desk->IdleForLong(), 1, kQuestionsOfGang) : 1;
+  const auto most = this->options.advisedWorkers;
+  const auto named = this->WorkersToAsk(aCandidate, aRun, aPool, most * questions);
+  if (named.empty()) {
+    return;
+  }
+  aRun.advice.nextGuess = this->on.clock.Now() + kGuessPause;
+  const auto parts = (named.size() + most - 1) / most;
+  const auto size = (named.size() + parts - 1) / parts;
+  for (std::size_t begin = 0; begin < named.size(); begin += size) {
+    const auto end = std::min(begin + size, named.size());
+    this->AskAdvice(aCandidate,
+                    aRun,
+                    { named.begin() + static_cast<std::ptrdiff_t>(begin),
+                      named.begin() + static_cast<std::ptrdiff_t>(end) });
   }
 }
 
@@ -740,6 +847,7 @@
     run.advice.good[ticket.worker] = { .text = ticket.text, .expires = now + validity };
   }
   run.advice.isComplete = true;
+  run.advice.isNews = true;
   this->on.log.Log(LogLevel::Info,
                    "advice_taken",
                    { { "job", aStep.job.value },
--- a/Libraries/LibCell/ConductorWorkers.cpp
+++ b/Libraries/LibCell/ConductorWorkers.cpp
@@ -433,6 +433,7 @@
   }
   aWorker.used += occupant.demand;
   this->running[occupant.workspace] += occupant.demand;
+  this->found[occupant.workspace] += occupant.demand;
   aWorker.occupants.push_back(std::move(occupant));
   const bool isWanted = task != nullptr && job->outcome == JobOutcome::Active &&
                         (task->phase == TaskPhase::Waiting || task->phase == TaskPhase::Unresolved);
--- a/Libraries/LibCell/Job.h
+++ b/Libraries/LibCell/Job.h
@@ -62,8 +62,12 @@
 struct StepAdvice
 {
   bool isComplete = false;
+  /// An answer has come since the step was looked at.
+  bool isNews = false;
   std::uint32_t questionsOpen = 0;
   TimePoint retryAt{};
+  /// No question with little hope before it.
+  TimePoint nextGuess{};
   std::map<WorkerId, HeldTicket> good;
   /// Workers that a question has named.
   std::set<WorkerId> asked;
--- a/Libraries/LibCell/Placement.cpp
+++ b/Libraries/LibCell/Placement.cpp
@@ -31,24 +31,43 @@
   return RoomFor(aWorker, OccupiedBy(aStep), most);
 }
 
+/// A worker with what it is compared by, worked out once.
+struct RankedWorker
+{
+  std::tuple<int, bool, std::int64_t> rank;
+  std::uint32_t room = 0;
+  Worker* worker = nullptr;
+};
+
 std::optional<std::vector<Worker*>>
-FillGang(std::vector<Worker*> aWorkers, const StepSpecification& aStep)
+FillGang(std::span<Worker* const> aWorkers, const StepSpecification& aStep)
 {
-  const auto rank = [&aStep](const Worker* aWorker) {
-    return std::tuple(
-      SlownessRank(*aWorker), IsFar(*aWorker, aStep), -int(GangRoom(*aWorker, aStep)));
-  };
-  std::ranges::sort(aWorkers, {}, rank);
-  std::vector<Worker*> chosen;
+  std::vector<RankedWorker> ranked;
+  std::uint64_t total = 0;
   for (auto* worker : aWorkers) {
+    const auto room = GangRoom(*worker, aStep);
+    if (room == 0) {
+      continue;
+    }
+    total += room;
+    ranked.push_back(
+      { .rank = { SlownessRank(*worker), IsFar(*worker, aStep), -std::int64_t{ room } },
+        .room = room,
+        .worker = worker });
+  }
+  if (total < aStep.count) {
+    return {};
+  }
+  std::ranges::stable_sort(ranked, {}, &RankedWorker::rank);
+  std::vector<Worker*> chosen;
+  for (const auto& entry : ranked) {
     const auto left = aStep.count - static_cast<std::uint32_t>(chosen.size());
-    const auto room = std::min(GangRoom(*worker, aStep), left);
-    chosen.insert(chosen.end(), room, worker);
+    chosen.insert(chosen.end(), std::min(entry.room, left), entry.worker);
     if (chosen.size() == aStep.count) {
-      return chosen;
+      break;
     }
   }
-  return {};
+  return chosen;
 }
 
 /// @return workers by rack, nearest racks first.
@@ -128,13 +147,13 @@
 AssignGang(std::span<Worker* const> aWorkers, const StepSpecification& aStep)
 {
   if (aStep.prefersOneRack) {
-    for (auto& rack : ByRack(aWorkers, aStep)) {
-      if (auto chosen = FillGang(std::move(rack), aStep)) {
+    for (const auto& rack : ByRack(aWorkers, aStep)) {
+      if (auto chosen = FillGang(rack, aStep)) {
         return chosen;
       }
     }
   }
-  return FillGang({ aWorkers.begin(), aWorkers.end() }, aStep);
+  return FillGang(aWorkers, aStep);
 }
 
 }
--- a/Libraries/LibInstance/CellInstance.cpp
+++ b/Libraries/LibInstance/CellInstance.cpp
@@ -143,6 +143,14 @@
       continue;
     }
     this->documentRowVersion = row.version;
+    const auto now = this->on.clock.Now();
+    if (this->policy) {
+      this->formerPolicies.emplace_back(now, this->policy);
+    }
+    while (!this->formerPolicies.empty() &&
+           now - this->formerPolicies.front().first > this->options.formerDocumentKept) {
+      this->formerPolicies.pop_front();
+    }
     this->policy = std::make_shared<cell::CellPolicy>(std::move(ValueOf(decoded)));
     this->on.log.Log(LogLevel::Info,
                      "document_in_force",
@@ -391,6 +399,11 @@
     figures.orderSlack;
   const auto unexpired =
     start.term.isPredecessorDead ? Milliseconds{ 0 } : this->options.leadership.term;
+  for (const auto& [until, former] : this->formerPolicies) {
+    if (now - until <= this->options.formerDocumentKept) {
+      this->conductor->SetPolicy(former);
+    }
+  }
   if (this->policy) {
     this->conductor->SetPolicy(this->policy);
   }
--- a/Libraries/LibInstance/CellInstance.h
+++ b/Libraries/LibInstance/CellInstance.h
@@ -14,6 +14,7 @@
 #include <LibInstanceCalls/InstanceCalls.h>
 #include <LibLog/Logger.h>
 #include <LibMetrics/MetricRegistry.h>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -61,6 +62,9 @@
   Milliseconds documentWait{ 900 };
   /// The document is read anew this often, in case the store drops a change from its feed.
   Milliseconds documentReread{ 4000 };
+  /// How long a document that was replaced bounds what a predecessor may have started: the longest
+  /// term and the longest lease with its slack.
+  Milliseconds formerDocumentKept{ 20'000 };
   /// Time between two writes of the instance's own row.
   Milliseconds beat{ 3000 };
   /// A conductor without an answer of the store for this long hands over to an instance that
@@ -197,6 +201,8 @@
   std::optional<TermStart> termStart;
   std::set<WorkerId> listedWorkers;
   std::shared_ptr<const cell::CellPolicy> policy;
+  /// Documents that were in force a short while ago, oldest first, with the time of their end.
+  std::deque<std::pair<TimePoint, std::shared_ptr<const cell::CellPolicy>>> formerPolicies;
   std::uint64_t documentRowVersion = 0;
   std::map<std::string, Peer> peers;
   std::uint64_t beatCount = 0;
--- a/Tests/LibCell/TestTakeOver.cpp
+++ b/Tests/LibCell/TestTakeOver.cpp
@@ -132,6 +132,56 @@
   EXPECT_EQ(this->StartsOf("new"), 1U);
 }
 
+// The pattern: the conductor's zone is cut off while its workspaces have long queues. What waits in
+// them does not run in that zone: together with what was found elsewhere it is within the limit.
+TEST_F(TakeOver, LeavesTheRestOfALimitToNewJobsWhileAZoneIsCutOff)
+{
+  this->policy.workspaces[{ "team" }].maximum = { .milliCores = 20'000 };
+  this->entries = { this->workers.Add("w1", 16), this->workers.Add("w2", 16) };
+  this->Accept(JobOf("far", 1, 10));
+  this->Begin();
+  this->Run(Milliseconds{ 100 });
+  this->Accept(JobOf("near", 1, 8));
+  this->Run(Milliseconds{ 100 });
+  ASSERT_EQ(this->workers.starts.size(), 2U);
+  ASSERT_NE(this->workers.starts[0].worker, this->workers.starts[1].worker);
+  for (int number = 0; number < 5; ++number) {
+    this->Accept(JobOf("queued" + std::to_string(number), 1, 8));
+  }
+  this->Run(Milliseconds{ 100 });
+  ASSERT_EQ(this->workers.starts.size(), 2U);
+  this->workers.At(this->workers.starts[0].worker.value).isReachable = false;
+  this->Begin(true);
+  this->Run(Milliseconds{ 2000 });
+  this->workers.EndAll();
+  this->Accept(JobOf("new", 1, 6));
+  this->Run(Milliseconds{ 500 });
+  EXPECT_EQ(this->StartsOf("new"), 1U);
+}
+
+// The pattern: a limit is lowered shortly before the conductor's zone is cut off.
+TEST_F(TakeOver, CountsWhatMayRunOutOfReachUnderAFormerLimit)
+{
+  this->policy.workspaces[{ "team" }].maximum = { .milliCores = 20'000 };
+  this->entries = { this->workers.Add("w1", 16), this->workers.Add("w2", 16) };
+  this->Accept(JobOf("far", 1, 10));
+  this->Begin();
+  this->Run(Milliseconds{ 100 });
+  this->Accept(JobOf("near", 1, 8));
+  this->Run(Milliseconds{ 100 });
+  ASSERT_EQ(this->workers.starts.size(), 2U);
+  this->workers.At(this->workers.starts[0].worker.value).isReachable = false;
+  this->Begin(true);
+  auto lowered = this->policy;
+  lowered.workspaces[{ "team" }].maximum = { .milliCores = 12'000 };
+  this->conductor->SetPolicy(std::make_shared<CellPolicy>(lowered));
+  this->Run(Milliseconds{ 2000 });
+  this->workers.EndAll();
+  this->Accept(JobOf("new", 1, 4));
+  this->Run(Milliseconds{ 500 });
+  EXPECT_EQ(this->StartsOf("new"), 0U) << "10 cores may run out of reach";
+}
+
 TEST_F(TakeOver, CountsWhatMayRunAtAWorkerThatIsNoLongerListed)
 {
   this->policy.workspaces[{ "team" }].maximum = { .milliCores = 5000 };
