LibCell: Tell a gang of all workers at once, and start late urgent work early

Half of a round's time went into looking through all workers for steps that may run at seven.

Ruled out for the gangs: the policy service (asked/job as before), headroom.

Change: a gang's questions name full workers too, after those with room, and a reservation no longer waits for the last of them. A workspace's limit is held against its narrow tasks alone. Late tasks of the most urgent queue go after those on time and before batch work until three times their objective; each takes little, while batch work has seconds. Steps with tickets look up the workers that they name.

Tests: TestGangAdvice, TestConductor; the latter fails before the change.

--- a/Libraries/LibCell/Conductor.h
+++ b/Libraries/LibCell/Conductor.h
@@ -347,9 +347,8 @@
                                   const StepSpecification& aStep,
                                   const CountAt& aCount) const;
   void RenewTickets(const Candidate& aCandidate, StepRun& aRun, const Pool& aPool);
-  /// @return workers with room that no question has named, those with the most first, until they
-  /// and those known to be good are expected to have room for some times the step's tasks; none if
-  /// a gang would not fit at all of them.
+  /// @return workers that no question has named, those with the most room first, until they and
+  /// those known to be good are expected to have room for some times the step's tasks.
   [[nodiscard]] std::vector<WorkerId> WorkersToAsk(const Candidate& aCandidate,
                                                    const StepRun& aRun,
                                                    const Pool& aPool,
@@ -446,6 +445,7 @@
   std::size_t gangsHeld = 0;
   /// What gangs that wait for their workspace's limit need of it.
   std::map<WorkspaceId, Resources> limitHeld;
+  std::uint64_t placementRound = 0;
   bool placementDue = true;
   LoadSample load;
   TimePoint lastTick{};
--- a/Libraries/LibCell/ConductorJobs.cpp
+++ b/Libraries/LibCell/ConductorJobs.cpp
@@ -9,6 +9,8 @@
 
 /// Clocks of two instances differ by less than this; a time of receipt further off is not believed.
 constexpr Milliseconds kBelievedAge{ 10'000 };
+/// A job that takes this many times its objective is of no worth any more; the platform's figure.
+constexpr int kWorthlessAfter = 3;
 /// A workspace may send this many seconds of its weight at once.
 constexpr double kWeightBurstSeconds = 4.0;
 
@@ -272,6 +274,7 @@
   occurrence.objective =
     begin + queue.slack +
     Milliseconds(static_cast<std::int64_t>(static_cast<double>(chain.count()) * queue.stretch));
+  occurrence.worthless = begin + (occurrence.objective - begin) * kWorthlessAfter;
   this->OpenSteps(aJob, aNumber);
   return occurrence;
 }
--- a/Libraries/LibCell/ConductorPlacement.cpp
+++ b/Libraries/LibCell/ConductorPlacement.cpp
@@ -14,6 +14,8 @@
 enum class Rank : std::int64_t
 {
   Urgent,
+  /// Of the most urgent queue, late, and still of some worth to its caller.
+  UrgentLate,
   OnTime,
   Late,
   BeyondWeight,
@@ -30,9 +32,6 @@
 constexpr double kUnknownGoodPart = 0.4;
 /// Weight of the newest answer in that part.
 constexpr double kGoodPartWeight = 0.1;
-/// Time between the questions of a gang that is not expected to fit at the workers named; two or
-/// three questions of that time would be under way otherwise.
-constexpr Milliseconds kGuessPause{ 2000 };
 /// Questions of one gang at a time; four name every worker of a cell of 400.
 constexpr std::size_t kQuestionsOfGang = 4;
 /// Gangs that may keep workers free of batch tasks at a time.
@@ -97,10 +96,12 @@
 Conductor::BuildPools()
 {
   this->pools.clear();
+  ++this->placementRound;
   for (auto& [id, worker] : this->workers) {
     if (!this->IsUsable(*worker)) {
       continue;
     }
+    worker->pooledIn = this->placementRound;
     auto& pool = this->pools[worker->entry.pool];
     pool.workers.push_back(worker.get());
     pool.capacity += worker->entry.capacity;
@@ -108,7 +109,9 @@
   }
   // The order of a hash table is not that of a replay.
   for (auto& [name, pool] : this->pools) {
-    std::ranges::sort(pool.workers, {}, [](const Worker* aWorker) { return aWorker->entry.id; });
+    std::ranges::sort(pool.workers, [](const Worker* aLeft, const Worker* aRight) {
+      return aLeft->entry.id < aRight->entry.id;
+    });
   }
 }
 
@@ -123,10 +126,12 @@
     rank = Rank::BeyondWeight;
   } else if (aJob.spec.steps[aStep].isPerpetual) {
     rank = Rank::Urgent;
+  } else if (queue.priority == 0 && latestStart >= now) {
+    rank = Rank::Urgent;
+  } else if (queue.priority == 0 && now < aOccurrence.worthless) {
+    rank = Rank::UrgentLate;
   } else if (latestStart < now) {
     rank = Rank::Late;
-  } else if (queue.priority == 0) {
-    rank = Rank::Urgent;
   }
   return static_cast<std::int64_t>(rank) * kRankSpan + latestStart.time_since_epoch().count();
 }
@@ -365,16 +370,26 @@
   const auto& step = aCandidate.job->spec.steps[aCandidate.step];
   const bool isAdvised = this->QueueOf(*aCandidate.job).isAdvised;
   const bool isHeldBack = this->IsHeldBack(aCandidate);
+  const auto now = this->on.clock.Now();
   std::vector<Worker*> eligible;
-  for (auto* worker : aPool.workers) {
-    const auto& id = worker->entry.id;
-    if (!HasRequiredLabel(*worker, step) || (isHeldBack && this->heldForGangs.contains(id))) {
-      continue;
+  const auto consider = [&](Worker* aWorker) {
+    const bool isHeld = isHeldBack && this->heldForGangs.contains(aWorker->entry.id);
+    if (!isHeld && HasRequiredLabel(*aWorker, step) && aWorker->avoidUntil <= now) {
+      eligible.push_back(aWorker);
     }
-    const bool isAllowed =
-      !isAdvised || (aNeedsTicket ? this->HasTicket(aRun, id) : aRun.advice.good.contains(id));
-    if (isAllowed && worker->avoidUntil <= this->on.clock.Now()) {
-      eligible.push_back(worker);
+  };
+  if (!isAdvised) {
+    std::ranges::for_each(aPool.workers, consider);
+    return eligible;
+  }
+  // A step may run at few of the workers: those are looked up instead of all looked through.
+  for (const auto& [id, ticket] : aRun.advice.good) {
+    const auto found = this->workers.find(id);
+    const bool isInPool = found != this->workers.end() &&
+                          found->second->pooledIn == this->placementRound &&
+                          found->second->entry.pool == this->QueueOf(*aCandidate.job).pool;
+    if (isInPool && (!aNeedsTicket || ticket.expires > now + kTicketMargin)) {
+      consider(found->second.get());
     }
   }
   return eligible;
@@ -439,7 +454,9 @@
     amount += outOfReach->second;
   }
   const auto held = this->limitHeld.find(workspace);
-  if (held != this->limitHeld.end() && this->IsHeldBack(aCandidate)) {
+  // Another gang that fits goes first; narrow tasks would take each core as it is freed.
+  const bool isNarrow = !aCandidate.job->spec.steps[aCandidate.step].isGang;
+  if (held != this->limitHeld.end() && isNarrow && this->IsHeldBack(aCandidate)) {
     amount += held->second;
   }
   auto room = static_cast<std::int64_t>(aMost);
@@ -624,7 +641,7 @@
                    StepRun& aRun,
                    const std::vector<Worker*>& aAssigned)
 {
-  if (aRun.advice.questionsOpen > 0 || aRun.advice.retryAt > this->on.clock.Now()) {
+  if (aRun.advice.retryAt > this->on.clock.Now()) {
     return;
   }
   const auto& step = aCandidate.job->spec.steps[aCandidate.step];
@@ -718,22 +735,18 @@
   const auto demand = OccupiedBy(step);
   std::vector<std::pair<std::uint32_t, const Worker*>> workers;
   std::uint32_t known = 0;
-  std::uint32_t unknown = 0;
   for (const auto* worker : aPool.workers) {
     const auto room = RoomFor(*worker, demand, step.count);
-    if (room == 0 || !HasRequiredLabel(*worker, step)) {
+    // A worker without room is of use to a gang alone, for which room is kept where it may run.
+    if ((room == 0 && !step.isGang) || !HasRequiredLabel(*worker, step)) {
       continue;
     }
     if (!aRun.advice.asked.contains(worker->entry.id)) {
       workers.emplace_back(room, worker);
-      unknown += room;
     } else if (aRun.advice.good.contains(worker->entry.id)) {
       known += room;
     }
   }
-  if (step.isGang && known + unknown < step.count) {
-    return {};
-  }
   std::ranges::stable_sort(workers, std::greater{}, [](const auto& aEntry) {
     return std::pair(aEntry.first, aEntry.second->Free().milliCores);
   });
@@ -750,10 +763,7 @@
     expected += part * room;
     named.push_back(worker->entry.id);
   }
-  // A gang that is not expected to fit even so asks rarely, since the expectation is rough.
-  const bool isOfUse = !step.isGang || expected >= static_cast<double>(step.count) ||
-                       this->on.clock.Now() >= aRun.advice.nextGuess;
-  return isOfUse ? named : std::vector<WorkerId>();
+  return named;
 }
 
 void
@@ -772,7 +782,6 @@
   if (named.empty()) {
     return;
   }
-  aRun.advice.nextGuess = this->on.clock.Now() + kGuessPause;
   const auto parts = (named.size() + most - 1) / most;
   const auto size = (named.size() + parts - 1) / parts;
   for (std::size_t begin = 0; begin < named.size(); begin += size) {
--- a/Libraries/LibCell/Job.h
+++ b/Libraries/LibCell/Job.h
@@ -66,8 +66,6 @@
   bool isNews = false;
   std::uint32_t questionsOpen = 0;
   TimePoint retryAt{};
-  /// No question with little hope before it.
-  TimePoint nextGuess{};
   std::map<WorkerId, HeldTicket> good;
   /// Workers that a question has named.
   std::set<WorkerId> asked;
@@ -101,6 +99,8 @@
   std::uint32_t stepsSucceeded = 0;
   /// Objective for its end.
   TimePoint objective{};
+  /// An end after it is of no worth to the caller: three times the objective.
+  TimePoint worthless{};
 };
 
 /// A job with all that is known of it.
--- a/Libraries/LibCell/Worker.h
+++ b/Libraries/LibCell/Worker.h
@@ -94,6 +94,8 @@
   TimePoint nextHold{};
   TimePoint lastAnswer{};
   std::uint32_t holdFailures = 0;
+  /// Round of the placement that last took it into its pool.
+  std::uint64_t pooledIn = 0;
   Resources used;
   Resources reserved;
   std::uint32_t runsOfUnknownSize = 0;
--- a/Tests/LibCell/TestConductor.cpp
+++ b/Tests/LibCell/TestConductor.cpp
@@ -238,6 +238,44 @@
   EXPECT_EQ(this->workers.starts.size(), 1U);
 }
 
+// The pattern: a burst leaves quick checks late. Each takes little room for a moment, while the
+// batch work that would go first has seconds to spare.
+TEST_F(ConductorTest, StartsLateUrgentTasksBeforeBatchWorkUntilTheyAreWorthless)
+{
+  this->options.urgentHeadroom = 0.0;
+  QueueRoute urgent{ .host = "host", .pathPrefix = "/u/" };
+  urgent.queue = { .name = { "urgent" },
+                   .pool = "pool",
+                   .priority = 0,
+                   .attempts = 3,
+                   .stretch = 1.0,
+                   .slack = Milliseconds{ 100 } };
+  this->policy.AddRoute(urgent);
+  this->entries = { this->workers.Add("w1", 4) };
+  this->Begin();
+  this->Accept(JobOf("first", 1, 4, 60'000));
+  this->Run(Milliseconds{ 100 });
+  ASSERT_EQ(this->workers.starts.size(), 1U);
+  const auto submit = [this, &urgent](const std::string& aId) {
+    auto check = JobOf(aId, 1, 4, 1000);
+    check.queue = urgent.queue;
+    this->Accept(check);
+  };
+  submit("worthless");
+  this->Run(Milliseconds{ 3000 });
+  submit("late");
+  this->Run(Milliseconds{ 600 });
+  this->Accept(JobOf("batch", 1, 4, 1000));
+  this->Run(Milliseconds{ 50 });
+  std::vector<std::string> order;
+  for (int round = 0; round < 3; ++round) {
+    this->workers.EndAll();
+    this->Run(Milliseconds{ 200 });
+    order.push_back(this->workers.starts.back().task.job.value);
+  }
+  EXPECT_EQ(order, (std::vector<std::string>{ "late", "batch", "worthless" }));
+}
+
 // The pattern: a worker that was out of reach still lists a run whose task has gone elsewhere.
 TEST_F(ConductorTest, CountsUnwantedRunsOfAStepOnAWorker)
 {
