LibCell: Let a machine that has become slow leave the term to others

Ruled out: lateness of timers as the sign. A follower is idle, and its timers are on time on a slow machine too.

Change: each instance measures a fixed piece of work of some tens of microseconds four times a second against its best. Three in a row above three times the best mean slow: such an instance waits 1.5 s longer before it takes a free row, and an owner hands its term over if another large instance is known.

--- a/Libraries/LibCell/Leadership.cpp
+++ b/Libraries/LibCell/Leadership.cpp
@@ -189,7 +189,8 @@
   const bool isNew = !this->owner && now - this->created < this->options.firstTake;
   // Nobody else knows of a resignation, so that there is nobody to wait for.
   const std::size_t rank = this->HasOwnerResigned() ? 0 : this->Rank();
-  if (!isNew && now - this->goneSince >= this->options.stagger * rank) {
+  const auto delay = this->isSlow ? this->options.slowDelay : Milliseconds{ 0 };
+  if (!isNew && now - this->goneSince >= this->options.stagger * rank + delay) {
     this->Take();
   }
 }
@@ -292,6 +293,8 @@
 Leadership::Begin(std::uint64_t aToken, TimePoint aSent)
 {
   this->state = State::Owner;
+  this->termBegun = this->on.clock.Now();
+  this->isHandingOver = false;
   this->token = aToken;
   this->termEnd = aSent + this->options.term;
   this->nextRenewal = this->on.clock.Now();
@@ -319,7 +322,7 @@
                             .address = this->identity.address,
                             .port = this->identity.port,
                             .token = this->token,
-                            .isLeaving = this->isLeaving,
+                            .isLeaving = this->isLeaving || this->isHandingOver,
                             .isRecovering = news.isRecovering,
                             .recoveryLeft = news.recoveryLeft,
                             .written = this->on.store.StoreTime().value_or(Milliseconds{ 0 }),
@@ -331,15 +334,16 @@
   transaction.writes.push_back({ .key = key, .value = EncodeOwner(record) });
   this->isRenewing = true;
   this->isRenewalOld = false;
-  this->on.store.Commit(std::move(transaction),
-                        [this, now, workers = news.workers](Result<CommitAnswer> aAnswer) {
-                          this->OnRenewed(now, workers, aAnswer);
-                        });
+  this->on.store.Commit(
+    std::move(transaction),
+    [this, now, workers = news.workers, isGivenUp = record.isLeaving](
+      Result<CommitAnswer> aAnswer) { this->OnRenewed(now, workers, isGivenUp, aAnswer); });
 }
 
 void
 Leadership::OnRenewed(TimePoint aSent,
                       const std::vector<std::string>& aWorkers,
+                      bool aIsGivenUp,
                       const Result<CommitAnswer>& aAnswer)
 {
   this->isRenewing = false;
@@ -372,9 +376,9 @@
   if (this->on.onPublished) {
     this->on.onPublished(aWorkers);
   }
-  if (this->isLeaving) {
+  if (aIsGivenUp) {
     this->Lose("handed over");
-    this->state = State::Left;
+    this->state = this->isLeaving ? State::Left : State::Follower;
   }
 }
 
@@ -395,6 +399,31 @@
   this->nextRenewal = {};
 }
 
+bool
+Leadership::HasHeir() const
+{
+  return std::ranges::any_of(this->instances, [this](const auto& aEntry) {
+    return aEntry.first != this->identity.name &&
+           aEntry.second.milliCores >= this->options.heirSize * this->identity.milliCores;
+  });
+}
+
+void
+Leadership::SetSlow(bool aIsSlow)
+{
+  if (aIsSlow != this->isSlow) {
+    this->on.log.Log(
+      LogLevel::Info, "machine_speed", { { "slow", aIsSlow }, { "owner", this->IsOwner() } });
+  }
+  this->isSlow = aIsSlow;
+  const bool isSettled =
+    this->on.clock.Now() - this->termBegun >= this->options.handOverPause && !this->isHandingOver;
+  if (this->isSlow && this->IsOwner() && isSettled && this->HasHeir()) {
+    this->isHandingOver = true;
+    this->nextRenewal = {};
+  }
+}
+
 void
 Leadership::Leave()
 {
--- a/Libraries/LibCell/Leadership.h
+++ b/Libraries/LibCell/Leadership.h
@@ -34,6 +34,13 @@
   Milliseconds firstTake{ 600 };
   /// Time between the attempts of two instances, so that one is first.
   Milliseconds stagger{ 60 };
+  /// A slow instance takes a free row only after this, when no other has.
+  Milliseconds slowDelay{ 1500 };
+  /// Least time between a begin of a term and handing it over for slowness, so that terms do not
+  /// change too often; machines are slow for 4 to 6 s.
+  Milliseconds handOverPause{ 2000 };
+  /// Part of the owner's processor that another instance needs to have for handing over to it.
+  double heirSize = 0.75;
 };
 
 /// What the owner publishes with each renewal.
@@ -114,6 +121,9 @@
   void Tick(std::optional<TimePoint> aLastRead);
   /// Renews the row with the next tick.
   void RenewSoon();
+  /// Declares whether this machine is slow: an owner then hands its term over if another instance
+  /// is large enough, and stays behind the others.
+  void SetSlow(bool aIsSlow);
   /// Stops taking over, and hands the term over if there is one.
   void Leave();
 
@@ -154,8 +164,10 @@
   void OnTaken(TimePoint aSent, const Result<CommitAnswer>& aAnswer);
   void Begin(std::uint64_t aToken, TimePoint aSent);
   void Renew();
+  [[nodiscard]] bool HasHeir() const;
   void OnRenewed(TimePoint aSent,
                  const std::vector<std::string>& aWorkers,
+                 bool aIsGivenUp,
                  const Result<CommitAnswer>& aAnswer);
   void Lose(std::string_view aReason);
   [[nodiscard]] RowKey OwnerKey() const;
@@ -194,6 +206,10 @@
   /// The record has changed since the renewal that is under way.
   bool isRenewalOld = false;
   bool isLeaving = false;
+  bool isSlow = false;
+  /// The next renewal gives the term up.
+  bool isHandingOver = false;
+  TimePoint termBegun{};
 };
 
 }
--- a/Libraries/LibInstance/CellInstance.cpp
+++ b/Libraries/LibInstance/CellInstance.cpp
@@ -93,9 +93,18 @@
                                       .pause = this->options.cellPause },
                                     &CellInstance::OnCell);
   this->Beat();
+  this->MeasureSpeed();
   this->TickLeadership();
 }
 
+void
+CellInstance::MeasureSpeed()
+{
+  this->speed.Note(cell::SpeedProbe::Measure());
+  this->leadership.SetSlow(this->speed.IsSlow());
+  this->on.timer.After(this->options.speedPause, [this] { this->MeasureSpeed(); });
+}
+
 std::shared_ptr<cell::TableFollower>
 CellInstance::Follow(cell::TableFollowerOptions aOptions,
                      void (CellInstance::*aOnView)(const cell::TableView&))
--- a/Libraries/LibInstance/CellInstance.h
+++ b/Libraries/LibInstance/CellInstance.h
@@ -8,6 +8,7 @@
 #include <LibCell/Conductor.h>
 #include <LibCell/Intake.h>
 #include <LibCell/Leadership.h>
+#include <LibCell/SpeedProbe.h>
 #include <LibCell/TableFollower.h>
 #include <LibCell/Timer.h>
 #include <LibCell/WatchedStore.h>
@@ -65,6 +66,8 @@
   /// How long a document that was replaced bounds what a predecessor may have started: the longest
   /// term and the longest lease with its slack.
   Milliseconds formerDocumentKept{ 20'000 };
+  /// Time between two measurements of the machine's speed.
+  Milliseconds speedPause{ 250 };
   /// Time between two writes of the instance's own row.
   Milliseconds beat{ 3000 };
   /// A conductor without an answer of the store for this long hands over to an instance that
@@ -178,6 +181,7 @@
   [[nodiscard]] cell::OwnerNews News();
   void TickConductor();
   void TickLeadership();
+  void MeasureSpeed();
   void Beat();
   void NameInstances();
   /// Hands the term over unless the store has answered meanwhile.
@@ -191,6 +195,7 @@
   cell::WatchedStore store;
   cell::Intake intake;
   cell::Leadership leadership;
+  cell::SpeedProbe speed;
   std::shared_ptr<cell::TableFollower> documentFollower;
   std::shared_ptr<cell::TableFollower> cellFollower;
   std::shared_ptr<cell::TableFollower> jobFollower;
--- a/Tests/LibCell/TestLeadership.cpp
+++ b/Tests/LibCell/TestLeadership.cpp
@@ -357,6 +357,53 @@
   EXPECT_GE(third.term->predecessorEnd, third.term->formerEnd);
 }
 
+// The pattern: the conductor's machine runs at an eighth of its speed for some seconds.
+TEST_F(LeadershipTest, HandsOverWhileItsMachineIsSlow)
+{
+  Instance first(*this, "first");
+  Instance second(*this, "second");
+  first.leadership.OnInstance("second", { .incarnation = "second1", .milliCores = 120 }, 1);
+  this->Run({ &first }, Milliseconds{ 3000 });
+  ASSERT_TRUE(first.term);
+  first.leadership.SetSlow(true);
+  this->Run({ &first, &second }, Milliseconds{ 300 });
+  EXPECT_FALSE(first.term);
+  ASSERT_TRUE(second.term);
+  EXPECT_TRUE(second.term->isPredecessorDead);
+  this->Run({ &first, &second }, Milliseconds{ 3000 });
+  EXPECT_TRUE(second.term);
+}
+
+TEST_F(LeadershipTest, KeepsItsTermThoughSlowWhereNobodyIsLargeEnough)
+{
+  Instance first(*this, "first", "1", 500);
+  first.leadership.OnInstance("second", { .incarnation = "second1", .milliCores = 120 }, 1);
+  this->Run({ &first }, Milliseconds{ 3000 });
+  ASSERT_TRUE(first.term);
+  first.leadership.SetSlow(true);
+  this->Run({ &first }, Milliseconds{ 1000 });
+  EXPECT_TRUE(first.term);
+}
+
+TEST_F(LeadershipTest, LeavesAFreeRowToOthersWhileItsMachineIsSlow)
+{
+  Instance slow(*this, "slow", "1", 500);
+  Instance other(*this, "other");
+  other.leadership.OnInstance("slow", { .incarnation = "slow1", .milliCores = 500 }, 1);
+  slow.leadership.SetSlow(true);
+  this->Run({ &slow, &other }, Milliseconds{ 500 });
+  EXPECT_FALSE(slow.term);
+  EXPECT_TRUE(other.term);
+}
+
+TEST_F(LeadershipTest, TakesAFreeRowThoughSlowIfNobodyElseDoes)
+{
+  Instance slow(*this, "slow");
+  slow.leadership.SetSlow(true);
+  this->Run({ &slow }, Milliseconds{ 2000 });
+  EXPECT_TRUE(slow.term);
+}
+
 TEST_F(LeadershipTest, PassesOnThatAPredecessorHadNotRecovered)
 {
   Instance first(*this, "first");
