LibCell: Keep renewals, progress and jobs apart while the store is slow

Cause: a part commits one transaction after the other, 4 a second while the store takes 60 times as long, and refuses what would wait for over a second.

Ruled out: the conductor's processor (rounds 20 ms apart) and slow machines.

Change: instances' rows in 8 parts of their own, retried after 800 ms; progress in 4 parts, in one transaction while the store is quick and in one for each while it is slow; jobs in 96 parts; submissions wait 600 ms longer.

Tests: TestSlowStore (fails before the change), with a store that keeps its answers.

--- a/Libraries/LibCell/Conductor.h
+++ b/Libraries/LibCell/Conductor.h
@@ -22,6 +22,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -250,7 +251,11 @@
   void ForgetOldJobs();
 
   // Records.
+  /// Writes what has changed: in one transaction, or in one for each part while the store is slow,
+  /// since each part then takes its time by itself.
   void Flush();
+  /// @param aLanes parts that the transaction writes to
+  void FlushLanes(std::span<const std::uint32_t> aLanes);
   void OnFlushed(const std::vector<std::pair<JobId, std::uint64_t>>& aJobs,
                  const Transaction& aSent,
                  const Result<CommitAnswer>& aAnswer);
@@ -405,7 +410,8 @@
   /// Cancellations whose jobs were not seen yet.
   std::set<JobId> earlyCancellations;
   std::set<JobId> dirty;
-  bool isFlushInFlight = false;
+  /// Parts of the progress rows that a transaction under way writes to.
+  std::array<bool, kProgressParts> busyLanes{};
   TimePoint nextFlush{};
   /// Jobs with occurrences that are not due yet.
   std::set<JobId> timed;
--- a/Libraries/LibCell/ConductorRecords.cpp
+++ b/Libraries/LibCell/ConductorRecords.cpp
@@ -1,6 +1,7 @@
 #include <LibCell/Conductor.h>
 
 #include <algorithm>
+#include <iterator>
 
 namespace zinc::cell {
 
@@ -24,15 +25,37 @@
 void
 Conductor::Flush()
 {
-  const auto now = this->on.clock.Now();
-  if (this->isFlushInFlight || this->dirty.empty() || now < this->nextFlush) {
+  if (this->dirty.empty() || this->on.clock.Now() < this->nextFlush) {
     return;
   }
+  std::vector<std::uint32_t> free;
+  for (std::uint32_t lane = 0; lane < kProgressParts; ++lane) {
+    if (!this->busyLanes.at(lane)) {
+      free.push_back(lane);
+    }
+  }
+  if (this->isStoreSlow) {
+    for (const auto lane : free) {
+      this->FlushLanes({ &lane, 1 });
+    }
+  } else if (free.size() == kProgressParts) {
+    this->FlushLanes(free);
+  }
+}
+
+void
+Conductor::FlushLanes(std::span<const std::uint32_t> aLanes)
+{
+  const auto now = this->on.clock.Now();
   Transaction transaction;
   std::vector<std::pair<JobId, std::uint64_t>> written;
+  std::set<std::uint32_t> lanes;
   std::size_t bytes = 0;
   // Outcomes go first, since callers wait for them.
-  std::vector<JobId> order(this->dirty.begin(), this->dirty.end());
+  std::vector<JobId> order;
+  std::ranges::copy_if(this->dirty, std::back_inserter(order), [aLanes](const JobId& aJob) {
+    return std::ranges::find(aLanes, ProgressLane(aJob)) != aLanes.end();
+  });
   std::stable_partition(order.begin(), order.end(), [this](const JobId& aJob) {
     return this->jobs.at(aJob).outcome != JobOutcome::Active;
   });
@@ -46,17 +69,28 @@
     transaction.writes.push_back({ .key = key, .value = EncodeProgress(ProgressOf(job)) });
     bytes += transaction.writes.back().value.size();
     written.emplace_back(id, job.changes);
+    lanes.insert(ProgressLane(id));
+  }
+  if (written.empty()) {
+    return;
+  }
+  transaction.spansParts = lanes.size() > 1;
+  for (const auto lane : lanes) {
+    this->busyLanes.at(lane) = true;
   }
-  this->isFlushInFlight = true;
   auto sent = transaction;
   this->on.store.Commit(
     std::move(transaction),
-    [this, guard = std::weak_ptr<bool>(this->alive), written, now, sent = std::move(sent)](
+    [this, guard = std::weak_ptr<bool>(this->alive), written, lanes, now, sent = std::move(sent)](
       Result<CommitAnswer> aAnswer) {
-      if (!guard.expired()) {
-        this->isStoreSlow = this->on.clock.Now() - now > kSlowAnswer;
-        this->OnFlushed(written, sent, aAnswer);
+      if (guard.expired()) {
+        return;
+      }
+      for (const auto lane : lanes) {
+        this->busyLanes.at(lane) = false;
       }
+      this->isStoreSlow = this->on.clock.Now() - now > kSlowAnswer;
+      this->OnFlushed(written, sent, aAnswer);
     });
 }
 
@@ -108,7 +142,6 @@
                      const Result<CommitAnswer>& aAnswer)
 {
   const auto now = this->on.clock.Now();
-  this->isFlushInFlight = false;
   this->nextFlush = now + this->options.flushPause;
   if (IsError(aAnswer)) {
     this->nextFlush = now + kFlushRetry;
--- a/Libraries/LibCell/Intake.cpp
+++ b/Libraries/LibCell/Intake.cpp
@@ -82,7 +82,7 @@
   if (batch->empty()) {
     return;
   }
-  Transaction transaction;
+  Transaction transaction{ .patience = this->options.patience };
   for (const auto& entry : *batch) {
     const auto key = JobRowKey(entry.job, JobRowKind::Specification);
     transaction.conditions.push_back({ .key = key, .version = 0 });
--- a/Libraries/LibCell/Intake.h
+++ b/Libraries/LibCell/Intake.h
@@ -23,6 +23,10 @@
   std::size_t queueLimit = 400;
   /// A job that waited longer without being sent is refused.
   Milliseconds longestWait{ 600 };
+  /// How much longer than for other calls the answer of a transaction is waited for: a caller that
+  /// hears nothing may not send its job again, and has 3 s. A store refuses what would wait for
+  /// more than 1 s.
+  Milliseconds patience{ 600 };
   /// When a caller that was refused for lack of the store should come back.
   Milliseconds retryAfter{ 1000 };
 };
--- a/Libraries/LibCell/Ports.h
+++ b/Libraries/LibCell/Ports.h
@@ -76,6 +76,8 @@
   std::vector<RowKey> removals;
   /// True if the entries lie in several parts.
   bool spansParts = false;
+  /// How much longer than for other calls its answer is waited for.
+  Milliseconds patience{ 0 };
 };
 
 /// What became of a transaction.
--- a/Libraries/LibCell/Records.cpp
+++ b/Libraries/LibCell/Records.cpp
@@ -169,16 +169,74 @@
            .index = aValue[2].asUInt() };
 }
 
+std::uint32_t
+HashOf(std::string_view aText)
+{
+  constexpr std::uint32_t kFactor = 31;
+  std::uint32_t hash = 0;
+  for (const char character : aText) {
+    hash = hash * kFactor + static_cast<unsigned char>(character);
+  }
+  return hash;
+}
+
+std::string
+InstancePart(std::uint32_t aNumber)
+{
+  return fmt::format("instances{}", aNumber);
+}
+
+std::string
+ProgressPart(std::uint32_t aLane)
+{
+  return fmt::format("progress{}", aLane);
+}
+
 }
 
 std::string
 JobPart(const JobId& aJob)
 {
-  std::uint32_t hash = 0;
-  for (const char character : aJob.value) {
-    hash = hash * 31 + static_cast<unsigned char>(character);
+  return std::to_string(HashOf(aJob.value) % kJobParts);
+}
+
+std::uint32_t
+ProgressLane(const JobId& aJob)
+{
+  return HashOf(aJob.value) / kJobParts % kProgressParts;
+}
+
+RowKey
+InstanceRowKey(std::string_view aInstance)
+{
+  return { .table = std::string(kCellTable),
+           .part = InstancePart(HashOf(aInstance) % kInstanceParts),
+           .key = fmt::format("{}{}", kInstancePrefix, aInstance) };
+}
+
+std::vector<std::string>
+AllCellParts()
+{
+  std::vector<std::string> parts;
+  for (std::uint32_t part = 0; part < kInstanceParts; ++part) {
+    parts.push_back(InstancePart(part));
+  }
+  parts.emplace_back(kCellPart);
+  return parts;
+}
+
+std::vector<std::string>
+AllJobParts()
+{
+  std::vector<std::string> parts;
+  for (std::uint32_t part = 0; part < kJobParts; ++part) {
+    parts.push_back(std::to_string(part));
+  }
+  for (std::uint32_t lane = 0; lane < kProgressParts; ++lane) {
+    parts.push_back(ProgressPart(lane));
   }
-  return std::to_string(hash % kJobParts);
+  parts.emplace_back(kTermPart);
+  return parts;
 }
 
 RowKey
@@ -186,7 +244,7 @@
 {
   const bool isProgress = aKind == JobRowKind::Progress;
   return { .table = std::string(kJobTable),
-           .part = isProgress ? std::string(kProgressPart) : JobPart(aJob),
+           .part = isProgress ? ProgressPart(ProgressLane(aJob)) : JobPart(aJob),
            .key = fmt::format("{}.{}", aJob.value, kSuffixes[static_cast<std::size_t>(aKind)]) };
 }
 
@@ -203,7 +261,7 @@
 ProgressRowRange(const JobId& aJob)
 {
   auto range = JobRowRange(aJob);
-  range.part = std::string(kProgressPart);
+  range.part = ProgressPart(ProgressLane(aJob));
   return range;
 }
 
--- a/Libraries/LibCell/Records.h
+++ b/Libraries/LibCell/Records.h
@@ -19,15 +19,18 @@
 inline constexpr std::string_view kJobTable = "zinc-jobs";
 /// Table of the ownership row and the instances; followed by every instance.
 inline constexpr std::string_view kCellTable = "zinc-cell";
-/// Part of the rows in @ref kCellTable.
+/// Part of the ownership row in @ref kCellTable, alone: a part commits one transaction after the
+/// other, and a renewal must not wait behind the instances' rows while the store is slow.
 inline constexpr std::string_view kCellPart = "cell";
+/// Parts of the instances' own rows there.
+inline constexpr std::uint32_t kInstanceParts = 8;
 inline constexpr std::string_view kOwnerKey = "owner";
 inline constexpr std::string_view kInstancePrefix = "instance/";
 /// Parts that the jobs' own rows are spread over. A part commits one transaction after the other, 4
 /// of them a second while the store is slow.
-inline constexpr std::uint32_t kJobParts = 48;
-/// Part of the progress rows, which the conductor alone writes, apart from those that accept jobs.
-inline constexpr std::string_view kProgressPart = "progress";
+inline constexpr std::uint32_t kJobParts = 96;
+/// Parts of the progress rows, which the conductor alone writes, apart from those that accept jobs.
+inline constexpr std::uint32_t kProgressParts = 4;
 /// Part of the one row that each new term writes among the jobs.
 inline constexpr std::string_view kTermPart = "term";
 
@@ -148,6 +151,22 @@
   std::map<std::string, std::uint64_t> waiting;
 };
 
+/// @return the key of an instance's own row.
+[[nodiscard]] RowKey
+InstanceRowKey(std::string_view aInstance);
+
+/// @return the parts of @ref kCellTable, that of the ownership row last.
+[[nodiscard]] std::vector<std::string>
+AllCellParts();
+
+/// @return the parts of @ref kJobTable, that of the terms last.
+[[nodiscard]] std::vector<std::string>
+AllJobParts();
+
+/// @return which of the progress parts holds a job's progress.
+[[nodiscard]] std::uint32_t
+ProgressLane(const JobId& aJob);
+
 [[nodiscard]] std::string
 EncodeOwner(const OwnerRecord& aRecord);
 
--- a/Libraries/LibInstance/CellInstance.cpp
+++ b/Libraries/LibInstance/CellInstance.cpp
@@ -42,18 +42,6 @@
            .to = owner + '\0' };
 }
 
-std::vector<std::string>
-AllJobParts()
-{
-  std::vector<std::string> parts;
-  for (std::uint32_t part = 0; part < cell::kJobParts; ++part) {
-    parts.push_back(std::to_string(part));
-  }
-  parts.emplace_back(cell::kProgressPart);
-  parts.emplace_back(cell::kTermPart);
-  return parts;
-}
-
 }
 
 CellInstance::CellInstance(Dependencies aDependencies, CellInstanceOptions aOptions)
@@ -89,7 +77,7 @@
                                           .reread = this->options.documentReread },
                                         &CellInstance::OnDocument);
   this->cellFollower = this->Follow({ .table = std::string(cell::kCellTable),
-                                      .parts = { std::string(cell::kCellPart) },
+                                      .parts = cell::AllCellParts(),
                                       .pause = this->options.cellPause },
                                     &CellInstance::OnCell);
   this->Beat();
@@ -208,12 +196,9 @@
 void
 CellInstance::Beat()
 {
-  const cell::RowKey key{ .table = std::string(cell::kCellTable),
-                          .part = std::string(cell::kCellPart),
-                          .key = std::string(cell::kInstancePrefix) + this->options.identity.name };
   cell::Transaction transaction;
   transaction.writes.push_back(
-    { .key = key,
+    { .key = cell::InstanceRowKey(this->options.identity.name),
       .value = cell::EncodeInstance({ .incarnation = this->options.identity.incarnation,
                                       .address = this->options.identity.address,
                                       .port = this->options.identity.port,
@@ -221,8 +206,8 @@
                                       .milliCores = this->options.identity.milliCores,
                                       .beat = ++this->beatCount }) });
   this->store.Commit(std::move(transaction), [this](Result<cell::CommitAnswer> aAnswer) {
-    constexpr Milliseconds kRetry{ 200 };
-    this->on.timer.After(IsError(aAnswer) ? kRetry : this->options.beat, [this] { this->Beat(); });
+    this->on.timer.After(IsError(aAnswer) ? this->options.beatRetry : this->options.beat,
+                         [this] { this->Beat(); });
   });
 }
 
@@ -268,7 +253,7 @@
   this->termStart = TermStart{ .term = aTerm };
   this->listedWorkers.clear();
   this->jobFollower = this->Follow({ .table = std::string(cell::kJobTable),
-                                     .parts = AllJobParts(),
+                                     .parts = cell::AllJobParts(),
                                      .pause = this->options.jobPause },
                                    &CellInstance::OnJobs);
   this->workerFollower = this->Follow(
--- a/Libraries/LibInstance/CellInstance.h
+++ b/Libraries/LibInstance/CellInstance.h
@@ -70,6 +70,9 @@
   Milliseconds speedPause{ 250 };
   /// Time between two writes of the instance's own row.
   Milliseconds beat{ 3000 };
+  /// Time until a write that failed is tried again. A store that refuses for load must not get
+  /// more.
+  Milliseconds beatRetry{ 800 };
   /// A conductor without an answer of the store for this long hands over to an instance that
   /// reaches it: more than a slow store takes for a call, less than the others wait before they
   /// take over.
--- a/Tests/LibCell/MemoryStore.cpp
+++ b/Tests/LibCell/MemoryStore.cpp
@@ -1,6 +1,7 @@
 #include "MemoryStore.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace zinc::cell::test {
 
@@ -77,9 +78,27 @@
     aHandler(MayHaveRun(ErrorCode::Timeout, "lost"));
     return;
   }
+  if (this->mode == StoreMode::Slow) {
+    std::set<std::string> parts;
+    for (const auto& write : aTransaction.writes) {
+      parts.insert(write.key.part);
+    }
+    this->open.push_back(std::move(parts));
+    this->kept.emplace_back([handler = std::move(aHandler), answer] { handler(answer); });
+    return;
+  }
   aHandler(std::move(answer));
 }
 
+void
+MemoryStore::Release()
+{
+  this->open.clear();
+  for (const auto& deliver : std::exchange(this->kept, {})) {
+    deliver();
+  }
+}
+
 std::uint64_t
 MemoryStore::Put(const RowKey& aKey, const std::string& aValue)
 {
