LibCell: Leave a workspace in a round after 64 steps beyond its limit

Change: 64 in a row end the round for the workspace. Steps whose first answer is awaited are passed over. Room is kept for five gangs at a time instead of two: they wait for room while narrow tasks have seconds to spare.

Tests: TestLongQueue.AWorkspaceAtItsLimitTakesLittleOfARound.

--- a/Libraries/LibCell/Conductor.h
+++ b/Libraries/LibCell/Conductor.h
@@ -313,7 +313,8 @@
   [[nodiscard]] std::int64_t UrgencyOf(const Job& aJob,
                                        const OccurrenceRun& aOccurrence,
                                        std::uint32_t aStep) const;
-  /// @return false for a gang of which nothing is new and whose next look is not due.
+  /// @return false for a step whose first answer is awaited, and for a gang of which nothing is new
+  /// and whose next look is not due.
   [[nodiscard]] bool IsLookedAt(const Candidate& aCandidate) const;
   StepWait PlaceStep(const Candidate& aCandidate);
   StepWait PlaceTasks(const Candidate& aCandidate, StepRun& aRun, Pool& aPool);
--- a/Libraries/LibCell/ConductorPlacement.cpp
+++ b/Libraries/LibCell/ConductorPlacement.cpp
@@ -32,10 +32,12 @@
 constexpr double kUnknownGoodPart = 0.4;
 /// Weight of the newest answer in that part.
 constexpr double kGoodPartWeight = 0.1;
+/// Steps of a workspace beyond its limit, in a row, after which a round leaves the rest of them.
+constexpr std::uint32_t kLooksBeyondLimit = 64;
 /// Questions of one gang at a time; four name every worker of a cell of 400.
 constexpr std::size_t kQuestionsOfGang = 4;
 /// Gangs that may keep workers free of batch tasks at a time.
-constexpr std::size_t kHeldGangs = 2;
+constexpr std::size_t kHeldGangs = 5;
 /// A step that waits for longer is told of in the log, again each time this passes.
 constexpr Milliseconds kLongWait{ 2000 };
 /// How long a worker without room for the task it accepted is left alone.
@@ -183,11 +185,20 @@
     return;
   }
   this->BuildPools();
+  // Steps of each workspace found beyond its limit, one after the other.
+  std::unordered_map<WorkspaceId, std::uint32_t> beyondLimit;
   for (const auto& candidate : candidates) {
     if (!this->IsLookedAt(candidate)) {
       continue;
     }
+    // The rest of a workspace that is at its limit would be found so as well.
+    auto& inRow = beyondLimit[candidate.job->spec.workspace];
+    if (inRow >= kLooksBeyondLimit) {
+      ++this->load.waits.at(static_cast<std::size_t>(StepWait::Limit));
+      continue;
+    }
     const auto wait = this->PlaceStep(candidate);
+    inRow = wait == StepWait::Limit ? inRow + 1 : 0;
     ++this->load.waits.at(static_cast<std::size_t>(wait));
     this->TellWait(candidate, wait);
     // The rest waits for the next placement, so that nothing else waits for this one.
@@ -208,8 +219,13 @@
 Conductor::IsLookedAt(const Candidate& aCandidate) const
 {
   const auto& run = aCandidate.job->occurrences.at(aCandidate.occurrence).steps[aCandidate.step];
-  return this->looksAtGangs || !aCandidate.job->spec.steps[aCandidate.step].isGang ||
-         run.advice.isNews || run.reservation.has_value();
+  if (run.advice.isNews || run.reservation) {
+    return true;
+  }
+  // Until its first answer comes a step can only wait.
+  const bool isAsked = !run.advice.isComplete && run.advice.questionsOpen > 0;
+  const bool isGang = aCandidate.job->spec.steps[aCandidate.step].isGang;
+  return !isAsked && (this->looksAtGangs || !isGang);
 }
 
 void
--- a/Libraries/LibInstance/CellInstance.h
+++ b/Libraries/LibInstance/CellInstance.h
@@ -76,7 +76,7 @@
   /// A conductor without an answer of the store for this long hands over to an instance that
   /// reaches it: more than a slow store takes for a call, less than the others wait before they
   /// take over.
-  Milliseconds resignAfter{ 700 };
+  Milliseconds resignAfter{ 500 };
   /// The store answers a conductor that it serves within this; a transaction takes 4 ms.
   Milliseconds ownAnswer{ 150 };
   /// A conductor that lost the store asks only instances of this part of the largest one's
--- a/Tests/LibCell/TestLongQueue.cpp
+++ b/Tests/LibCell/TestLongQueue.cpp
@@ -36,4 +36,33 @@
   EXPECT_GT(this->advice.questions.size(), 0U);
 }
 
+// The load of a hot workspace: a thousand of its jobs wait behind its limit. Another workspace's
+// job gets its turn in the same round, and a round looks at few of those that wait.
+TEST_F(LongQueue, AWorkspaceAtItsLimitTakesLittleOfARound)
+{
+  constexpr int kJobs = 1000;
+  this->policy.workspaces[{ "team" }].maximum = { .milliCores = 8000 };
+  this->policy.workspaces[{ "other" }] = { .name = { "other" }, .weight = 1000.0 };
+  for (int number = 0; number < 20; ++number) {
+    this->entries.push_back(this->workers.Add("w" + std::to_string(number), 32));
+  }
+  this->Begin();
+  this->Run(Milliseconds{ 50 });
+  for (int number = 0; number < kJobs; ++number) {
+    this->Accept(JobOf("hot" + std::to_string(number), 1, 4));
+  }
+  this->Run(Milliseconds{ 100 });
+  ASSERT_EQ(this->workers.starts.size(), 2U);
+  auto other = JobOf("other", 1, 4);
+  other.workspace = { "other" };
+  this->Accept(other);
+  this->Run(Milliseconds{ 20 });
+  ASSERT_EQ(this->workers.starts.size(), 3U);
+  EXPECT_EQ(this->workers.starts.back().task.job.value, "other");
+  // The limit is used again as soon as it is freed.
+  this->workers.EndAll();
+  this->Run(Milliseconds{ 100 });
+  EXPECT_EQ(this->workers.starts.size(), 5U);
+}
+
 }
