LibCell: Stop conducting when the own row says that the term is given up

Change: the follower of the row ends the term as the answer would.

Test: LeadershipTest.StopsWhenItsOwnRowSaysThatItHandsOver, fails before.

--- a/Libraries/LibCell/Leadership.cpp
+++ b/Libraries/LibCell/Leadership.cpp
@@ -55,6 +55,11 @@
     this->Lose("the ownership row names another instance");
     return;
   }
+  if (this->state == State::Owner && this->owner->isLeaving) {
+    // The answer to it may be lost, and others take the row at once.
+    this->GiveUp();
+    return;
+  }
   if (this->state == State::Follower && isMine && !this->owner->isLeaving &&
       this->owner->token == 0) {
     // An attempt whose answer was lost has taken effect.
@@ -377,11 +382,17 @@
     this->on.onPublished(aWorkers);
   }
   if (aIsGivenUp) {
-    this->Lose("handed over");
-    this->state = this->isLeaving ? State::Left : State::Follower;
+    this->GiveUp();
   }
 }
 
+void
+Leadership::GiveUp()
+{
+  this->Lose("handed over");
+  this->state = this->isLeaving ? State::Left : State::Follower;
+}
+
 void
 Leadership::Lose(std::string_view aReason)
 {
--- a/Libraries/LibCell/Leadership.h
+++ b/Libraries/LibCell/Leadership.h
@@ -170,6 +170,8 @@
                  bool aIsGivenUp,
                  const Result<CommitAnswer>& aAnswer);
   void Lose(std::string_view aReason);
+  /// Ends the term after the row that gives it up was written.
+  void GiveUp();
   [[nodiscard]] RowKey OwnerKey() const;
   [[nodiscard]] bool IsMine(const OwnerRecord& aRecord) const;
 
--- a/Tests/LibCell/TestLeadership.cpp
+++ b/Tests/LibCell/TestLeadership.cpp
@@ -374,6 +374,21 @@
   EXPECT_TRUE(second.term);
 }
 
+// The pattern: the store loses the answer to the row that hands the term over. Others take it at
+// once.
+TEST_F(LeadershipTest, StopsWhenItsOwnRowSaysThatItHandsOver)
+{
+  Instance first(*this, "first");
+  this->Run({ &first }, Milliseconds{ 3000 });
+  ASSERT_TRUE(first.term);
+  this->store.mode = StoreMode::LosingAnswers;
+  first.leadership.Leave();
+  first.leadership.Tick(this->clock.Now());
+  ASSERT_TRUE(first.term);
+  first.leadership.OnOwnerRow(this->OwnerRow());
+  EXPECT_FALSE(first.term);
+}
+
 TEST_F(LeadershipTest, KeepsItsTermThoughSlowWhereNobodyIsLargeEnough)
 {
   Instance first(*this, "first", "1", 500);
