LibCell: Ask for a gang's tickets with one question at a time again

Since a reservation did not wait for open questions any more, each one that lapsed before its question was sent asked again: up to 9 queued questions a gang, and gangs that could run did not for seconds.

Ruled out: room (a third used at the end), limits, a question without an answer.

Change: no reservation while a question of the step is open, as before.

Test: GangAdvice.AsksForTicketsOnceHoweverOftenAReservationLapses, fails before (9 questions instead of 2).

--- a/Libraries/LibCell/ConductorPlacement.cpp
+++ b/Libraries/LibCell/ConductorPlacement.cpp
@@ -657,7 +657,9 @@
                    StepRun& aRun,
                    const std::vector<Worker*>& aAssigned)
 {
-  if (aRun.advice.retryAt > this->on.clock.Now()) {
+  // While the service is crowded a reservation lapses before its question is sent; another one
+  // would only lengthen the queue.
+  if (aRun.advice.questionsOpen > 0 || aRun.advice.retryAt > this->on.clock.Now()) {
     return;
   }
   const auto& step = aCandidate.job->spec.steps[aCandidate.step];
--- a/Tests/LibCell/ConductorFixture.h
+++ b/Tests/LibCell/ConductorFixture.h
@@ -27,6 +27,9 @@
 
   void Deliver()
   {
+    if (this->isHolding) {
+      return;
+    }
     auto due = std::move(this->open);
     this->open.clear();
     for (const auto& [question, handler] : due) {
@@ -50,6 +53,8 @@
   std::vector<AdviceQuestion> questions;
   std::vector<std::pair<AdviceQuestion, Handler<AdviceAnswer>>> open;
   int issued = 0;
+  /// Answers nothing for the time being.
+  bool isHolding = false;
   /// Questions that are answered with an error.
   int failures = 0;
 };
--- a/Tests/LibCell/TestGangAdvice.cpp
+++ b/Tests/LibCell/TestGangAdvice.cpp
@@ -92,6 +92,30 @@
   EXPECT_EQ(this->StartsOf("second"), 5U);
 }
 
+// The load of a day that ends with a hundred gangs waiting: the service answers each instance's
+// questions one by one, and a reservation lapses before its question is even sent.
+TEST_F(GangAdvice, AsksForTicketsOnceHoweverOftenAReservationLapses)
+{
+  this->AddWorkers(8, 9);
+  this->Begin();
+  this->Run(Milliseconds{ 50 });
+  this->Accept(GangOf("first", 5, 9));
+  this->Run(Milliseconds{ 200 });
+  ASSERT_EQ(this->StartsOf("first"), 5U);
+  this->Accept(GangOf("second", 5, 9));
+  this->Run(Milliseconds{ 2000 });
+  const auto known = this->QuestionsOf("second");
+  // Only one instance is left, and it is busy with others' questions for ten seconds.
+  this->conductor->SetInstances({ "one" });
+  this->advice.isHolding = true;
+  this->workers.EndAll();
+  this->Run(Milliseconds{ 10'000 });
+  this->advice.isHolding = false;
+  this->Run(Milliseconds{ 3000 });
+  EXPECT_EQ(this->StartsOf("second"), 5U);
+  EXPECT_LE(this->QuestionsOf("second"), known + 1);
+}
+
 // The pattern: a hot workspace is at its limit, and its steps would keep the policy service busy.
 TEST_F(GangAdvice, AsksNothingForAStepBeyondItsLimit)
 {
