--- a/Tests/History/TestChecks.cpp
+++ b/Tests/History/TestChecks.cpp
@@ -301,6 +301,30 @@
             HistoryBuilder(disturbed).Then(Invoke(3, "c")).Then(Refusal(3, "overloaded")));
 }
 
+// The pattern: a job is accepted in a zone that is cut off while its key is withdrawn. Its caller
+// is told nothing any more when the cut is over, and the job still has to be carried out.
+TEST(CheckLiveness, WantsTheWorkersEndOfWorkWhoseKeyWasWithdrawn)
+{
+  CallAnswered accepted = Success(3, "");
+  accepted.status = 202;
+  accepted.state = "accepted";
+  HistoryBuilder batch;
+  batch.Then(Invoke(1, "a")).Then(Success(1, ""));
+  batch.Then(Invoke(3, "c")).Then(accepted).Then(KeyWithdrawn{ { "k1" }, 2 });
+  ExpectBad(CheckLiveness, batch);
+  TaskStarted start = Start("t", "w1");
+  start.token = "c";
+  HistoryBuilder started = batch;
+  started.Then(start);
+  ExpectBad(CheckLiveness, started);
+  ExpectGood(CheckLiveness, HistoryBuilder(started).Then(End("t", "w1")));
+  // An attempt after that one is still running.
+  start.attempt = 2;
+  ExpectBad(CheckLiveness, HistoryBuilder(started).Then(End("t", "w1")).Then(start));
+  started.After(Milliseconds{ 60001 });
+  ExpectBad(CheckLiveness, HistoryBuilder(started).Then(End("t", "w1")));
+}
+
 TEST(CheckLiveness, WantsTheEndOfAcceptedWork)
 {
   HistoryBuilder good;
