--- a/Meta/install-dependencies.sh
+++ b/Meta/install-dependencies.sh
@@ -4,7 +4,7 @@
 
 packages=(
   ccache clang-format clang-tidy cmake g++ git ninja-build python3
-  libboost1.81-dev libcxxopts-dev libfmt-dev libgtest-dev libjsoncpp-dev
+  libbenchmark-dev libboost1.81-dev libcxxopts-dev libfmt-dev libgtest-dev libjsoncpp-dev
   libjsonrpccpp-dev libpcg-cpp-dev librapidcheck-dev libssl-dev libxxhash-dev
   libyaml-cpp-dev
 )
