--- a/Libraries/LibCell/CellScheduler.cpp
+++ b/Libraries/LibCell/CellScheduler.cpp
@@ -53,7 +53,7 @@
                              { { "token", this->fencingToken },
                                { "jobs", this->jobs.size() },
                                { "active", this->activeJobs.size() },
-                               { "workers", this->workers.size() },
+                               { "workers", this->workers.Size() },
                                { "to_read", this->unsyncedWorkers.size() } });
   this->Tick();
 }
@@ -71,13 +71,17 @@
   const auto higherLimit = [](std::int64_t aLeft, std::int64_t aRight) {
     return aLeft == 0 || aRight == 0 ? 0 : std::max(aLeft, aRight);
   };
+  for (auto& [id, usage] : this->workspaces) {
+    usage.limit.reset();
+  }
   for (const auto& [id, workspace] : this->policy->workspaces) {
     const auto& limit = workspace.quota;
-    const auto [known, isNew] = this->highestLimits.try_emplace(id, limit);
-    auto& highest = known->second;
-    highest = { .milliCores = higherLimit(highest.milliCores, limit.milliCores),
-                .memoryMiB = higherLimit(highest.memoryMiB, limit.memoryMiB),
-                .accelerators = higherLimit(highest.accelerators, limit.accelerators) };
+    auto& usage = this->UsageOf(id);
+    usage.limit = limit;
+    const auto highest = usage.highestLimit.value_or(limit);
+    usage.highestLimit = { .milliCores = higherLimit(highest.milliCores, limit.milliCores),
+                           .memoryMiB = higherLimit(highest.memoryMiB, limit.memoryMiB),
+                           .accelerators = higherLimit(highest.accelerators, limit.accelerators) };
   }
   this->isPlacementDue = true;
 }
@@ -138,8 +142,8 @@
   Resources used;
   Resources capacity;
   std::size_t usable = 0;
-  for (const auto& [id, worker] : this->workers) {
-    if (this->IsUsable(*worker)) {
+  for (const auto* worker : this->workers.All()) {
+    if (this->IsUsable(*worker, now)) {
       ++usable;
       used += worker->used;
       capacity += worker->entry.capacity;
@@ -151,7 +155,7 @@
   this->dependencies.log.Log(LogLevel::Info,
                              "cell_load",
                              { { "active", this->activeJobs.size() },
-                               { "workers", this->workers.size() },
+                               { "workers", this->workers.Size() },
                                { "usable", usable },
                                { "used_millicores", used.milliCores },
                                { "millicores", capacity.milliCores },
@@ -213,10 +217,9 @@
 CellScheduler::PendingJobsByQueue() const
 {
   std::map<std::string, std::uint64_t> pending;
-  for (const auto& id : this->activeJobs) {
-    const auto& job = this->jobs.at(id);
-    if (!job.hasStarted && job.spec.occurrences == 0) {
-      ++pending[job.spec.queue.name.value];
+  for (const auto& [id, job] : this->activeJobs) {
+    if (!job->hasStarted && job->spec.occurrences == 0) {
+      ++pending[job->spec.queue.name.value];
     }
   }
   return pending;
@@ -225,31 +228,44 @@
 std::vector<std::string>
 CellScheduler::WorkersToPublish()
 {
-  std::set<WorkerId> toPublish = this->unsyncedWorkers;
   const auto now = this->dependencies.clock.Now();
-  for (const auto& [id, worker] : this->workers) {
+  std::vector<std::string> names;
+  for (const auto& id : this->unsyncedWorkers) {
+    names.push_back(id.value);
+  }
+  for (auto* worker : this->workers.All()) {
     // Any listed worker may become reachable and get a run before the next record is written.
     if (worker->isListed || (!worker->allocations.empty() && worker->leaseExpiry > now)) {
-      toPublish.insert(id);
+      names.push_back(worker->entry.id.value);
     }
   }
-  std::erase_if(this->publishedWorkers,
-                [&toPublish](const WorkerId& aId) { return !toPublish.contains(aId); });
-  std::vector<std::string> names;
-  for (const auto& id : toPublish) {
-    names.push_back(id.value);
-  }
+  std::ranges::sort(names);
+  const auto repeated = std::ranges::unique(names);
+  names.erase(repeated.begin(), repeated.end());
+  std::erase_if(this->publishedWorkers, [this, &names](const WorkerId& aId) {
+    if (std::ranges::binary_search(names, aId.value)) {
+      return false;
+    }
+    if (auto* worker = this->workers.Find(aId)) {
+      worker->isPublished = false;
+    }
+    return true;
+  });
   return names;
 }
 
 void
 CellScheduler::OnWorkersPublished(const std::vector<std::string>& aWorkers)
 {
-  const auto countBefore = this->publishedWorkers.size();
-  for (const auto& worker : aWorkers) {
-    this->publishedWorkers.insert({ worker });
+  for (const auto& name : aWorkers) {
+    if (!this->publishedWorkers.insert({ name }).second) {
+      continue;
+    }
+    this->isPlacementDue = true;
+    if (auto* worker = this->workers.Find({ name })) {
+      worker->isPublished = true;
+    }
   }
-  this->isPlacementDue = this->isPlacementDue || this->publishedWorkers.size() != countBefore;
 }
 
 std::uint64_t
--- a/Libraries/LibCell/CellScheduler.h
+++ b/Libraries/LibCell/CellScheduler.h
@@ -11,6 +11,7 @@
 #include <LibCell/Ports.h>
 #include <LibCell/Records.h>
 #include <LibCell/Worker.h>
+#include <LibCell/WorkerTable.h>
 #include <LibLog/Logger.h>
 #include <LibMetrics/MetricRegistry.h>
 #include <array>
@@ -195,15 +196,25 @@
     Job* job = nullptr;
     std::uint32_t occurrence = 0;
     std::uint32_t step = 0;
+    StepRun* run = nullptr;
+    const StepSpecification* specification = nullptr;
+    const QueuePolicy* queue = nullptr;
     /// Candidates with a lower key are placed first.
     std::int64_t priorityKey = 0;
   };
 
+  /// The workers of a pool that may get tasks in the current placement round.
   struct Pool
   {
     std::vector<Worker*> workers;
     Resources capacity;
     Resources free;
+    /// The workers with the most free processors at the start of the round first; see
+    /// @ref SortByFreeCores.
+    std::vector<Worker*> byFreeCores;
+    /// Demands that fitted nowhere in this round. Room only shrinks within a round, so they need no
+    /// other scan.
+    std::vector<std::pair<Resources, std::uint32_t>> demandsWithoutRoom;
   };
 
   /// Why a step's tasks are still pending after a placement attempt.
@@ -273,6 +284,8 @@
   /// weight.
   /// @return false if the bucket is empty: the workspace submits more jobs than its weight allows
   [[nodiscard]] bool TakeWeightToken(const WorkspaceId& aWorkspace);
+  /// @return the account of a workspace, which is created if it does not exist yet
+  [[nodiscard]] WorkspaceUsage& UsageOf(const WorkspaceId& aWorkspace);
   /// @return the policy in the current document, or the job's own copy if the queue was removed.
   [[nodiscard]] const QueuePolicy& CurrentQueuePolicy(const Job& aJob) const;
   /// Removes ended jobs whose status retention has passed.
@@ -299,6 +312,8 @@
   void OnProgressDurable(Job& aJob, std::uint64_t aChangeCount, std::uint64_t aVersion);
   /// Acknowledges the reported ends whose effects are in the store.
   void AdvanceAcknowledgements();
+  /// Does the same for one worker.
+  void AdvanceAcknowledgementsOf(Worker& aWorker);
 
   // Workers.
   [[nodiscard]] OrderTarget MakeOrderTarget(const Worker& aWorker) const;
@@ -371,32 +386,34 @@
   [[nodiscard]] std::vector<Candidate> CollectCandidates();
   /// @return the priority class and, within it, the latest start that meets the objective.
   [[nodiscard]] std::int64_t PriorityKeyOf(const Job& aJob,
+                                           const QueuePolicy& aQueue,
                                            const OccurrenceRun& aOccurrence,
                                            std::uint32_t aStep) const;
   /// @return false for a step that awaits its first advice, and for a gang without new advice
   /// outside a gang round.
   [[nodiscard]] bool NeedsPlacementAttempt(const Candidate& aCandidate) const;
   WaitReason PlaceStep(const Candidate& aCandidate);
-  WaitReason PlaceTasks(const Candidate& aCandidate, StepRun& aRun, Pool& aPool);
-  WaitReason PlaceGang(const Candidate& aCandidate, StepRun& aRun, Pool& aPool);
+  WaitReason PlaceTasks(const Candidate& aCandidate, Pool& aPool);
+  WaitReason PlaceGang(const Candidate& aCandidate, Pool& aPool);
   /// Logs the load of the cell once a second.
   void LogLoad();
   /// Logs a step that has been pending for long.
   void LogLongWait(const Candidate& aCandidate, WaitReason aReason);
   /// @param aNeedsTicket leaves out workers for which the step has no valid ticket
   [[nodiscard]] std::vector<Worker*> FindEligibleWorkers(const Candidate& aCandidate,
-                                                         const StepRun& aRun,
                                                          const Pool& aPool,
                                                          bool aNeedsTicket) const;
   /// @return true if the worker may get tasks now.
-  [[nodiscard]] bool IsUsable(const Worker& aWorker) const;
+  [[nodiscard]] bool IsUsable(const Worker& aWorker, TimePoint aNow) const;
   /// @return how many more tasks of this demand the workspace's limit allows, at most @p aMax.
   [[nodiscard]] std::uint32_t CountTasksWithinLimit(const Candidate& aCandidate,
                                                     const Resources& aDemand,
                                                     std::uint32_t aMax) const;
+  /// Places what is pending, the most urgent steps first, until the time for a round is used up.
+  void PlaceCandidates(std::span<const Candidate> aCandidates);
   /// Reserves a part of the workspace's limit for a gang that is on time, against the workspace's
   /// other batch tasks. Does nothing for a gang that exceeds the limit by itself.
-  void ReserveLimitForGang(const Candidate& aCandidate, StepRun& aRun);
+  void ReserveLimitForGang(const Candidate& aCandidate);
   /// @return true if the step has to leave room to urgent tasks and to pending gangs.
   [[nodiscard]] bool IsNonUrgent(const Candidate& aCandidate) const;
   /// @return true once calls to all listed unsynced workers have failed, or after a time limit.
@@ -404,15 +421,15 @@
   /// Computes an upper bound of what a predecessor's runs use at unsynced workers.
   void EstimateUnsyncedUsage();
   /// @return true if one task of the step, or its whole gang, fits into the pool.
-  [[nodiscard]] static bool HasRoom(const Pool& aPool, const StepSpecification& aStep);
+  [[nodiscard]] static bool HasRoom(Pool& aPool, const StepSpecification& aStep);
   /// @return true if the pool keeps its headroom for urgent tasks after the demand is allocated.
   [[nodiscard]] bool LeavesHeadroom(const Candidate& aCandidate,
                                     const Resources& aDemand,
                                     const Pool& aPool) const;
   /// Asks the policy service which of the workers may run the step.
-  void RequestAdvice(const Candidate& aCandidate, StepRun& aRun, std::vector<WorkerId> aWorkers);
+  void RequestAdvice(const Candidate& aCandidate, std::span<const WorkerNumber> aWorkers);
   void OnAdviceResponse(const StepName& aStep,
-                        const std::vector<WorkerId>& aRequested,
+                        std::span<const WorkerNumber> aRequested,
                         const Result<AdviceResponse>& aResponse);
   void NotifyPlacementDue();
   /// Chooses a worker for a task, if possible another one than where its last run failed.
@@ -421,28 +438,24 @@
                                         const StepSpecification& aStep,
                                         const TaskCountFunction& aCount) const;
   /// Requests new tickets for eligible workers with room.
-  void RenewTickets(const Candidate& aCandidate, StepRun& aRun, const Pool& aPool);
+  void RenewTickets(const Candidate& aCandidate, Pool& aPool);
   /// @return workers that no request has named yet, those with the most room first. Together with
   /// the eligible workers they are expected to have room for several times the step's tasks.
-  [[nodiscard]] std::vector<WorkerId> ChooseWorkersForRequest(const Candidate& aCandidate,
-                                                              const StepRun& aRun,
-                                                              const Pool& aPool,
-                                                              std::size_t aMax) const;
+  [[nodiscard]] std::vector<WorkerNumber> ChooseWorkersForRequest(const Candidate& aCandidate,
+                                                                  Pool& aPool,
+                                                                  std::size_t aMax) const;
   /// Requests advice on workers that no request has named yet, unless a response is pending.
-  void RequestMoreAdvice(const Candidate& aCandidate, StepRun& aRun, const Pool& aPool);
-  void StartGang(const Candidate& aCandidate, StepRun& aRun, const std::vector<Worker*>& aAssigned);
+  void RequestMoreAdvice(const Candidate& aCandidate, Pool& aPool);
+  void StartGang(const Candidate& aCandidate, std::span<Worker* const> aAssigned);
   /// Reserves room at the assigned workers and requests tickets for them.
-  void ReserveForGang(const Candidate& aCandidate,
-                      StepRun& aRun,
-                      const std::vector<Worker*>& aAssigned);
+  void ReserveForGang(const Candidate& aCandidate, std::span<Worker* const> aAssigned);
   /// Starts a gang at its reserved workers once there is a valid ticket for each.
-  void StartReservedGang(const Candidate& aCandidate, StepRun& aRun);
+  void StartReservedGang(const Candidate& aCandidate);
   /// Earmarks the workers with the most free room: batch tasks stay off them until the gang fits.
-  void EarmarkWorkersForGang(const Candidate& aCandidate, const StepRun& aRun, const Pool& aPool);
+  void EarmarkWorkersForGang(const Candidate& aCandidate, const Pool& aPool);
   void ReleaseReservation(StepRun& aRun, const StepSpecification& aStep);
-  [[nodiscard]] bool HasValidTicket(const StepRun& aRun, const WorkerId& aWorker) const;
+  [[nodiscard]] bool IsValid(const CachedTicket* aTicket) const;
   void StartTask(const Candidate& aCandidate,
-                 StepRun& aRun,
                  std::uint32_t aIndex,
                  Worker& aWorker,
                  std::uint64_t aRunNumber,
@@ -456,6 +469,9 @@
                        std::uint64_t aRun,
                        OrderResult aResult);
   [[nodiscard]] Pool* FindPool(const std::string& aName);
+  /// @return the workers of the pool, those with the most free processors first. Sorts once per
+  /// round, and only if a step needs the order.
+  [[nodiscard]] static std::span<Worker* const> SortByFreeCores(Pool& aPool);
   void BuildPools();
   [[nodiscard]] std::uint64_t NextRunNumber();
 
@@ -481,7 +497,8 @@
   TimePoint olderLeasesExpiry{};
 
   std::unordered_map<JobId, Job> jobs;
-  std::set<JobId> activeJobs;
+  /// Active jobs in order of their ids, so that a replay visits them in the same order.
+  std::map<JobId, Job*> activeJobs;
   /// Cancellations that arrived before their jobs.
   std::set<JobId> earlyCancellations;
   /// Jobs with unwritten progress.
@@ -499,35 +516,23 @@
   bool isStoreSlow = false;
   TimePoint nextCompaction{};
 
-  std::unordered_map<WorkerId, std::unique_ptr<Worker>> workers;
+  WorkerTable workers;
+  /// Workers with ends that are not acknowledged yet.
+  std::set<WorkerNumber> workersWithEnds;
   std::unordered_map<std::string, Pool> pools;
-  /// Resources of this leader's and adopted runs, by workspace.
-  std::map<WorkspaceId, Resources> runningUsage;
-  /// Upper bound of what a predecessor's runs use at unsynced workers, by workspace.
-  std::map<WorkspaceId, Resources> unsyncedUsage;
-  /// Resources of a predecessor's runs that were found running at workers, by workspace. Ended runs
-  /// are left out: the predecessor may have used their room again.
-  std::map<WorkspaceId, Resources> adoptedUsage;
-  /// Highest limit of each workspace in the documents of this term and shortly before it; an amount
-  /// of 0 means no limit.
-  std::map<WorkspaceId, Resources> highestLimits;
+  /// What each workspace uses; references to its elements stay valid.
+  std::unordered_map<WorkspaceId, WorkspaceUsage> workspaces;
   /// Workers that the leader record names.
   std::set<WorkerId> publishedWorkers;
-  /// Token bucket of a workspace: limits how many of its jobs count as within its weight.
-  struct WeightBucket
-  {
-    double tokens = 0.0;
-    TimePoint lastRefill{};
-  };
-  std::map<WorkspaceId, WeightBucket> weightBuckets;
   /// Moving average of the fraction of requested workers that turned out eligible, by queue.
   std::map<QueueId, double> eligibleFractions;
-  /// Workers that get no batch tasks until the next gang round, so that pending gangs fit there.
-  std::set<WorkerId> earmarkedWorkers;
+  /// Number of the current gang round; workers that it earmarked get no batch tasks until the next.
+  std::uint64_t gangRound = 1;
   std::size_t gangsWithEarmarkedWorkers = 0;
-  /// Resources reserved in a workspace's limit for a pending gang.
-  std::map<WorkspaceId, Resources> limitReservedForGangs;
   std::uint64_t placementRound = 0;
+  /// Start of the current placement round. Its decisions use one time, since reading the clock
+  /// costs more than most of them.
+  TimePoint roundBegin{};
   bool isPlacementDue = true;
   LoadSample load;
   TimePoint lastTick{};
--- /dev/null
+++ b/Libraries/LibCell/CellSchedulerGangs.cpp
@@ -0,0 +1,170 @@
+#include <LibCell/CellScheduler.h>
+#include <LibCell/Placement.h>
+#include <LibCell/PriorityClass.h>
+
+#include <algorithm>
+
+namespace zinc::cell {
+
+namespace {
+
+/// A reservation expires if its tickets are this much later than expected.
+constexpr Milliseconds kReservationMargin{ 700 };
+/// Number of gangs that can have earmarked workers at a time.
+constexpr std::size_t kMaxGangsWithEarmarkedWorkers = 5;
+
+}
+
+CellScheduler::WaitReason
+CellScheduler::PlaceGang(const Candidate& aCandidate, Pool& aPool)
+{
+  const auto now = this->roundBegin;
+  const auto& step = *aCandidate.specification;
+  auto& run = *aCandidate.run;
+  const bool isComplete = std::ranges::all_of(run.tasks, [now](const Task& aTask) {
+    return aTask.phase == TaskPhase::Waiting && aTask.earliestStart <= now;
+  });
+  if (!isComplete) {
+    return WaitReason::Members;
+  }
+  const auto demand = AllocatedDemand(step);
+  const auto total = demand * step.count;
+  const bool isReserved = run.reservation.has_value();
+  if (isReserved && run.reservation->expires < now) {
+    this->ReleaseReservation(run, step);
+  }
+  if (run.reservation) {
+    this->StartReservedGang(aCandidate);
+    return WaitReason::Ticket;
+  }
+  const bool leavesHeadroom = this->LeavesHeadroom(aCandidate, total, aPool);
+  if (!leavesHeadroom || !HasRoom(aPool, step)) {
+    this->EarmarkWorkersForGang(aCandidate, aPool);
+    return leavesHeadroom ? WaitReason::Room : WaitReason::Headroom;
+  }
+  auto assigned = AssignGang(this->FindEligibleWorkers(aCandidate, aPool, true), step);
+  if (assigned) {
+    this->StartGang(aCandidate, *assigned);
+    aPool.free -= total;
+    return WaitReason::None;
+  }
+  if (!aCandidate.queue->needsAdvice) {
+    this->EarmarkWorkersForGang(aCandidate, aPool);
+    return WaitReason::Room;
+  }
+  assigned = AssignGang(this->FindEligibleWorkers(aCandidate, aPool, false), step);
+  if (!assigned) {
+    this->RequestMoreAdvice(aCandidate, aPool);
+    this->EarmarkWorkersForGang(aCandidate, aPool);
+    return run.advice.requestsInFlight > 0 ? WaitReason::Advice : WaitReason::Room;
+  }
+  this->ReserveForGang(aCandidate, *assigned);
+  aPool.free -= total;
+  return WaitReason::Ticket;
+}
+
+void
+CellScheduler::StartGang(const Candidate& aCandidate, std::span<Worker* const> aAssigned)
+{
+  const auto run = this->NextRunNumber();
+  // All members must start from the same checkpoint.
+  const auto checkpoint = aCandidate.run->tasks.front().checkpoint;
+  for (std::uint32_t index = 0; index < aAssigned.size(); ++index) {
+    this->StartTask(aCandidate, index, *aAssigned[index], run, checkpoint);
+  }
+}
+
+void
+CellScheduler::ReserveForGang(const Candidate& aCandidate, std::span<Worker* const> aAssigned)
+{
+  auto& run = *aCandidate.run;
+  // While the service is overloaded a reservation expires before its request is sent. Another
+  // request would only lengthen the backlog.
+  if (run.advice.requestsInFlight > 0 || run.advice.retryAt > this->roundBegin) {
+    return;
+  }
+  const auto demand = AllocatedDemand(*aCandidate.specification);
+  GangReservation reservation;
+  std::vector<WorkerNumber> requested;
+  for (auto* worker : aAssigned) {
+    worker->reserved += demand;
+    reservation.workers.push_back(worker->number);
+    if (std::ranges::find(requested, worker->number) == requested.end()) {
+      requested.push_back(worker->number);
+    }
+  }
+  const auto& advice = aCandidate.queue->advice;
+  const auto expected = Milliseconds(static_cast<std::int64_t>(
+    advice.baseMs + advice.perWorkerMs * static_cast<double>(requested.size())));
+  reservation.expires = this->roundBegin + expected + kReservationMargin;
+  run.reservation = std::move(reservation);
+  this->RequestAdvice(aCandidate, requested);
+}
+
+void
+CellScheduler::StartReservedGang(const Candidate& aCandidate)
+{
+  auto& run = *aCandidate.run;
+  std::vector<Worker*> assigned;
+  for (const auto number : run.reservation->workers) {
+    auto* worker = this->workers.FindByNumber(number);
+    if (worker == nullptr || !this->IsUsable(*worker, this->roundBegin)) {
+      this->ReleaseReservation(run, *aCandidate.specification);
+      return;
+    }
+    if (!this->IsValid(run.advice.FindTicket(number))) {
+      return;
+    }
+    assigned.push_back(worker);
+  }
+  this->ReleaseReservation(run, *aCandidate.specification);
+  this->StartGang(aCandidate, assigned);
+}
+
+void
+CellScheduler::ReleaseReservation(StepRun& aRun, const StepSpecification& aStep)
+{
+  if (!aRun.reservation) {
+    return;
+  }
+  const auto demand = AllocatedDemand(aStep);
+  for (const auto number : aRun.reservation->workers) {
+    if (auto* worker = this->workers.FindByNumber(number)) {
+      worker->reserved -= demand;
+    }
+  }
+  aRun.reservation.reset();
+  // The room that becomes free may fit what did not fit before in this round.
+  for (auto& [name, pool] : this->pools) {
+    pool.demandsWithoutRoom.clear();
+  }
+}
+
+void
+CellScheduler::EarmarkWorkersForGang(const Candidate& aCandidate, const Pool& aPool)
+{
+  const bool isOnTime =
+    aCandidate.priorityKey < static_cast<std::int64_t>(PriorityClass::Late) * kPriorityClassSpan;
+  if (this->gangsWithEarmarkedWorkers >= kMaxGangsWithEarmarkedWorkers || !isOnTime) {
+    return;
+  }
+  const auto& step = *aCandidate.specification;
+  const auto demand = AllocatedDemand(step);
+  auto workers = this->FindEligibleWorkers(aCandidate, aPool, false);
+  std::ranges::stable_sort(workers, std::greater{}, [](const Worker* aWorker) {
+    return aWorker->FreeResources().milliCores;
+  });
+  std::uint32_t slots = 0;
+  ++this->gangsWithEarmarkedWorkers;
+  for (auto* worker : workers) {
+    if (slots >= step.count) {
+      return;
+    }
+    Worker empty;
+    empty.entry.capacity = worker->entry.capacity;
+    slots += CountFittingTasks(empty, demand, step.count);
+    worker->earmarkedInGangRound = this->gangRound;
+  }
+}
+
+}
--- a/Libraries/LibCell/CellSchedulerJobs.cpp
+++ b/Libraries/LibCell/CellSchedulerJobs.cpp
@@ -96,8 +96,9 @@
   const bool isPlausible = age >= Milliseconds{ 0 } && age <= kMaxPlausibleAge;
   job.receivedAt = isPlausible ? now - age : now;
   job.mayHavePredecessorRuns = this->isAdoptingJobs && !this->unsyncedWorkers.empty();
+  job.workspaceUsage = &this->UsageOf(job.spec.workspace);
   job.isBeyondWeight = !this->TakeWeightToken(job.spec.workspace);
-  this->activeJobs.insert(name->job);
+  this->activeJobs.emplace(name->job, &job);
   if (job.spec.occurrences > 0) {
     this->timedJobs.insert(name->job);
   }
@@ -138,20 +139,25 @@
   }
   const auto now = this->dependencies.clock.Now();
   const double rate = found->second.weight;
-  const auto [bucket, isNew] = this->weightBuckets.try_emplace(aWorkspace);
-  auto& state = bucket->second;
   const double maxTokens = rate * kWeightBurstSeconds;
-  const double elapsed =
-    std::chrono::duration<double>(isNew ? Milliseconds{ 0 } : now - state.lastRefill).count();
-  state.tokens = isNew ? maxTokens : std::min(maxTokens, state.tokens + elapsed * rate);
-  state.lastRefill = now;
-  if (state.tokens < 1.0) {
+  auto& usage = this->UsageOf(aWorkspace);
+  const double elapsed = std::chrono::duration<double>(now - usage.lastWeightRefill).count();
+  auto& tokens = usage.weightTokens;
+  tokens = tokens ? std::min(maxTokens, *tokens + elapsed * rate) : maxTokens;
+  usage.lastWeightRefill = now;
+  if (*tokens < 1.0) {
     return false;
   }
-  state.tokens -= 1.0;
+  *tokens -= 1.0;
   return true;
 }
 
+WorkspaceUsage&
+CellScheduler::UsageOf(const WorkspaceId& aWorkspace)
+{
+  return this->workspaces[aWorkspace];
+}
+
 void
 CellScheduler::ApplyEndedRow(Job& aJob, const Row& aRow)
 {
@@ -269,7 +275,7 @@
   aJob.occurrencesStarted = std::max(aJob.occurrencesStarted, aNumber + 1);
   occurrence.steps.resize(aJob.spec.steps.size());
   for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
-    occurrence.steps[step].tasks.resize(aJob.spec.steps[step].count);
+    occurrence.steps[step].CreateTasks(aJob.spec.steps[step].count);
   }
   const auto& queue = this->CurrentQueuePolicy(aJob);
   const auto criticalPath = std::ranges::max(aJob.criticalPaths);
@@ -323,7 +329,7 @@
       run.isReady && aJob.mayHavePredecessorRuns && !this->unsyncedWorkers.empty();
     for (auto& task : run.tasks) {
       if (isUncertain && task.phase == TaskPhase::Waiting) {
-        task.phase = TaskPhase::Unresolved;
+        run.SetPhase(task, TaskPhase::Unresolved);
       }
     }
   }
@@ -346,7 +352,7 @@
     this->MarkStepSucceeded(aJob, aKey.occurrence, aKey.step);
     return;
   }
-  task.phase = TaskPhase::Succeeded;
+  run.SetPhase(task, TaskPhase::Succeeded);
   task.checkpoint.clear();
   ++run.succeededTasks;
 }
@@ -360,7 +366,7 @@
     return;
   }
   for (auto& task : run.tasks) {
-    task.phase = TaskPhase::Succeeded;
+    run.SetPhase(task, TaskPhase::Succeeded);
     task.checkpoint.clear();
   }
   run.succeededTasks = static_cast<std::uint32_t>(run.tasks.size());
@@ -440,13 +446,13 @@
       this->ReleaseReservation(run, aJob.spec.steps[step]);
       for (std::uint32_t index = 0; index < run.tasks.size(); ++index) {
         auto& task = run.tasks[index];
-        const auto worker = this->workers.find(task.worker);
-        if (task.phase != TaskPhase::Placed || worker == this->workers.end()) {
+        auto* worker = task.phase == TaskPhase::Placed ? this->workers.Find(task.worker) : nullptr;
+        if (worker == nullptr) {
           continue;
         }
         const TaskName name{ aJob.spec.id, { number, step, index } };
-        if (auto* allocation = worker->second->FindAllocation(name, task.run)) {
-          this->StopRun(*worker->second, *allocation, "job_ended");
+        if (auto* allocation = worker->FindAllocation(name, task.run)) {
+          this->StopRun(*worker, *allocation, "job_ended");
         }
       }
     }
--- /dev/null
+++ b/Libraries/LibCell/CellSchedulerLimits.cpp
@@ -0,0 +1,157 @@
+#include <LibCell/CellScheduler.h>
+#include <LibCell/Placement.h>
+#include <LibCell/PriorityClass.h>
+
+#include <algorithm>
+#include <limits>
+
+namespace zinc::cell {
+
+namespace {
+
+Resources
+ComponentMin(const Resources& aLeft, const Resources& aRight)
+{
+  return { .milliCores = std::min(aLeft.milliCores, aRight.milliCores),
+           .memoryMiB = std::min(aLeft.memoryMiB, aRight.memoryMiB),
+           .accelerators = std::min(aLeft.accelerators, aRight.accelerators) };
+}
+
+/// @return what remains of a limit, in which an amount of 0 means no limit.
+Resources
+RemainingLimit(const Resources& aLimit, const Resources& aUsed)
+{
+  constexpr auto kNoLimit = std::numeric_limits<std::int64_t>::max();
+  const auto remaining = [](std::int64_t aMax, std::int64_t aUsedAmount) {
+    return aMax == 0 ? kNoLimit : std::max<std::int64_t>(0, aMax - aUsedAmount);
+  };
+  return { .milliCores = remaining(aLimit.milliCores, aUsed.milliCores),
+           .memoryMiB = remaining(aLimit.memoryMiB, aUsed.memoryMiB),
+           .accelerators = remaining(aLimit.accelerators, aUsed.accelerators) };
+}
+
+/// @return true if the amount is within the limit, in which an amount of 0 means no limit.
+bool
+IsWithinLimit(const Resources& aAmount, const Resources& aLimit)
+{
+  const auto isWithin = [](std::int64_t aUsed, std::int64_t aMax) {
+    return aMax == 0 || aUsed <= aMax;
+  };
+  return isWithin(aAmount.milliCores, aLimit.milliCores) &&
+         isWithin(aAmount.memoryMiB, aLimit.memoryMiB) &&
+         isWithin(aAmount.accelerators, aLimit.accelerators);
+}
+
+}
+
+void
+CellScheduler::EstimateUnsyncedUsage()
+{
+  for (auto& [id, usage] : this->workspaces) {
+    usage.unsynced = {};
+  }
+  if (this->unsyncedWorkers.empty()) {
+    return;
+  }
+  // At most the capacity of the unsynced workers. One without a row counts as the largest worker.
+  Resources largest;
+  for (const auto* worker : this->workers.All()) {
+    const auto& capacity = worker->entry.capacity;
+    largest = { .milliCores = std::max(largest.milliCores, capacity.milliCores),
+                .memoryMiB = std::max(largest.memoryMiB, capacity.memoryMiB),
+                .accelerators = std::max(largest.accelerators, capacity.accelerators) };
+  }
+  Resources totalCapacity;
+  for (const auto& id : this->unsyncedWorkers) {
+    const auto* worker = this->workers.Find(id);
+    totalCapacity += worker != nullptr ? worker->entry.capacity : largest;
+  }
+  for (const auto& [id, job] : this->activeJobs) {
+    for (const auto& [number, occurrence] : job->occurrences) {
+      for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+        const auto count =
+          std::ranges::count(occurrence.steps[step].tasks, TaskPhase::Unresolved, &Task::phase);
+        job->workspaceUsage->unsynced += AllocatedDemand(job->spec.steps[step]) * count;
+      }
+    }
+  }
+  for (auto& [id, usage] : this->workspaces) {
+    usage.unsynced = ComponentMin(usage.unsynced, totalCapacity);
+    // The predecessor enforced the limit over all workers, so its runs at unsynced workers and
+    // those that were adopted are within the limit together.
+    if (usage.highestLimit) {
+      usage.unsynced =
+        ComponentMin(usage.unsynced, RemainingLimit(*usage.highestLimit, usage.adopted));
+    }
+  }
+}
+
+bool
+CellScheduler::HasSyncedEnoughWorkers() const
+{
+  // Unsynced workers may have runs that count against a workspace's limit. Placement waits until
+  // each has responded or a call to it has failed.
+  constexpr Milliseconds kSyncTimeout{ 1500 };
+  if (this->dependencies.clock.Now() - this->termBegin > kSyncTimeout) {
+    return true;
+  }
+  return std::ranges::all_of(this->unsyncedWorkers, [this](const WorkerId& aId) {
+    const auto* worker = this->workers.Find(aId);
+    return worker == nullptr || worker->failedRenewals > 0;
+  });
+}
+
+void
+CellScheduler::ReserveLimitForGang(const Candidate& aCandidate)
+{
+  const auto& step = *aCandidate.specification;
+  if (!step.isGang) {
+    return;
+  }
+  this->ReleaseReservation(*aCandidate.run, step);
+  auto& usage = *aCandidate.job->workspaceUsage;
+  const auto total = step.demand * step.count;
+  const bool isOnTime =
+    aCandidate.priorityKey < static_cast<std::int64_t>(PriorityClass::Late) * kPriorityClassSpan;
+  // One gang per workspace at a time, so that its other batch tasks can go on.
+  if (isOnTime && usage.limit && IsWithinLimit(total, *usage.limit) && !usage.reservedForGang) {
+    usage.reservedForGang = total;
+  }
+}
+
+std::uint32_t
+CellScheduler::CountTasksWithinLimit(const Candidate& aCandidate,
+                                     const Resources& aDemand,
+                                     std::uint32_t aMax) const
+{
+  const auto& usage = *aCandidate.job->workspaceUsage;
+  if (!usage.limit) {
+    return aMax;
+  }
+  // A workspace's batch tasks leave a fraction of its limit to its urgent tasks.
+  const bool isNonUrgent = this->IsNonUrgent(aCandidate);
+  const double usableFraction = isNonUrgent ? 1.0 - this->options.limitHeadroom : 1.0;
+  const auto& limit = *usage.limit;
+  auto amount = usage.running;
+  amount += usage.unsynced;
+  // Another gang that fits may go first, but single tasks would take each core as it is freed.
+  if (usage.reservedForGang && isNonUrgent && !aCandidate.specification->isGang) {
+    amount += *usage.reservedForGang;
+  }
+  auto room = static_cast<std::int64_t>(aMax);
+  const auto bound = [&room, usableFraction, aMax](
+                       std::int64_t aLimit, std::int64_t aUsed, std::int64_t aNeed) {
+    if (aLimit > 0 && aNeed > 0) {
+      // A demand above that fraction may use the whole limit, since it could never start otherwise.
+      const auto reduced = static_cast<std::int64_t>(static_cast<double>(aLimit) * usableFraction);
+      const auto usable = aNeed * aMax > reduced ? aLimit : reduced;
+      room = std::min(room, std::max<std::int64_t>(0, usable - aUsed) / aNeed);
+    }
+  };
+  bound(limit.milliCores, amount.milliCores, aDemand.milliCores);
+  bound(limit.memoryMiB, amount.memoryMiB, aDemand.memoryMiB);
+  bound(limit.accelerators, amount.accelerators, aDemand.accelerators);
+  return static_cast<std::uint32_t>(room);
+}
+
+}
--- a/Libraries/LibCell/CellSchedulerRecords.cpp
+++ b/Libraries/LibCell/CellSchedulerRecords.cpp
@@ -223,25 +223,34 @@
 
 void
 CellScheduler::AdvanceAcknowledgements()
+{
+  const auto numbers =
+    std::vector<WorkerNumber>(this->workersWithEnds.begin(), this->workersWithEnds.end());
+  for (const auto number : numbers) {
+    this->AdvanceAcknowledgementsOf(*this->workers.FindByNumber(number));
+  }
+}
+
+void
+CellScheduler::AdvanceAcknowledgementsOf(Worker& aWorker)
 {
   const auto now = this->dependencies.clock.Now();
-  for (auto& [id, worker] : this->workers) {
-    bool hasAdvanced = false;
-    while (!worker->unacknowledgedEnds.empty()) {
-      const auto& end = worker->unacknowledgedEnds.front();
-      const auto* job = this->FindJob(end.job);
-      const bool isDurable = end.changeCount == 0 || job == nullptr ||
-                             job->durableChangeCount >= end.changeCount || job->isOutcomeDurable;
-      if (!isDurable) {
-        break;
-      }
-      worker->acknowledgedSequence = end.sequence;
-      worker->unacknowledgedEnds.pop_front();
-      hasAdvanced = true;
-    }
-    if (hasAdvanced && worker->unacknowledgedEnds.empty()) {
-      worker->nextRenewal = std::min(worker->nextRenewal, now);
+  bool hasAdvanced = false;
+  while (!aWorker.unacknowledgedEnds.empty()) {
+    const auto& end = aWorker.unacknowledgedEnds.front();
+    const auto* job = this->FindJob(end.job);
+    const bool isDurable = end.changeCount == 0 || job == nullptr ||
+                           job->durableChangeCount >= end.changeCount || job->isOutcomeDurable;
+    if (!isDurable) {
+      break;
     }
+    aWorker.acknowledgedSequence = end.sequence;
+    aWorker.unacknowledgedEnds.pop_front();
+    hasAdvanced = true;
+  }
+  if (aWorker.unacknowledgedEnds.empty()) {
+    this->workersWithEnds.erase(aWorker.number);
+    aWorker.nextRenewal = hasAdvanced ? std::min(aWorker.nextRenewal, now) : aWorker.nextRenewal;
   }
 }
 
--- /dev/null
+++ b/Libraries/LibCell/CellSchedulerStarts.cpp
@@ -0,0 +1,153 @@
+#include <LibCell/CellScheduler.h>
+#include <LibCell/Placement.h>
+
+#include <algorithm>
+
+namespace zinc::cell {
+
+namespace {
+
+/// How long a worker that rejected a start gets no tasks.
+constexpr Milliseconds kRejectionAvoidance{ 1000 };
+
+}
+
+void
+CellScheduler::StartTask(const Candidate& aCandidate,
+                         std::uint32_t aIndex,
+                         Worker& aWorker,
+                         std::uint64_t aRunNumber,
+                         const std::string& aCheckpoint)
+{
+  const auto now = this->dependencies.clock.Now();
+  auto& job = *aCandidate.job;
+  const auto& step = *aCandidate.specification;
+  auto& task = aCandidate.run->tasks[aIndex];
+  aCandidate.run->SetPhase(task, TaskPhase::Placed);
+  task.run = aRunNumber;
+  task.worker = aWorker.entry.id;
+  const TaskName name{ job.spec.id, { aCandidate.occurrence, aCandidate.step, aIndex } };
+  const auto demand = AllocatedDemand(step);
+  aWorker.allocations.push_back({ .task = name,
+                                  .run = aRunNumber,
+                                  .demand = demand,
+                                  .workspaceUsage = job.workspaceUsage,
+                                  .phase = RunPhase::Starting,
+                                  .phaseSince = now,
+                                  .startedAt = now,
+                                  .isService = step.isService,
+                                  .isBestEffort = step.isBestEffort,
+                                  .tailLatencyTarget = step.tailLatencyTarget,
+                                  .lastProgress = now,
+                                  .checkpoint = aCheckpoint,
+                                  .estimate = step.estimate });
+  aWorker.used += demand;
+  job.workspaceUsage->running += demand;
+  const auto* ticket = aCandidate.run->advice.FindTicket(aWorker.number);
+  StartOrder order{ .target = this->MakeOrderTarget(aWorker),
+                    .task = name,
+                    .run = aRunNumber,
+                    .payload = job.spec.payload,
+                    .leaseDeadline = this->ExtendLease(aWorker),
+                    .checkpoint = aCheckpoint,
+                    .ticket = ticket == nullptr ? "" : ticket->text };
+  this->dependencies.log.Log(LogLevel::Info,
+                             "run_started",
+                             { { "job", job.spec.id.value },
+                               { "step", aCandidate.step },
+                               { "index", aIndex },
+                               { "run", aRunNumber },
+                               { "worker", aWorker.entry.id.value },
+                               { "age_ms", (now - job.receivedAt).count() } });
+  this->dependencies.workers.Start(std::move(order),
+                                   [this,
+                                    guard = std::weak_ptr<bool>(this->livenessToken),
+                                    id = aWorker.entry.id,
+                                    name,
+                                    aRunNumber](Result<OrderResult> aResult) {
+                                     if (!guard.expired() && !this->hasLostLeadership) {
+                                       this->OnStartResult(id, name, aRunNumber, aResult);
+                                     }
+                                   });
+}
+
+void
+CellScheduler::OnStartResult(const WorkerId& aWorker,
+                             const TaskName& aTask,
+                             std::uint64_t aRun,
+                             const Result<OrderResult>& aResult)
+{
+  const auto now = this->dependencies.clock.Now();
+  auto* found = this->workers.Find(aWorker);
+  auto* allocation = found != nullptr ? found->FindAllocation(aTask, aRun) : nullptr;
+  if (allocation == nullptr) {
+    return;
+  }
+  auto& worker = *found;
+  if (IsError(aResult) && ErrorOf(aResult).run != RunState::NotRun) {
+    if (allocation->phase == RunPhase::Starting) {
+      allocation->phase = RunPhase::Uncertain;
+      allocation->phaseSince = now;
+      worker.nextRenewal = std::min(worker.nextRenewal, now);
+    }
+    return;
+  }
+  const auto result = IsError(aResult) ? OrderResult::Rejected : ValueOf(aResult);
+  if (result == OrderResult::Accepted) {
+    if (allocation->phase == RunPhase::Starting || allocation->phase == RunPhase::Uncertain) {
+      allocation->phase = RunPhase::Running;
+      allocation->phaseSince = now;
+    }
+    if (auto* job = this->FindJob(aTask.job)) {
+      this->MarkJobStarted(*job);
+    }
+    return;
+  }
+  this->OnStartRejected(worker, aTask, aRun, result);
+}
+
+void
+CellScheduler::OnStartRejected(Worker& aWorker,
+                               const TaskName& aTask,
+                               std::uint64_t aRun,
+                               OrderResult aResult)
+{
+  const auto now = this->dependencies.clock.Now();
+  this->dependencies.log.Log(LogLevel::Warning,
+                             "start_refused",
+                             { { "job", aTask.job.value },
+                               { "step", aTask.key.step },
+                               { "index", aTask.key.index },
+                               { "run", aRun },
+                               { "worker", aWorker.entry.id.value },
+                               { "answer", static_cast<int>(aResult) } });
+  if (aResult == OrderResult::Fenced) {
+    this->StepDown("a worker has seen a higher fencing token");
+    return;
+  }
+  if (aResult == OrderResult::WrongIncarnation) {
+    this->OnWorkerRestarted(aWorker, "other_life");
+    return;
+  }
+  auto* job = this->FindJob(aTask.job);
+  if (aResult == OrderResult::InvalidTicket && job != nullptr) {
+    const auto occurrence = job->occurrences.find(aTask.key.occurrence);
+    if (occurrence != job->occurrences.end()) {
+      auto& advice = occurrence->second.steps[aTask.key.step].advice;
+      if (auto* ticket = advice.FindTicket(aWorker.number)) {
+        ticket->expires = now;
+      }
+    }
+  }
+  if (aResult == OrderResult::Rejected || aResult == OrderResult::InsufficientCapacity) {
+    aWorker.avoidUntil = std::max(aWorker.avoidUntil, now + kRejectionAvoidance);
+  }
+  aWorker.nextRenewal = std::min(aWorker.nextRenewal, now);
+  this->ReleaseAllocation(aWorker, aTask, aRun);
+  this->RequeueRun(aTask, aRun);
+  if (job != nullptr) {
+    this->StopGang(*job, aTask.key.occurrence, aTask.key.step, aRun);
+  }
+}
+
+}
--- a/Libraries/LibCell/CellSchedulerWorkers.cpp
+++ b/Libraries/LibCell/CellSchedulerWorkers.cpp
@@ -48,12 +48,12 @@
   const auto now = this->dependencies.clock.Now();
   this->isPlacementDue = true;
   this->presumedGoneWorkers.erase(aEntry.id);
-  auto& slot = this->workers[aEntry.id];
-  if (!slot) {
-    slot = std::make_unique<Worker>();
-    slot->entry = aEntry;
-    slot->nextRenewal = now;
-    slot->lastResponse = now;
+  auto* known = this->workers.Find(aEntry.id);
+  if (known == nullptr) {
+    auto& added = this->workers.Add(aEntry);
+    added.nextRenewal = now;
+    added.lastResponse = now;
+    added.isPublished = this->publishedWorkers.contains(aEntry.id);
     this->dependencies.log.Log(LogLevel::Info,
                                "worker_listed",
                                { { "worker", aEntry.id.value },
@@ -61,20 +61,20 @@
                                  { "zone", aEntry.zone.value },
                                  { "rack", aEntry.rack.value } });
     // A new incarnation on the same machine proves that the previous one has ended.
-    for (auto& [id, worker] : this->workers) {
-      const bool isSuperseded = worker.get() != slot.get() && !aEntry.machine.empty() &&
+    for (auto* worker : this->workers.All()) {
+      const bool isSuperseded = worker != &added && !aEntry.machine.empty() &&
                                 worker->entry.machine == aEntry.machine &&
                                 worker->entry.incarnation < aEntry.incarnation;
       if (isSuperseded) {
         this->RequeueLostRuns(*worker, "superseded");
         worker->leaseExpiry = {};
         worker->isListed = false;
-        this->MarkWorkerSynced(id);
+        this->MarkWorkerSynced(worker->entry.id);
       }
     }
     return;
   }
-  auto& worker = *slot;
+  auto& worker = *known;
   if (aEntry.isDraining && !worker.entry.isDraining) {
     this->dependencies.log.Log(
       LogLevel::Info, "worker_draining", { { "worker", aEntry.id.value } });
@@ -91,11 +91,11 @@
 void
 CellScheduler::OnWorkerUnlisted(const WorkerId& aWorker)
 {
-  const auto found = this->workers.find(aWorker);
-  if (found == this->workers.end()) {
+  auto* worker = this->workers.Find(aWorker);
+  if (worker == nullptr) {
     return;
   }
-  found->second->isListed = false;
+  worker->isListed = false;
   this->isPlacementDue = true;
   this->dependencies.log.Log(LogLevel::Info, "worker_unlisted", { { "worker", aWorker.value } });
 }
@@ -104,7 +104,7 @@
 CellScheduler::RenewDueLeases()
 {
   const auto now = this->dependencies.clock.Now();
-  for (auto& [id, worker] : this->workers) {
+  for (auto* worker : this->workers.All()) {
     if (!worker->isRenewalInFlight && worker->nextRenewal <= now) {
       this->SendLeaseRenewal(*worker);
     }
@@ -157,11 +157,11 @@
   TimePoint aSent,
   const Result<std::variant<WorkerReport, OrderResult>>& aResponse)
 {
-  const auto found = this->workers.find(aWorker);
-  if (found == this->workers.end()) {
+  auto* found = this->workers.Find(aWorker);
+  if (found == nullptr) {
     return;
   }
-  auto& worker = *found->second;
+  auto& worker = *found;
   worker.isRenewalInFlight = false;
   const auto now = this->dependencies.clock.Now();
   if (IsError(aResponse)) {
@@ -252,7 +252,7 @@
   }
   this->ReconcileAllocations(aWorker, aSent, aReport);
   this->MarkWorkerSynced(aWorker.entry.id);
-  this->AdvanceAcknowledgements();
+  this->AdvanceAcknowledgementsOf(aWorker);
   this->StopStalledRuns(aWorker);
   this->ThrottleBestEffortTasks(aWorker);
   if (!aWorker.unacknowledgedEnds.empty()) {
@@ -261,8 +261,7 @@
     aWorker.nextRenewal = !wasUsable ? now : now + this->options.minRenewalInterval;
   }
   this->isPlacementDue = this->isPlacementDue || hasEnds || !wasUsable;
-  if (!wasUsable && !this->publishedWorkers.contains(aWorker.entry.id) &&
-      this->dependencies.onUnpublishedWorker) {
+  if (!wasUsable && !aWorker.isPublished && this->dependencies.onUnpublishedWorker) {
     this->dependencies.onUnpublishedWorker();
   }
 }
@@ -296,6 +295,7 @@
   }
   aWorker.unacknowledgedEnds.push_back(
     { .sequence = aEnd.sequence, .job = aEnd.task.job, .changeCount = changeCount });
+  this->workersWithEnds.insert(aWorker.number);
   if (aEnd.outcome != RunOutcome::Succeeded) {
     this->dependencies.log.Log(LogLevel::Info,
                                "run_ended",
@@ -362,7 +362,9 @@
     // Another run of the task may exist at a worker that has not reported yet.
     return;
   }
-  task->phase = TaskPhase::Waiting;
+  job->occurrences.at(aTask.key.occurrence)
+    .steps[aTask.key.step]
+    .SetPhase(*task, TaskPhase::Waiting);
   task->worker = {};
   if (job->spec.steps[aTask.key.step].isService) {
     task->earliestStart = this->dependencies.clock.Now() + kServiceRestartDelay;
@@ -382,13 +384,14 @@
   auto& run = aJob.occurrences.at(aOccurrence).steps[aStep];
   for (std::uint32_t index = 0; index < run.tasks.size(); ++index) {
     const auto& task = run.tasks[index];
-    const auto worker = this->workers.find(task.worker);
-    if (task.phase != TaskPhase::Placed || task.run != aRun || worker == this->workers.end()) {
+    const bool isMember = task.phase == TaskPhase::Placed && task.run == aRun;
+    auto* worker = isMember ? this->workers.Find(task.worker) : nullptr;
+    if (worker == nullptr) {
       continue;
     }
     if (auto* allocation =
-          worker->second->FindAllocation(MakeTaskName(aJob, { aOccurrence, aStep, index }), aRun)) {
-      this->StopRun(*worker->second, *allocation, "gang_incomplete");
+          worker->FindAllocation(MakeTaskName(aJob, { aOccurrence, aStep, index }), aRun)) {
+      this->StopRun(*worker, *allocation, "gang_incomplete");
     }
   }
 }
@@ -437,7 +440,7 @@
   if (task != nullptr) {
     const auto& step = job->spec.steps[aActiveRun.task.key.step];
     allocation.demand = AllocatedDemand(step);
-    allocation.workspace = job->spec.workspace;
+    allocation.workspaceUsage = job->workspaceUsage;
     allocation.isService = step.isService;
     allocation.isBestEffort = step.isBestEffort;
     allocation.tailLatencyTarget = step.tailLatencyTarget;
@@ -448,8 +451,10 @@
     ++aWorker.runsOfUnknownDemand;
   }
   aWorker.used += allocation.demand;
-  this->runningUsage[allocation.workspace] += allocation.demand;
-  this->adoptedUsage[allocation.workspace] += allocation.demand;
+  if (allocation.workspaceUsage != nullptr) {
+    allocation.workspaceUsage->running += allocation.demand;
+    allocation.workspaceUsage->adopted += allocation.demand;
+  }
   aWorker.allocations.push_back(std::move(allocation));
   const bool isWanted = task != nullptr && job->outcome == JobOutcome::Active &&
                         (task->phase == TaskPhase::Waiting || task->phase == TaskPhase::Unresolved);
@@ -465,7 +470,8 @@
     this->StopRun(aWorker, aWorker.allocations.back(), "unwanted");
     return;
   }
-  task->phase = TaskPhase::Placed;
+  const auto& key = aActiveRun.task.key;
+  job->occurrences.at(key.occurrence).steps[key.step].SetPhase(*task, TaskPhase::Placed);
   task->run = aActiveRun.run;
   task->worker = aWorker.entry.id;
   this->MarkJobStarted(*job);
@@ -515,6 +521,7 @@
   aWorker.seenSequence = 0;
   aWorker.acknowledgedSequence = 0;
   aWorker.unacknowledgedEnds.clear();
+  this->workersWithEnds.erase(aWorker.number);
   aWorker.isClockKnown = false;
   aWorker.incarnation = 0;
   aWorker.nextRenewal = this->dependencies.clock.Now();
@@ -568,7 +575,7 @@
 {
   const auto now = this->dependencies.clock.Now();
   std::vector<WorkerId> lostWorkers;
-  for (auto& [id, worker] : this->workers) {
+  for (auto* worker : this->workers.All()) {
     const bool isUnreachable = worker->reachability != WorkerReachability::Reachable;
     if (isUnreachable && now > worker->leaseExpiry && !worker->allocations.empty()) {
       this->RequeueLostRuns(*worker, "lease_ended");
@@ -577,13 +584,14 @@
                         now - worker->lastResponse > this->options.workerRemovalDelay &&
                         !worker->isRenewalInFlight;
     if (isLost) {
-      lostWorkers.push_back(id);
+      lostWorkers.push_back(worker->entry.id);
     }
   }
   for (const auto& id : lostWorkers) {
     this->dependencies.log.Log(LogLevel::Info, "worker_forgotten", { { "worker", id.value } });
     this->dependencies.workers.Disconnect(id);
-    this->workers.erase(id);
+    this->workersWithEnds.erase(this->workers.Find(id)->number);
+    this->workers.Remove(id);
   }
 }
 
@@ -628,14 +636,13 @@
 void
 CellScheduler::ResolveTasks()
 {
-  for (const auto& id : this->activeJobs) {
-    auto& job = this->jobs.at(id);
-    job.mayHavePredecessorRuns = false;
-    for (auto& [number, occurrence] : job.occurrences) {
+  for (const auto& [id, job] : this->activeJobs) {
+    job->mayHavePredecessorRuns = false;
+    for (auto& [number, occurrence] : job->occurrences) {
       for (auto& run : occurrence.steps) {
         for (auto& task : run.tasks) {
           if (task.phase == TaskPhase::Unresolved) {
-            task.phase = TaskPhase::Waiting;
+            run.SetPhase(task, TaskPhase::Waiting);
           }
         }
       }
@@ -655,7 +662,9 @@
   }
   aWorker.used -= found->demand;
   aWorker.runsOfUnknownDemand -= found->isDemandUnknown ? 1 : 0;
-  this->runningUsage[found->workspace] -= found->demand;
+  if (found->workspaceUsage != nullptr) {
+    found->workspaceUsage->running -= found->demand;
+  }
   aWorker.allocations.erase(found);
   this->isPlacementDue = true;
 }
@@ -701,11 +710,11 @@
 CellScheduler::OnStopResponse(const RunOrder& aOrder, const Result<OrderResult>& aResult)
 {
   const auto now = this->dependencies.clock.Now();
-  const auto found = this->workers.find(aOrder.target.worker);
-  if (found == this->workers.end()) {
+  auto* worker = this->workers.Find(aOrder.target.worker);
+  if (worker == nullptr) {
     return;
   }
-  auto* allocation = found->second->FindAllocation(aOrder.task, aOrder.run);
+  auto* allocation = worker->FindAllocation(aOrder.task, aOrder.run);
   if (allocation == nullptr) {
     return;
   }
@@ -719,13 +728,13 @@
     return;
   }
   if (ValueOf(aResult) == OrderResult::WrongIncarnation) {
-    this->OnWorkerRestarted(*found->second, "other_life");
+    this->OnWorkerRestarted(*worker, "other_life");
     return;
   }
   if (ValueOf(aResult) == OrderResult::Accepted) {
     allocation->isStopAccepted = true;
     allocation->phaseSince = now;
-    found->second->nextRenewal = std::min(found->second->nextRenewal, now);
+    worker->nextRenewal = std::min(worker->nextRenewal, now);
   }
 }
 
@@ -733,7 +742,7 @@
 CellScheduler::SendDueStops()
 {
   const auto now = this->dependencies.clock.Now();
-  for (auto& [id, worker] : this->workers) {
+  for (auto* worker : this->workers.All()) {
     for (auto& allocation : worker->allocations) {
       const bool isDue = allocation.phase == RunPhase::Stopping && !allocation.isStopAccepted &&
                          !allocation.isStopInFlight && allocation.nextStopAttempt <= now;
@@ -847,9 +856,8 @@
           return;
         }
         // The order may not have taken effect; 100 makes the next report send it again if needed.
-        const auto worker = this->workers.find(id);
-        auto* throttled =
-          worker != this->workers.end() ? worker->second->FindAllocation(task, run) : nullptr;
+        auto* worker = this->workers.Find(id);
+        auto* throttled = worker != nullptr ? worker->FindAllocation(task, run) : nullptr;
         if (throttled != nullptr) {
           throttled->dutyCyclePercent = 100;
         }
--- a/Libraries/LibCell/Job.h
+++ b/Libraries/LibCell/Job.h
@@ -5,6 +5,8 @@
 
 #include <LibCell/Ports.h>
 #include <LibCell/Specification.h>
+#include <LibCell/StepAdvice.h>
+#include <LibCell/WorkspaceUsage.h>
 #include <map>
 #include <optional>
 #include <set>
@@ -51,41 +53,35 @@
   WorkerId lastFailedWorker;
 };
 
-/// A ticket of the policy service with which a step's tasks can start at one worker.
-struct CachedTicket
-{
-  std::string text;
-  TimePoint expires{};
-};
-
-/// Responses of the policy service about a step. The eligible workers of a step never change, but
-/// tickets expire.
-struct StepAdvice
-{
-  /// The policy service has responded at least once.
-  bool hasResponse = false;
-  /// A response arrived since the last placement attempt.
-  bool hasNewResponse = false;
-  std::uint32_t requestsInFlight = 0;
-  /// No request is sent before this time.
-  TimePoint retryAt{};
-  /// The eligible workers known so far, each with its latest ticket.
-  std::map<WorkerId, CachedTicket> tickets;
-  /// Workers named in a request.
-  std::set<WorkerId> requestedWorkers;
-};
-
 /// Resources set aside for a gang until its tickets arrive.
 struct GangReservation
 {
-  std::vector<WorkerId> workers;
+  std::vector<WorkerNumber> workers;
   TimePoint expires{};
 };
 
 /// The state of a step within one occurrence of its job.
 struct StepRun
 {
+  /// Creates the tasks, all of them waiting.
+  void CreateTasks(std::uint32_t aCount)
+  {
+    this->tasks.resize(aCount);
+    this->waitingTasks = aCount;
+  }
+  /// Sets the phase of a task, which is not to be assigned directly.
+  void SetPhase(Task& aTask, TaskPhase aPhase)
+  {
+    this->waitingTasks -= aTask.phase == TaskPhase::Waiting ? 1 : 0;
+    this->waitingTasks += aPhase == TaskPhase::Waiting ? 1 : 0;
+    aTask.phase = aPhase;
+  }
+  /// @return true if the step has tasks to place
+  [[nodiscard]] bool IsPending() const { return this->isReady && this->waitingTasks > 0; }
+
   std::vector<Task> tasks;
+  /// Number of tasks in @ref TaskPhase::Waiting.
+  std::uint32_t waitingTasks = 0;
   std::uint32_t succeededTasks = 0;
   /// All steps that it depends on have succeeded.
   bool isReady = false;
@@ -112,6 +108,8 @@
 struct Job
 {
   JobSpecification spec;
+  /// What the job's workspace uses; set when the job is added.
+  WorkspaceUsage* workspaceUsage = nullptr;
   /// For each step, the estimated duration of the longest chain of steps that begins with it.
   std::vector<Milliseconds> criticalPaths;
   JobOutcome outcome = JobOutcome::Active;
--- a/Libraries/LibCell/Worker.h
+++ b/Libraries/LibCell/Worker.h
@@ -4,6 +4,7 @@
 /// The leader's state of a worker and of the runs allocated to it.
 
 #include <LibCell/Ports.h>
+#include <LibCell/WorkspaceUsage.h>
 #include <deque>
 #include <map>
 #include <optional>
@@ -14,6 +15,9 @@
 
 namespace zinc::cell {
 
+/// Identifies a worker within a term; see @ref WorkerTable.
+using WorkerNumber = std::uint32_t;
+
 /// Whether a worker responds to the leader.
 enum class WorkerReachability : std::uint8_t
 {
@@ -44,7 +48,8 @@
   Resources demand;
   /// The demand is unknown, since the job has ended and its steps are no longer stored.
   bool isDemandUnknown = false;
-  WorkspaceId workspace;
+  /// The account that the demand is counted in.
+  WorkspaceUsage* workspaceUsage = nullptr;
   RunPhase phase = RunPhase::Starting;
   /// Start of the phase, or the time at which a stop was accepted.
   TimePoint phaseSince{};
@@ -81,8 +86,11 @@
 struct Worker
 {
   WorkerEntry entry;
+  WorkerNumber number = 0;
   /// The store has a row of the worker.
   bool isListed = true;
+  /// The leader record names the worker; only then may it get tasks.
+  bool isPublished = false;
   WorkerReachability reachability = WorkerReachability::Unsynced;
   /// The worker's clock minus the leader's, ms. The delay of the response only lowers it, so that
   /// a lease deadline is never too late.
@@ -102,8 +110,10 @@
   TimePoint lastResponse{};
   /// Lease renewals in a row that failed.
   std::uint32_t failedRenewals = 0;
-  /// Placement round that last added the worker to its pool.
+  /// Placement round in which the worker was last usable.
   std::uint64_t pooledInRound = 0;
+  /// Gang round that last kept the worker free of batch tasks, so that a pending gang fits there.
+  std::uint64_t earmarkedInGangRound = 0;
   Resources used;
   /// Set aside for gangs.
   Resources reserved;
