LibPlatform: Reserve read buffers so that large replies take few reads

A watch of the job table then returns about 500 rows in some 250 kB; its connection read them in pieces that began at 512 bytes, and between two pieces the loop did 10 to 40 ms of other work, so that one response took 0.6 s. Ruled out: the store (it answers commits in ms meanwhile), the pause between two reads (40 ms), the link.

Change: HttpOptions::readBufferBytes, 64 KiB for the store, 2 KiB for others.

--- a/Libraries/LibPlatform/HttpClient.cpp
+++ b/Libraries/LibPlatform/HttpClient.cpp
@@ -206,6 +206,7 @@
     const auto remote = this->socket.remote_endpoint(ignored);
     this->hostName = fmt::format("{}:{}", remote.address().to_string(), remote.port());
     this->answeredAt = Now();
+    this->buffer.reserve(this->pool->options.readBufferBytes);
     this->Read();
     --this->pool->connecting;
     this->pool->OnIdle(this);
--- a/Libraries/LibPlatform/HttpOptions.h
+++ b/Libraries/LibPlatform/HttpOptions.h
@@ -26,6 +26,9 @@
   std::size_t queueLimit = 4096;
   /// Longest reply body accepted, in bytes.
   std::size_t replyLimit = std::size_t{ 64 } << 20;
+  /// Room of a connection's read buffer, in bytes. A reply that does not fit takes several reads,
+  /// between which a busy process does other work.
+  std::size_t readBufferBytes = 2048;
   Milliseconds connectTimeout{ 500 };
   /// Bounds a request from its call to its reply, beside the wait that it asks for itself.
   Milliseconds requestTimeout{ 2000 };
--- a/Services/Entry/PlatformProgram.cpp
+++ b/Services/Entry/PlatformProgram.cpp
@@ -40,6 +40,8 @@
 constexpr Milliseconds kInstanceCallTimeout{ 500 };
 /// Concurrent watches and transactions; each takes a connection.
 constexpr std::size_t kStoreConnections = 24;
+/// A watch of the job table responds with up to 500 rows, several hundred KiB.
+constexpr std::size_t kStoreReadBufferBytes = std::size_t{ 64 } << 10;
 /// The policy service handles an instance's requests one at a time; a second one queues there.
 constexpr std::size_t kAdviceConnections = 3;
 constexpr std::size_t kInstanceConnections = 6;
@@ -187,8 +189,9 @@
 Result<Done>
 PlatformProgram::CreateClients()
 {
-  auto storeHttp =
-    HttpClient::Create(this->HttpOptionsFor(this->boot.store, kStoreConnections, kStoreTimeout));
+  auto storeOptions = this->HttpOptionsFor(this->boot.store, kStoreConnections, kStoreTimeout);
+  storeOptions.readBufferBytes = kStoreReadBufferBytes;
+  auto storeHttp = HttpClient::Create(std::move(storeOptions));
   if (IsError(storeHttp)) {
     return ErrorOf(storeHttp);
   }
