LibCell: Count the leader's silence on after a failed read of its record

Cause: a follower that failed one read began to count anew for how long the leader record stood still. Ruled out: their rank and stagger, which put them first.

Change: time without a successful read no longer counts, but what was counted before stays.

Test: AFailedReadDoesNotRestartTheLeaderTimeout failed before, the small instance took over.

--- a/Libraries/LibCell/LeaderElection.cpp
+++ b/Libraries/LibCell/LeaderElection.cpp
@@ -170,6 +170,8 @@
 LeaderElection::Tick(std::optional<TimePoint> aLastRead)
 {
   const auto now = this->dependencies.clock.Now();
+  const auto elapsed = this->lastTick == TimePoint{} ? Milliseconds{ 0 } : now - this->lastTick;
+  this->lastTick = now;
   if (this->state == State::Leader) {
     if (!this->isRenewing && now >= this->nextRenewalAt) {
       this->Renew();
@@ -180,8 +182,9 @@
     return;
   }
   if (!aLastRead || now - *aLastRead > this->options.maxReadAge) {
-    // The state of the leader is unknown while its record cannot be read.
-    this->unchangedSince = now;
+    // Time in which the record cannot be read does not count, since the leader may have been unable
+    // to renew it.
+    this->unchangedSince = std::min(now, this->unchangedSince + elapsed);
     this->takeoverDueSince = {};
     return;
   }
--- a/Libraries/LibCell/LeaderElection.h
+++ b/Libraries/LibCell/LeaderElection.h
@@ -218,8 +218,9 @@
   };
   std::map<std::string, Instance> instances;
   TimePoint createdAt{};
-  /// Since when the row is known not to have changed; restarts while it cannot be read.
+  /// Since when the row is known not to have changed; moves on while it cannot be read.
   TimePoint unchangedSince{};
+  TimePoint lastTick{};
   /// When the current version of the row was first seen.
   TimePoint rowSeenAt{};
   TimePoint takeoverDueSince{};
--- a/Tests/LibCell/TestLeaderElection.cpp
+++ b/Tests/LibCell/TestLeaderElection.cpp
@@ -210,6 +210,30 @@
   EXPECT_FALSE(other.term);
 }
 
+// The largest instances read the leader record most often, so after an outage their reads fail most
+// often. If one failed read made them wait for the whole timeout again, a smaller instance would
+// take over before them.
+TEST_F(LeaderElectionTest, AFailedReadDoesNotRestartTheLeaderTimeout)
+{
+  Instance leader(*this, "leader");
+  this->Run({ &leader }, Milliseconds{ 500 });
+  ASSERT_TRUE(leader.term);
+  Instance large(*this, "large", "1", 500);
+  Instance small(*this, "small", "1", 120);
+  for (auto* instance : { &large, &small }) {
+    instance->election.OnInstanceRecord("large", { .milliCores = 500 }, ++this->store.version);
+    instance->election.OnInstanceRecord("small", { .milliCores = 120 }, this->store.version);
+  }
+  this->Run({ &large, &small }, Milliseconds{ 1200 });
+  ASSERT_FALSE(large.term || small.term);
+  // One read of the large instance fails.
+  large.election.Tick({});
+  this->clock.Advance(Milliseconds{ 20 });
+  this->Run({ &large, &small }, Milliseconds{ 800 });
+  EXPECT_TRUE(large.term);
+  EXPECT_FALSE(small.term);
+}
+
 TEST_F(LeaderElectionTest, KeepsItsTermWhenARenewalResponseIsLost)
 {
   Instance first(*this, "first");
