LibCell: Let a replaced leader store no progress and acknowledge no end

Cause: a leader that is paused or slow keeps a term of 6 s, while a follower takes over after 1.6 s of silence. Woken between the successor's read of the jobs and its first call to a worker, it could store the end of a run and acknowledge it; the successor would find neither the end nor the run and start the task again (TWICE). Ruled out: acknowledging before the write is durable, and the successor missing a row that was stored before its takeover.

Change: a takeover writes a row in each progress partition in the transaction that takes the term, and every write of progress requires that version. A leader whose write fails on it steps down. No further call or partition for the writer.

Test: ALeaderThatWasReplacedAcknowledgesNoEnd failed before: the end was acknowledged, the leader stayed, and the task was started a second time.

--- a/Libraries/LibCell/CellSchedulerRecords.cpp
+++ b/Libraries/LibCell/CellSchedulerRecords.cpp
@@ -7,8 +7,10 @@
 
 namespace {
 
-/// A transaction holds at most 100 entries; each job needs a condition and a write.
+/// A transaction holds at most 100 entries; each job needs a condition and a write, and each
+/// partition a condition on the term.
 constexpr std::size_t kMaxJobsPerFlush = 48;
+static_assert(2 * kMaxJobsPerFlush + kProgressPartitionCount <= 100);
 /// Each job needs a write and a removal.
 constexpr std::size_t kJobsPerCompaction = 40;
 constexpr Milliseconds kCompactionInterval{ 250 };
@@ -78,6 +80,12 @@
     return;
   }
   transaction.spansPartitions = partitions.size() > 1;
+  // A leader that was replaced must not store the end of a run, nor acknowledge it afterwards: its
+  // successor would find neither the end nor the run. These follow the jobs' conditions.
+  for (const auto partition : partitions) {
+    transaction.conditions.push_back(
+      { .key = ProgressTermRowKey(partition), .version = this->fencingToken });
+  }
   for (const auto partition : partitions) {
     this->partitionsInFlight.at(partition) = true;
   }
@@ -195,6 +203,16 @@
   for (const auto& row : aResult.currentRows) {
     currentRows[row.key] = row;
   }
+  const auto termConditions = std::span(aSent.conditions).subspan(aJobs.size());
+  const bool isReplaced =
+    std::ranges::any_of(termConditions, [&currentRows](const RowCondition& aCondition) {
+      const auto found = currentRows.find(aCondition.key);
+      return found == currentRows.end() || found->second.version != aCondition.version;
+    });
+  if (isReplaced) {
+    this->StepDown("a later term has begun");
+    return;
+  }
   for (std::size_t index = 0; index < aJobs.size(); ++index) {
     const auto& condition = aSent.conditions[index];
     const auto found = currentRows.find(condition.key);
--- a/Libraries/LibCell/LeaderElection.cpp
+++ b/Libraries/LibCell/LeaderElection.cpp
@@ -269,6 +269,9 @@
                                           .partition = std::string(kTermPartition),
                                           .key = std::string(kLeaderKey) },
                                  .value = "{}" });
+  for (std::uint32_t partition = 0; partition < kProgressPartitionCount; ++partition) {
+    transaction.writes.push_back({ .key = ProgressTermRowKey(partition), .value = "{}" });
+  }
   transaction.spansPartitions = true;
   this->dependencies.log.Log(LogLevel::Info,
                              "term_sought",
--- a/Libraries/LibCell/Records.cpp
+++ b/Libraries/LibCell/Records.cpp
@@ -244,6 +244,14 @@
   return partitions;
 }
 
+RowKey
+ProgressTermRowKey(std::uint32_t aPartition)
+{
+  return { .table = std::string(kJobTable),
+           .partition = ProgressPartitionName(aPartition),
+           .key = std::string(kLeaderKey) };
+}
+
 RowKey
 JobRowKey(const JobId& aJob, JobRowKind aKind)
 {
--- a/Libraries/LibCell/Records.h
+++ b/Libraries/LibCell/Records.h
@@ -165,6 +165,12 @@
 [[nodiscard]] std::vector<std::string>
 JobTablePartitions();
 
+/// @return the key of the row that a new leader writes in a progress partition at the start of its
+/// term. Writes of progress require its version to be that of the writer's term, so that a leader
+/// that was replaced without noticing changes nothing more.
+[[nodiscard]] RowKey
+ProgressTermRowKey(std::uint32_t aPartition);
+
 /// @return the index of the progress partition that holds a job's progress row.
 [[nodiscard]] std::uint32_t
 ProgressPartitionIndex(const JobId& aJob);
--- a/Tests/LibCell/CellSchedulerFixture.cpp
+++ b/Tests/LibCell/CellSchedulerFixture.cpp
@@ -47,6 +47,17 @@
   }
 }
 
+std::uint64_t
+CellSchedulerFixture::WriteTermRows()
+{
+  const auto token = ++this->store.version;
+  for (std::uint32_t partition = 0; partition < kProgressPartitionCount; ++partition) {
+    const auto key = ProgressTermRowKey(partition);
+    this->store.rows[key] = { .key = key, .value = "{}", .version = token };
+  }
+  return token;
+}
+
 void
 CellSchedulerFixture::BeginTerm(bool aHasPredecessor,
                                 Milliseconds aPriorLeasesExpiry,
@@ -66,7 +77,7 @@
   this->scheduler->SetInstances({ "one", "two", "three" });
   this->scheduler->SetTermEnd(this->clock.Now() + Milliseconds{ 1'000'000 });
   this->scheduler->SetPriorLeasesExpiry(this->clock.Now() + aPriorLeasesExpiry);
-  this->scheduler->BeginTerm({ .fencingToken = this->fencingToken = ++this->store.version,
+  this->scheduler->BeginTerm({ .fencingToken = this->fencingToken = this->WriteTermRows(),
                                .previousWorkers = std::move(aPreviousWorkers),
                                .hadPredecessor = aHasPredecessor,
                                .predecessorRecordAge = this->predecessorRecordAge,
--- a/Tests/LibCell/CellSchedulerFixture.h
+++ b/Tests/LibCell/CellSchedulerFixture.h
@@ -73,6 +73,9 @@
                                                 std::int64_t aEstimateMs = 1000);
   /// Writes the job's row, as the instance that accepts the job does.
   void AcceptJob(const JobSpecification& aSpec);
+  /// Writes the rows with which a leader's takeover marks the start of its term.
+  /// @return their version, which is the fencing token of the term
+  std::uint64_t WriteTermRows();
   /// Begins the term of a new leader with the rows of the store.
   void BeginTerm(bool aHasPredecessor = false,
                  Milliseconds aPriorLeasesExpiry = Milliseconds{ 12'400 },
--- a/Tests/LibCell/TestTakeover.cpp
+++ b/Tests/LibCell/TestTakeover.cpp
@@ -255,6 +255,27 @@
   EXPECT_TRUE(this->hasLostLeadership);
 }
 
+// A leader that was paused wakes up after its successor has read the jobs, and before the successor
+// has called the worker. If it stored the end of a run and acknowledged it, the worker would no
+// longer list the end, and the successor would start the task again.
+TEST_F(TakeoverTest, ALeaderThatWasReplacedAcknowledgesNoEnd)
+{
+  this->entries = { this->workers.Add("w1", 8) };
+  this->AcceptJob(MakeJob("job", 2, 2));
+  this->BeginTerm();
+  this->RunFor(Milliseconds{ 200 });
+  ASSERT_EQ(this->CountStartsOf("job"), 2U);
+  this->WriteTermRows();
+  this->workers.End("w1", { { "job" }, { 0, 0, 0 } }, RunOutcome::Succeeded);
+  this->RunFor(Milliseconds{ 500 });
+  EXPECT_EQ(this->workers.leaseRenewals.back().acknowledgedSequence, 0U);
+  EXPECT_EQ(this->workers.At("w1").ended.size(), 1U);
+  EXPECT_TRUE(this->hasLostLeadership);
+  this->BeginTerm(true);
+  this->RunFor(Milliseconds{ 500 });
+  EXPECT_EQ(this->CountStartsOf("job"), 2U);
+}
+
 TEST_F(TakeoverTest, CountsFailuresReportedByTwoWorkersInAnyOrder)
 {
   // "a", the worker of the later run, reports first, since "b" is unreachable at the takeover.
