--- a/Libraries/LibCell/CellScheduler.h
+++ b/Libraries/LibCell/CellScheduler.h
@@ -48,7 +48,12 @@
   }
   /// How long a worker may wait for a run to end before it responds to a lease renewal. A shorter
   /// wait leaves more of the lease when a connection breaks, a longer one needs fewer calls.
-  Milliseconds maxRenewalWait{ 700 };
+  Milliseconds renewalWait{ 700 };
+  /// The wait in a cell so large that idle workers would need more than @ref idleRenewalsPerSecond
+  /// calls. Together with the time to notice a broken connection it leaves most of a lease.
+  Milliseconds maxRenewalWait{ 1400 };
+  /// Calls a second for the leases of idle workers above which their waits become longer.
+  std::uint32_t idleRenewalsPerSecond = 800;
   /// Shortest time between two lease renewals of a worker that has ended runs to report.
   Milliseconds minRenewalInterval{ 15 };
   /// Delay before the next lease renewal of a worker that did not respond.
@@ -319,6 +324,8 @@
   [[nodiscard]] OrderTarget MakeOrderTarget(const Worker& aWorker) const;
   /// Sends the lease renewals that are due.
   void RenewDueLeases();
+  /// @return how long a worker may wait for a run to end before it responds to a renewal
+  [[nodiscard]] Milliseconds RenewalWait() const;
   /// Asks a worker for its report, and renews its lease unless it failed to respond last time.
   void SendLeaseRenewal(Worker& aWorker);
   void OnLeaseRenewalResponse(const WorkerId& aWorker,
--- a/Libraries/LibCell/CellSchedulerWorkers.cpp
+++ b/Libraries/LibCell/CellSchedulerWorkers.cpp
@@ -119,6 +119,15 @@
   return now.time_since_epoch().count() + aWorker.clockOffset + this->options.maxLease.count();
 }
 
+Milliseconds
+CellScheduler::RenewalWait() const
+{
+  constexpr std::size_t kMsPerSecond = 1000;
+  const Milliseconds wait(this->workers.Size() * kMsPerSecond /
+                          this->options.idleRenewalsPerSecond);
+  return std::clamp(wait, this->options.renewalWait, this->options.maxRenewalWait);
+}
+
 void
 CellScheduler::SendLeaseRenewal(Worker& aWorker)
 {
@@ -134,7 +143,7 @@
   }
   if (renewsLease && aWorker.reachability == WorkerReachability::Reachable &&
       aWorker.unacknowledgedEnds.empty()) {
-    order.maxWait = this->options.maxRenewalWait;
+    order.maxWait = this->RenewalWait();
   }
   aWorker.isRenewalInFlight = true;
   this->dependencies.workers.RenewLease(
