LibCell: Start nothing more at a worker that left a start unanswered

Cause: when a zone is cut off, its workers count as usable until their lease renewals fail, which is after their wait and the timeout. Every task started there meanwhile stays lost until the lease has expired. Ruled out: the lease renewal that a lost start asks for, since one is in flight already.

Test: StartsNothingMoreAtAWorkerThatLeavesAStartUnanswered failed before.

--- a/Libraries/LibCell/CellSchedulerStarts.cpp
+++ b/Libraries/LibCell/CellSchedulerStarts.cpp
@@ -9,6 +9,9 @@
 
 /// How long a worker that rejected a start gets no tasks.
 constexpr Milliseconds kRejectionAvoidance{ 1000 };
+/// How long a worker that did not answer a start gets no tasks. It may be cut off, which its lease
+/// renewals show only after their wait.
+constexpr Milliseconds kUnansweredStartAvoidance{ 1000 };
 
 }
 
@@ -89,6 +92,7 @@
       allocation->phase = RunPhase::Uncertain;
       allocation->phaseSince = now;
       worker.nextRenewal = std::min(worker.nextRenewal, now);
+      worker.avoidUntil = std::max(worker.avoidUntil, now + kUnansweredStartAvoidance);
     }
     return;
   }
--- a/Tests/LibCell/TestCellScheduler.cpp
+++ b/Tests/LibCell/TestCellScheduler.cpp
@@ -199,6 +199,24 @@
   EXPECT_EQ(this->StatusOf("job").outcome, JobOutcome::Succeeded);
 }
 
+// A zone that is cut off is noticed by its lease renewals only after their wait. Each start that is
+// sent there until then is lost for the rest of a lease.
+TEST_F(CellSchedulerTest, StartsNothingMoreAtAWorkerThatLeavesAStartUnanswered)
+{
+  this->entries = { this->workers.Add("w1", 8), this->workers.Add("w2", 16) };
+  this->BeginTerm();
+  this->RunFor(Milliseconds{ 200 });
+  this->workers.At("w1").losesResponses = true;
+  this->AcceptJob(MakeJob("first", 1, 2));
+  this->RunFor(Milliseconds{ 10 });
+  ASSERT_EQ(this->workers.starts.size(), 1U);
+  ASSERT_EQ(this->workers.starts.back().worker.value, "w1");
+  this->AcceptJob(MakeJob("second", 1, 2));
+  this->RunFor(Milliseconds{ 10 });
+  ASSERT_EQ(this->workers.starts.size(), 2U);
+  EXPECT_EQ(this->workers.starts.back().worker.value, "w2");
+}
+
 TEST_F(CellSchedulerTest, CarriesTheCheckpointToTheNextRun)
 {
   this->entries = { this->workers.Add("w1", 4) };
