LibCell: Publish draining workers only while they may have runs

They follow the same rule as the others now. The log says once that the workers are read, and which was the last.

--- a/Libraries/LibCell/CellScheduler.cpp
+++ b/Libraries/LibCell/CellScheduler.cpp
@@ -231,6 +231,14 @@
   return pending;
 }
 
+bool
+CellScheduler::MayHaveRuns(const Worker& aWorker) const
+{
+  // Any listed worker may become reachable and get a run before the next record is written.
+  return aWorker.isListed ||
+         (!aWorker.allocations.empty() && aWorker.leaseExpiry > this->dependencies.clock.Now());
+}
+
 DrainingJobs
 CellScheduler::DrainingJobsToPublish() const
 {
@@ -246,7 +254,7 @@
       break;
     }
     const bool isKnown = !this->unsyncedWorkers.contains(worker->entry.id);
-    if (!isKnown || !worker->entry.isDraining) {
+    if (!isKnown || !worker->entry.isDraining || !this->MayHaveRuns(*worker)) {
       continue;
     }
     auto& jobs = draining[worker->entry.id];
@@ -260,7 +268,6 @@
 std::vector<std::string>
 CellScheduler::WorkersToPublish()
 {
-  const auto now = this->dependencies.clock.Now();
   std::vector<std::string> names;
   for (const auto& id : this->unsyncedWorkers) {
     names.push_back(id.value);
@@ -268,11 +275,7 @@
   const auto draining = this->DrainingJobsToPublish();
   std::erase_if(names, [&draining](const auto& aName) { return draining.contains({ aName }); });
   for (auto* worker : this->workers.All()) {
-    if (draining.contains(worker->entry.id)) {
-      continue;
-    }
-    // Any listed worker may become reachable and get a run before the next record is written.
-    if (worker->isListed || (!worker->allocations.empty() && worker->leaseExpiry > now)) {
+    if (!draining.contains(worker->entry.id) && this->MayHaveRuns(*worker)) {
       names.push_back(worker->entry.id.value);
     }
   }
--- a/Libraries/LibCell/CellScheduler.h
+++ b/Libraries/LibCell/CellScheduler.h
@@ -363,6 +363,8 @@
   void StopAwaitingUnlistedWorkers();
   /// Marks a worker whose runs are known or have ended as synced.
   void MarkWorkerSynced(const WorkerId& aWorker);
+  /// @return true if a run may exist at the worker or may start there before the next leader record
+  [[nodiscard]] bool MayHaveRuns(const Worker& aWorker) const;
   /// Makes unresolved tasks waiting ones if no run of them can exist at an unsynced worker.
   void ResolveTasks();
   /// @return true if any job may have runs at an unsynced worker
--- a/Libraries/LibCell/CellSchedulerWorkers.cpp
+++ b/Libraries/LibCell/CellSchedulerWorkers.cpp
@@ -633,14 +633,18 @@
 void
 CellScheduler::MarkWorkerSynced(const WorkerId& aWorker)
 {
+  const bool wasOpen = !this->predecessorDrainingJobs.contains(aWorker);
   if (this->unsyncedWorkers.erase(aWorker) == 0 || this->HasOpenUnsyncedWorkers()) {
     return;
   }
-  this->dependencies.log.Log(
-    LogLevel::Info,
-    "workers_read",
-    { { "after_ms", (this->dependencies.clock.Now() - this->termBegin).count() },
-      { "draining_unread", this->unsyncedWorkers.size() } });
+  if (wasOpen || this->unsyncedWorkers.empty()) {
+    this->dependencies.log.Log(
+      LogLevel::Info,
+      "workers_read",
+      { { "after_ms", (this->dependencies.clock.Now() - this->termBegin).count() },
+        { "last", aWorker.value },
+        { "draining_unread", this->unsyncedWorkers.size() } });
+  }
   this->ResolveTasks();
 }
 
