LibCell: Let larger instances take over first after an outage of the store

When the store came back, calls that it had left unanswered held up the reads of the large instances for up to a request timeout, and the small one read the record first. Ruled out: ranks and stagger (0.7 s for the twelfth).

Change: an instance below three quarters of the largest one does not seek the term within 1.5 s of a time in which it could not read the record.

Tests: ASmallInstanceLeavesTakingOverToLargerOnesAfterAnOutage failed before; ASmallInstanceTakesOverAfterAnOutageIfNobodyElseDoes. LetsOthersTakeOverFirstWhenSlow rules out a delay at any time.

--- a/Libraries/LibCell/LeaderElection.cpp
+++ b/Libraries/LibCell/LeaderElection.cpp
@@ -149,6 +149,15 @@
   return this->leader->isRecovering ? this->rowSeenAt + this->leader->recoveryLeft : TimePoint{};
 }
 
+bool
+LeaderElection::IsSmall() const
+{
+  return std::ranges::any_of(this->instances, [this](const auto& aEntry) {
+    return this->identity.milliCores <
+           this->options.minSuccessorCpuRatio * aEntry.second.milliCores;
+  });
+}
+
 std::size_t
 LeaderElection::Rank() const
 {
@@ -185,6 +194,7 @@
     // Time in which the record cannot be read does not count, since the leader may have been unable
     // to renew it.
     this->unchangedSince = std::min(now, this->unchangedSince + elapsed);
+    this->unreadableAt = now;
     this->takeoverDueSince = {};
     return;
   }
@@ -200,6 +210,11 @@
   // A resignation is sent to one instance only, so no other one competes.
   const std::size_t rank = this->HasLeaderResigned() ? 0 : this->Rank();
   const auto delay = this->isSlow ? this->options.slowCandidacyDelay : Milliseconds{ 0 };
+  const bool isAfterOutage =
+    this->unreadableAt && now - *this->unreadableAt < this->options.smallInstanceDelayAfterOutage;
+  if (isAfterOutage && this->IsSmall() && !this->HasLeaderResigned()) {
+    return;
+  }
   if (!isStartingUp &&
       now - this->takeoverDueSince >= this->options.candidacyStagger * rank + delay) {
     this->RequestLeadership();
--- a/Libraries/LibCell/LeaderElection.h
+++ b/Libraries/LibCell/LeaderElection.h
@@ -37,11 +37,14 @@
   Milliseconds candidacyStagger{ 60 };
   /// Extra delay of a slow instance, so that others take over first.
   Milliseconds slowCandidacyDelay{ 1500 };
+  /// How long a small instance that could not read the leader record leaves taking over to larger
+  /// ones. When the store returns from an outage, their reads may succeed a request timeout later.
+  Milliseconds smallInstanceDelayAfterOutage{ 1500 };
   /// Minimum age of a term before it is handed over because the machine is slow, so that the leader
   /// does not change too often; machines are slow for 4 to 6 s at a time.
   Milliseconds minTermBeforeHandover{ 2000 };
   /// Minimum processor size of an instance that a slow leader hands over to, as a fraction of its
-  /// own.
+  /// own. One below this fraction of the largest instance counts as small.
   double minSuccessorCpuRatio = 0.75;
 };
 
@@ -173,6 +176,8 @@
 
   /// @return true if the leader has stopped or its record has not changed for too long.
   [[nodiscard]] bool IsTakeoverDue(std::optional<TimePoint> aLastRead) const;
+  /// @return true if the instance is much smaller than the largest one
+  [[nodiscard]] bool IsSmall() const;
   /// @return true if there is no leader, or if it certainly no longer sends orders.
   [[nodiscard]] bool HasLeaderStopped() const;
   /// @return true if the current leader has sent its resignation to this instance.
@@ -226,6 +231,8 @@
   /// Since when the row is known not to have changed; moves on while it cannot be read.
   TimePoint unchangedSince{};
   TimePoint lastTick{};
+  /// When the record could not be read last.
+  std::optional<TimePoint> unreadableAt;
   /// When the current version of the row was first seen.
   TimePoint rowSeenAt{};
   TimePoint takeoverDueSince{};
--- a/Tests/LibCell/TestLeaderElection.cpp
+++ b/Tests/LibCell/TestLeaderElection.cpp
@@ -234,6 +234,49 @@
   EXPECT_FALSE(small.term);
 }
 
+// When the store returns, calls that it left unanswered still have to time out. An instance that
+// happens to read it first would take over although it is too small to lead the cell.
+TEST_F(LeaderElectionTest, ASmallInstanceLeavesTakingOverToLargerOnesAfterAnOutage)
+{
+  Instance leader(*this, "leader");
+  this->Run({ &leader }, Milliseconds{ 500 });
+  Instance large(*this, "large", "1", 500);
+  Instance small(*this, "small", "1", 120);
+  for (auto* instance : { &large, &small }) {
+    instance->election.OnInstanceRecord("large", { .milliCores = 500 }, ++this->store.version);
+    instance->election.OnInstanceRecord("small", { .milliCores = 120 }, this->store.version);
+  }
+  this->Run({ &large, &small }, Milliseconds{ 1500 });
+  const auto failReads = [this](std::vector<Instance*> aInstances, Milliseconds aTime) {
+    constexpr Milliseconds kStep{ 20 };
+    for (Milliseconds elapsed{ 0 }; elapsed < aTime; elapsed += kStep) {
+      for (auto* instance : aInstances) {
+        instance->election.Tick({});
+      }
+      this->clock.Advance(kStep);
+    }
+  };
+  failReads({ &large, &small }, Milliseconds{ 2000 });
+  // The small instance reads the record again a second before the large one.
+  this->Run({ &small }, Milliseconds{ 1000 });
+  EXPECT_FALSE(small.term);
+  this->Run({ &large, &small }, Milliseconds{ 500 });
+  EXPECT_TRUE(large.term);
+  EXPECT_FALSE(small.term);
+}
+
+TEST_F(LeaderElectionTest, ASmallInstanceTakesOverAfterAnOutageIfNobodyElseDoes)
+{
+  Instance leader(*this, "leader");
+  this->Run({ &leader }, Milliseconds{ 500 });
+  Instance small(*this, "small", "1", 120);
+  small.election.OnInstanceRecord("large", { .milliCores = 500 }, ++this->store.version);
+  this->Run({ &small }, Milliseconds{ 1500 });
+  small.election.Tick({});
+  this->Run({ &small }, Milliseconds{ 2000 });
+  EXPECT_TRUE(small.term);
+}
+
 TEST_F(LeaderElectionTest, KeepsItsTermWhenARenewalResponseIsLost)
 {
   Instance first(*this, "first");
