--- a/Libraries/LibCell/CellScheduler.cpp
+++ b/Libraries/LibCell/CellScheduler.cpp
@@ -280,8 +280,7 @@
     }
   }
   std::ranges::sort(names);
-  const auto repeated = std::ranges::unique(names);
-  names.erase(repeated.begin(), repeated.end());
+  names.erase(std::unique(names.begin(), names.end()), names.end());
   std::erase_if(this->publishedWorkers, [this, &names](const WorkerId& aId) {
     if (std::ranges::binary_search(names, aId.value)) {
       return false;
