LibCell: Do not avoid the workers of a gang that waits for a member

Cause: a gang works only once all members run. If one start goes unanswered, the others make no progress, and after 2 s the leader stopped each for standing still, counted a failure against its worker and avoided it for 6 s.

Change: a member whose gang is not known to run whole is stopped as part of an incomplete gang, before the gang times out at its workers; nobody is blamed.

Test: DoesNotAvoidTheWorkersOfAGangThatWaitsForAMember failed before.

--- a/Libraries/LibCell/CellScheduler.h
+++ b/Libraries/LibCell/CellScheduler.h
@@ -389,6 +389,8 @@
   void SendDueStops();
   /// Stops runs that have made no progress for too long, and avoids their worker.
   void StopStalledRuns(Worker& aWorker);
+  /// @return true if the run belongs to a gang of which another member is not known to run
+  [[nodiscard]] bool AwaitsGangMembers(const Allocation& aAllocation);
   /// Updates the worker's failure streak, and avoids the worker after too many failures.
   void RecordRunOutcome(Worker& aWorker, const TaskName& aTask, bool aHasFailed);
   /// Ends all activity after another leader has taken over.
--- a/Libraries/LibCell/CellSchedulerWorkers.cpp
+++ b/Libraries/LibCell/CellSchedulerWorkers.cpp
@@ -801,6 +801,11 @@
     if (!isStalled || allocation.isBestEffort || hasFinishedWork) {
       continue;
     }
+    if (this->AwaitsGangMembers(allocation)) {
+      // The worker is not at fault. The gang is stopped before it times out at its workers.
+      this->StopRun(aWorker, allocation, "gang_incomplete");
+      continue;
+    }
     this->RecordRunOutcome(aWorker, allocation.task, true);
     aWorker.avoidUntil = now + this->options.quarantineDuration;
     this->StopRun(aWorker, allocation, "stands_still");
@@ -812,6 +817,29 @@
   }
 }
 
+bool
+CellScheduler::AwaitsGangMembers(const Allocation& aAllocation)
+{
+  auto* job = this->FindJob(aAllocation.task.job);
+  const auto& key = aAllocation.task.key;
+  if (job == nullptr || this->FindTask(*job, key) == nullptr || !job->spec.steps[key.step].isGang) {
+    return false;
+  }
+  const auto& tasks = job->occurrences.at(key.occurrence).steps[key.step].tasks;
+  for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+    auto* worker = this->workers.Find(tasks[index].worker);
+    const auto* member =
+      worker != nullptr
+        ? worker->FindAllocation(MakeTaskName(*job, { key.occurrence, key.step, index }),
+                                 aAllocation.run)
+        : nullptr;
+    if (member == nullptr || member->phase != RunPhase::Running) {
+      return true;
+    }
+  }
+  return false;
+}
+
 void
 CellScheduler::RecordRunOutcome(Worker& aWorker, const TaskName& aTask, bool aHasFailed)
 {
--- a/Tests/LibCell/TestCellScheduler.cpp
+++ b/Tests/LibCell/TestCellScheduler.cpp
@@ -347,6 +347,31 @@
 
 // A worker that reports itself as healthy but fails all its runs always has room for the next tasks
 // of a wide job, and would fail them all.
+// One start of a wide gang goes unanswered. The other members make no progress, since they wait for
+// it; their workers are sound and have to stay in use.
+TEST_F(CellSchedulerTest, DoesNotAvoidTheWorkersOfAGangThatWaitsForAMember)
+{
+  this->entries = { this->workers.Add("w1", 4), this->workers.Add("w2", 4) };
+  this->BeginTerm();
+  this->RunFor(Milliseconds{ 200 });
+  this->workers.At("w1").isStalled = true;
+  this->workers.At("w2").losesResponses = true;
+  auto gang = MakeJob("gang", 2, 4, 4000);
+  gang.steps.front().isGang = true;
+  this->AcceptJob(gang);
+  this->RunFor(Milliseconds{ 60 });
+  ASSERT_EQ(this->workers.starts.size(), 2U);
+  // The order did not arrive.
+  this->workers.At("w2").running.clear();
+  this->RunFor(Milliseconds{ 2900 });
+  EXPECT_TRUE(this->workers.At("w1").running.empty()) << "a gang must not time out at its workers";
+  this->workers.At("w1").isStalled = false;
+  this->AcceptJob(MakeJob("other", 1, 4));
+  this->RunFor(Milliseconds{ 300 });
+  ASSERT_EQ(this->workers.starts.size(), 3U);
+  EXPECT_EQ(this->workers.starts.back().worker.value, "w1");
+}
+
 TEST_F(CellSchedulerTest, QuarantinesAWorkerThatFailsTheTasksOfOneJob)
 {
   this->entries = { this->workers.Add("bad", 8), this->workers.Add("good", 4) };
