--- a/Libraries/LibCell/CellScheduler.cpp
+++ b/Libraries/LibCell/CellScheduler.cpp
@@ -29,7 +29,7 @@
   const auto now = this->dependencies.clock.Now();
   this->termBegin = now;
   this->fencingToken = aSnapshot.fencingToken;
-  this->predecessorDrainingJobs = std::move(aSnapshot.drainingJobs);
+  this->inheritedDrainingJobs = std::move(aSnapshot.drainingJobs);
   if (aSnapshot.hadPredecessor) {
     this->unsyncedWorkers.insert(aSnapshot.previousWorkers.begin(),
                                  aSnapshot.previousWorkers.end());
@@ -51,7 +51,7 @@
   this->isAdoptingJobs = true;
   this->OnJobRows(aSnapshot.jobRows);
   this->isAdoptingJobs = false;
-  if (!this->HasOpenUnsyncedWorkers()) {
+  if (!this->HasUnrestrictedUnsyncedWorkers()) {
     this->ResolveTasks();
   }
   this->dependencies.log.Log(LogLevel::Info,
@@ -244,8 +244,8 @@
 {
   DrainingJobs draining;
   for (const auto& id : this->unsyncedWorkers) {
-    const auto inherited = this->predecessorDrainingJobs.find(id);
-    if (inherited != this->predecessorDrainingJobs.end()) {
+    const auto inherited = this->inheritedDrainingJobs.find(id);
+    if (inherited != this->inheritedDrainingJobs.end()) {
       draining.insert(*inherited);
     }
   }
--- a/Libraries/LibCell/CellScheduler.h
+++ b/Libraries/LibCell/CellScheduler.h
@@ -368,7 +368,7 @@
   /// Makes unresolved tasks waiting ones if no run of them can exist at an unsynced worker.
   void ResolveTasks();
   /// @return true if any job may have runs at an unsynced worker
-  [[nodiscard]] bool HasOpenUnsyncedWorkers() const;
+  [[nodiscard]] bool HasUnrestrictedUnsyncedWorkers() const;
   /// Extends the lease on the leader's side.
   /// @return the lease's deadline on the worker's clock, ms
   [[nodiscard]] std::int64_t ExtendLease(Worker& aWorker);
@@ -472,7 +472,7 @@
   /// Earmarks the workers with the most free room: batch tasks stay off them until the gang fits.
   void EarmarkWorkersForGang(const Candidate& aCandidate, const Pool& aPool);
   void ReleaseReservation(StepRun& aRun, const StepSpecification& aStep);
-  [[nodiscard]] bool IsValid(const CachedTicket* aTicket) const;
+  [[nodiscard]] bool IsTicketValid(const CachedTicket* aTicket) const;
   void StartTask(const Candidate& aCandidate,
                  std::uint32_t aIndex,
                  Worker& aWorker,
@@ -482,10 +482,12 @@
                      const TaskName& aTask,
                      std::uint64_t aRun,
                      const Result<OrderResult>& aResult);
+  /// @param aReason why the order was not sent or not accepted, for the log
   void OnStartRejected(Worker& aWorker,
                        const TaskName& aTask,
                        std::uint64_t aRun,
-                       OrderResult aResult);
+                       OrderResult aResult,
+                       std::string_view aReason);
   [[nodiscard]] Pool* FindPool(const std::string& aName);
   /// @return the workers of the pool, those with the most free processors first. Sorts once per
   /// round, and only if a step needs the order.
@@ -512,7 +514,7 @@
   std::set<WorkerId> unsyncedWorkers;
   /// Jobs that may have runs at unsynced workers that were draining. An unsynced worker that is not
   /// in it may have runs of any job.
-  DrainingJobs predecessorDrainingJobs;
+  DrainingJobs inheritedDrainingJobs;
   /// Unsynced workers without a row since the term began. They count as ended after a timeout.
   std::set<WorkerId> presumedGoneWorkers;
   TimePoint olderLeasesExpiry{};
--- a/Libraries/LibCell/CellSchedulerAdvice.cpp
+++ b/Libraries/LibCell/CellSchedulerAdvice.cpp
@@ -33,7 +33,7 @@
   std::size_t room = 0;
   for (const auto* worker : this->FindEligibleWorkers(aCandidate, aPool, false)) {
     const auto fits = CountFittingTasks(*worker, demand, step.count);
-    if (fits == 0 || this->IsValid(run.advice.FindTicket(worker->number))) {
+    if (fits == 0 || this->IsTicketValid(run.advice.FindTicket(worker->number))) {
       continue;
     }
     requested.push_back(worker->number);
--- a/Libraries/LibCell/CellSchedulerGangs.cpp
+++ b/Libraries/LibCell/CellSchedulerGangs.cpp
@@ -29,8 +29,7 @@
   }
   const auto demand = AllocatedDemand(step);
   const auto total = demand * step.count;
-  const bool isReserved = run.reservation.has_value();
-  if (isReserved && run.reservation->expires < now) {
+  if (run.reservation && run.reservation->expires < now) {
     this->ReleaseReservation(run, step);
   }
   if (run.reservation) {
@@ -112,7 +111,7 @@
       this->ReleaseReservation(run, *aCandidate.specification);
       return;
     }
-    if (!this->IsValid(run.advice.FindTicket(number))) {
+    if (!this->IsTicketValid(run.advice.FindTicket(number))) {
       return;
     }
     assigned.push_back(worker);
--- a/Libraries/LibCell/CellSchedulerPlacement.cpp
+++ b/Libraries/LibCell/CellSchedulerPlacement.cpp
@@ -281,7 +281,7 @@
 }
 
 bool
-CellScheduler::IsValid(const CachedTicket* aTicket) const
+CellScheduler::IsTicketValid(const CachedTicket* aTicket) const
 {
   return aTicket != nullptr && aTicket->expires > this->roundBegin + kTicketMargin;
 }
@@ -310,7 +310,7 @@
     auto* worker = this->workers.FindByNumber(ticket.worker);
     const bool isInPool = worker != nullptr && worker->pooledInRound == this->placementRound &&
                           worker->entry.pool == aCandidate.queue->pool;
-    if (isInPool && (!aNeedsTicket || this->IsValid(&ticket))) {
+    if (isInPool && (!aNeedsTicket || this->IsTicketValid(&ticket))) {
       addIfEligible(worker);
     }
   }
--- a/Libraries/LibCell/CellSchedulerRecords.cpp
+++ b/Libraries/LibCell/CellSchedulerRecords.cpp
@@ -7,10 +7,11 @@
 
 namespace {
 
-/// A transaction holds at most 100 entries; each job needs a condition and a write, and each
-/// partition a condition on the term.
+/// Conditions, writes and removals that the store accepts in one transaction.
+constexpr std::size_t kMaxEntriesPerTransaction = 100;
+/// Each job needs a condition and a write, and each partition a condition on the term.
 constexpr std::size_t kMaxJobsPerFlush = 48;
-static_assert(2 * kMaxJobsPerFlush + kProgressPartitionCount <= 100);
+static_assert(2 * kMaxJobsPerFlush + kProgressPartitionCount <= kMaxEntriesPerTransaction);
 /// Each job needs a write and a removal.
 constexpr std::size_t kJobsPerCompaction = 40;
 constexpr Milliseconds kCompactionInterval{ 250 };
--- a/Libraries/LibCell/CellSchedulerStarts.cpp
+++ b/Libraries/LibCell/CellSchedulerStarts.cpp
@@ -107,14 +107,16 @@
     }
     return;
   }
-  this->OnStartRejected(worker, aTask, aRun, result);
+  this->OnStartRejected(
+    worker, aTask, aRun, result, IsError(aResult) ? ErrorOf(aResult).message : ToString(result));
 }
 
 void
 CellScheduler::OnStartRejected(Worker& aWorker,
                                const TaskName& aTask,
                                std::uint64_t aRun,
-                               OrderResult aResult)
+                               OrderResult aResult,
+                               std::string_view aReason)
 {
   const auto now = this->dependencies.clock.Now();
   this->dependencies.log.Log(LogLevel::Warning,
@@ -124,7 +126,8 @@
                                { "index", aTask.key.index },
                                { "run", aRun },
                                { "worker", aWorker.entry.id.value },
-                               { "answer", static_cast<int>(aResult) } });
+                               { "answer", static_cast<int>(aResult) },
+                               { "reason", aReason } });
   if (aResult == OrderResult::Fenced) {
     this->StepDown("a worker has seen a higher fencing token");
     return;
--- a/Libraries/LibCell/CellSchedulerWorkers.cpp
+++ b/Libraries/LibCell/CellSchedulerWorkers.cpp
@@ -20,8 +20,6 @@
 /// Delay before a service task that ended is started again; limits the restarts of one that fails
 /// immediately.
 constexpr Milliseconds kServiceRestartDelay{ 200 };
-/// How long a worker that rejected an order as unhealthy is avoided.
-constexpr Milliseconds kRejectionAvoidance{ 1500 };
 /// Interval of the lease renewals of a worker whose ends are not stored yet.
 constexpr Milliseconds kUnacknowledgedRenewalInterval{ 400 };
 
@@ -633,11 +631,11 @@
 void
 CellScheduler::MarkWorkerSynced(const WorkerId& aWorker)
 {
-  const bool wasOpen = !this->predecessorDrainingJobs.contains(aWorker);
-  if (this->unsyncedWorkers.erase(aWorker) == 0 || this->HasOpenUnsyncedWorkers()) {
+  const bool wasUnrestricted = !this->inheritedDrainingJobs.contains(aWorker);
+  if (this->unsyncedWorkers.erase(aWorker) == 0 || this->HasUnrestrictedUnsyncedWorkers()) {
     return;
   }
-  if (wasOpen || this->unsyncedWorkers.empty()) {
+  if (wasUnrestricted || this->unsyncedWorkers.empty()) {
     this->dependencies.log.Log(
       LogLevel::Info,
       "workers_read",
@@ -649,10 +647,10 @@
 }
 
 bool
-CellScheduler::HasOpenUnsyncedWorkers() const
+CellScheduler::HasUnrestrictedUnsyncedWorkers() const
 {
   return std::ranges::any_of(this->unsyncedWorkers, [this](const WorkerId& aId) {
-    return !this->predecessorDrainingJobs.contains(aId);
+    return !this->inheritedDrainingJobs.contains(aId);
   });
 }
 
@@ -661,7 +659,7 @@
 {
   std::set<JobId> uncertain;
   for (const auto& id : this->unsyncedWorkers) {
-    const auto& jobs = this->predecessorDrainingJobs.at(id);
+    const auto& jobs = this->inheritedDrainingJobs.at(id);
     uncertain.insert(jobs.begin(), jobs.end());
   }
   for (const auto& [id, job] : this->activeJobs) {
--- a/Libraries/LibCell/Forward.h
+++ b/Libraries/LibCell/Forward.h
@@ -9,10 +9,13 @@
 class CellScheduler;
 class Intake;
 class LeaderElection;
+class StepAdvice;
 class TableWatcher;
+class WorkerTable;
 struct CellPolicy;
 struct Job;
 struct JobSpecification;
 struct Worker;
+struct WorkspaceUsage;
 
 }
--- a/Libraries/LibCell/LeaderElection.h
+++ b/Libraries/LibCell/LeaderElection.h
@@ -230,6 +230,7 @@
   TimePoint createdAt{};
   /// Since when the row is known not to have changed; moves on while it cannot be read.
   TimePoint unchangedSince{};
+  /// Time of the last call of @ref Tick.
   TimePoint lastTick{};
   /// When the record could not be read last.
   std::optional<TimePoint> unreadableAt;
--- a/Libraries/LibCell/Ports.h
+++ b/Libraries/LibCell/Ports.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <string_view>
 #include <tuple>
 #include <vector>
 
@@ -255,6 +256,31 @@
   Rejected,
 };
 
+/// @return a short description of the result, for logs
+[[nodiscard]] constexpr std::string_view
+ToString(OrderResult aResult)
+{
+  switch (aResult) {
+    case OrderResult::Accepted:
+      return "accepted";
+    case OrderResult::Fenced:
+      return "fenced";
+    case OrderResult::StaleRun:
+      return "stale run";
+    case OrderResult::DeadlinePassed:
+      return "deadline passed";
+    case OrderResult::InsufficientCapacity:
+      return "insufficient capacity";
+    case OrderResult::InvalidTicket:
+      return "invalid ticket";
+    case OrderResult::WrongIncarnation:
+      return "other incarnation";
+    case OrderResult::Rejected:
+      return "rejected";
+  }
+  return "unknown";
+}
+
 /// The platform's workers. A verdict in place of a result says whether the order may still be
 /// carried out.
 class WorkerPort
--- a/Libraries/LibCell/Worker.h
+++ b/Libraries/LibCell/Worker.h
@@ -86,6 +86,7 @@
 struct Worker
 {
   WorkerEntry entry;
+  /// Assigned by @ref WorkerTable.
   WorkerNumber number = 0;
   /// The store has a row of the worker.
   bool isListed = true;
--- a/Libraries/LibCell/WorkerTable.cpp
+++ b/Libraries/LibCell/WorkerTable.cpp
@@ -6,6 +6,7 @@
 
 namespace {
 
+/// Projection for the order of @ref WorkerTable::All.
 const WorkerId&
 IdOf(const Worker* aWorker)
 {
