--- a/Tests/Benchmarks/Scheduler/Main.cpp
+++ b/Tests/Benchmarks/Scheduler/Main.cpp
@@ -75,7 +75,7 @@
   }
 }
 
-/// The mixed load, and a backlog of batch jobs for which the policy service knows no worker.
+/// The mixed load, and a backlog of batch jobs that is submitted at once.
 void
 CellWithBacklog(benchmark::State& aState)
 {
--- a/Tests/Benchmarks/Scheduler/SimulatedCell.cpp
+++ b/Tests/Benchmarks/Scheduler/SimulatedCell.cpp
@@ -18,6 +18,8 @@
 constexpr std::int64_t kTaskMiB = 1024;
 constexpr std::size_t kWorkersPerRack = 8;
 constexpr int kMsPerPercent = 50;
+/// Fraction of the workers that are eligible for a step.
+constexpr double kEligibleFraction = 0.25;
 
 }
 
@@ -94,9 +96,7 @@
 SimulatedCell::Measure(const std::function<void()>& aCall)
 {
   const auto begin = std::chrono::steady_clock::now();
-  this->isMeasuring = true;
   aCall();
-  this->isMeasuring = false;
   const auto duration = std::chrono::steady_clock::now() - begin;
   this->cost.time += duration;
   this->cost.longestTick = std::max<std::chrono::nanoseconds>(this->cost.longestTick, duration);
@@ -268,8 +268,7 @@
 {
   constexpr std::size_t kBuckets = 1000;
   const auto hash = std::hash<std::string>{}(aStep.job.value + aWorker.value);
-  return static_cast<double>(hash % kBuckets) <
-         this->eligibleFraction * static_cast<double>(kBuckets);
+  return static_cast<double>(hash % kBuckets) < kEligibleFraction * static_cast<double>(kBuckets);
 }
 
 void
--- a/Tests/Benchmarks/Scheduler/SimulatedCell.h
+++ b/Tests/Benchmarks/Scheduler/SimulatedCell.h
@@ -71,8 +71,6 @@
   SchedulerCost RunFor(Milliseconds aDuration);
   /// Submits jobs at once, beyond the rates of the kinds.
   void Submit(const JobKind& aKind, std::size_t aJobs);
-  /// Makes the policy service find no eligible worker.
-  void RejectAllWorkers() { this->eligibleFraction = 0.0; }
 
   void RenewLease(LeaseRenewal aOrder,
                   Handler<std::variant<WorkerReport, OrderResult>> aHandler) override;
@@ -127,10 +125,8 @@
   std::unordered_map<WorkerId, WorkerState> workers;
   std::unordered_map<JobId, Milliseconds> runTimes;
   std::map<std::string, TimePoint> adviceBusyUntil;
-  double eligibleFraction = 0.25;
   std::uint64_t storeVersion = 1;
   std::uint64_t jobsSubmitted = 0;
-  bool isMeasuring = false;
   SchedulerCost cost;
   std::unique_ptr<CellScheduler> scheduler;
 };
