LibCell: Log and count each run that is lost with its worker

runs_lost gave only the number of runs at a worker, so the logs could not tell a task that crashes its workers from its neighbours, nor a crash from a cut. run_lost names job, task, run, worker, machine, rack, and the age and silence. zinc_cell_lost_runs_total counts them by how the loss was learned. No change of logic.

--- a/Libraries/LibCell/CellScheduler.h
+++ b/Libraries/LibCell/CellScheduler.h
@@ -355,6 +355,9 @@
   void OnWorkerRestarted(Worker& aWorker, std::string_view aReason);
   /// Releases all allocations of a worker whose runs have ended without a report.
   void RequeueLostRuns(Worker& aWorker, std::string_view aReason);
+  void LogLostRun(const Worker& aWorker,
+                  const Allocation& aAllocation,
+                  std::string_view aReason) const;
   /// Requeues the runs of unreachable workers whose lease has expired, and removes the unlisted
   /// ones.
   void RemoveLostWorkers();
--- a/Libraries/LibCell/CellSchedulerWorkers.cpp
+++ b/Libraries/LibCell/CellSchedulerWorkers.cpp
@@ -547,7 +547,13 @@
                                { "runs", aWorker.allocations.size() },
                                { "reason", aReason } });
   const auto lostRuns = aWorker.allocations;
+  this->dependencies.metrics
+    .FindCounter({ .name = "zinc_cell_lost_runs_total",
+                   .help = "Runs that were lost with their worker, by how that was learned." },
+                 { { "reason", std::string(aReason) } })
+    .Add(lostRuns.size());
   for (const auto& allocation : lostRuns) {
+    this->LogLostRun(aWorker, allocation, aReason);
     this->SaveCheckpoint(allocation);
     this->ReleaseAllocation(aWorker, allocation.task, allocation.run);
     this->RequeueRun(allocation.task, allocation.run);
@@ -558,6 +564,26 @@
   }
 }
 
+void
+CellScheduler::LogLostRun(const Worker& aWorker,
+                          const Allocation& aAllocation,
+                          std::string_view aReason) const
+{
+  const auto now = this->dependencies.clock.Now();
+  this->dependencies.log.Log(LogLevel::Info,
+                             "run_lost",
+                             { { "job", aAllocation.task.job.value },
+                               { "step", aAllocation.task.key.step },
+                               { "index", aAllocation.task.key.index },
+                               { "run", aAllocation.run },
+                               { "worker", aWorker.entry.id.value },
+                               { "machine", aWorker.entry.machine },
+                               { "rack", aWorker.entry.rack.value },
+                               { "reason", aReason },
+                               { "age_ms", (now - aAllocation.startedAt).count() },
+                               { "silent_ms", (now - aWorker.lastResponse).count() } });
+}
+
 void
 CellScheduler::SaveCheckpoint(const Allocation& aAllocation)
 {
