--- a/Tests/LibCell/CellSchedulerFixture.cpp
+++ b/Tests/LibCell/CellSchedulerFixture.cpp
@@ -86,6 +86,18 @@
                                .workers = this->entries });
 }
 
+void
+CellSchedulerFixture::ListRestartedWorkers()
+{
+  for (const auto& entry : this->workers.Advance()) {
+    std::erase_if(this->entries, [&entry](const WorkerEntry& aEntry) {
+      return aEntry.machine == entry.machine;
+    });
+    this->entries.push_back(entry);
+    this->scheduler->OnWorkerEntry(entry);
+  }
+}
+
 void
 CellSchedulerFixture::RunFor(Milliseconds aDuration)
 {
@@ -95,6 +107,7 @@
     if (this->publishesWorkers) {
       this->scheduler->OnWorkersPublished(this->scheduler->WorkersToPublish());
     }
+    this->ListRestartedWorkers();
     this->workers.Deliver();
     this->advice.Deliver();
     this->clock.Advance(kStep);
--- a/Tests/LibCell/CellSchedulerFixture.h
+++ b/Tests/LibCell/CellSchedulerFixture.h
@@ -84,6 +84,8 @@
   DrainingJobs drainingJobs;
   /// Age of the predecessor's leader record at the next @ref BeginTerm.
   std::optional<Milliseconds> predecessorRecordAge;
+  /// Hands the rows of workers that have restarted to the scheduler.
+  void ListRestartedWorkers();
   /// Advances the clock in steps of 10 ms; each runs a tick and delivers responses.
   void RunFor(Milliseconds aDuration);
   [[nodiscard]] JobStatus StatusOf(const std::string& aId) const
--- a/Tests/LibCell/SimulatedWorkers.cpp
+++ b/Tests/LibCell/SimulatedWorkers.cpp
@@ -139,6 +139,8 @@
   };
   if (aOrder.maxWait.count() > 0 && worker.ended.empty()) {
     this->delayedRenewals.push_back({ .worker = aOrder.target.worker,
+                                      .incarnation = worker.entry.incarnation,
+                                      .reportLoss = reportLoss,
                                       .until = this->clock.Now() + aOrder.maxWait,
                                       .respond = respond });
     return;
@@ -177,6 +179,9 @@
                            .checkpoint = aOrder.checkpoint,
                            .ticket = aOrder.ticket,
                            .acceptedAt = this->clock.Now() });
+  if (this->crashesWorker && this->crashesWorker(aOrder.task) && !aWorker.crashAt) {
+    aWorker.crashAt = this->clock.Now() + this->crashDelay;
+  }
   return OrderResult::Accepted;
 }
 
@@ -189,6 +194,11 @@
     this->pendingResponses.push_back(reportLoss);
     return;
   }
+  if (found->second.delaysStarts) {
+    this->delayedStarts.push_back(std::move(aOrder));
+    this->pendingResponses.push_back(reportLoss);
+    return;
+  }
   this->ExpireLease(found->second);
   const auto result = this->ExecuteStart(found->second, aOrder);
   this->QueueResponse(aOrder.target.worker, reportLoss, [aHandler, result] { aHandler(result); });
@@ -225,6 +235,78 @@
   this->pendingResponses.push_back([aHandler] { aHandler(OrderResult::Accepted); });
 }
 
+WorkerEntry
+SimulatedWorkers::SetCapacity(const std::string& aId, std::int64_t aCores)
+{
+  auto& worker = this->At(aId);
+  worker.entry.capacity = { .milliCores = aCores * 1000, .memoryMiB = aCores * 2048 };
+  return worker.entry;
+}
+
+void
+SimulatedWorkers::Crash(const std::string& aId)
+{
+  auto& worker = this->At(aId);
+  ObservedCrash crash{ .worker = { aId } };
+  for (const auto& [key, run] : worker.running) {
+    crash.tasks.push_back(run.task);
+  }
+  this->crashes.push_back(std::move(crash));
+  worker.running.clear();
+  worker.ended.clear();
+  worker.isReachable = false;
+  worker.crashAt.reset();
+  worker.restartAt = this->clock.Now() + this->restartDelay;
+}
+
+void
+SimulatedWorkers::Restart(const Worker& aWorker, std::vector<WorkerEntry>& aEntries)
+{
+  Worker next;
+  next.entry = aWorker.entry;
+  ++next.entry.incarnation;
+  next.delaysStarts = aWorker.delaysStarts;
+  if (this->restartMode == RestartMode::GetsNewId) {
+    next.entry.id = { fmt::format("{}-{}", next.entry.machine, next.entry.incarnation) };
+  }
+  const auto id = next.entry.id;
+  aEntries.push_back(next.entry);
+  this->workers[id] = std::move(next);
+  auto orders = std::move(this->delayedStarts);
+  this->delayedStarts.clear();
+  for (auto& order : orders) {
+    if (order.target.worker == id) {
+      static_cast<void>(this->ExecuteStart(this->workers.at(id), order));
+    } else {
+      this->delayedStarts.push_back(std::move(order));
+    }
+  }
+}
+
+std::vector<WorkerEntry>
+SimulatedWorkers::Advance()
+{
+  const auto now = this->clock.Now();
+  std::vector<std::string> crashing;
+  std::vector<Worker> restarting;
+  for (auto& [id, worker] : this->workers) {
+    if (worker.crashAt && *worker.crashAt <= now) {
+      crashing.push_back(id.value);
+    } else if (worker.restartAt && *worker.restartAt <= now) {
+      restarting.push_back(worker);
+      worker.restartAt.reset();
+    }
+  }
+  for (const auto& id : crashing) {
+    this->Crash(id);
+  }
+  std::vector<WorkerEntry> entries;
+  for (const auto& worker : restarting) {
+    this->Restart(worker, entries);
+  }
+  return entries;
+}
+
 void
 SimulatedWorkers::Deliver()
 {
@@ -233,7 +315,9 @@
   this->delayedRenewals.clear();
   for (auto& renewal : delayed) {
     const auto& worker = this->workers.at(renewal.worker);
-    if (!worker.ended.empty() || renewal.until <= now || !worker.isReachable) {
+    if (worker.restartAt || worker.entry.incarnation != renewal.incarnation) {
+      this->pendingResponses.push_back(std::move(renewal.reportLoss));
+    } else if (!worker.ended.empty() || renewal.until <= now || !worker.isReachable) {
       this->pendingResponses.push_back(std::move(renewal.respond));
     } else {
       this->delayedRenewals.push_back(std::move(renewal));
--- a/Tests/LibCell/SimulatedWorkers.h
+++ b/Tests/LibCell/SimulatedWorkers.h
@@ -1,8 +1,8 @@
 #pragma once
 
 /// @file
-/// In-memory workers that follow the platform's rules, and can become unreachable, lose responses
-/// and stall.
+/// In-memory workers that follow the platform's rules, and can become unreachable, lose responses,
+/// stall and crash.
 
 #include <LibCell/Ports.h>
 #include <deque>
@@ -27,6 +27,20 @@
   TimePoint acceptedAt{};
 };
 
+/// A crash of a worker with what ran there.
+struct ObservedCrash
+{
+  WorkerId worker;
+  std::vector<TaskName> tasks;
+};
+
+/// How a worker returns after a crash.
+enum class RestartMode : std::uint8_t
+{
+  KeepsId,
+  GetsNewId,
+};
+
 /// All workers of a cell. Orders take effect immediately; responses are queued until @ref Deliver,
 /// so that a test controls their time and loss.
 class SimulatedWorkers final : public WorkerPort
@@ -42,6 +56,12 @@
     bool rejectsStarts = false;
     /// Stop orders are accepted without effect.
     bool ignoresStops = false;
+    /// Start orders that get no response are carried out by the next incarnation under the same id.
+    bool delaysStarts = false;
+    /// When the worker crashes.
+    std::optional<TimePoint> crashAt;
+    /// When the worker starts again after a crash.
+    std::optional<TimePoint> restartAt;
     /// Its runs make no progress.
     bool isStalled = false;
     /// Progress that stalled runs report.
@@ -71,6 +91,15 @@
   void End(const std::string& aWorker, const TaskName& aTask, RunOutcome aOutcome);
   /// Ends the runs of all workers.
   void EndAll(RunOutcome aOutcome = RunOutcome::Succeeded);
+  /// Ends all runs of a worker without a report. It returns after @ref restartDelay as a new
+  /// incarnation.
+  void Crash(const std::string& aId);
+  /// Crashes and restarts the workers that are due.
+  /// @return the entries of workers that have restarted, for the scheduler
+  std::vector<WorkerEntry> Advance();
+  /// Changes what a worker says of its capacity.
+  /// @return its entry, for the scheduler
+  WorkerEntry SetCapacity(const std::string& aId, std::int64_t aCores);
   /// Delivers the queued responses. The response to a lease renewal that waits for an end
   /// is due once there is one, the wait is over or the worker is unreachable.
   void Deliver();
@@ -82,6 +111,12 @@
   void Throttle(RunOrder aOrder, int aPercent, Handler<OrderResult> aHandler) override;
   void Disconnect(const WorkerId& aWorker) override { this->disconnected.insert(aWorker); }
 
+  /// Returns true for tasks that crash their worker after @ref crashDelay.
+  std::function<bool(const TaskName&)> crashesWorker;
+  Milliseconds crashDelay{ 100 };
+  Milliseconds restartDelay{ 2000 };
+  RestartMode restartMode = RestartMode::KeepsId;
+  std::vector<ObservedCrash> crashes;
   std::vector<ObservedStart> starts;
   std::vector<RunOrder> stops;
   std::vector<std::pair<RunOrder, int>> throttles;
@@ -100,13 +135,19 @@
   const ManualClock& clock;
   std::map<WorkerId, Worker> workers;
   std::deque<std::function<void()>> pendingResponses;
+  void Restart(const Worker& aWorker, std::vector<WorkerEntry>& aEntries);
+
   struct DelayedRenewal
   {
     WorkerId worker;
+    std::int64_t incarnation = 0;
+    std::function<void()> reportLoss;
     TimePoint until{};
     std::function<void()> respond;
   };
   std::vector<DelayedRenewal> delayedRenewals;
+  /// Start orders that the next incarnation carries out.
+  std::vector<StartOrder> delayedStarts;
 };
 
 }
