LibCell: Give up a task that has crashed its workers

Cause: only ends that a worker reports as failed counted as attempts. A crash has no report; its only sign is a later incarnation on the same machine, which may show long after the lease has expired and the task has started elsewhere.

LostWorkers remembers what each machine ran when contact with it was lost. A later incarnation confirms the crash; the same incarnation dismisses it, so that a cut zone counts nothing. Draining workers are left out. A crash counts against each task that ran there and is stored with the job's progress. A task is given up after two crashes if no other job at the worker had crashed one before, and after three otherwise. Suspects are placed apart from each other where there is room, which tells a crashing task from its neighbours. A rack that is lost as a whole counts against no task, unless one job ran on all of its workers; five lost workers are the limit for any cause.

--- a/Libraries/LibCell/CellScheduler.h
+++ b/Libraries/LibCell/CellScheduler.h
@@ -6,6 +6,7 @@
 #include <LibBase/Time.h>
 #include <LibCell/AdviceDispatcher.h>
 #include <LibCell/Job.h>
+#include <LibCell/LostWorkers.h>
 #include <LibCell/Placement.h>
 #include <LibCell/Policy.h>
 #include <LibCell/Ports.h>
@@ -103,6 +104,9 @@
   /// How long before its due time an occurrence may start. The platform's tolerance covers clock
   /// differences.
   Milliseconds maxEarlyStart{ 0 };
+  /// A run of this length at a worker that crashes then does not count together with earlier
+  /// crashes.
+  Milliseconds crashHistoryReset{ 600'000 };
   /// A run hangs if it makes no progress for half its estimate, or for this long if that is less.
   Milliseconds maxStallTimeout{ 2500 };
 };
@@ -358,6 +362,8 @@
   void LogLostRun(const Worker& aWorker,
                   const Allocation& aAllocation,
                   std::string_view aReason) const;
+  /// Adds a worker, or updates a known one; ends the incarnations that it supersedes.
+  void ApplyWorkerEntry(const WorkerEntry& aEntry);
   /// Requeues the runs of unreachable workers whose lease has expired, and removes the unlisted
   /// ones.
   void RemoveLostWorkers();
@@ -399,6 +405,35 @@
   /// Ends all activity after another leader has taken over.
   void StepDown(std::string_view aReason);
 
+  // Crashes of workers.
+  /// Remembers what a worker ran when contact with it was lost. Does nothing for a draining worker,
+  /// which is expected to leave.
+  void RecordWorkerLoss(const Worker& aWorker);
+  /// Counts the crash of a machine whose process has started again.
+  /// @param aBefore start of the later process, Unix ms
+  void ConfirmCrash(const std::string& aMachine, std::int64_t aBefore);
+  /// Counts a crash against the tasks that ran at the worker, unless its whole rack was lost.
+  void OnWorkerCrashed(const WorkerLoss& aLoss);
+  /// @return nothing if a worker of the lost one's rack responded on; otherwise the jobs that had
+  /// runs at every worker of the rack, and so may have crashed them all
+  [[nodiscard]] std::optional<std::set<JobId>> FindJobsAtLostRack(const WorkerLoss& aLoss) const;
+  /// Counts a run during which its worker crashed; fails the job after too many.
+  /// @param aIsOnlySuspect no other job at the worker has crashed a worker before
+  void RecordCrashedRun(const LostRun& aRun, const WorkerId& aWorker, bool aIsOnlySuspect);
+  /// Counts a run that was lost with its whole rack; fails the job after very many.
+  void RecordRackLoss(const LostRun& aRun);
+  /// @return the task of a run if it is not over yet
+  [[nodiscard]] Task* FindOpenTask(const LostRun& aRun);
+  /// Fails the job if its task has crashed too many workers.
+  void GiveUpCrashingTask(const LostRun& aRun, bool aIsOnlySuspect);
+  /// @return true if a run of another job that has crashed a worker is at this one
+  [[nodiscard]] bool HostsOtherCrashSuspect(const Worker& aWorker, const Job& aJob);
+  /// Removes the workers at which a run of another suspect is, if the job is a suspect itself: a
+  /// crash then tells which of them is the cause.
+  /// @return the workers to choose from first
+  [[nodiscard]] std::vector<Worker*> KeepSuspectsApart(const Job& aJob,
+                                                       std::vector<Worker*> aWorkers);
+
   // Sharing of workers between service tasks and best-effort tasks.
   void ThrottleBestEffortTasks(Worker& aWorker);
 
@@ -454,10 +489,16 @@
                         const Result<AdviceResponse>& aResponse);
   void NotifyPlacementDue();
   /// Chooses a worker for a task, if possible another one than where its last run failed.
-  [[nodiscard]] Worker* ChooseWorkerFor(const Task& aTask,
+  [[nodiscard]] Worker* ChooseWorkerFor(const Job& aJob,
+                                        const Task& aTask,
                                         const std::vector<Worker*>& aEligible,
                                         const StepSpecification& aStep,
-                                        const TaskCountFunction& aCount) const;
+                                        const TaskCountFunction& aCount);
+  /// Chooses workers for a gang among eligible ones, if possible apart from other suspects of a
+  /// crash.
+  [[nodiscard]] std::optional<std::vector<Worker*>> AssignGangTo(
+    const Candidate& aCandidate,
+    const std::vector<Worker*>& aEligible);
   /// Requests new tickets for eligible workers with room.
   void RenewTickets(const Candidate& aCandidate, Pool& aPool);
   /// @return workers that no request has named yet, those with the most room first. Together with
@@ -543,6 +584,8 @@
   TimePoint nextCompaction{};
 
   WorkerTable workers;
+  /// Losses of contact that may turn out to be crashes.
+  LostWorkers lostWorkers;
   /// Workers with ends that are not acknowledged yet.
   std::set<WorkerNumber> workersWithEnds;
   std::unordered_map<std::string, Pool> pools;
--- /dev/null
+++ b/Libraries/LibCell/CellSchedulerCrashes.cpp
@@ -0,0 +1,252 @@
+#include <LibCell/CellScheduler.h>
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <iterator>
+
+namespace zinc::cell {
+
+namespace {
+
+/// Workers that were lost together responded last within this time of each other: an idle worker
+/// responds only when the wait of its lease renewal is over.
+constexpr Milliseconds kSimultaneousLossWindow{ 2000 };
+/// Crashes after which a task is given up if it is the only suspect, and otherwise.
+constexpr std::size_t kMaxCrashesOfOnlySuspect = 2;
+constexpr std::size_t kMaxCrashes = 3;
+/// Lost workers after which a task is given up, including those that were lost with their racks.
+constexpr std::size_t kMaxLostWorkers = 5;
+
+std::set<JobId>
+JobsOf(std::span<const LostRun> aRuns)
+{
+  std::set<JobId> jobs;
+  for (const auto& run : aRuns) {
+    jobs.insert(run.task.job);
+  }
+  return jobs;
+}
+
+std::set<JobId>
+JobsAt(const Worker& aWorker)
+{
+  std::set<JobId> jobs;
+  for (const auto& allocation : aWorker.allocations) {
+    jobs.insert(allocation.task.job);
+  }
+  return jobs;
+}
+
+std::set<JobId>
+Intersect(const std::set<JobId>& aLeft, const std::set<JobId>& aRight)
+{
+  std::set<JobId> both;
+  std::ranges::set_intersection(aLeft, aRight, std::inserter(both, both.end()));
+  return both;
+}
+
+}
+
+void
+CellScheduler::RecordWorkerLoss(const Worker& aWorker)
+{
+  const auto incarnation = aWorker.KnownIncarnation();
+  if (aWorker.entry.isDraining || incarnation == 0) {
+    return;
+  }
+  WorkerLoss loss{ .worker = aWorker.entry.id,
+                   .machine = aWorker.entry.MachineOrId(),
+                   .incarnation = incarnation,
+                   .rack = aWorker.entry.rack,
+                   .lastContact = aWorker.lastResponse };
+  for (const auto& allocation : aWorker.allocations) {
+    loss.runs.push_back({ .task = allocation.task,
+                          .run = allocation.run,
+                          .age = aWorker.lastResponse - allocation.startedAt });
+  }
+  this->lostWorkers.Add(std::move(loss));
+}
+
+void
+CellScheduler::ConfirmCrash(const std::string& aMachine, std::int64_t aBefore)
+{
+  if (const auto loss = this->lostWorkers.ConfirmCrash(aMachine, aBefore)) {
+    this->OnWorkerCrashed(*loss);
+  }
+}
+
+std::optional<std::set<JobId>>
+CellScheduler::FindJobsAtLostRack(const WorkerLoss& aLoss) const
+{
+  const auto losses =
+    this->lostWorkers.FindInRack(aLoss.rack, aLoss.lastContact, kSimultaneousLossWindow);
+  auto jobs = JobsOf(aLoss.runs);
+  std::size_t lostWorkerCount = 1;
+  for (const auto* loss : losses) {
+    if (loss->machine != aLoss.machine) {
+      ++lostWorkerCount;
+      jobs = Intersect(jobs, JobsOf(loss->runs));
+    }
+  }
+  for (const auto* worker : this->workers.All()) {
+    const bool isKnownLoss = std::ranges::any_of(losses, [worker](const WorkerLoss* aOther) {
+      return aOther->machine == worker->entry.MachineOrId();
+    });
+    if (worker->entry.rack != aLoss.rack || isKnownLoss) {
+      continue;
+    }
+    const bool isSilent =
+      worker->reachability == WorkerReachability::Unreachable || worker->failedRenewals > 0;
+    if (!isSilent || worker->lastResponse > aLoss.lastContact + kSimultaneousLossWindow) {
+      return {};
+    }
+    if (worker->lastResponse + kSimultaneousLossWindow >= aLoss.lastContact) {
+      ++lostWorkerCount;
+      jobs = Intersect(jobs, JobsAt(*worker));
+    }
+  }
+  if (aLoss.rack.IsEmpty() || lostWorkerCount == 1) {
+    return {};
+  }
+  return jobs;
+}
+
+void
+CellScheduler::OnWorkerCrashed(const WorkerLoss& aLoss)
+{
+  const auto jobsAtLostRack = this->FindJobsAtLostRack(aLoss);
+  this->dependencies.metrics
+    .FindCounter({ .name = "zinc_cell_worker_crashes_total",
+                   .help = "Workers that started again without having drained." },
+                 { { "cause", jobsAtLostRack ? "rack" : "worker" } })
+    .Add();
+  this->dependencies.log.Log(LogLevel::Warning,
+                             "worker_crashed",
+                             { { "worker", aLoss.worker.value },
+                               { "machine", aLoss.machine },
+                               { "rack", aLoss.rack.value },
+                               { "runs", aLoss.runs.size() },
+                               { "rack_lost", jobsAtLostRack.has_value() } });
+  std::set<JobId> suspects;
+  for (const auto& id : JobsOf(aLoss.runs)) {
+    const auto* job = this->FindJob(id);
+    if (job != nullptr && job->outcome == JobOutcome::Active && job->isCrashSuspect) {
+      suspects.insert(id);
+    }
+  }
+  for (const auto& run : aLoss.runs) {
+    if (jobsAtLostRack && !jobsAtLostRack->contains(run.task.job)) {
+      this->RecordRackLoss(run);
+      continue;
+    }
+    const bool hasOtherSuspect = suspects.size() > suspects.count(run.task.job);
+    this->RecordCrashedRun(run, aLoss.worker, !hasOtherSuspect);
+  }
+  if (!jobsAtLostRack) {
+    return;
+  }
+  // Those that returned before the others were known to be lost counted as crashes of their own.
+  for (const auto* loss :
+       this->lostWorkers.FindInRack(aLoss.rack, aLoss.lastContact, kSimultaneousLossWindow)) {
+    for (const auto& run : loss->runs) {
+      if (loss->isCrash && !jobsAtLostRack->contains(run.task.job)) {
+        this->RecordRackLoss(run);
+      }
+    }
+  }
+}
+
+Task*
+CellScheduler::FindOpenTask(const LostRun& aRun)
+{
+  auto* job = this->FindJob(aRun.task.job);
+  if (job == nullptr || job->outcome != JobOutcome::Active) {
+    return nullptr;
+  }
+  auto* task = this->FindTask(*job, aRun.task.key);
+  return task == nullptr || task->phase == TaskPhase::Succeeded ? nullptr : task;
+}
+
+void
+CellScheduler::RecordCrashedRun(const LostRun& aRun, const WorkerId& aWorker, bool aIsOnlySuspect)
+{
+  auto* task = this->FindOpenTask(aRun);
+  if (task == nullptr) {
+    return;
+  }
+  if (aRun.age >= this->options.crashHistoryReset) {
+    task->crashedRuns.clear();
+    task->rackLossRuns.clear();
+  }
+  if (task->rackLossRuns.contains(aRun.run) || !task->crashedRuns.insert(aRun.run).second) {
+    return;
+  }
+  auto& job = *this->FindJob(aRun.task.job);
+  job.isCrashSuspect = true;
+  task->lastFailedWorker = aWorker;
+  this->MarkJobChanged(job);
+  this->dependencies.log.Log(LogLevel::Warning,
+                             "run_crashed",
+                             { { "job", aRun.task.job.value },
+                               { "step", aRun.task.key.step },
+                               { "index", aRun.task.key.index },
+                               { "run", aRun.run },
+                               { "worker", aWorker.value },
+                               { "crashes", task->crashedRuns.size() },
+                               { "only_suspect", aIsOnlySuspect } });
+  this->GiveUpCrashingTask(aRun, aIsOnlySuspect);
+}
+
+void
+CellScheduler::RecordRackLoss(const LostRun& aRun)
+{
+  auto* task = this->FindOpenTask(aRun);
+  if (task == nullptr || !task->rackLossRuns.insert(aRun.run).second) {
+    return;
+  }
+  task->crashedRuns.erase(aRun.run);
+  this->MarkJobChanged(*this->FindJob(aRun.task.job));
+  this->GiveUpCrashingTask(aRun, false);
+}
+
+void
+CellScheduler::GiveUpCrashingTask(const LostRun& aRun, bool aIsOnlySuspect)
+{
+  const auto* task = this->FindOpenTask(aRun);
+  const auto crashes = task->crashedRuns.size();
+  const auto maxCrashes = aIsOnlySuspect ? kMaxCrashesOfOnlySuspect : kMaxCrashes;
+  if (crashes < maxCrashes && crashes + task->rackLossRuns.size() < kMaxLostWorkers) {
+    return;
+  }
+  const auto& key = aRun.task.key;
+  this->EndJob(*this->FindJob(aRun.task.job),
+               JobOutcome::Failed,
+               fmt::format("task {}.{}.{} lost {} workers to crashes, {} with their racks",
+                           key.occurrence,
+                           key.step,
+                           key.index,
+                           crashes,
+                           task->rackLossRuns.size()));
+}
+
+bool
+CellScheduler::HostsOtherCrashSuspect(const Worker& aWorker, const Job& aJob)
+{
+  return std::ranges::any_of(aWorker.allocations, [this, &aJob](const Allocation& aAllocation) {
+    const auto* job = this->FindJob(aAllocation.task.job);
+    return job != nullptr && job != &aJob && job->isCrashSuspect;
+  });
+}
+
+std::vector<Worker*>
+CellScheduler::KeepSuspectsApart(const Job& aJob, std::vector<Worker*> aWorkers)
+{
+  if (aJob.isCrashSuspect) {
+    std::erase_if(aWorkers, [this, &aJob](const Worker* aWorker) {
+      return this->HostsOtherCrashSuspect(*aWorker, aJob);
+    });
+  }
+  return aWorkers;
+}
+
+}
--- a/Libraries/LibCell/CellSchedulerGangs.cpp
+++ b/Libraries/LibCell/CellSchedulerGangs.cpp
@@ -41,7 +41,8 @@
     this->EarmarkWorkersForGang(aCandidate, aPool);
     return leavesHeadroom ? WaitReason::Room : WaitReason::Headroom;
   }
-  auto assigned = AssignGang(this->FindEligibleWorkers(aCandidate, aPool, true), step);
+  auto assigned =
+    this->AssignGangTo(aCandidate, this->FindEligibleWorkers(aCandidate, aPool, true));
   if (assigned) {
     this->StartGang(aCandidate, *assigned);
     aPool.free -= total;
@@ -51,7 +52,7 @@
     this->EarmarkWorkersForGang(aCandidate, aPool);
     return WaitReason::Room;
   }
-  assigned = AssignGang(this->FindEligibleWorkers(aCandidate, aPool, false), step);
+  assigned = this->AssignGangTo(aCandidate, this->FindEligibleWorkers(aCandidate, aPool, false));
   if (!assigned) {
     this->RequestMoreAdvice(aCandidate, aPool);
     this->EarmarkWorkersForGang(aCandidate, aPool);
@@ -62,6 +63,18 @@
   return WaitReason::Ticket;
 }
 
+std::optional<std::vector<Worker*>>
+CellScheduler::AssignGangTo(const Candidate& aCandidate, const std::vector<Worker*>& aEligible)
+{
+  const auto& step = *aCandidate.specification;
+  if (aCandidate.job->isCrashSuspect) {
+    if (auto apart = AssignGang(this->KeepSuspectsApart(*aCandidate.job, aEligible), step)) {
+      return apart;
+    }
+  }
+  return AssignGang(aEligible, step);
+}
+
 void
 CellScheduler::StartGang(const Candidate& aCandidate, std::span<Worker* const> aAssigned)
 {
--- a/Libraries/LibCell/CellSchedulerJobs.cpp
+++ b/Libraries/LibCell/CellSchedulerJobs.cpp
@@ -258,6 +258,9 @@
       continue;
     }
     task->failedRuns.insert(record.failedRuns.begin(), record.failedRuns.end());
+    task->crashedRuns.insert(record.crashedRuns.begin(), record.crashedRuns.end());
+    task->rackLossRuns.insert(record.rackLossRuns.begin(), record.rackLossRuns.end());
+    aJob.isCrashSuspect = aJob.isCrashSuspect || !task->crashedRuns.empty();
     if (task->checkpoint.empty()) {
       task->checkpoint = record.checkpoint;
     }
--- a/Libraries/LibCell/CellSchedulerPlacement.cpp
+++ b/Libraries/LibCell/CellSchedulerPlacement.cpp
@@ -372,7 +372,7 @@
     if (!this->LeavesHeadroom(aCandidate, allocated, aPool)) {
       return WaitReason::Headroom;
     }
-    auto* worker = this->ChooseWorkerFor(task, eligible, step, countTasksAt);
+    auto* worker = this->ChooseWorkerFor(*aCandidate.job, task, eligible, step, countTasksAt);
     if (worker == nullptr) {
       ++unplaced;
       break;
@@ -388,15 +388,16 @@
 }
 
 Worker*
-CellScheduler::ChooseWorkerFor(const Task& aTask,
+CellScheduler::ChooseWorkerFor(const Job& aJob,
+                               const Task& aTask,
                                const std::vector<Worker*>& aEligible,
                                const StepSpecification& aStep,
-                               const TaskCountFunction& aCount) const
+                               const TaskCountFunction& aCount)
 {
-  if (aTask.lastFailedWorker.IsEmpty()) {
+  if (aTask.lastFailedWorker.IsEmpty() && !aJob.isCrashSuspect) {
     return ChooseWorker(aEligible, aStep, aCount);
   }
-  auto others = aEligible;
+  auto others = this->KeepSuspectsApart(aJob, aEligible);
   std::erase_if(others, [&aTask](const Worker* aWorker) {
     return aWorker->entry.id == aTask.lastFailedWorker;
   });
--- a/Libraries/LibCell/CellSchedulerWorkers.cpp
+++ b/Libraries/LibCell/CellSchedulerWorkers.cpp
@@ -20,6 +20,8 @@
 /// Delay before a service task that ended is started again; limits the restarts of one that fails
 /// immediately.
 constexpr Milliseconds kServiceRestartDelay{ 200 };
+/// How long a loss of contact may turn out to be a crash.
+constexpr Milliseconds kLossRetention{ 60'000 };
 /// Interval of the lease renewals of a worker whose ends are not stored yet.
 constexpr Milliseconds kUnacknowledgedRenewalInterval{ 400 };
 
@@ -43,9 +45,16 @@
 void
 CellScheduler::OnWorkerEntry(const WorkerEntry& aEntry)
 {
-  const auto now = this->dependencies.clock.Now();
   this->isPlacementDue = true;
   this->presumedGoneWorkers.erase(aEntry.id);
+  this->ApplyWorkerEntry(aEntry);
+  this->ConfirmCrash(aEntry.MachineOrId(), aEntry.incarnation);
+}
+
+void
+CellScheduler::ApplyWorkerEntry(const WorkerEntry& aEntry)
+{
+  const auto now = this->dependencies.clock.Now();
   auto* known = this->workers.Find(aEntry.id);
   if (known == nullptr) {
     auto& added = this->workers.Add(aEntry);
@@ -78,12 +87,12 @@
       LogLevel::Info, "worker_draining", { { "worker", aEntry.id.value } });
   }
   const bool hasRestarted = worker.incarnation != 0 && aEntry.incarnation > worker.incarnation;
-  worker.entry = aEntry;
-  worker.isListed = true;
   if (hasRestarted) {
     this->OnWorkerRestarted(worker, "listed");
     worker.incarnation = aEntry.incarnation;
   }
+  worker.entry = aEntry;
+  worker.isListed = true;
 }
 
 void
@@ -232,6 +241,8 @@
   }
   if (aReport.incarnation != 0) {
     aWorker.incarnation = aReport.incarnation;
+    this->ConfirmCrash(aWorker.entry.MachineOrId(), aReport.incarnation);
+    this->lostWorkers.Dismiss(aWorker.entry.MachineOrId(), aReport.incarnation);
   }
   if (aWorker.reachability == WorkerReachability::Unreachable) {
     this->dependencies.log.Log(LogLevel::Info,
@@ -525,6 +536,7 @@
 CellScheduler::OnWorkerRestarted(Worker& aWorker, std::string_view aReason)
 {
   this->RequeueLostRuns(aWorker, aReason);
+  this->ConfirmCrash(aWorker.entry.MachineOrId(), aWorker.KnownIncarnation() + 1);
   aWorker.seenSequence = 0;
   aWorker.acknowledgedSequence = 0;
   aWorker.unacknowledgedEnds.clear();
@@ -538,6 +550,7 @@
 void
 CellScheduler::RequeueLostRuns(Worker& aWorker, std::string_view aReason)
 {
+  this->RecordWorkerLoss(aWorker);
   if (aWorker.allocations.empty()) {
     return;
   }
@@ -607,7 +620,8 @@
 CellScheduler::RemoveLostWorkers()
 {
   const auto now = this->dependencies.clock.Now();
-  std::vector<WorkerId> lostWorkers;
+  this->lostWorkers.RemoveOlderThan(now - kLossRetention);
+  std::vector<WorkerId> forgottenWorkers;
   for (auto* worker : this->workers.All()) {
     const bool isUnreachable = worker->reachability != WorkerReachability::Reachable;
     if (isUnreachable && now > worker->leaseExpiry && !worker->allocations.empty()) {
@@ -617,11 +631,12 @@
                         now - worker->lastResponse > this->options.workerRemovalDelay &&
                         !worker->isRenewalInFlight;
     if (isLost) {
-      lostWorkers.push_back(worker->entry.id);
+      forgottenWorkers.push_back(worker->entry.id);
     }
   }
-  for (const auto& id : lostWorkers) {
+  for (const auto& id : forgottenWorkers) {
     this->dependencies.log.Log(LogLevel::Info, "worker_forgotten", { { "worker", id.value } });
+    this->RecordWorkerLoss(*this->workers.Find(id));
     this->dependencies.workers.Disconnect(id);
     this->workersWithEnds.erase(this->workers.Find(id)->number);
     this->workers.Remove(id);
--- a/Libraries/LibCell/Forward.h
+++ b/Libraries/LibCell/Forward.h
@@ -9,6 +9,7 @@
 class CellScheduler;
 class Intake;
 class LeaderElection;
+class LostWorkers;
 class StepAdvice;
 class TableWatcher;
 class WorkerTable;
--- a/Libraries/LibCell/Job.h
+++ b/Libraries/LibCell/Job.h
@@ -47,6 +47,11 @@
   std::string checkpoint;
   /// Numbers of the runs that failed. A set, since several workers report ends in any order.
   std::set<std::uint64_t> failedRuns;
+  /// Numbers of the runs during which their worker crashed.
+  std::set<std::uint64_t> crashedRuns;
+  /// Numbers of the runs that were lost with all workers of a rack; these are not held against the
+  /// task.
+  std::set<std::uint64_t> rackLossRuns;
   /// The task is not started before this time.
   TimePoint earliestStart{};
   /// Worker of the last failed run; the task runs elsewhere next if possible.
@@ -119,6 +124,8 @@
   bool isBeyondWeight = false;
   /// The outcome is in the store.
   bool isOutcomeDurable = false;
+  /// A worker has crashed during a run of one of its tasks.
+  bool isCrashSuspect = false;
   /// Workers at which a run of the job failed.
   std::set<WorkerId> failedWorkers;
   /// Runs that a previous leader started may exist at workers that have not reported yet.
--- a/Libraries/LibCell/Ports.h
+++ b/Libraries/LibCell/Ports.h
@@ -146,6 +146,12 @@
   std::string machine;
   /// When the worker's process started, Unix milliseconds.
   std::int64_t incarnation = 0;
+
+  /// @return the machine, or the worker's id if the row names none
+  [[nodiscard]] const std::string& MachineOrId() const
+  {
+    return this->machine.empty() ? this->id.value : this->machine;
+  }
 };
 
 /// How a run ended.
--- a/Libraries/LibCell/Records.cpp
+++ b/Libraries/LibCell/Records.cpp
@@ -28,6 +28,26 @@
   }
 }
 
+Json::Value
+EncodeRuns(const std::set<std::uint64_t>& aRuns)
+{
+  Json::Value runs(Json::arrayValue);
+  for (const auto run : aRuns) {
+    runs.append(Json::UInt64(run));
+  }
+  return runs;
+}
+
+std::set<std::uint64_t>
+DecodeRuns(const Json::Value& aValue)
+{
+  std::set<std::uint64_t> runs;
+  for (const auto& run : aValue) {
+    runs.insert(run.asUInt64());
+  }
+  return runs;
+}
+
 /// Prefix that distinguishes the row of an ended job from a specification.
 constexpr std::string_view kEndedPrefix = "ended ";
 
@@ -382,11 +402,14 @@
       for (std::uint32_t index = 0; index < run.tasks.size(); ++index) {
         const auto& task = run.tasks[index];
         const bool hasSucceeded = task.phase == TaskPhase::Succeeded;
-        if (hasSucceeded || !task.failedRuns.empty() || !task.checkpoint.empty()) {
+        const bool hasLostRuns = !task.crashedRuns.empty() || !task.rackLossRuns.empty();
+        if (hasSucceeded || hasLostRuns || !task.failedRuns.empty() || !task.checkpoint.empty()) {
           record.tasks.push_back({ .key = { .occurrence = number, .step = step, .index = index },
                                    .hasSucceeded = hasSucceeded,
                                    .failedRuns = task.failedRuns,
-                                   .checkpoint = hasSucceeded ? "" : task.checkpoint });
+                                   .checkpoint = hasSucceeded ? "" : task.checkpoint,
+                                   .crashedRuns = task.crashedRuns,
+                                   .rackLossRuns = task.rackLossRuns });
         }
       }
     }
@@ -408,11 +431,11 @@
     auto entry = ToJson(task.key);
     entry.append(task.hasSucceeded);
     entry.append(task.checkpoint);
-    Json::Value runs(Json::arrayValue);
-    for (const auto run : task.failedRuns) {
-      runs.append(Json::UInt64(run));
+    entry.append(EncodeRuns(task.failedRuns));
+    if (!task.crashedRuns.empty() || !task.rackLossRuns.empty()) {
+      entry.append(EncodeRuns(task.crashedRuns));
+      entry.append(EncodeRuns(task.rackLossRuns));
     }
-    entry.append(std::move(runs));
     value["tasks"].append(std::move(entry));
   }
   return WriteJson(value);
@@ -436,10 +459,10 @@
       for (const auto& task : aValue["tasks"]) {
         record.tasks.push_back({ .key = DecodeTaskKey(task),
                                  .hasSucceeded = task[3].asBool(),
-                                 .checkpoint = task[4].asString() });
-        for (const auto& run : task[5]) {
-          record.tasks.back().failedRuns.insert(run.asUInt64());
-        }
+                                 .failedRuns = DecodeRuns(task[5]),
+                                 .checkpoint = task[4].asString(),
+                                 .crashedRuns = DecodeRuns(task[6]),
+                                 .rackLossRuns = DecodeRuns(task[7]) });
       }
       return record;
     });
--- a/Libraries/LibCell/Records.h
+++ b/Libraries/LibCell/Records.h
@@ -104,6 +104,8 @@
   bool hasSucceeded = false;
   std::set<std::uint64_t> failedRuns;
   std::string checkpoint;
+  std::set<std::uint64_t> crashedRuns;
+  std::set<std::uint64_t> rackLossRuns;
 };
 
 /// Content of a job's progress row.
--- a/Libraries/LibCell/Worker.h
+++ b/Libraries/LibCell/Worker.h
@@ -128,6 +128,12 @@
   /// Smoothed ratio of run time to estimate; 1 is the cell's mean.
   double slowness = 1.0;
 
+  /// @return the process start that the worker reported, or else the one in its row; 0 if unknown
+  [[nodiscard]] std::int64_t KnownIncarnation() const
+  {
+    return this->incarnation != 0 ? this->incarnation : this->entry.incarnation;
+  }
+
   [[nodiscard]] Resources FreeResources() const
   {
     return this->entry.capacity - this->used - this->reserved;
--- a/Tests/LibCell/CellSchedulerFixture.cpp
+++ b/Tests/LibCell/CellSchedulerFixture.cpp
@@ -90,9 +90,8 @@
 CellSchedulerFixture::ListRestartedWorkers()
 {
   for (const auto& entry : this->workers.Advance()) {
-    std::erase_if(this->entries, [&entry](const WorkerEntry& aEntry) {
-      return aEntry.machine == entry.machine;
-    });
+    std::erase_if(this->entries,
+                  [&entry](const WorkerEntry& aEntry) { return aEntry.machine == entry.machine; });
     this->entries.push_back(entry);
     this->scheduler->OnWorkerEntry(entry);
   }
--- a/Tests/LibCell/TestWorkerCrashes.cpp
+++ b/Tests/LibCell/TestWorkerCrashes.cpp
@@ -133,4 +133,149 @@
   EXPECT_EQ(this->StatusOf("poison").outcome, JobOutcome::Failed);
 }
 
+// Guards against crashes that are forgotten when another instance takes over the term.
+TEST_F(WorkerCrashTest, CountsCrashesAcrossChangesOfTheLeader)
+{
+  this->AddWorkers(6, 4);
+  this->AcceptJob(MakeJob("poison", 1, 2));
+  this->BeginTerm();
+  for (std::size_t crash = 1; crash <= kMaxStartsOfCrashingTask + 1; ++crash) {
+    this->RunUntilCrash(crash, Milliseconds{ 20'000 });
+    // The worker has returned and its task waits again when the next leader begins.
+    this->RunFor(this->workers.restartDelay + Milliseconds{ 50 });
+    this->BeginTerm(true);
+  }
+  this->RunFor(Milliseconds{ 30'000 });
+  EXPECT_LE(this->MaxStartsPerTask("poison"), kMaxStartsOfCrashingTask);
+  EXPECT_EQ(this->StatusOf("poison").outcome, JobOutcome::Failed);
+}
+
+// Guards against crashes that no leader counts, since each leader is gone before the worker has
+// returned: all instances lose power right after each crash.
+TEST_F(WorkerCrashTest, CountsCrashesAroundPowerLossesOfAllInstances)
+{
+  this->AddWorkers(6, 4);
+  this->AcceptJob(MakeJob("poison", 1, 2));
+  this->BeginTerm();
+  this->RunUntilCrash(1, Milliseconds{ 20'000 });
+  this->RunFor(this->workers.restartDelay + Milliseconds{ 50 });
+  for (std::size_t crash = 2; crash <= kMaxStartsOfCrashingTask + 3; ++crash) {
+    this->RunUntilCrash(crash, Milliseconds{ 20'000 });
+    this->BeginTerm(true);
+  }
+  this->RunFor(Milliseconds{ 60'000 });
+  EXPECT_LE(this->MaxStartsPerTask("poison"), kMaxStartsOfCrashingTask);
+  EXPECT_EQ(this->StatusOf("poison").outcome, JobOutcome::Failed);
+}
+
+// Guards against a cut that is taken for a crash: the workers of a zone are silent until after
+// their leases, and return as the same incarnation.
+TEST_F(WorkerCrashTest, DoesNotCountACutZoneAsCrashes)
+{
+  this->AddWorkers(4, 4);
+  this->AcceptJob(MakeJob("job", 8, 2));
+  this->BeginTerm();
+  for (int cut = 0; cut < 8; ++cut) {
+    this->RunFor(Milliseconds{ 1000 });
+    const bool isFirstHalf = cut % 2 == 0;
+    const std::vector<std::string> silent =
+      isFirstHalf ? std::vector<std::string>{ "w1", "w2" } : std::vector<std::string>{ "w3", "w4" };
+    for (const auto& id : silent) {
+      this->workers.At(id).isReachable = false;
+    }
+    this->RunFor(Milliseconds{ 9000 });
+    for (const auto& id : silent) {
+      this->workers.At(id).isReachable = true;
+    }
+  }
+  this->RunFor(Milliseconds{ 1000 });
+  EXPECT_EQ(this->StatusOf("job").outcome, JobOutcome::Active);
+  this->workers.EndAll();
+  this->RunFor(Milliseconds{ 500 });
+  EXPECT_EQ(this->StatusOf("job").outcome, JobOutcome::Succeeded);
+}
+
+// Guards against a lost rack that is blamed on the tasks that ran there.
+TEST_F(WorkerCrashTest, DoesNotCountALostRackAgainstItsTasks)
+{
+  this->AddWorkers(4, 4);
+  for (const auto* id : { "a", "b", "c", "d" }) {
+    this->AcceptJob(MakeJob(id, 1, 3));
+  }
+  this->BeginTerm();
+  for (int loss = 0; loss < 4; ++loss) {
+    this->RunFor(Milliseconds{ 3000 });
+    // The two workers of a rack go together and return one after the other.
+    const bool isFirstRack = loss % 2 == 0;
+    this->workers.restartDelay = Milliseconds{ 2500 };
+    this->workers.Crash(isFirstRack ? "w1" : "w3");
+    this->workers.restartDelay = Milliseconds{ 3500 };
+    this->workers.Crash(isFirstRack ? "w2" : "w4");
+    this->RunFor(Milliseconds{ 5000 });
+  }
+  for (const auto* id : { "a", "b", "c", "d" }) {
+    EXPECT_EQ(this->StatusOf(id).outcome, JobOutcome::Active) << id;
+  }
+  this->workers.EndAll();
+  this->RunFor(Milliseconds{ 500 });
+  for (const auto* id : { "a", "b", "c", "d" }) {
+    EXPECT_EQ(this->StatusOf(id).outcome, JobOutcome::Succeeded) << id;
+  }
+}
+
+// Guards against neighbours of a crashing task that are given up in its place.
+TEST_F(WorkerCrashTest, DoesNotGiveUpTheNeighboursOfACrashingTask)
+{
+  this->AddWorkers(6, 4);
+  for (int number = 0; number < 6; ++number) {
+    this->AcceptJob(MakeJob("job" + std::to_string(number), 1, 2));
+  }
+  this->BeginTerm();
+  this->RunFor(Milliseconds{ 500 });
+  this->AcceptJob(MakeJob("poison", 1, 2));
+  this->RunFor(Milliseconds{ 30'000 });
+  EXPECT_EQ(this->StatusOf("poison").outcome, JobOutcome::Failed);
+  this->workers.EndAll();
+  this->RunFor(Milliseconds{ 500 });
+  for (int number = 0; number < 6; ++number) {
+    const auto id = "job" + std::to_string(number);
+    EXPECT_EQ(this->StatusOf(id).outcome, JobOutcome::Succeeded) << id;
+  }
+}
+
+// Guards against a task that is given up for the crash of one worker.
+TEST_F(WorkerCrashTest, StartsATaskAgainAfterOneCrash)
+{
+  this->AddWorkers(4, 4);
+  this->AcceptJob(MakeJob("job", 1, 2));
+  this->BeginTerm();
+  this->RunFor(Milliseconds{ 500 });
+  this->workers.Crash(this->workers.starts.back().worker.value);
+  this->RunFor(Milliseconds{ 5000 });
+  EXPECT_EQ(this->MaxStartsPerTask("job"), 2U);
+  this->workers.EndAll();
+  this->RunFor(Milliseconds{ 500 });
+  EXPECT_EQ(this->StatusOf("job").outcome, JobOutcome::Succeeded);
+}
+
+// Guards against a planned restart that is taken for a crash: a worker drains, leaves and returns.
+TEST_F(WorkerCrashTest, DoesNotCountDrainedWorkers)
+{
+  this->AddWorkers(4, 4);
+  this->AcceptJob(MakeJob("job", 1, 2));
+  this->BeginTerm();
+  for (int restart = 0; restart < 4; ++restart) {
+    this->RunFor(Milliseconds{ 1000 });
+    auto& worker = this->workers.At(this->workers.starts.back().worker.value);
+    auto draining = worker.entry;
+    draining.isDraining = true;
+    this->scheduler->OnWorkerEntry(draining);
+    this->RunFor(Milliseconds{ 100 });
+    this->workers.Crash(worker.entry.id.value);
+    this->RunFor(Milliseconds{ 5000 });
+  }
+  EXPECT_EQ(this->StatusOf("job").outcome, JobOutcome::Active);
+  EXPECT_GT(this->MaxStartsPerTask("job"), 3U);
+}
+
 }
