LibCell: Record the starts of suspects before they are sent

Callers saw a task crash nine workers although each crash should count: where all instances lost power, or the leader was gone, before the worker returned, no leader counted the crash. Workers remember nothing across a crash, and starts are not stored.

A start of a job that has crashed a worker before is now stored with its worker, machine and incarnation, and sent once the store has it. A later leader takes it for a loss of contact like any other: the same incarnation dismisses it, a later one counts it. Other jobs' starts stay unrecorded, so the first crash of a task can still go uncounted, one for each leader that is gone within the seconds between crash and return.

--- a/Libraries/LibCell/CellScheduler.cpp
+++ b/Libraries/LibCell/CellScheduler.cpp
@@ -51,6 +51,9 @@
   this->isAdoptingJobs = true;
   this->OnJobRows(aSnapshot.jobRows);
   this->isAdoptingJobs = false;
+  for (const auto* worker : this->workers.All()) {
+    this->ConfirmCrash(worker->entry.MachineOrId(), worker->entry.incarnation);
+  }
   if (!this->HasUnrestrictedUnsyncedWorkers()) {
     this->ResolveTasks();
   }
@@ -180,7 +183,8 @@
                                { "wait_headroom", countOf(WaitReason::Headroom) },
                                { "wait_room", countOf(WaitReason::Room) },
                                { "wait_ticket", countOf(WaitReason::Ticket) },
-                               { "wait_members", countOf(WaitReason::Members) } });
+                               { "wait_members", countOf(WaitReason::Members) },
+                               { "wait_record", countOf(WaitReason::Record) } });
   this->load = {};
 }
 
--- a/Libraries/LibCell/CellScheduler.h
+++ b/Libraries/LibCell/CellScheduler.h
@@ -243,6 +243,8 @@
     Ticket,
     /// Not every member of the gang is ready to start.
     Members,
+    /// The record of a suspect's start is not stored yet.
+    Record,
     Count,
   };
 
@@ -426,6 +428,32 @@
   [[nodiscard]] Task* FindOpenTask(const LostRun& aRun);
   /// Fails the job if its task has crashed too many workers.
   void GiveUpCrashingTask(const LostRun& aRun, bool aIsOnlySuspect);
+  /// Counts a start that a previous leader recorded as lost until its worker responds.
+  void AdoptRecordedStart(const TaskName& aTask, const RecordedStart& aStart);
+  /// Records that a suspect's task starts at a worker.
+  void RecordStart(Job& aJob, Task& aTask, const Worker& aWorker, std::uint64_t aRun);
+  /// Records the start of a suspect's gang, unless the same record is not stored yet.
+  void RecordGangStart(const Candidate& aCandidate,
+                       std::span<Worker* const> aAssigned,
+                       std::uint64_t aRun);
+  /// @return true if the start of each member at its assigned worker is recorded and stored
+  [[nodiscard]] static bool IsGangRecorded(const Candidate& aCandidate,
+                                           std::span<Worker* const> aAssigned);
+  /// @return true if the record of the task's next start is stored, and the start was not sent
+  [[nodiscard]] static bool IsStartRecorded(const Job& aJob, const Task& aTask);
+  /// Starts a suspect's task where its start is recorded, if it still fits there. Otherwise records
+  /// the start at the chosen worker.
+  /// @return true if the task was started
+  bool StartRecordedTask(const Candidate& aCandidate,
+                         std::uint32_t aIndex,
+                         Worker& aChosen,
+                         const std::vector<Worker*>& aEligible,
+                         const TaskCountFunction& aCount);
+  /// @return the workers at which the start of a suspect's gang is recorded, or nothing if there is
+  /// no stored record or the gang no longer fits there
+  [[nodiscard]] std::optional<std::vector<Worker*>> FindRecordedGang(
+    const Candidate& aCandidate,
+    const std::vector<Worker*>& aEligible) const;
   /// @return true if a run of another job that has crashed a worker is at this one
   [[nodiscard]] bool HostsOtherCrashSuspect(const Worker& aWorker, const Job& aJob);
   /// Removes the workers at which a run of another suspect is, if the job is a suspect itself: a
@@ -508,7 +536,9 @@
                                                                   std::size_t aMax) const;
   /// Requests advice on workers that no request has named yet, unless a response is pending.
   void RequestMoreAdvice(const Candidate& aCandidate, Pool& aPool);
-  void StartGang(const Candidate& aCandidate, std::span<Worker* const> aAssigned);
+  /// Starts all members of a gang. The start of a suspect is recorded first.
+  /// @return true if the gang was started
+  bool StartGang(const Candidate& aCandidate, std::span<Worker* const> aAssigned);
   /// Reserves room at the assigned workers and requests tickets for them.
   void ReserveForGang(const Candidate& aCandidate, std::span<Worker* const> aAssigned);
   /// Starts a gang at its reserved workers once there is a valid ticket for each.
--- a/Libraries/LibCell/CellSchedulerCrashes.cpp
+++ b/Libraries/LibCell/CellSchedulerCrashes.cpp
@@ -1,4 +1,5 @@
 #include <LibCell/CellScheduler.h>
+#include <LibCell/Placement.h>
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -229,6 +230,115 @@
                            task->rackLossRuns.size()));
 }
 
+void
+CellScheduler::AdoptRecordedStart(const TaskName& aTask, const RecordedStart& aStart)
+{
+  this->FindTask(*this->FindJob(aTask.job), aTask.key)->recordedStart = aStart;
+  this->lostWorkers.Add({ .worker = aStart.worker,
+                          .machine = aStart.machine,
+                          .incarnation = aStart.incarnation,
+                          .lastContact = this->dependencies.clock.Now(),
+                          .runs = { { .task = aTask, .run = aStart.run } } });
+}
+
+void
+CellScheduler::RecordStart(Job& aJob, Task& aTask, const Worker& aWorker, std::uint64_t aRun)
+{
+  aTask.recordedStart = RecordedStart{ .run = aRun,
+                                       .worker = aWorker.entry.id,
+                                       .machine = aWorker.entry.MachineOrId(),
+                                       .incarnation = aWorker.KnownIncarnation() };
+  this->MarkJobChanged(aJob);
+  aTask.recordedStartChange = aJob.changeCount;
+}
+
+bool
+CellScheduler::IsStartRecorded(const Job& aJob, const Task& aTask)
+{
+  return aTask.recordedStartChange != 0 && aJob.durableChangeCount >= aTask.recordedStartChange;
+}
+
+bool
+CellScheduler::StartRecordedTask(const Candidate& aCandidate,
+                                 std::uint32_t aIndex,
+                                 Worker& aChosen,
+                                 const std::vector<Worker*>& aEligible,
+                                 const TaskCountFunction& aCount)
+{
+  auto& job = *aCandidate.job;
+  auto& task = aCandidate.run->tasks[aIndex];
+  if (task.recordedStartChange == 0) {
+    this->RecordStart(job, task, aChosen, this->NextRunNumber());
+  }
+  if (!IsStartRecorded(job, task)) {
+    return false;
+  }
+  auto recorded = aEligible;
+  std::erase_if(recorded, [&task](const Worker* aWorker) {
+    return aWorker->entry.id != task.recordedStart->worker ||
+           aWorker->KnownIncarnation() != task.recordedStart->incarnation;
+  });
+  auto* worker = ChooseWorker(recorded, *aCandidate.specification, aCount);
+  if (worker == nullptr) {
+    this->RecordStart(job, task, aChosen, this->NextRunNumber());
+    return false;
+  }
+  this->StartTask(aCandidate, aIndex, *worker, task.recordedStart->run, task.checkpoint);
+  return true;
+}
+
+bool
+CellScheduler::IsGangRecorded(const Candidate& aCandidate, std::span<Worker* const> aAssigned)
+{
+  return std::ranges::equal(
+    aCandidate.run->tasks, aAssigned, [&aCandidate](const Task& aTask, const Worker* aWorker) {
+      return IsStartRecorded(*aCandidate.job, aTask) &&
+             aTask.recordedStart->worker == aWorker->entry.id;
+    });
+}
+
+void
+CellScheduler::RecordGangStart(const Candidate& aCandidate,
+                               std::span<Worker* const> aAssigned,
+                               std::uint64_t aRun)
+{
+  auto& tasks = aCandidate.run->tasks;
+  const auto& first = tasks.front();
+  if (first.recordedStartChange != 0 && !IsStartRecorded(*aCandidate.job, first)) {
+    return;
+  }
+  for (std::uint32_t index = 0; index < aAssigned.size(); ++index) {
+    this->RecordStart(*aCandidate.job, tasks[index], *aAssigned[index], aRun);
+  }
+}
+
+std::optional<std::vector<Worker*>>
+CellScheduler::FindRecordedGang(const Candidate& aCandidate,
+                                const std::vector<Worker*>& aEligible) const
+{
+  const auto& step = *aCandidate.specification;
+  std::vector<Worker*> workers;
+  std::map<const Worker*, std::uint32_t> members;
+  for (const auto& task : aCandidate.run->tasks) {
+    if (!IsStartRecorded(*aCandidate.job, task)) {
+      return {};
+    }
+    const auto found = std::ranges::find_if(aEligible, [&task](const Worker* aWorker) {
+      return aWorker->entry.id == task.recordedStart->worker &&
+             aWorker->KnownIncarnation() == task.recordedStart->incarnation;
+    });
+    if (found == aEligible.end()) {
+      return {};
+    }
+    workers.push_back(*found);
+    ++members[*found];
+  }
+  const bool fits = std::ranges::all_of(members, [&step](const auto& aItem) {
+    return CountFittingTasks(*aItem.first, AllocatedDemand(step), aItem.second) == aItem.second;
+  });
+  return fits ? std::optional(std::move(workers)) : std::nullopt;
+}
+
 bool
 CellScheduler::HostsOtherCrashSuspect(const Worker& aWorker, const Job& aJob)
 {
--- a/Libraries/LibCell/CellSchedulerGangs.cpp
+++ b/Libraries/LibCell/CellSchedulerGangs.cpp
@@ -44,9 +44,8 @@
   auto assigned =
     this->AssignGangTo(aCandidate, this->FindEligibleWorkers(aCandidate, aPool, true));
   if (assigned) {
-    this->StartGang(aCandidate, *assigned);
     aPool.free -= total;
-    return WaitReason::None;
+    return this->StartGang(aCandidate, *assigned) ? WaitReason::None : WaitReason::Record;
   }
   if (!aCandidate.queue->needsAdvice) {
     this->EarmarkWorkersForGang(aCandidate, aPool);
@@ -68,6 +67,9 @@
 {
   const auto& step = *aCandidate.specification;
   if (aCandidate.job->isCrashSuspect) {
+    if (auto recorded = this->FindRecordedGang(aCandidate, aEligible)) {
+      return recorded;
+    }
     if (auto apart = AssignGang(this->KeepSuspectsApart(*aCandidate.job, aEligible), step)) {
       return apart;
     }
@@ -75,15 +77,23 @@
   return AssignGang(aEligible, step);
 }
 
-void
+bool
 CellScheduler::StartGang(const Candidate& aCandidate, std::span<Worker* const> aAssigned)
 {
-  const auto run = this->NextRunNumber();
+  auto run = this->NextRunNumber();
+  if (aCandidate.job->isCrashSuspect) {
+    if (!this->IsGangRecorded(aCandidate, aAssigned)) {
+      this->RecordGangStart(aCandidate, aAssigned, run);
+      return false;
+    }
+    run = aCandidate.run->tasks.front().recordedStart->run;
+  }
   // All members must start from the same checkpoint.
   const auto checkpoint = aCandidate.run->tasks.front().checkpoint;
   for (std::uint32_t index = 0; index < aAssigned.size(); ++index) {
     this->StartTask(aCandidate, index, *aAssigned[index], run, checkpoint);
   }
+  return true;
 }
 
 void
@@ -129,8 +139,9 @@
     }
     assigned.push_back(worker);
   }
-  this->ReleaseReservation(run, *aCandidate.specification);
-  this->StartGang(aCandidate, assigned);
+  if (this->StartGang(aCandidate, assigned)) {
+    this->ReleaseReservation(run, *aCandidate.specification);
+  }
 }
 
 void
--- a/Libraries/LibCell/CellSchedulerJobs.cpp
+++ b/Libraries/LibCell/CellSchedulerJobs.cpp
@@ -261,6 +261,9 @@
     task->crashedRuns.insert(record.crashedRuns.begin(), record.crashedRuns.end());
     task->rackLossRuns.insert(record.rackLossRuns.begin(), record.rackLossRuns.end());
     aJob.isCrashSuspect = aJob.isCrashSuspect || !task->crashedRuns.empty();
+    if (this->isAdoptingJobs && record.recordedStart) {
+      this->AdoptRecordedStart({ aJob.spec.id, record.key }, *record.recordedStart);
+    }
     if (task->checkpoint.empty()) {
       task->checkpoint = record.checkpoint;
     }
--- a/Libraries/LibCell/CellSchedulerPlacement.cpp
+++ b/Libraries/LibCell/CellSchedulerPlacement.cpp
@@ -197,8 +197,8 @@
 void
 CellScheduler::LogLongWait(const Candidate& aCandidate, WaitReason aReason)
 {
-  constexpr std::array kNames = { "nothing",  "workers", "advice", "limit",
-                                  "headroom", "room",    "ticket", "members" };
+  constexpr std::array kNames = { "nothing", "workers", "advice",  "limit", "headroom",
+                                  "room",    "ticket",  "members", "record" };
   static_assert(kNames.size() == static_cast<std::size_t>(WaitReason::Count));
   const auto now = this->roundBegin;
   auto& run = *aCandidate.run;
@@ -361,6 +361,7 @@
       }));
   };
   std::uint32_t unplaced = 0;
+  std::vector<WorkerId> recordedWorkers;
   for (std::uint32_t index = 0; index < run.tasks.size(); ++index) {
     auto& task = run.tasks[index];
     if (task.phase != TaskPhase::Waiting || task.earliestStart > this->roundBegin) {
@@ -377,9 +378,26 @@
       ++unplaced;
       break;
     }
-    this->StartTask(aCandidate, index, *worker, this->NextRunNumber(), task.checkpoint);
+    if (!aCandidate.job->isCrashSuspect) {
+      this->StartTask(aCandidate, index, *worker, this->NextRunNumber(), task.checkpoint);
+      aPool.free -= allocated;
+      continue;
+    }
+    // A record takes no room, so there is one for each worker at a time.
+    const bool isWorkerTaken =
+      std::ranges::find(recordedWorkers, worker->entry.id) != recordedWorkers.end();
+    if (task.recordedStartChange == 0 && isWorkerTaken) {
+      continue;
+    }
+    if (!this->StartRecordedTask(aCandidate, index, *worker, eligible, countTasksAt)) {
+      recordedWorkers.push_back(task.recordedStart->worker);
+      continue;
+    }
     aPool.free -= allocated;
   }
+  if (!recordedWorkers.empty()) {
+    return WaitReason::Record;
+  }
   if (unplaced > 0 && aCandidate.queue->needsAdvice) {
     this->RenewTickets(aCandidate, aPool);
     return WaitReason::Ticket;
--- a/Libraries/LibCell/CellSchedulerStarts.cpp
+++ b/Libraries/LibCell/CellSchedulerStarts.cpp
@@ -28,6 +28,7 @@
   auto& task = aCandidate.run->tasks[aIndex];
   aCandidate.run->SetPhase(task, TaskPhase::Placed);
   task.run = aRunNumber;
+  task.recordedStartChange = 0;
   task.worker = aWorker.entry.id;
   const TaskName name{ job.spec.id, { aCandidate.occurrence, aCandidate.step, aIndex } };
   const auto demand = AllocatedDemand(step);
--- a/Libraries/LibCell/CellSchedulerWorkers.cpp
+++ b/Libraries/LibCell/CellSchedulerWorkers.cpp
@@ -384,6 +384,10 @@
     .steps[aTask.key.step]
     .SetPhase(*task, TaskPhase::Waiting);
   task->worker = {};
+  if (task->recordedStart && task->recordedStart->run == aRun) {
+    task->recordedStart.reset();
+    this->MarkJobChanged(*job);
+  }
   if (job->spec.steps[aTask.key.step].isService) {
     task->earliestStart = this->dependencies.clock.Now() + kServiceRestartDelay;
   }
--- a/Libraries/LibCell/Job.h
+++ b/Libraries/LibCell/Job.h
@@ -37,6 +37,16 @@
   Succeeded,
 };
 
+/// Where a run starts, as stored before its start is sent.
+struct RecordedStart
+{
+  std::uint64_t run = 0;
+  WorkerId worker;
+  std::string machine;
+  /// Process start of the worker, Unix ms.
+  std::int64_t incarnation = 0;
+};
+
 /// A task's scheduling state and what its runs left behind.
 struct Task
 {
@@ -52,6 +62,12 @@
   /// Numbers of the runs that were lost with all workers of a rack; these are not held against the
   /// task.
   std::set<std::uint64_t> rackLossRuns;
+  /// The latest start of a task whose job is suspected of crashing workers. A later leader counts
+  /// the crash if this one does not live to see it.
+  std::optional<RecordedStart> recordedStart;
+  /// Change count of the job that must be stored before @ref recordedStart is sent; 0 if it was
+  /// sent or dropped.
+  std::uint64_t recordedStartChange = 0;
   /// The task is not started before this time.
   TimePoint earliestStart{};
   /// Worker of the last failed run; the task runs elsewhere next if possible.
--- a/Libraries/LibCell/Records.cpp
+++ b/Libraries/LibCell/Records.cpp
@@ -28,6 +28,29 @@
   }
 }
 
+Json::Value
+ToJson(const RecordedStart& aStart)
+{
+  Json::Value value(Json::arrayValue);
+  value.append(Json::UInt64(aStart.run));
+  value.append(aStart.worker.value);
+  value.append(aStart.machine);
+  value.append(Json::Int64(aStart.incarnation));
+  return value;
+}
+
+std::optional<RecordedStart>
+DecodeRecordedStart(const Json::Value& aValue)
+{
+  if (aValue.empty()) {
+    return {};
+  }
+  return RecordedStart{ .run = aValue[0].asUInt64(),
+                        .worker = { aValue[1].asString() },
+                        .machine = aValue[2].asString(),
+                        .incarnation = aValue[3].asInt64() };
+}
+
 Json::Value
 EncodeRuns(const std::set<std::uint64_t>& aRuns)
 {
@@ -402,14 +425,16 @@
       for (std::uint32_t index = 0; index < run.tasks.size(); ++index) {
         const auto& task = run.tasks[index];
         const bool hasSucceeded = task.phase == TaskPhase::Succeeded;
-        const bool hasLostRuns = !task.crashedRuns.empty() || !task.rackLossRuns.empty();
+        const bool hasLostRuns =
+          !task.crashedRuns.empty() || !task.rackLossRuns.empty() || task.recordedStart.has_value();
         if (hasSucceeded || hasLostRuns || !task.failedRuns.empty() || !task.checkpoint.empty()) {
           record.tasks.push_back({ .key = { .occurrence = number, .step = step, .index = index },
                                    .hasSucceeded = hasSucceeded,
                                    .failedRuns = task.failedRuns,
                                    .checkpoint = hasSucceeded ? "" : task.checkpoint,
                                    .crashedRuns = task.crashedRuns,
-                                   .rackLossRuns = task.rackLossRuns });
+                                   .rackLossRuns = task.rackLossRuns,
+                                   .recordedStart = task.recordedStart });
         }
       }
     }
@@ -432,10 +457,13 @@
     entry.append(task.hasSucceeded);
     entry.append(task.checkpoint);
     entry.append(EncodeRuns(task.failedRuns));
-    if (!task.crashedRuns.empty() || !task.rackLossRuns.empty()) {
+    if (!task.crashedRuns.empty() || !task.rackLossRuns.empty() || task.recordedStart) {
       entry.append(EncodeRuns(task.crashedRuns));
       entry.append(EncodeRuns(task.rackLossRuns));
     }
+    if (task.recordedStart) {
+      entry.append(ToJson(*task.recordedStart));
+    }
     value["tasks"].append(std::move(entry));
   }
   return WriteJson(value);
@@ -462,7 +490,8 @@
                                  .failedRuns = DecodeRuns(task[5]),
                                  .checkpoint = task[4].asString(),
                                  .crashedRuns = DecodeRuns(task[6]),
-                                 .rackLossRuns = DecodeRuns(task[7]) });
+                                 .rackLossRuns = DecodeRuns(task[7]),
+                                 .recordedStart = DecodeRecordedStart(task[8]) });
       }
       return record;
     });
--- a/Libraries/LibCell/Records.h
+++ b/Libraries/LibCell/Records.h
@@ -106,6 +106,7 @@
   std::string checkpoint;
   std::set<std::uint64_t> crashedRuns;
   std::set<std::uint64_t> rackLossRuns;
+  std::optional<RecordedStart> recordedStart;
 };
 
 /// Content of a job's progress row.
--- a/Tests/LibCell/TestRecords.cpp
+++ b/Tests/LibCell/TestRecords.cpp
@@ -48,6 +48,29 @@
   EXPECT_EQ(EncodeSpecification(ValueOf(decoded)), EncodeSpecification(spec));
 }
 
+TEST_F(RecordsTest, ProgressRoundTrips)
+{
+  ProgressRecord record{ .hasStarted = true, .occurrencesSucceeded = 2 };
+  record.tasks.push_back(
+    { .key = { .occurrence = 2, .step = 1, .index = 3 },
+      .failedRuns = { 5 },
+      .checkpoint = "mark",
+      .crashedRuns = { 7, 9 },
+      .rackLossRuns = { 8 },
+      .recordedStart = RecordedStart{
+        .run = 11, .worker = { "w" }, .machine = "m", .incarnation = 1'700'000'000'000 } });
+  record.tasks.push_back(
+    { .key = { .occurrence = 2, .step = 1, .index = 4 }, .failedRuns = { 6 } });
+  const auto decoded = DecodeProgress(EncodeProgress(record));
+  ASSERT_FALSE(IsError(decoded));
+  EXPECT_EQ(EncodeProgress(ValueOf(decoded)), EncodeProgress(record));
+  const auto& first = ValueOf(decoded).tasks.front();
+  EXPECT_EQ(first.crashedRuns, record.tasks.front().crashedRuns);
+  ASSERT_TRUE(first.recordedStart.has_value());
+  EXPECT_EQ(first.recordedStart->machine, "m");
+  EXPECT_FALSE(ValueOf(decoded).tasks.back().recordedStart.has_value());
+}
+
 TEST_F(RecordsTest, RejectsMalformedRows)
 {
   EXPECT_TRUE(IsError(DecodeSpecification({ "job" }, "")));
--- a/Tests/LibCell/TestWorkerCrashes.cpp
+++ b/Tests/LibCell/TestWorkerCrashes.cpp
@@ -120,6 +120,48 @@
   EXPECT_EQ(this->StatusOf("poison").outcome, JobOutcome::Failed);
 }
 
+// The same where tasks need tickets of the policy service, and room is reserved for a gang until it
+// has them.
+TEST_F(WorkerCrashTest, GivesUpAGangWithTicketsThatCrashesItsWorkers)
+{
+  this->policy.routes.front().queue.needsAdvice = true;
+  this->policy.routes.front().queue.advice = { .ticketValidity = Milliseconds{ 300 } };
+  this->AddWorkers(12, 4);
+  auto spec = MakeJob("poison", 4, 3);
+  spec.steps.front().isGang = true;
+  this->AcceptJob(spec);
+  this->AcceptJob(MakeJob("poison-tasks", 6, 1));
+  this->BeginTerm();
+  this->RunFor(Milliseconds{ 60'000 });
+  for (const auto* id : { "poison", "poison-tasks" }) {
+    EXPECT_GE(this->MaxStartsPerTask(id), 2U) << id;
+    EXPECT_LE(this->MaxStartsPerTask(id), kMaxStartsOfCrashingTask) << id;
+    EXPECT_EQ(this->StatusOf(id).outcome, JobOutcome::Failed) << id;
+  }
+}
+
+// Guards against innocent jobs that come to nothing once they are suspects.
+TEST_F(WorkerCrashTest, FinishesSuspectsWhoseWorkersDoNotCrashAgain)
+{
+  this->AddWorkers(4, 8);
+  auto gang = MakeJob("gang", 4, 2);
+  gang.steps.front().isGang = true;
+  this->AcceptJob(gang);
+  this->AcceptJob(MakeJob("wide", 20, 1));
+  this->BeginTerm();
+  this->RunFor(Milliseconds{ 500 });
+  this->workers.Crash("w1");
+  this->RunFor(Milliseconds{ 4000 });
+  this->workers.Crash("w2");
+  for (int round = 0; round < 10; ++round) {
+    this->RunFor(Milliseconds{ 4000 });
+    this->workers.EndAll();
+  }
+  this->RunFor(Milliseconds{ 500 });
+  EXPECT_EQ(this->StatusOf("gang").outcome, JobOutcome::Succeeded);
+  EXPECT_EQ(this->StatusOf("wide").outcome, JobOutcome::Succeeded);
+}
+
 // The same with a service task, which is otherwise restarted however it ends.
 TEST_F(WorkerCrashTest, GivesUpAServiceTaskThatCrashesItsWorkers)
 {
