Tests: Show six faults of workers that change and of faulty tasks

Workers that restart under their id or shrink while orders are under way, and tasks that hang or are rejected everywhere.

--- a/Tests/LibCell/SimulatedWorkers.cpp
+++ b/Tests/LibCell/SimulatedWorkers.cpp
@@ -89,7 +89,8 @@
   for (const auto& [key, entry] : aWorker.running) {
     report.activeRuns.push_back(entry);
     report.activeRuns.back().progressPercent = aWorker.stalledPercent;
-    if (!aWorker.isStalled) {
+    const bool hangs = this->hangs && this->hangs(entry.task);
+    if (!aWorker.isStalled && !hangs) {
       report.activeRuns.back().progressPercent = static_cast<int>(
         this->clock.Now().time_since_epoch().count() / kMsPerPercent % kMaxPercent);
     }
@@ -162,6 +163,10 @@
   if (aWorker.rejectsStarts) {
     return OrderResult::Rejected;
   }
+  if (this->rejectsTask && this->rejectsTask(aOrder.task)) {
+    ++this->rejections;
+    return OrderResult::Rejected;
+  }
   const auto key = this->KeyOfTask(aOrder.task);
   if (aOrder.run <= aWorker.highestRun[key]) {
     return OrderResult::StaleRun;
@@ -265,28 +270,32 @@
   Worker next;
   next.entry = aWorker.entry;
   ++next.entry.incarnation;
-  next.delaysStarts = aWorker.delaysStarts;
   if (this->restartMode == RestartMode::GetsNewId) {
     next.entry.id = { fmt::format("{}-{}", next.entry.machine, next.entry.incarnation) };
   }
   const auto id = next.entry.id;
   aEntries.push_back(next.entry);
   this->workers[id] = std::move(next);
-  auto orders = std::move(this->delayedStarts);
-  this->delayedStarts.clear();
-  for (auto& order : orders) {
-    if (order.target.worker == id) {
-      static_cast<void>(this->ExecuteStart(this->workers.at(id), order));
-    } else {
-      this->delayedStarts.push_back(std::move(order));
-    }
+  this->delayedStartsDue = this->clock.Now() + this->startDelay;
+}
+
+void
+SimulatedWorkers::ExecuteDelayedStarts()
+{
+  if (this->clock.Now() < this->delayedStartsDue) {
+    return;
+  }
+  for (const auto& order : this->delayedStarts) {
+    static_cast<void>(this->ExecuteStart(this->At(order.target.worker.value), order));
   }
+  this->delayedStarts.clear();
 }
 
 std::vector<WorkerEntry>
 SimulatedWorkers::Advance()
 {
   const auto now = this->clock.Now();
+  this->ExecuteDelayedStarts();
   std::vector<std::string> crashing;
   std::vector<Worker> restarting;
   for (auto& [id, worker] : this->workers) {
--- a/Tests/LibCell/SimulatedWorkers.h
+++ b/Tests/LibCell/SimulatedWorkers.h
@@ -100,6 +100,8 @@
   /// Changes what a worker says of its capacity.
   /// @return its entry, for the scheduler
   WorkerEntry SetCapacity(const std::string& aId, std::int64_t aCores);
+  /// @return the number of start orders that wait for the next incarnation
+  [[nodiscard]] std::size_t CountDelayedStarts() const { return this->delayedStarts.size(); }
   /// Delivers the queued responses. The response to a lease renewal that waits for an end
   /// is due once there is one, the wait is over or the worker is unreachable.
   void Deliver();
@@ -113,8 +115,16 @@
 
   /// Returns true for tasks that crash their worker after @ref crashDelay.
   std::function<bool(const TaskName&)> crashesWorker;
+  /// Returns true for tasks that make no progress at any worker.
+  std::function<bool(const TaskName&)> hangs;
+  /// Returns true for tasks that every worker rejects.
+  std::function<bool(const TaskName&)> rejectsTask;
+  /// Number of starts rejected by @ref rejectsTask.
+  std::size_t rejections = 0;
   Milliseconds crashDelay{ 100 };
   Milliseconds restartDelay{ 2000 };
+  /// Time from a restart until the new incarnation carries out start orders that were delayed.
+  Milliseconds startDelay{ 1000 };
   RestartMode restartMode = RestartMode::KeepsId;
   std::vector<ObservedCrash> crashes;
   std::vector<ObservedStart> starts;
@@ -135,6 +145,8 @@
   const ManualClock& clock;
   std::map<WorkerId, Worker> workers;
   std::deque<std::function<void()>> pendingResponses;
+  /// Carries out the delayed start orders that are due.
+  void ExecuteDelayedStarts();
   void Restart(const Worker& aWorker, std::vector<WorkerEntry>& aEntries);
 
   struct DelayedRenewal
@@ -148,6 +160,7 @@
   std::vector<DelayedRenewal> delayedRenewals;
   /// Start orders that the next incarnation carries out.
   std::vector<StartOrder> delayedStarts;
+  TimePoint delayedStartsDue = TimePoint::max();
 };
 
 }
