LibCell: Stop unanswered starts at a worker's next incarnation

A task could run twice at once: a start order that got no response was carried out by the worker's next incarnation, which has the same id and so accepts it, after the task had started elsewhere. A restart released all runs at once, also those whose start had not been answered.

Runs that were not known to run are now stopped at the next incarnation, and their tasks wait until it has accepted the stop and does not list the run. Reasons of a loss are an enumeration, so that the two kinds of restart under the same id are told apart from others.

Evidence: DoesNotRunATaskTwiceIfTheNextIncarnationCarriesOutALateStart failed with two copies and passes.

--- a/Libraries/LibCell/CellScheduler.h
+++ b/Libraries/LibCell/CellScheduler.h
@@ -358,12 +358,16 @@
   /// Schedules a retry, and marks the worker unreachable after too long a silence.
   void OnLeaseRenewalFailed(Worker& aWorker);
   /// Discards all state of the worker's previous incarnation.
-  void OnWorkerRestarted(Worker& aWorker, std::string_view aReason);
-  /// Releases all allocations of a worker whose runs have ended without a report.
-  void RequeueLostRuns(Worker& aWorker, std::string_view aReason);
+  void OnWorkerRestarted(Worker& aWorker, WorkerLossReason aReason);
+  /// Releases the allocations of a worker whose runs have ended without a report. Those that its
+  /// next incarnation may still start are stopped there first.
+  void RequeueLostRuns(Worker& aWorker, WorkerLossReason aReason);
+  /// Stops a run at the next incarnation of a worker, which has the same id and may carry out a
+  /// start order that was sent to the previous one.
+  void PreventLateStart(Worker& aWorker, Allocation& aAllocation);
   void LogLostRun(const Worker& aWorker,
                   const Allocation& aAllocation,
-                  std::string_view aReason) const;
+                  WorkerLossReason aReason) const;
   /// Adds a worker, or updates a known one; ends the incarnations that it supersedes.
   void ApplyWorkerEntry(const WorkerEntry& aEntry);
   /// Requeues the runs of unreachable workers whose lease has expired, and removes the unlisted
--- a/Libraries/LibCell/CellSchedulerStarts.cpp
+++ b/Libraries/LibCell/CellSchedulerStarts.cpp
@@ -134,7 +134,7 @@
     return;
   }
   if (aResult == OrderResult::WrongIncarnation) {
-    this->OnWorkerRestarted(aWorker, "other_life");
+    this->OnWorkerRestarted(aWorker, WorkerLossReason::AddressReused);
     return;
   }
   auto* job = this->FindJob(aTask.job);
--- a/Libraries/LibCell/CellSchedulerWorkers.cpp
+++ b/Libraries/LibCell/CellSchedulerWorkers.cpp
@@ -73,7 +73,7 @@
                                 worker->entry.machine == aEntry.machine &&
                                 worker->entry.incarnation < aEntry.incarnation;
       if (isSuperseded) {
-        this->RequeueLostRuns(*worker, "superseded");
+        this->RequeueLostRuns(*worker, WorkerLossReason::Superseded);
         worker->leaseExpiry = {};
         worker->isListed = false;
         this->MarkWorkerSynced(worker->entry.id);
@@ -88,7 +88,7 @@
   }
   const bool hasRestarted = worker.incarnation != 0 && aEntry.incarnation > worker.incarnation;
   if (hasRestarted) {
-    this->OnWorkerRestarted(worker, "listed");
+    this->OnWorkerRestarted(worker, WorkerLossReason::RowOfNextIncarnation);
     worker.incarnation = aEntry.incarnation;
   }
   worker.entry = aEntry;
@@ -190,7 +190,7 @@
       return;
     }
     if (*rejection == OrderResult::WrongIncarnation) {
-      this->OnWorkerRestarted(worker, "other_life");
+      this->OnWorkerRestarted(worker, WorkerLossReason::AddressReused);
       worker.isListed = false;
       worker.reachability = WorkerReachability::Unreachable;
       worker.leaseExpiry = {};
@@ -237,7 +237,7 @@
   }
   if (aReport.incarnation != 0 && aWorker.incarnation != 0 &&
       aReport.incarnation > aWorker.incarnation) {
-    this->OnWorkerRestarted(aWorker, "born_again");
+    this->OnWorkerRestarted(aWorker, WorkerLossReason::ReportOfNextIncarnation);
   }
   if (aReport.incarnation != 0) {
     aWorker.incarnation = aReport.incarnation;
@@ -537,7 +537,7 @@
 }
 
 void
-CellScheduler::OnWorkerRestarted(Worker& aWorker, std::string_view aReason)
+CellScheduler::OnWorkerRestarted(Worker& aWorker, WorkerLossReason aReason)
 {
   this->RequeueLostRuns(aWorker, aReason);
   this->ConfirmCrash(aWorker.entry.MachineOrId(), aWorker.KnownIncarnation() + 1);
@@ -552,7 +552,7 @@
 }
 
 void
-CellScheduler::RequeueLostRuns(Worker& aWorker, std::string_view aReason)
+CellScheduler::RequeueLostRuns(Worker& aWorker, WorkerLossReason aReason)
 {
   this->RecordWorkerLoss(aWorker);
   if (aWorker.allocations.empty()) {
@@ -562,16 +562,22 @@
                              "runs_lost",
                              { { "worker", aWorker.entry.id.value },
                                { "runs", aWorker.allocations.size() },
-                               { "reason", aReason } });
+                               { "reason", ToString(aReason) } });
+  const bool keepsId = aReason == WorkerLossReason::RowOfNextIncarnation ||
+                       aReason == WorkerLossReason::ReportOfNextIncarnation;
   const auto lostRuns = aWorker.allocations;
   this->dependencies.metrics
     .FindCounter({ .name = "zinc_cell_lost_runs_total",
                    .help = "Runs that were lost with their worker, by how that was learned." },
-                 { { "reason", std::string(aReason) } })
+                 { { "reason", std::string(ToString(aReason)) } })
     .Add(lostRuns.size());
   for (const auto& allocation : lostRuns) {
     this->LogLostRun(aWorker, allocation, aReason);
     this->SaveCheckpoint(allocation);
+    if (keepsId && allocation.phase != RunPhase::Running) {
+      this->PreventLateStart(aWorker, *aWorker.FindAllocation(allocation.task, allocation.run));
+      continue;
+    }
     this->ReleaseAllocation(aWorker, allocation.task, allocation.run);
     this->RequeueRun(allocation.task, allocation.run);
     if (auto* job = this->FindJob(allocation.task.job)) {
@@ -581,10 +587,23 @@
   }
 }
 
+void
+CellScheduler::PreventLateStart(Worker& aWorker, Allocation& aAllocation)
+{
+  const auto now = this->dependencies.clock.Now();
+  aAllocation.phase = RunPhase::Stopping;
+  aAllocation.phaseSince = now;
+  aAllocation.isStopAccepted = false;
+  aAllocation.nextStopAttempt = now;
+  if (!aAllocation.isStopInFlight) {
+    this->SendStop(aWorker, aAllocation);
+  }
+}
+
 void
 CellScheduler::LogLostRun(const Worker& aWorker,
                           const Allocation& aAllocation,
-                          std::string_view aReason) const
+                          WorkerLossReason aReason) const
 {
   const auto now = this->dependencies.clock.Now();
   this->dependencies.log.Log(LogLevel::Info,
@@ -596,7 +615,7 @@
                                { "worker", aWorker.entry.id.value },
                                { "machine", aWorker.entry.machine },
                                { "rack", aWorker.entry.rack.value },
-                               { "reason", aReason },
+                               { "reason", ToString(aReason) },
                                { "age_ms", (now - aAllocation.startedAt).count() },
                                { "silent_ms", (now - aWorker.lastResponse).count() } });
 }
@@ -629,7 +648,7 @@
   for (auto* worker : this->workers.All()) {
     const bool isUnreachable = worker->reachability != WorkerReachability::Reachable;
     if (isUnreachable && now > worker->leaseExpiry && !worker->allocations.empty()) {
-      this->RequeueLostRuns(*worker, "lease_ended");
+      this->RequeueLostRuns(*worker, WorkerLossReason::LeaseExpired);
     }
     const bool isLost = !worker->isListed && isUnreachable && now > worker->leaseExpiry &&
                         now - worker->lastResponse > this->options.workerRemovalDelay &&
@@ -802,7 +821,7 @@
     return;
   }
   if (ValueOf(aResult) == OrderResult::WrongIncarnation) {
-    this->OnWorkerRestarted(*worker, "other_life");
+    this->OnWorkerRestarted(*worker, WorkerLossReason::AddressReused);
     return;
   }
   if (ValueOf(aResult) == OrderResult::Accepted) {
--- a/Libraries/LibCell/Worker.h
+++ b/Libraries/LibCell/Worker.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -40,6 +41,39 @@
   Stopping,
 };
 
+/// Why the runs of a worker are lost.
+enum class WorkerLossReason : std::uint8_t
+{
+  /// Its leases have expired without a response.
+  LeaseExpired,
+  /// Another worker has registered from its machine.
+  Superseded,
+  /// Another worker responds at its address.
+  AddressReused,
+  /// Its row, or its report, shows that it has started again under its id.
+  RowOfNextIncarnation,
+  ReportOfNextIncarnation,
+};
+
+/// @return the reason's name in the log
+[[nodiscard]] constexpr std::string_view
+ToString(WorkerLossReason aReason)
+{
+  switch (aReason) {
+    case WorkerLossReason::LeaseExpired:
+      return "lease_ended";
+    case WorkerLossReason::Superseded:
+      return "superseded";
+    case WorkerLossReason::AddressReused:
+      return "other_life";
+    case WorkerLossReason::RowOfNextIncarnation:
+      return "listed";
+    case WorkerLossReason::ReportOfNextIncarnation:
+      return "born_again";
+  }
+  return "unknown";
+}
+
 /// A run that takes resources of a worker.
 struct Allocation
 {
