LibCell: Start nothing at an incarnation whose row has not arrived

Tasks started beyond a worker's capacity, or at a worker of another kind: a worker that starts again under its id answers lease renewals before its row arrives, and was used by the row of its previous incarnation.

A worker is usable only if its row is not older than the incarnation that responds. Evidence: StartsNothingAtANewIncarnationBeforeItsRowArrives started four tasks where one fits, and passes.

--- a/Libraries/LibCell/CellSchedulerPlacement.cpp
+++ b/Libraries/LibCell/CellSchedulerPlacement.cpp
@@ -44,7 +44,10 @@
 bool
 CellScheduler::IsUsable(const Worker& aWorker, TimePoint aNow) const
 {
-  return aWorker.isListed && !aWorker.entry.isDraining &&
+  // The row of the previous incarnation says nothing about this one's capacity, labels or pool.
+  const bool hasCurrentRow =
+    aWorker.entry.incarnation == 0 || aWorker.entry.incarnation >= aWorker.incarnation;
+  return aWorker.isListed && hasCurrentRow && !aWorker.entry.isDraining &&
          aWorker.reachability == WorkerReachability::Reachable && aWorker.isClockKnown &&
          aWorker.failedRenewals == 0 && aWorker.avoidUntil <= aNow &&
          aWorker.runsOfUnknownDemand == 0 && aWorker.isPublished;
