LibCell: Give up reserved room at a worker that has shrunk

A gang could bring a worker over its capacity: its room is reserved until its tickets arrive, and the start did not look at the capacity again, which may have shrunk meanwhile.

A reservation with a worker that has less than is in use and reserved is given up, and the gang is placed anew.

--- a/Libraries/LibCell/CellSchedulerGangs.cpp
+++ b/Libraries/LibCell/CellSchedulerGangs.cpp
@@ -130,7 +130,8 @@
   std::vector<Worker*> assigned;
   for (const auto number : run.reservation->workers) {
     auto* worker = this->workers.FindByNumber(number);
-    if (worker == nullptr || !this->IsUsable(*worker, this->roundBegin)) {
+    const bool isUsable = worker != nullptr && this->IsUsable(*worker, this->roundBegin);
+    if (!isUsable || worker->IsOvercommitted()) {
       this->ReleaseReservation(run, *aCandidate.specification);
       return;
     }
--- a/Libraries/LibCell/Worker.h
+++ b/Libraries/LibCell/Worker.h
@@ -173,6 +173,13 @@
     return this->entry.capacity - this->used - this->reserved;
   }
 
+  /// @return true if more is in use and reserved than the worker has, since its capacity has shrunk
+  [[nodiscard]] bool IsOvercommitted() const
+  {
+    const auto free = this->FreeResources();
+    return free.milliCores < 0 || free.memoryMiB < 0 || free.accelerators < 0;
+  }
+
   [[nodiscard]] Allocation* FindAllocation(const TaskName& aTask, std::uint64_t aRun)
   {
     for (auto& allocation : this->allocations) {
