LibCell: Count unreachable workers as the largest in usage estimates

A workspace could exceed its limit after a take-over: what a predecessor's runs may use at workers that cannot be read was bounded by the capacity in their rows, which may have shrunk below what runs there.

Each such worker now counts as the largest one that is known. If all workers have shrunk, the bound is still too low. Evidence: CountsMoreThanTheShrunkCapacityOfUnreachableWorkersAgainstTheLimit reached 14 of 8 cores, and passes.

--- a/Libraries/LibCell/CellSchedulerLimits.cpp
+++ b/Libraries/LibCell/CellSchedulerLimits.cpp
@@ -53,7 +53,8 @@
   if (this->unsyncedWorkers.empty()) {
     return;
   }
-  // At most the capacity of the unsynced workers. One without a row counts as the largest worker.
+  // At most the capacity of the unsynced workers. Each counts as the largest worker: a capacity may
+  // have shrunk below what runs there, and some have no row.
   Resources largest;
   for (const auto* worker : this->workers.All()) {
     const auto& capacity = worker->entry.capacity;
@@ -61,11 +62,7 @@
                 .memoryMiB = std::max(largest.memoryMiB, capacity.memoryMiB),
                 .accelerators = std::max(largest.accelerators, capacity.accelerators) };
   }
-  Resources totalCapacity;
-  for (const auto& id : this->unsyncedWorkers) {
-    const auto* worker = this->workers.Find(id);
-    totalCapacity += worker != nullptr ? worker->entry.capacity : largest;
-  }
+  const auto totalCapacity = largest * static_cast<std::int64_t>(this->unsyncedWorkers.size());
   for (const auto& [id, job] : this->activeJobs) {
     for (const auto& [number, occurrence] : job->occurrences) {
       for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
