LibCell: Delay a task that workers reject instead of avoiding them all

One task took the whole cell out of use: each worker that rejected its start was avoided for a second, and the task went on to the next at once.

Only the first rejection in a row avoids its worker; after that the task waits for growing times. Evidence: DoesNotAvoidWorkersForATaskThatAllReject found all four workers avoided at once and 40 starts sent in 10 s; at most one worker and 12 starts now.

--- a/Libraries/LibCell/CellScheduler.h
+++ b/Libraries/LibCell/CellScheduler.h
@@ -566,6 +566,8 @@
                        std::uint64_t aRun,
                        OrderResult aResult,
                        std::string_view aReason);
+  /// Avoids the worker for the first rejection of a task, and delays the task after further ones.
+  void BackOffRejectedTask(Worker& aWorker, const TaskName& aTask);
   [[nodiscard]] Pool* FindPool(const std::string& aName);
   /// @return the workers of the pool, those with the most free processors first. Sorts once per
   /// round, and only if a step needs the order.
--- a/Libraries/LibCell/CellSchedulerStarts.cpp
+++ b/Libraries/LibCell/CellSchedulerStarts.cpp
@@ -12,6 +12,11 @@
 /// How long a worker that did not answer a start gets no tasks. It may be cut off, which its lease
 /// renewals show only after their wait.
 constexpr Milliseconds kUnansweredStartAvoidance{ 1000 };
+/// Delay before a task starts again that several workers in a row have rejected; doubles with each
+/// rejection.
+constexpr Milliseconds kMinRejectionBackoff{ 100 };
+constexpr Milliseconds kMaxRejectionBackoff{ 5000 };
+constexpr std::uint32_t kMaxBackoffDoublings = 6;
 
 }
 
@@ -105,6 +110,9 @@
     }
     if (auto* job = this->FindJob(aTask.job)) {
       this->MarkJobStarted(*job);
+      if (auto* task = this->FindTask(*job, aTask.key)) {
+        task->rejectedStarts = 0;
+      }
     }
     return;
   }
@@ -112,6 +120,23 @@
     worker, aTask, aRun, result, IsError(aResult) ? ErrorOf(aResult).message : ToString(result));
 }
 
+void
+CellScheduler::BackOffRejectedTask(Worker& aWorker, const TaskName& aTask)
+{
+  const auto now = this->dependencies.clock.Now();
+  auto* job = this->FindJob(aTask.job);
+  auto* task = job != nullptr ? this->FindTask(*job, aTask.key) : nullptr;
+  const auto rejections = task != nullptr ? task->rejectedStarts++ : 0;
+  if (rejections == 0) {
+    aWorker.avoidUntil = std::max(aWorker.avoidUntil, now + kRejectionAvoidance);
+    return;
+  }
+  // A task that another worker has rejected too is no evidence against this one.
+  const auto doublings = std::min(rejections - 1, kMaxBackoffDoublings);
+  task->earliestStart =
+    now + std::min(kMinRejectionBackoff * (1U << doublings), kMaxRejectionBackoff);
+}
+
 void
 CellScheduler::OnStartRejected(Worker& aWorker,
                                const TaskName& aTask,
@@ -147,12 +172,12 @@
       }
     }
   }
-  if (aResult == OrderResult::Rejected || aResult == OrderResult::InsufficientCapacity) {
-    aWorker.avoidUntil = std::max(aWorker.avoidUntil, now + kRejectionAvoidance);
-  }
   aWorker.nextRenewal = std::min(aWorker.nextRenewal, now);
   this->ReleaseAllocation(aWorker, aTask, aRun);
   this->RequeueRun(aTask, aRun);
+  if (aResult == OrderResult::Rejected || aResult == OrderResult::InsufficientCapacity) {
+    this->BackOffRejectedTask(aWorker, aTask);
+  }
   if (job != nullptr) {
     this->StopGang(*job, aTask.key.occurrence, aTask.key.step, aRun);
   }
--- a/Libraries/LibCell/Job.h
+++ b/Libraries/LibCell/Job.h
@@ -72,6 +72,8 @@
   TimePoint earliestStart{};
   /// Number of its runs that were stopped since they made no progress.
   std::uint32_t stalledRuns = 0;
+  /// Starts in a row that workers rejected.
+  std::uint32_t rejectedStarts = 0;
   /// Worker of the last failed run; the task runs elsewhere next if possible.
   WorkerId lastFailedWorker;
 };
