LibCell: Unlist workers whose rows become unreadable

A worker could get tasks by a capacity that no longer held: a row that could not be read was skipped, so the row before it stayed in force. A capacity that had shrunk to nothing made a row unreadable. A worker that was removed while a new leader still read the jobs was listed when its term began.

WorkerDirectory follows the rows, apart from the instance and without a network. An unreadable row unlists its worker, the term begins with the rows of that moment, and an empty capacity is readable.

--- a/Libraries/LibCell/Forward.h
+++ b/Libraries/LibCell/Forward.h
@@ -12,6 +12,7 @@
 class LostWorkers;
 class StepAdvice;
 class TableWatcher;
+class WorkerDirectory;
 class WorkerTable;
 struct CellPolicy;
 struct Job;
--- a/Libraries/LibInstance/CellInstance.cpp
+++ b/Libraries/LibInstance/CellInstance.cpp
@@ -66,6 +66,7 @@
                  } },
              this->options.identity,
              this->options.election)
+  , workerDirectory(this->dependencies.layout.decodeWorker, this->dependencies.log)
 {
 }
 
@@ -259,7 +260,7 @@
       { "predecessor_ends_ms", (aTerm.priorLeasesExpiry - this->dependencies.clock.Now()).count() },
       { "previous_workers", aTerm.previousWorkers.size() } });
   this->pendingTerm = PendingTerm{ .term = aTerm };
-  this->listedWorkers.clear();
+  this->workerDirectory.Clear();
   this->jobWatcher = this->StartWatcher({ .table = std::string(cell::kJobTable),
                                           .partitions = cell::JobTablePartitions(),
                                           .pollDelay = this->options.minJobReadInterval },
@@ -308,68 +309,29 @@
   }
 }
 
-std::optional<cell::WorkerEntry>
-CellInstance::DecodeWorker(const cell::Row& aRow)
-{
-  auto decoded = this->dependencies.layout.decodeWorker(aRow.key.key, aRow.value);
-  if (IsError(decoded)) {
-    this->dependencies.log.Log(
-      LogLevel::Warning,
-      "worker_row_unreadable",
-      { { "worker", aRow.key.key }, { "reason", ErrorOf(decoded).message } });
-    return {};
-  }
-  return std::move(ValueOf(decoded));
-}
-
 void
 CellInstance::OnWorkerRows(const cell::TableUpdate& aUpdate)
 {
-  std::set<WorkerId> seen;
-  std::vector<cell::WorkerEntry> entries;
-  for (const auto& row : aUpdate.rows) {
-    const WorkerId id{ row.key.key };
-    if (row.isDeleted) {
-      this->listedWorkers.erase(id);
-      if (this->scheduler) {
-        this->scheduler->OnWorkerUnlisted(id);
-      }
-      continue;
-    }
-    seen.insert(id);
-    if (auto entry = this->DecodeWorker(row)) {
-      this->listedWorkers.insert(id);
-      entries.push_back(std::move(*entry));
-    }
-  }
+  const auto changes = this->workerDirectory.Apply(aUpdate);
   if (!this->scheduler) {
     if (this->pendingTerm) {
-      auto& workers = this->pendingTerm->workers;
-      if (!workers) {
-        workers.emplace();
-      }
-      std::ranges::move(entries, std::back_inserter(*workers));
+      this->pendingTerm->hasReadWorkers = true;
       this->StartSchedulerIfReady();
     }
     return;
   }
-  for (const auto& entry : entries) {
+  for (const auto& entry : changes.listed) {
     this->scheduler->OnWorkerEntry(entry);
   }
-  if (aUpdate.isSnapshot) {
-    for (const auto& id : std::set<WorkerId>(this->listedWorkers)) {
-      if (!seen.contains(id)) {
-        this->listedWorkers.erase(id);
-        this->scheduler->OnWorkerUnlisted(id);
-      }
-    }
+  for (const auto& id : changes.unlisted) {
+    this->scheduler->OnWorkerUnlisted(id);
   }
 }
 
 void
 CellInstance::StartSchedulerIfReady()
 {
-  if (!this->pendingTerm->jobRows || !this->pendingTerm->workers || this->scheduler) {
+  if (!this->pendingTerm->jobRows || !this->pendingTerm->hasReadWorkers || this->scheduler) {
     return;
   }
   auto start = std::move(*this->pendingTerm);
@@ -417,7 +379,7 @@
                                .predecessorRecordAge = start.term.predecessorRecordAge,
                                .olderLeasesExpiry = start.term.olderLeasesExpiry,
                                .jobRows = std::move(*start.jobRows),
-                               .workers = std::move(*start.workers) });
+                               .workers = this->workerDirectory.Entries() });
   this->election.RenewSoon();
   this->TickScheduler();
 }
--- a/Libraries/LibInstance/CellInstance.h
+++ b/Libraries/LibInstance/CellInstance.h
@@ -12,6 +12,7 @@
 #include <LibCell/SpeedProbe.h>
 #include <LibCell/TableWatcher.h>
 #include <LibCell/Timer.h>
+#include <LibCell/WorkerDirectory.h>
 #include <LibInstanceCalls/InstanceCalls.h>
 #include <LibLog/Logger.h>
 #include <LibMetrics/MetricRegistry.h>
@@ -167,7 +168,7 @@
   {
     cell::Term term;
     std::optional<std::vector<cell::Row>> jobRows;
-    std::optional<std::vector<cell::WorkerEntry>> workers;
+    bool hasReadWorkers = false;
   };
 
   /// Starts a watch on a table that passes each update to a member function.
@@ -181,7 +182,6 @@
   void OnTermLost();
   void OnJobRows(const cell::TableUpdate& aUpdate);
   void OnWorkerRows(const cell::TableUpdate& aUpdate);
-  [[nodiscard]] std::optional<cell::WorkerEntry> DecodeWorker(const cell::Row& aRow);
   void StartSchedulerIfReady();
   [[nodiscard]] cell::LeaderReport BuildLeaderReport();
   void TickScheduler();
@@ -201,6 +201,7 @@
   cell::Intake intake;
   cell::LeaderElection election;
   cell::SpeedProbe speed;
+  cell::WorkerDirectory workerDirectory;
   std::shared_ptr<cell::TableWatcher> documentWatcher;
   std::shared_ptr<cell::TableWatcher> cellWatcher;
   std::shared_ptr<cell::TableWatcher> jobWatcher;
@@ -210,7 +211,6 @@
   /// a call of the scheduler itself.
   std::vector<std::unique_ptr<cell::CellScheduler>> endedSchedulers;
   std::optional<PendingTerm> pendingTerm;
-  std::set<WorkerId> listedWorkers;
   std::shared_ptr<const cell::CellPolicy> policy;
   /// Documents that were replaced recently, oldest first, with the time of their replacement.
   std::deque<std::pair<TimePoint, std::shared_ptr<const cell::CellPolicy>>> formerPolicies;
--- a/Tests/Platform/TestDecoders.cpp
+++ b/Tests/Platform/TestDecoders.cpp
@@ -74,6 +74,16 @@
   EXPECT_EQ(entry.incarnation, 17);
 }
 
+// Guards against starts by an old capacity: a row without any capacity left must be readable.
+TEST(Decoders, DecodesAWorkerRowWithoutCapacityLeft)
+{
+  const std::string rest = R"("Service":"s","Address":"10.1.2.3:80","Zone":"z","State":"ready")";
+  const auto decoded = DecodeWorkerEntry("i-1", "{" + rest + R"(,"Capacity":{"Cpu":0}})");
+  ASSERT_FALSE(IsError(decoded)) << ErrorOf(decoded).message;
+  EXPECT_EQ(ValueOf(decoded).capacity, Resources{});
+  EXPECT_TRUE(IsError(DecodeWorkerEntry("i-1", "{" + rest + "}")));
+}
+
 // Rows of other writers: missing fields, wrong types, an unknown state, binary data.
 TEST(Decoders, RejectsForeignWorkerRows)
 {
