LibDriver: Place tasks again whose worker is gone and whose owner lives

A task stayed queued for good on the product's own protocol: its worker was gone from the instance list, the owner had reported it as lost and dropped it, and the driver then took the task for one that its owner had queued again, since it still named that owner.

The owner is cleared before the end is recorded, as for ends that a worker reports. Evidence: PlacesATaskAgainWhoseWorkerIsGoneAndWhoseOwnerLives failed before the change.

--- a/Libraries/LibDriver/JobDriver.cpp
+++ b/Libraries/LibDriver/JobDriver.cpp
@@ -879,6 +879,8 @@
   }
   const AttemptId attempt{ .task = TaskIdOf(aView.job.id, aView.index),
                            .attempt = aView.recordedTask.attempt };
+  // The owner has dropped the task with its worker, and will not start it again.
+  aView.task.owner = {};
   this->RecordOutcome(attempt,
                       { .attempt = attempt,
                         .state = TaskState::Stopped,
--- a/Tests/LibDriver/TestJobDriver.cpp
+++ b/Tests/LibDriver/TestJobDriver.cpp
@@ -144,6 +144,17 @@
   EXPECT_EQ(this->two->LastPlaced().attempt, 2U);
 }
 
+// Guards against a task that nobody places again: its worker is gone, while the owner that lost it
+// lives on.
+TEST_F(DriverTest, PlacesATaskAgainWhoseWorkerIsGoneAndWhoseOwnerLives)
+{
+  const auto attempt = this->StartJob("r1", "rebuilds");
+  this->world.isWorkerListed = false;
+  this->one->driver->OnLost({ "owner" }, { .attempt = attempt, .worker = { "w1" } });
+  this->Pass(Milliseconds{ 35'000 });
+  EXPECT_EQ(this->one->LastPlaced().attempt, 2U);
+}
+
 TEST_F(DriverTest, SupersededDriverCannotAllowAStart)
 {
   this->one->Submit("r1", "swaps");
