LibDriver: Give up an idempotent task whose workers are lost three times

Only ends reported as failed counted, so a task that takes its workers with it would go through all of them.

After three the job fails, and may have run.

--- a/Libraries/LibDriver/JobDriver.cpp
+++ b/Libraries/LibDriver/JobDriver.cpp
@@ -18,6 +18,8 @@
 constexpr Milliseconds kRefreshEvery{ 1000 };
 constexpr std::uint32_t kMostDoublings = 6;
 constexpr std::uint32_t kDefaultAttempts = 3;
+/// Lost workers after which a task is given up, since it may be what takes them down.
+constexpr std::uint32_t kMaxLostWorkers = 3;
 
 Verdict
 UnknownJob()
@@ -617,6 +619,13 @@
     this->EndJob(aJob, JobEnd::Failed, RunState::Ran, recordedTask.outcome->result);
     return;
   }
+  if (recordedTask.lostWorkers >= kMaxLostWorkers) {
+    this->EndJob(aJob,
+                 JobEnd::Failed,
+                 RunState::MayHaveRun,
+                 "The task was given up: each worker that ran it was lost.");
+    return;
+  }
   if (IsDoubtful(recordedTask) && !idempotent) {
     this->EndJob(
       aJob, JobEnd::Failed, RunState::MayHaveRun, "The worker was lost; the task may have run.");
@@ -713,7 +722,7 @@
 }
 
 void
-JobDriver::RecordOutcome(const AttemptId& aAttempt, const TaskEnded& aEnd)
+JobDriver::RecordOutcome(const AttemptId& aAttempt, const TaskEnded& aEnd, EndSource aSource)
 {
   const auto view = this->View(aAttempt.task);
   if (!view || view->task.stage == DriveStage::Ending) {
@@ -727,7 +736,8 @@
                               .state = aEnd.state,
                               .run = aEnd.run,
                               .result = aEnd.result,
-                              .progress = aEnd.progress };
+                              .progress = aEnd.progress,
+                              .isWorkerLost = aSource == EndSource::WorkerLost };
   if (aEnd.state == TaskState::Failed || aEnd.run == RunState::NotRun) {
     view->task.dueAt = this->environment.clock.Now() + kFirstPostponement;
   }
@@ -885,7 +895,8 @@
                       { .attempt = attempt,
                         .state = TaskState::Stopped,
                         .run = RunState::MayHaveRun,
-                        .result = "The worker's instance is gone." });
+                        .result = "The worker's instance is gone." },
+                      EndSource::WorkerLost);
 }
 
 void
--- a/Libraries/LibDriver/JobDriver.h
+++ b/Libraries/LibDriver/JobDriver.h
@@ -122,7 +122,17 @@
                  TaskIndex aTask,
                  const EntryId& aOwner);
   void Postpone(DrivenTask& aTask);
-  void RecordOutcome(const AttemptId& aAttempt, const TaskEnded& aEnd);
+  /// How the end of an attempt is known.
+  enum class EndSource : std::uint8_t
+  {
+    Reported,
+    /// The worker is gone.
+    WorkerLost,
+  };
+
+  void RecordOutcome(const AttemptId& aAttempt,
+                     const TaskEnded& aEnd,
+                     EndSource aSource = EndSource::Reported);
   void EndJob(DrivenJob& aJob, JobEnd aEnd, RunState aRun, std::string aResult);
   void Resolve(const TaskView& aView);
   void AskWorker(const TaskView& aView, const ResolutionStep& aStep);
--- a/Libraries/LibLedger/JsonArray.h
+++ b/Libraries/LibLedger/JsonArray.h
@@ -93,6 +93,9 @@
     return value == nullptr ? Json::Value::nullSingleton() : *value;
   }
 
+  /// @return true if there are values left, which a writer may leave out
+  [[nodiscard]] bool HasMore() const { return this->isValid && this->next < this->array.size(); }
+
   [[nodiscard]] bool IsValid() const { return this->isValid; }
   void Fail() { this->isValid = false; }
 
--- a/Libraries/LibLedger/LedgerJob.h
+++ b/Libraries/LibLedger/LedgerJob.h
@@ -31,6 +31,8 @@
   std::optional<AttemptOutcome> outcome;
   /// Newest progress of a checkpointed attempt.
   std::string progress;
+  /// Attempts whose worker was lost.
+  std::uint32_t lostWorkers = 0;
 
   /// @return true if an attempt was recorded whose end was not.
   [[nodiscard]] bool IsOpen() const { return this->attempt > 0 && !this->outcome; }
--- a/Libraries/LibLedger/Record.h
+++ b/Libraries/LibLedger/Record.h
@@ -91,6 +91,8 @@
   std::string result;
   /// Opaque progress of a checkpointed attempt.
   std::string progress;
+  /// The worker has left the instance list, and the attempt's end is unknown.
+  bool isWorkerLost = false;
 
   friend bool operator==(const OutcomeRecord&, const OutcomeRecord&) = default;
 };
--- a/Libraries/LibLedger/RecordJson.cpp
+++ b/Libraries/LibLedger/RecordJson.cpp
@@ -89,8 +89,8 @@
 
   Json::Value operator()(const OutcomeRecord& aRecord) const
   {
-    return JsonArrayWriter()
-      .Text("O")
+    JsonArrayWriter writer;
+    writer.Text("O")
       .Text(aRecord.job.value)
       .Number64(aRecord.task)
       .Number64(aRecord.attempt)
@@ -98,8 +98,11 @@
       .Number64(aRecord.state)
       .Number64(aRecord.run)
       .Text(aRecord.result)
-      .Text(aRecord.progress)
-      .Take();
+      .Text(aRecord.progress);
+    if (aRecord.isWorkerLost) {
+      writer.Number64(1);
+    }
+    return writer.Take();
   }
 
   Json::Value operator()(const JobEndedRecord& aRecord) const
@@ -188,6 +191,7 @@
   record.run = aReader.Enumerator<RunState>(kRunStateCount);
   record.result = aReader.Text();
   record.progress = aReader.Text();
+  record.isWorkerLost = aReader.HasMore() && aReader.Number64<std::uint32_t>() != 0;
   return record;
 }
 
--- a/Libraries/LibLedger/ShardSnapshot.cpp
+++ b/Libraries/LibLedger/ShardSnapshot.cpp
@@ -36,14 +36,17 @@
 Json::Value
 TaskToJson(const LedgerTask& aTask)
 {
-  return JsonArrayWriter()
-    .Number64(aTask.attempt)
+  JsonArrayWriter writer;
+  writer.Number64(aTask.attempt)
     .Text(aTask.worker.value)
     .Number64(aTask.term)
     .Number64(aTask.epoch)
     .Nested(aTask.outcome ? OutcomeToJson(*aTask.outcome) : Json::Value())
-    .Text(aTask.progress)
-    .Take();
+    .Text(aTask.progress);
+  if (aTask.lostWorkers > 0) {
+    writer.Number64(aTask.lostWorkers);
+  }
+  return writer.Take();
 }
 
 std::optional<LedgerTask>
@@ -57,6 +60,7 @@
   task.epoch = reader.Number64<DriverEpoch>();
   const Json::Value& outcome = reader.Nested();
   task.progress = reader.Text();
+  task.lostWorkers = reader.HasMore() ? reader.Number64<std::uint32_t>() : 0;
   if (!outcome.isNull()) {
     task.outcome = OutcomeFromJson(outcome);
     if (!task.outcome) {
--- a/Libraries/LibLedger/ShardState.cpp
+++ b/Libraries/LibLedger/ShardState.cpp
@@ -151,6 +151,7 @@
   {
     LedgerTask& task = this->state.TaskAt(aRecord.job, aRecord.task);
     task.outcome = { .state = aRecord.state, .run = aRecord.run, .result = aRecord.result };
+    task.lostWorkers += aRecord.isWorkerLost ? 1 : 0;
     if (!aRecord.progress.empty()) {
       task.progress = aRecord.progress;
     }
--- a/Tests/LibDriver/TestJobDriver.cpp
+++ b/Tests/LibDriver/TestJobDriver.cpp
@@ -155,6 +155,29 @@
   EXPECT_EQ(this->one->LastPlaced().attempt, 2U);
 }
 
+// Guards against a task that takes one worker after another with it for as long as its job lives.
+TEST_F(DriverTest, GivesUpAnIdempotentTaskWhoseWorkersAreLostAgainAndAgain)
+{
+  (void)this->StartJob("r1", "rebuilds");
+  this->world.isWorkerListed = false;
+  this->ChangeDriver();
+  constexpr std::uint32_t kMostStarts = 5;
+  for (std::uint32_t attempt = 2; attempt <= kMostStarts + 1; ++attempt) {
+    this->Pass(Milliseconds{ 35'000 });
+    const auto placed = this->two->LastPlaced();
+    if (placed.attempt != attempt) {
+      break;
+    }
+    this->two->Claim(placed);
+    this->Pass(Milliseconds{ 100 });
+    this->two->driver->OnLost({ "owner" }, { .attempt = placed, .worker = { "w1" } });
+  }
+  this->Pass(Milliseconds{ 35'000 });
+  EXPECT_GE(this->two->LastPlaced().attempt, 3U);
+  EXPECT_LE(this->two->LastPlaced().attempt, kMostStarts);
+  this->ExpectAnswer(*this->two, "r1", JobState::Failed, RunState::MayHaveRun);
+}
+
 TEST_F(DriverTest, SupersededDriverCannotAllowAStart)
 {
   this->one->Submit("r1", "swaps");
--- a/Tests/LibLedger/TestLedgerCodec.cpp
+++ b/Tests/LibLedger/TestLedgerCodec.cpp
@@ -29,7 +29,11 @@
   return { accepted,
            DriverRecord{ .zone = { "telford" }, .entry = { "writer" }, .epoch = 1 },
            AttemptRecord{ .job = job, .worker = { text() }, .term = number(), .epoch = 1 },
-           OutcomeRecord{ .job = job, .epoch = 1, .result = text(), .progress = text() },
+           OutcomeRecord{ .job = job,
+                          .epoch = 1,
+                          .result = text(),
+                          .progress = text(),
+                          .isWorkerLost = number() % 2 == 0 },
            CancelledRecord{ .job = job },
            JobEndedRecord{ .job = job, .epoch = 1, .run = RunState::NotRun, .result = text() },
            RetiredRecord{ .endedUpTo = WallTime(Milliseconds(-1)), .epoch = 1 } };
