Tests: Crash and shrink workers in the fault soak

Six jobs in a thousand crash each worker that begins one of their tasks, and workers shrink to a quarter of their capacity and grow again, up to three a run. Checks: no task is started three times more after three crashes; no start above a capacity that the worker's entry has shown for ContactMs and a heartbeat; a job is shown as failed only after two crashes under one of its tasks, or for the causes that were allowed before.

--- a/Tests/Soak/Checks.cpp
+++ b/Tests/Soak/Checks.cpp
@@ -75,7 +75,7 @@
         for (auto& span : spans) {
           if (span.place == event.place && !span.to) {
             span.to = event.at;
-            span.end = "lost";
+            span.end = event.text;
           }
         }
       }
@@ -114,18 +114,100 @@
   return found;
 }
 
+/// @return the largest capacity that counts at a time: the one shown last, and those shown shortly
+/// before.
+std::int64_t
+CapacityAt(std::span<const Event> aShown, Milliseconds aTime, const CheckContext& aContext)
+{
+  std::int64_t largest = 0;
+  for (std::size_t next = 0; next < aShown.size() && aShown[next].at <= aTime; ++next) {
+    const bool isReplaced =
+      next + 1 < aShown.size() && aShown[next + 1].at + aContext.capacityNotice <= aTime;
+    largest = isReplaced ? largest : std::max(largest, aShown[next].amount);
+  }
+  return aShown.empty() ? aContext.workerMilliCores : largest;
+}
+
 Violations
 CheckCapacity(std::span<const Event> aHistory, const CheckContext& aContext)
 {
   Violations found;
+  std::map<std::string, std::vector<Event>> shown;
   for (const auto& event : aHistory) {
-    if (event.kind == EventKind::Started && event.amount > aContext.workerMilliCores) {
+    if (event.kind == EventKind::CapacityShown) {
+      shown[event.place].push_back(event);
+    }
+    // An order that the worker carried out late is judged by when it arrived.
+    const bool isOver = event.kind == EventKind::Started &&
+                        event.amount > CapacityAt(shown[event.place], event.orderedAt, aContext);
+    if (isOver) {
       found.push_back(fmt::format("{} brings the worker to {}", Describe(event), event.amount));
     }
   }
   return found;
 }
 
+/// Counts the crashes of workers under each task.
+class CrashCounter
+{
+public:
+  void Apply(const Event& aEvent)
+  {
+    if (aEvent.kind == EventKind::Started) {
+      this->running[aEvent.place].insert(aEvent.task);
+    } else if (aEvent.kind == EventKind::Ended) {
+      this->running[aEvent.place].erase(aEvent.task);
+    } else if (aEvent.kind == EventKind::WorkerLost) {
+      for (const auto& task : this->running[aEvent.place]) {
+        this->crashes[task] += aEvent.text == "crash" ? 1 : 0;
+      }
+      this->running.erase(aEvent.place);
+    }
+  }
+
+  [[nodiscard]] std::uint32_t CrashesUnder(const std::string& aTask) const
+  {
+    const auto found = this->crashes.find(aTask);
+    return found == this->crashes.end() ? 0 : found->second;
+  }
+
+  /// @return the crashes under that task of a job which has most
+  [[nodiscard]] std::uint32_t MostCrashes(const std::string& aJob) const
+  {
+    std::uint32_t most = 0;
+    for (auto next = this->crashes.lower_bound(aJob);
+         next != this->crashes.end() && next->first.starts_with(aJob);
+         ++next) {
+      most = std::max(most, next->second);
+    }
+    return most;
+  }
+
+private:
+  std::map<std::string, std::set<std::string>> running;
+  std::map<std::string, std::uint32_t> crashes;
+};
+
+Violations
+CheckCrashingTasks(std::span<const Event> aHistory, const CheckContext& aContext)
+{
+  Violations found;
+  CrashCounter crashes;
+  std::map<std::string, std::uint32_t> startsBeyond;
+  for (const auto& event : aHistory) {
+    const auto* step = event.kind == EventKind::Started ? PlanOf(aContext, event.task) : nullptr;
+    const bool isBeyond = step != nullptr && step->crashesWorkers &&
+                          crashes.CrashesUnder(event.task) >= aContext.crashBudget;
+    if (isBeyond && ++startsBeyond[event.task] == aContext.startsBeyondBudget) {
+      found.push_back(fmt::format("{} starts after {} workers had crashed under it",
+                                  Describe(event),
+                                  crashes.CrashesUnder(event.task)));
+    }
+    crashes.Apply(event);
+  }
+  return found;
+}
+
 /// Names of the tasks of a job that have ended well, by step.
 using DoneTasks = std::map<std::string, std::map<std::size_t, std::set<std::string>>>;
 
@@ -180,8 +262,10 @@
   DoneTasks done;
   std::map<std::string, std::map<std::string, std::uint32_t>> failures;
   std::set<std::string> cancelled;
+  CrashCounter crashes;
   for (const auto& event : aHistory) {
     CountDone(event, done);
+    crashes.Apply(event);
     if (event.kind == EventKind::Ended && event.text == "failed") {
       ++failures[event.job][event.task];
     } else if (event.kind == EventKind::CancelSent) {
@@ -200,7 +284,8 @@
     const bool isHopeless = std::any_of(failed.begin(), failed.end(), [&](const auto& aTask) {
       return aTask.second >= aContext.attempts;
     });
-    if (event.text == "failed" && !isHopeless) {
+    const bool isGivenUp = crashes.MostCrashes(event.job) >= aContext.crashesToGiveUp;
+    if (event.text == "failed" && !isHopeless && !isGivenUp) {
       found.push_back(fmt::format("{} is shown as failed without a cause", Describe(event)));
     }
     if (event.text == "cancelled" && !cancelled.contains(event.job)) {
@@ -326,7 +411,9 @@
   std::map<std::string, Milliseconds> accepted;
   std::map<std::string, std::string> shown;
   std::set<std::string> cancelled;
+  CrashCounter crashes;
   for (const auto& event : aHistory) {
+    crashes.Apply(event);
     if (event.kind == EventKind::Accepted) {
       accepted.try_emplace(event.job, event.at);
     } else if (event.kind == EventKind::CancelSent) {
@@ -348,12 +435,13 @@
   for (const auto& [job, at] : accepted) {
     const auto plan = aContext.plans.find(job);
     const auto state = shown[job];
+    const bool isGivenUp = crashes.MostCrashes(job) >= aContext.crashesToGiveUp;
     const bool fails =
       plan != aContext.plans.end() &&
       std::any_of(plan->second.steps.begin(), plan->second.steps.end(), [](const StepPlan& aStep) {
         return aStep.alwaysFails || aStep.failurePercent > 0;
       });
-    const bool isExpected = state == "done" || (state == "failed" && fails) ||
+    const bool isExpected = state == "done" || (state == "failed" && (fails || isGivenUp)) ||
                             (state == "cancelled" && cancelled.contains(job));
     if (!isExpected) {
       found.push_back(fmt::format("{}, accepted at {} ms, is last shown as '{}'{}",
@@ -399,11 +487,17 @@
 }
 
 constexpr Check kChecks[] = {
-  { "single runs", &CheckSingleRuns },   { "capacity", &CheckCapacity },
-  { "order of steps", &CheckOrder },     { "states shown", &CheckShownStates },
-  { "asked work only", &CheckAsked },    { "refusals are true", &CheckRefusals },
-  { "attempts", &CheckAttempts },        { "quotas", &CheckQuotas },
-  { "nothing lost", &CheckNothingLost }, { "exits", &CheckExits },
+  { "single runs", &CheckSingleRuns },
+  { "capacity", &CheckCapacity },
+  { "order of steps", &CheckOrder },
+  { "states shown", &CheckShownStates },
+  { "asked work only", &CheckAsked },
+  { "refusals are true", &CheckRefusals },
+  { "attempts", &CheckAttempts },
+  { "quotas", &CheckQuotas },
+  { "nothing lost", &CheckNothingLost },
+  { "exits", &CheckExits },
+  { "crashing tasks", &CheckCrashingTasks },
 };
 
 }
--- a/Tests/Soak/Checks.h
+++ b/Tests/Soak/Checks.h
@@ -26,6 +26,14 @@
   Milliseconds cancellation{ 4000 };
   /// A job may be unknown so long after it was accepted; the pages' `visible_ms`.
   Milliseconds visibility{ 3000 };
+  /// Crashes after which a task may be given up.
+  std::uint32_t crashesToGiveUp = 2;
+  /// Crashes after which starts are limited, and how many more starts break the promise.
+  std::uint32_t crashBudget = 3;
+  std::uint32_t startsBeyondBudget = 3;
+  /// A capacity that has shrunk counts so long after the worker's entry shows it: the pages'
+  /// `ContactMs` and one heartbeat.
+  Milliseconds capacityNotice{ 4500 };
   /// Time from SIGTERM in which a process has to end; the pages' `GraceS`.
   Milliseconds gracePeriod{ 6000 };
 };
--- a/Tests/Soak/Event.h
+++ b/Tests/Soak/Event.h
@@ -36,7 +36,7 @@
   Ended,
   /// The system took note of an end.
   Noted,
-  /// A worker went with all that ran there.
+  /// A worker went with all that ran there; the text says whether it crashed.
   WorkerLost,
   /// A fault began or ended.
   Fault,
@@ -44,6 +44,8 @@
   ExitAsked,
   /// An instance's process ended; the amount is its exit code.
   Exited,
+  /// A worker's entry shows another capacity, which is the amount.
+  CapacityShown,
 };
 
 /// One observation; fields that do not apply are empty.
@@ -79,6 +81,8 @@
   bool alwaysFails = false;
   /// Each run fails with this probability, in percent.
   std::uint32_t failurePercent = 0;
+  /// Every run of a task crashes its worker.
+  bool crashesWorkers = false;
 };
 
 /// A job, as the caller planned it; every step comes after the one before.
--- a/Tests/Soak/SoakCallers.cpp
+++ b/Tests/Soak/SoakCallers.cpp
@@ -31,6 +31,11 @@
 constexpr std::uint32_t kGangs = 15;
 constexpr std::uint32_t kHopeless = 3;
 constexpr std::uint32_t kFlaky = 10;
+/// Jobs whose tasks crash their workers, in a thousand. Drawn from a stream of their own, so that
+/// the other jobs of a seed stay the same.
+constexpr std::uint32_t kCrashingPermille = 6;
+constexpr std::uint32_t kPermille = 1000;
+constexpr std::uint64_t kCrashStream = 9001;
 constexpr std::uint32_t kFlakyPercent = 30;
 constexpr std::uint32_t kSizeUnit = 250;
 constexpr std::uint32_t kSizes = 5;
@@ -57,6 +62,7 @@
     value["cpu"] = Json::Int64(step.milliCores);
     value["count"] = step.count;
     value["gang"] = step.isGang;
+    value["crashes"] = step.crashesWorkers;
     value["fails"] = step.alwaysFails ? kPercent : step.failurePercent;
     payload["steps"].append(value);
   }
@@ -138,9 +144,11 @@
 SoakCallers::Serve(std::uint64_t aNumber)
 {
   pcg32 random(this->options.seed, aNumber);
+  pcg32 crashes(this->options.seed, kCrashStream + aNumber);
   while (!this->isOver) {
     const std::size_t workspace = Draws(random, kLimited) ? 1 : 2 * random(2);
-    const auto plan = this->Draw(random, workspace);
+    auto plan = this->Draw(random, workspace);
+    plan.steps.front().crashesWorkers = crashes(kPermille) < kCrashingPermille;
     this->options.recorder.Plan(plan);
     if (this->Submit(plan, workspace, random)) {
       const Accepted job{ plan.id, workspace };
--- a/Tests/Soak/SoakCell.cpp
+++ b/Tests/Soak/SoakCell.cpp
@@ -29,6 +29,8 @@
 constexpr Milliseconds kSlowStore{ 250 };
 constexpr Milliseconds kSlowWorker{ 400 };
 constexpr Milliseconds kSlowPath{ 200 };
+/// A worker shrinks to this part of its capacity.
+constexpr std::int64_t kShrinkDivisor = 4;
 /// Hosts of the platform and of the first instance in the run's own loopback network.
 constexpr std::size_t kPlatform = 1;
 constexpr std::size_t kFirstInstance = 10;
@@ -76,6 +78,7 @@
   { FaultKind::WorkerLate, &SoakCell::DisturbWorker, &SoakCell::RestoreWorker },
   { FaultKind::WorkerSlow, &SoakCell::DisturbWorker, &SoakCell::RestoreWorker },
   { FaultKind::ChangeDocument, &SoakCell::ChangeDocument, &SoakCell::Nothing },
+  { FaultKind::ShrinkWorker, &SoakCell::ShrinkWorker, &SoakCell::RestoreCapacity },
 };
 
 SoakCell::SoakCell(SoakCellOptions aOptions, Recorder& aRecorder)
@@ -524,6 +527,23 @@
   });
 }
 
+void
+SoakCell::ShrinkWorker(const SoakFault& aFault)
+{
+  this->thread.Run([&] {
+    this->workers->Resize(aFault.target % this->workers->Count(),
+                          this->options.fleet.milliCores / kShrinkDivisor);
+  });
+}
+
+void
+SoakCell::RestoreCapacity(const SoakFault& aFault)
+{
+  this->thread.Run([&] {
+    this->workers->Resize(aFault.target % this->workers->Count(), this->options.fleet.milliCores);
+  });
+}
+
 void
 SoakCell::ChangeDocument(const SoakFault&)
 {
--- a/Tests/Soak/SoakCell.h
+++ b/Tests/Soak/SoakCell.h
@@ -116,6 +116,8 @@
   void DisturbWorker(const SoakFault& aFault);
   void RestoreWorker(const SoakFault& aFault);
   void ChangeDocument(const SoakFault& aFault);
+  void ShrinkWorker(const SoakFault& aFault);
+  void RestoreCapacity(const SoakFault& aFault);
 
   SoakCellOptions options;
   Recorder& recorder;
--- a/Tests/Soak/SoakFaults.cpp
+++ b/Tests/Soak/SoakFaults.cpp
@@ -33,6 +33,7 @@
   "worker_late",
   "worker_slow",
   "change_document",
+  "shrink_worker",
 };
 
 constexpr std::uint32_t kFirst = 1000;
@@ -45,6 +46,11 @@
 constexpr std::uint32_t kTargets = 1000;
 /// One fault in so many begins with the one before, and one in so many repeats it.
 constexpr std::uint32_t kTogether = 4;
+/// Kinds that are drawn together. Later ones are drawn from a stream of their own, so that the
+/// faults of a seed stay the same.
+constexpr std::uint32_t kDrawnTogether = 23;
+constexpr std::uint64_t kShrinkStream = 7001;
+constexpr std::uint32_t kMaxShrinks = 3;
 /// Time between a fault's end and its repetition.
 constexpr std::uint32_t kRepeatAfter = 1500;
 
@@ -63,7 +69,7 @@
   SoakSchedule schedule;
   const auto count = kFewest + random(kMost - kFewest + 1);
   while (schedule.size() < count) {
-    SoakFault fault{ .kind = static_cast<FaultKind>(random(kFaultKinds)),
+    SoakFault fault{ .kind = static_cast<FaultKind>(random(kDrawnTogether)),
                      .target = random(kTargets),
                      .at = Milliseconds(kFirst + random(kLast - kFirst)),
                      .lasts = Milliseconds(kShortest + random(kLongest - kShortest)) };
@@ -76,6 +82,13 @@
     }
     schedule.push_back(fault);
   }
+  pcg32 shrinks(aSeed, kShrinkStream);
+  for (auto left = shrinks(kMaxShrinks + 1); left > 0; --left) {
+    schedule.push_back({ .kind = FaultKind::ShrinkWorker,
+                         .target = shrinks(kTargets),
+                         .at = Milliseconds(kFirst + shrinks(kLast - kFirst)),
+                         .lasts = Milliseconds(kShortest + shrinks(kLongest - kShortest)) });
+  }
   std::sort(schedule.begin(), schedule.end(), [](const SoakFault& aLeft, const SoakFault& aRight) {
     return aLeft.at < aRight.at;
   });
--- a/Tests/Soak/SoakFaults.h
+++ b/Tests/Soak/SoakFaults.h
@@ -36,9 +36,10 @@
   WorkerLate,
   WorkerSlow,
   ChangeDocument,
+  ShrinkWorker,
 };
 
-inline constexpr std::size_t kFaultKinds = 23;
+inline constexpr std::size_t kFaultKinds = 24;
 
 [[nodiscard]] std::string_view
 ToString(FaultKind aKind);
--- a/Tests/Soak/SoakRun.cpp
+++ b/Tests/Soak/SoakRun.cpp
@@ -60,10 +60,11 @@
 void
 WriteHistory(const std::string& aFile, const History& aHistory)
 {
-  constexpr std::string_view kNames[] = { "sent",    "accepted",   "refused",     "unanswered",
-                                          "shown",   "denied",     "cancel_sent", "cancel_answered",
-                                          "started", "ended",      "noted",       "worker_lost",
-                                          "fault",   "exit_asked", "exited" };
+  constexpr std::string_view kNames[] = {
+    "sent",        "accepted",        "refused", "unanswered",    "shown", "denied",
+    "cancel_sent", "cancel_answered", "started", "ended",         "noted", "worker_lost",
+    "fault",       "exit_asked",      "exited",  "capacity_shown"
+  };
   std::ofstream file(aFile);
   for (const auto& event : aHistory) {
     file << fmt::format("{:6} {:15} job={} task={} run={} place={} text={} amount={}\n",
--- a/Tests/Soak/TestSoakChecks.cpp
+++ b/Tests/Soak/TestSoakChecks.cpp
@@ -145,6 +145,52 @@
   EXPECT_EQ(Broken(history), Names{ "capacity" });
 }
 
+TEST(SoakChecks, FindAWorkerOverACapacityThatHasShrunk)
+{
+  const auto shows = [](std::int64_t aTime, std::int64_t aMilliCores) {
+    return At(aTime, { .kind = EventKind::CapacityShown, .place = "w1", .amount = aMilliCores });
+  };
+  const auto checkStart = [&shows](std::int64_t aTime) {
+    const History history{ shows(0, 4000), shows(1000, 400), Start(aTime, Task(0, 0), 1, "w1") };
+    const auto broken = Broken(history);
+    return std::count(broken.begin(), broken.end(), "capacity");
+  };
+  EXPECT_EQ(checkStart(5400), 0) << "the worker has shown it for less than the notice";
+  EXPECT_EQ(checkStart(5600), 1);
+}
+
+TEST(SoakChecks, FindATaskThatCrashesWorkersWithoutEnd)
+{
+  auto context = Context();
+  context.plans[kJob].steps.front().crashesWorkers = true;
+  History history{ Simple(0, EventKind::Sent) };
+  const auto countViolations = [&](std::string_view aCheck) {
+    const auto found = CheckHistory(history, context);
+    return std::count_if(found.begin(), found.end(), [&](const std::string& aLine) {
+      return aLine.starts_with(aCheck);
+    });
+  };
+  for (std::int64_t run = 1; run <= 5; ++run) {
+    history.push_back(Start(run * 100, Task(0, 0), static_cast<std::uint64_t>(run), "w1"));
+    history.push_back(
+      At(run * 100 + 10, { .kind = EventKind::WorkerLost, .place = "w1", .text = "crash" }));
+  }
+  EXPECT_EQ(countViolations("crashing tasks"), 0);
+  history.push_back(Simple(600, EventKind::Shown, "failed"));
+  EXPECT_EQ(countViolations("states shown"), 0);
+  history.push_back(Start(700, Task(0, 0), 6, "w1"));
+  EXPECT_EQ(countViolations("crashing tasks"), 1);
+}
+
+TEST(SoakChecks, FindAJobThatIsGivenUpForOneCrash)
+{
+  EXPECT_EQ(Broken({ Simple(0, EventKind::Sent),
+                     Start(10, Task(0, 0), 1, "w1"),
+                     At(20, { .kind = EventKind::WorkerLost, .place = "w1", .text = "crash" }),
+                     Simple(30, EventKind::Shown, "failed") }),
+            Names{ "states shown" });
+}
+
 TEST(SoakChecks, FindAStepThatStartsTooEarly)
 {
   auto history = GoodHistory();
--- a/Tests/Soak/WorkerFleet.cpp
+++ b/Tests/Soak/WorkerFleet.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <fmt/format.h>
 #include <platform/Decoders.h>
+#include <utility>
 #include <xxhash.h>
 
 namespace zinc::soak {
@@ -57,7 +58,7 @@
 }
 
 void
-WorkerFleet::Remove(const std::string& aWorker)
+WorkerFleet::Remove(const std::string& aWorker, LossCause aCause)
 {
   auto* life = this->Find(aWorker);
   if (life == nullptr) {
@@ -67,8 +68,9 @@
   for (const auto& [name, run] : life->running) {
     gangs.insert(run.gang);
   }
-  this->recorder.Record(
-    { .kind = EventKind::WorkerLost, .place = fmt::format("{}@{}", life->id, life->born) });
+  this->recorder.Record({ .kind = EventKind::WorkerLost,
+                          .place = fmt::format("{}@{}", life->id, life->born),
+                          .text = aCause == LossCause::Crash ? "crash" : "drain" });
   this->lives.erase(aWorker);
   for (const auto& gang : gangs) {
     this->BreakGang(gang);
@@ -187,11 +189,20 @@
                           .text = aSpec["id"].asString(),
                           .amount = used,
                           .orderedAt = this->orderedAt });
+  if (step["crashes"].asBool()) {
+    this->crashing.push_back(aLife.id);
+  }
   if (isGang) {
     this->JoinGang(run.gang, step["count"].asUInt(), duration);
   }
 }
 
+std::vector<std::string>
+WorkerFleet::TakeCrashing()
+{
+  return std::exchange(this->crashing, {});
+}
+
 void
 WorkerFleet::JoinGang(const std::string& aGang, std::size_t aSize, Milliseconds aDuration)
 {
--- a/Tests/Soak/WorkerFleet.h
+++ b/Tests/Soak/WorkerFleet.h
@@ -27,6 +27,13 @@
   }
 };
 
+/// Why a worker goes.
+enum class LossCause : std::uint8_t
+{
+  Crash,
+  Drain,
+};
+
 /// One life of a worker. Times are those of the recorder unless they are said to be the worker's.
 struct WorkerLife
 {
@@ -91,7 +98,9 @@
   /// Begins a life.
   WorkerLife& Add(WorkerLife aLife);
   /// Ends a life with everything that runs there.
-  void Remove(const std::string& aWorker);
+  void Remove(const std::string& aWorker, LossCause aCause);
+  /// @return the workers that a run crashes which began since the last call
+  [[nodiscard]] std::vector<std::string> TakeCrashing();
   [[nodiscard]] WorkerLife* Find(const std::string& aWorker);
 
   /// Carries out an order.
@@ -137,6 +146,7 @@
   /// When the order that is carried out reached its worker.
   Milliseconds orderedAt{ 0 };
   std::map<std::string, WorkerLife> lives;
+  std::vector<std::string> crashing;
 };
 
 }
--- a/Tests/Soak/WorkerServers.cpp
+++ b/Tests/Soak/WorkerServers.cpp
@@ -22,6 +22,8 @@
 constexpr std::int64_t kMemoryMiB = 65'536;
 constexpr std::size_t kPerRack = 2;
 constexpr Milliseconds kDownAfterDrain{ 800 };
+/// Time after which a worker is back that a task has crashed.
+constexpr Milliseconds kDownAfterCrash{ 1500 };
 /// Clocks of workers begin anywhere below this and run up to 2% slow.
 constexpr std::uint32_t kClockOffsets = 1'000'000;
 constexpr std::uint32_t kSlowestPermille = 20;
@@ -90,6 +92,7 @@
   slot.fault = {};
   slot.isFrozen = false;
   slot.heartbeats = 0;
+  slot.shownMilliCores = 0;
   this->fleet.Add({ .id = slot.id,
                     .zone = slot.zone,
                     .rack = slot.rack,
@@ -102,13 +105,13 @@
 }
 
 void
-WorkerServers::End(std::size_t aWorker, Milliseconds aDown)
+WorkerServers::End(std::size_t aWorker, Milliseconds aDown, LossCause aCause)
 {
   auto& slot = this->slots[aWorker];
   if (slot.id.empty()) {
     return;
   }
-  this->fleet.Remove(slot.id);
+  this->fleet.Remove(slot.id, aCause);
   slot.id.clear();
   slot.server.reset();
   const bool keepsId = this->random(2) == 0;
@@ -124,7 +127,29 @@
 void
 WorkerServers::Crash(std::size_t aWorker, Milliseconds aDown)
 {
-  this->End(aWorker, aDown);
+  this->End(aWorker, aDown, LossCause::Crash);
+}
+
+void
+WorkerServers::CrashPoisoned()
+{
+  for (const auto& id : this->fleet.TakeCrashing()) {
+    for (std::size_t worker = 0; worker < this->slots.size(); ++worker) {
+      if (this->slots[worker].id == id) {
+        this->Crash(worker, kDownAfterCrash);
+      }
+    }
+  }
+}
+
+void
+WorkerServers::Resize(std::size_t aWorker, std::int64_t aMilliCores)
+{
+  auto& slot = this->slots[aWorker];
+  if (auto* life = this->fleet.Find(slot.id)) {
+    life->milliCores = aMilliCores;
+    this->Publish(slot);
+  }
 }
 
 void
@@ -140,7 +165,7 @@
   this->After(kDrainTime, [this, aWorker, id = slot.id] {
     if (this->slots[aWorker].id == id) {
       this->options.store.Remove("servers", id);
-      this->End(aWorker, kDownAfterDrain);
+      this->End(aWorker, kDownAfterDrain, LossCause::Drain);
     }
   });
 }
@@ -253,6 +278,12 @@
   entry["Labels"].append("plain");
   entry["Labels"].append(aSlot.rack);
   aSlot.lastHeartbeat = this->options.recorder.Now();
+  if (aSlot.shownMilliCores != life->milliCores) {
+    aSlot.shownMilliCores = life->milliCores;
+    this->options.recorder.Record({ .kind = EventKind::CapacityShown,
+                                    .place = fmt::format("{}@{}", life->id, life->born),
+                                    .amount = life->milliCores });
+  }
   this->options.store.Put("servers", aSlot.id, WriteJson(entry));
 }
 
@@ -276,6 +307,7 @@
 WorkerServers::Tick()
 {
   this->fleet.Advance();
+  this->CrashPoisoned();
   this->After(kTick, [this] { this->Tick(); });
 }
 
--- a/Tests/Soak/WorkerServers.h
+++ b/Tests/Soak/WorkerServers.h
@@ -58,6 +58,8 @@
   [[nodiscard]] std::size_t Count() const { return this->slots.size(); }
   /// Ends a worker at once; a new life, with or without the old id, begins after a time.
   void Crash(std::size_t aWorker, Milliseconds aDown);
+  /// Changes the capacity of a worker's life and what its entry says of it.
+  void Resize(std::size_t aWorker, std::int64_t aMilliCores);
   /// Lets a worker say that it leaves, leave, and begin a new life.
   void Drain(std::size_t aWorker);
   /// Keeps a worker's calls waiting until it serves again.
@@ -81,6 +83,8 @@
     WorkerFault fault;
     bool isFrozen = false;
     std::uint64_t heartbeats = 0;
+    /// Capacity that the entry of this life shows; 0 before the first.
+    std::int64_t shownMilliCores = 0;
     Milliseconds lastHeartbeat{ 0 };
   };
 
@@ -94,7 +98,9 @@
   };
 
   [[nodiscard]] Result<Done> Begin(std::size_t aWorker, bool aKeepsId);
-  void End(std::size_t aWorker, Milliseconds aDown);
+  void End(std::size_t aWorker, Milliseconds aDown, LossCause aCause);
+  /// Crashes the workers that began a run that does so.
+  void CrashPoisoned();
   void Handle(std::size_t aWorker, HttpCallPointer aCall);
   void Perform(std::size_t aWorker, const HttpCallPointer& aCall, bool aAnswers);
   /// Carries an order out; one that waits for an end is answered when there is one or its time is
