LibCell: Blame a crash on the run that started last at the worker

A start that was sent to a worker that was down already, or recorded and never sent since the leader was gone, counted like a run.

A task that crashes the workers that start it is the latest start there. Only a run that the worker has confirmed, and after which no other confirmed run started there, is blamed now; two such crashes give a task up. Every other run at the worker counts as well, and gives its task up after four: also those whose start got no response, up to the first of them, and recorded starts of a previous leader. The rule about the only suspect goes.

DoesNotGiveUpATaskWhoseStartsReachNoWorker and DoesNotGiveUpATaskForARecordedStartThatWasNotSent failed before the change.

--- a/Libraries/LibCell/CellScheduler.h
+++ b/Libraries/LibCell/CellScheduler.h
@@ -424,14 +424,13 @@
   /// runs at every worker of the rack, and so may have crashed them all
   [[nodiscard]] std::optional<std::set<JobId>> FindJobsAtLostRack(const WorkerLoss& aLoss) const;
   /// Counts a run during which its worker crashed; fails the job after too many.
-  /// @param aIsOnlySuspect no other job at the worker has crashed a worker before
-  void RecordCrashedRun(const LostRun& aRun, const WorkerId& aWorker, bool aIsOnlySuspect);
+  void RecordCrashedRun(const LostRun& aRun, const WorkerId& aWorker);
   /// Counts a run that was lost with its whole rack; fails the job after very many.
   void RecordRackLoss(const LostRun& aRun);
   /// @return the task of a run if it is not over yet
   [[nodiscard]] Task* FindOpenTask(const LostRun& aRun);
   /// Fails the job if its task has crashed too many workers.
-  void GiveUpCrashingTask(const LostRun& aRun, bool aIsOnlySuspect);
+  void GiveUpCrashingTask(const LostRun& aRun);
   /// Counts a start that a previous leader recorded as lost until its worker responds.
   void AdoptRecordedStart(const TaskName& aTask, const RecordedStart& aStart);
   /// Records that a suspect's task starts at a worker.
@@ -458,7 +457,7 @@
   [[nodiscard]] std::optional<std::vector<Worker*>> FindRecordedGang(
     const Candidate& aCandidate,
     const std::vector<Worker*>& aEligible) const;
-  /// @return true if a run of another job that has crashed a worker is at this one
+  /// @return true if a run of another job that may have crashed a worker is at this one
   [[nodiscard]] bool HostsOtherCrashSuspect(const Worker& aWorker, const Job& aJob);
   /// Removes the workers at which a run of another suspect is, if the job is a suspect itself: a
   /// crash then tells which of them is the cause.
--- a/Libraries/LibCell/CellSchedulerCrashes.cpp
+++ b/Libraries/LibCell/CellSchedulerCrashes.cpp
@@ -12,9 +12,12 @@
 /// Workers that were lost together responded last within this time of each other: an idle worker
 /// responds only when the wait of its lease renewal is over.
 constexpr Milliseconds kSimultaneousLossWindow{ 2000 };
-/// Crashes after which a task is given up if it is the only suspect, and otherwise.
-constexpr std::size_t kMaxCrashesOfOnlySuspect = 2;
-constexpr std::size_t kMaxCrashes = 3;
+/// Starts within this time of each other are equally likely to have crashed their worker.
+constexpr Milliseconds kSimultaneousStartWindow{ 50 };
+/// Crashes after which a task is given up: as the latest start at its worker, and in all, including
+/// those where it is not certain that the task ran.
+constexpr std::size_t kMaxBlamedCrashes = 2;
+constexpr std::size_t kMaxCrashes = 4;
 /// Lost workers after which a task is given up, including those that were lost with their racks.
 constexpr std::size_t kMaxLostWorkers = 5;
 
@@ -60,10 +63,26 @@
                    .incarnation = incarnation,
                    .rack = aWorker.entry.rack,
                    .lastContact = aWorker.lastResponse };
+  TimePoint latestStart{};
+  auto firstUnconfirmed = TimePoint::max();
   for (const auto& allocation : aWorker.allocations) {
+    if (allocation.isStartConfirmed) {
+      latestStart = std::max(latestStart, allocation.startedAt);
+    } else {
+      firstUnconfirmed = std::min(firstUnconfirmed, allocation.startedAt);
+    }
+  }
+  for (const auto& allocation : aWorker.allocations) {
+    // Starts after the first one without a response reached a worker that was down already.
+    if (allocation.startedAt - kSimultaneousStartWindow > firstUnconfirmed) {
+      continue;
+    }
+    const bool isLatest =
+      allocation.isStartConfirmed && allocation.startedAt + kSimultaneousStartWindow >= latestStart;
     loss.runs.push_back({ .task = allocation.task,
                           .run = allocation.run,
-                          .age = aWorker.lastResponse - allocation.startedAt });
+                          .age = aWorker.lastResponse - allocation.startedAt,
+                          .isLatestStart = isLatest });
   }
   this->lostWorkers.Add(std::move(loss));
 }
@@ -128,20 +147,12 @@
                                { "rack", aLoss.rack.value },
                                { "runs", aLoss.runs.size() },
                                { "rack_lost", jobsAtLostRack.has_value() } });
-  std::set<JobId> suspects;
-  for (const auto& id : JobsOf(aLoss.runs)) {
-    const auto* job = this->FindJob(id);
-    if (job != nullptr && job->outcome == JobOutcome::Active && job->isCrashSuspect) {
-      suspects.insert(id);
-    }
-  }
   for (const auto& run : aLoss.runs) {
     if (jobsAtLostRack && !jobsAtLostRack->contains(run.task.job)) {
       this->RecordRackLoss(run);
-      continue;
+    } else {
+      this->RecordCrashedRun(run, aLoss.worker);
     }
-    const bool hasOtherSuspect = suspects.size() > suspects.count(run.task.job);
-    this->RecordCrashedRun(run, aLoss.worker, !hasOtherSuspect);
   }
   if (!jobsAtLostRack) {
     return;
@@ -169,7 +180,7 @@
 }
 
 void
-CellScheduler::RecordCrashedRun(const LostRun& aRun, const WorkerId& aWorker, bool aIsOnlySuspect)
+CellScheduler::RecordCrashedRun(const LostRun& aRun, const WorkerId& aWorker)
 {
   auto* task = this->FindOpenTask(aRun);
   if (task == nullptr) {
@@ -177,13 +188,17 @@
   }
   if (aRun.age >= this->options.crashHistoryReset) {
     task->crashedRuns.clear();
+    task->blamedRuns.clear();
     task->rackLossRuns.clear();
   }
   if (task->rackLossRuns.contains(aRun.run) || !task->crashedRuns.insert(aRun.run).second) {
     return;
   }
+  if (aRun.isLatestStart) {
+    task->blamedRuns.insert(aRun.run);
+  }
   auto& job = *this->FindJob(aRun.task.job);
-  job.isCrashSuspect = true;
+  job.isCrashSuspect = job.isCrashSuspect || task->IsCrashSuspect();
   task->lastFailedWorker = aWorker;
   this->MarkJobChanged(job);
   this->dependencies.log.Log(LogLevel::Warning,
@@ -194,8 +209,8 @@
                                { "run", aRun.run },
                                { "worker", aWorker.value },
                                { "crashes", task->crashedRuns.size() },
-                               { "only_suspect", aIsOnlySuspect } });
-  this->GiveUpCrashingTask(aRun, aIsOnlySuspect);
+                               { "as_latest_start", task->blamedRuns.size() } });
+  this->GiveUpCrashingTask(aRun);
 }
 
 void
@@ -206,17 +221,20 @@
     return;
   }
   task->crashedRuns.erase(aRun.run);
+  task->blamedRuns.erase(aRun.run);
   this->MarkJobChanged(*this->FindJob(aRun.task.job));
-  this->GiveUpCrashingTask(aRun, false);
+  this->GiveUpCrashingTask(aRun);
 }
 
 void
-CellScheduler::GiveUpCrashingTask(const LostRun& aRun, bool aIsOnlySuspect)
+CellScheduler::GiveUpCrashingTask(const LostRun& aRun)
 {
   const auto* task = this->FindOpenTask(aRun);
   const auto crashes = task->crashedRuns.size();
-  const auto maxCrashes = aIsOnlySuspect ? kMaxCrashesOfOnlySuspect : kMaxCrashes;
-  if (crashes < maxCrashes && crashes + task->rackLossRuns.size() < kMaxLostWorkers) {
+  const bool isWithinLimits = task->blamedRuns.size() < kMaxBlamedCrashes &&
+                              crashes < kMaxCrashes &&
+                              crashes + task->rackLossRuns.size() < kMaxLostWorkers;
+  if (isWithinLimits) {
     return;
   }
   const auto& key = aRun.task.key;
--- a/Libraries/LibCell/CellSchedulerJobs.cpp
+++ b/Libraries/LibCell/CellSchedulerJobs.cpp
@@ -259,8 +259,9 @@
     }
     task->failedRuns.insert(record.failedRuns.begin(), record.failedRuns.end());
     task->crashedRuns.insert(record.crashedRuns.begin(), record.crashedRuns.end());
+    task->blamedRuns.insert(record.blamedRuns.begin(), record.blamedRuns.end());
     task->rackLossRuns.insert(record.rackLossRuns.begin(), record.rackLossRuns.end());
-    aJob.isCrashSuspect = aJob.isCrashSuspect || !task->crashedRuns.empty();
+    aJob.isCrashSuspect = aJob.isCrashSuspect || task->IsCrashSuspect();
     if (this->isAdoptingJobs && record.recordedStart) {
       this->AdoptRecordedStart({ aJob.spec.id, record.key }, *record.recordedStart);
     }
--- a/Libraries/LibCell/CellSchedulerStarts.cpp
+++ b/Libraries/LibCell/CellSchedulerStarts.cpp
@@ -104,6 +104,7 @@
   }
   const auto result = IsError(aResult) ? OrderResult::Rejected : ValueOf(aResult);
   if (result == OrderResult::Accepted) {
+    allocation->isStartConfirmed = true;
     if (allocation->phase == RunPhase::Starting || allocation->phase == RunPhase::Uncertain) {
       allocation->phase = RunPhase::Running;
       allocation->phaseSince = now;
--- a/Libraries/LibCell/CellSchedulerWorkers.cpp
+++ b/Libraries/LibCell/CellSchedulerWorkers.cpp
@@ -427,6 +427,7 @@
     this->AdoptRun(aWorker, aActiveRun);
     return;
   }
+  allocation->isStartConfirmed = true;
   if (allocation->phase == RunPhase::Starting || allocation->phase == RunPhase::Uncertain) {
     allocation->phase = RunPhase::Running;
     allocation->phaseSince = now;
@@ -455,6 +456,7 @@
                          .phase = RunPhase::Running,
                          .phaseSince = now,
                          .startedAt = now,
+                         .isStartConfirmed = true,
                          .progressPercent = aActiveRun.progressPercent,
                          .lastProgress = now,
                          .load = aActiveRun.load,
--- a/Libraries/LibCell/Job.h
+++ b/Libraries/LibCell/Job.h
@@ -50,6 +50,12 @@
 /// A task's scheduling state and what its runs left behind.
 struct Task
 {
+  /// @return true if the task may be what crashed its workers
+  [[nodiscard]] bool IsCrashSuspect() const
+  {
+    return !this->blamedRuns.empty() || this->crashedRuns.size() > 1;
+  }
+
   TaskPhase phase = TaskPhase::Waiting;
   /// Number of the latest run; 0 if there was none.
   std::uint64_t run = 0;
@@ -57,8 +63,10 @@
   std::string checkpoint;
   /// Numbers of the runs that failed. A set, since several workers report ends in any order.
   std::set<std::uint64_t> failedRuns;
-  /// Numbers of the runs during which their worker crashed.
+  /// Numbers of the runs during which their worker crashed, or may have crashed.
   std::set<std::uint64_t> crashedRuns;
+  /// Those of @ref crashedRuns that certainly ran, as the latest start at their worker.
+  std::set<std::uint64_t> blamedRuns;
   /// Numbers of the runs that were lost with all workers of a rack; these are not held against the
   /// task.
   std::set<std::uint64_t> rackLossRuns;
@@ -144,7 +152,8 @@
   bool isBeyondWeight = false;
   /// The outcome is in the store.
   bool isOutcomeDurable = false;
-  /// A worker has crashed during a run of one of its tasks.
+  /// One of its tasks may be what crashed a worker: its starts are recorded, and placed apart from
+  /// those of other suspects.
   bool isCrashSuspect = false;
   /// Workers at which a run of the job failed.
   std::set<WorkerId> failedWorkers;
--- a/Libraries/LibCell/LostWorkers.h
+++ b/Libraries/LibCell/LostWorkers.h
@@ -22,6 +22,9 @@
   std::uint64_t run = 0;
   /// How long the run had been at the worker at the last contact.
   Milliseconds age{ 0 };
+  /// It certainly ran there, and none that certainly did started later, so that it is the most
+  /// likely cause of a crash.
+  bool isLatestStart = false;
 };
 
 /// The loss of contact with one incarnation of a worker.
--- a/Libraries/LibCell/Records.cpp
+++ b/Libraries/LibCell/Records.cpp
@@ -433,6 +433,7 @@
                                    .failedRuns = task.failedRuns,
                                    .checkpoint = hasSucceeded ? "" : task.checkpoint,
                                    .crashedRuns = task.crashedRuns,
+                                   .blamedRuns = task.blamedRuns,
                                    .rackLossRuns = task.rackLossRuns,
                                    .recordedStart = task.recordedStart });
         }
@@ -459,6 +460,7 @@
     entry.append(EncodeRuns(task.failedRuns));
     if (!task.crashedRuns.empty() || !task.rackLossRuns.empty() || task.recordedStart) {
       entry.append(EncodeRuns(task.crashedRuns));
+      entry.append(EncodeRuns(task.blamedRuns));
       entry.append(EncodeRuns(task.rackLossRuns));
     }
     if (task.recordedStart) {
@@ -490,8 +492,9 @@
                                  .failedRuns = DecodeRuns(task[5]),
                                  .checkpoint = task[4].asString(),
                                  .crashedRuns = DecodeRuns(task[6]),
-                                 .rackLossRuns = DecodeRuns(task[7]),
-                                 .recordedStart = DecodeRecordedStart(task[8]) });
+                                 .blamedRuns = DecodeRuns(task[7]),
+                                 .rackLossRuns = DecodeRuns(task[8]),
+                                 .recordedStart = DecodeRecordedStart(task[9]) });
       }
       return record;
     });
--- a/Libraries/LibCell/Records.h
+++ b/Libraries/LibCell/Records.h
@@ -105,6 +105,7 @@
   std::set<std::uint64_t> failedRuns;
   std::string checkpoint;
   std::set<std::uint64_t> crashedRuns;
+  std::set<std::uint64_t> blamedRuns;
   std::set<std::uint64_t> rackLossRuns;
   std::optional<RecordedStart> recordedStart;
 };
--- a/Libraries/LibCell/Worker.h
+++ b/Libraries/LibCell/Worker.h
@@ -88,6 +88,8 @@
   /// Start of the phase, or the time at which a stop was accepted.
   TimePoint phaseSince{};
   TimePoint startedAt{};
+  /// The worker accepted the start or reported the run.
+  bool isStartConfirmed = false;
   /// The worker accepted a stop; the run can no longer start.
   bool isStopAccepted = false;
   bool isStopInFlight = false;
--- a/Tests/LibCell/SimulatedWorkers.cpp
+++ b/Tests/LibCell/SimulatedWorkers.cpp
@@ -199,6 +199,12 @@
     this->pendingResponses.push_back(reportLoss);
     return;
   }
+  if (this->startsToLose > 0) {
+    --this->startsToLose;
+    this->Crash(aOrder.target.worker.value);
+    this->pendingResponses.push_back(reportLoss);
+    return;
+  }
   if (found->second.delaysStarts) {
     this->delayedStarts.push_back(std::move(aOrder));
     this->pendingResponses.push_back(reportLoss);
--- a/Tests/LibCell/SimulatedWorkers.h
+++ b/Tests/LibCell/SimulatedWorkers.h
@@ -119,6 +119,8 @@
   std::function<bool(const TaskName&)> hangs;
   /// Returns true for tasks that every worker rejects.
   std::function<bool(const TaskName&)> rejectsTask;
+  /// Number of next start orders whose worker is down when they arrive.
+  int startsToLose = 0;
   /// Number of starts rejected by @ref rejectsTask.
   std::size_t rejections = 0;
   Milliseconds crashDelay{ 100 };
--- a/Tests/LibCell/TestRecords.cpp
+++ b/Tests/LibCell/TestRecords.cpp
@@ -56,6 +56,7 @@
       .failedRuns = { 5 },
       .checkpoint = "mark",
       .crashedRuns = { 7, 9 },
+      .blamedRuns = { 9 },
       .rackLossRuns = { 8 },
       .recordedStart = RecordedStart{
         .run = 11, .worker = { "w" }, .machine = "m", .incarnation = 1'700'000'000'000 } });
@@ -66,6 +67,7 @@
   EXPECT_EQ(EncodeProgress(ValueOf(decoded)), EncodeProgress(record));
   const auto& first = ValueOf(decoded).tasks.front();
   EXPECT_EQ(first.crashedRuns, record.tasks.front().crashedRuns);
+  EXPECT_EQ(first.blamedRuns, record.tasks.front().blamedRuns);
   ASSERT_TRUE(first.recordedStart.has_value());
   EXPECT_EQ(first.recordedStart->machine, "m");
   EXPECT_FALSE(ValueOf(decoded).tasks.back().recordedStart.has_value());
--- a/Tests/LibCell/TestWorkerCrashes.cpp
+++ b/Tests/LibCell/TestWorkerCrashes.cpp
@@ -285,6 +285,55 @@
   }
 }
 
+// Guards against a task that is given up although it never ran: each start is sent to a worker that
+// is down already.
+TEST_F(WorkerCrashTest, DoesNotGiveUpATaskWhoseStartsReachNoWorker)
+{
+  this->workers.startsToLose = 3;
+  this->AddWorkers(1, 4);
+  this->AcceptJob(MakeJob("job", 1, 2));
+  this->BeginTerm();
+  this->RunFor(Milliseconds{ 20'000 });
+  ASSERT_EQ(this->workers.crashes.size(), 3U);
+  EXPECT_EQ(this->MaxStartsPerTask("job"), 1U);
+  this->workers.EndAll();
+  this->RunFor(Milliseconds{ 500 });
+  EXPECT_EQ(this->StatusOf("job").outcome, JobOutcome::Succeeded);
+}
+
+// Guards against a task that is given up for a start that was recorded and never sent: the leader
+// was gone first, and the worker crashed for another reason.
+TEST_F(WorkerCrashTest, DoesNotGiveUpATaskForARecordedStartThatWasNotSent)
+{
+  this->AddWorkers(2, 4);
+  this->AcceptJob(MakeJob("job", 1, 3));
+  this->BeginTerm();
+  this->RunFor(Milliseconds{ 500 });
+  this->workers.Crash(this->workers.starts.back().worker.value);
+  // The start is recorded in one round and sent in the next.
+  const auto countRecorded = [this] {
+    const auto& rows = this->store.rows;
+    return std::ranges::count_if(
+      rows, [](const auto& aItem) { return aItem.second.value.find("m-w") != std::string::npos; });
+  };
+  while (countRecorded() == 0) {
+    this->scheduler->Tick();
+    this->scheduler->OnWorkersPublished(this->scheduler->WorkersToPublish());
+    this->ListRestartedWorkers();
+    this->workers.Deliver();
+    this->clock.Advance(Milliseconds{ 10 });
+  }
+  ASSERT_EQ(this->MaxStartsPerTask("job"), 1U);
+  for (const auto* id : { "w1", "w2" }) {
+    this->workers.Crash(id);
+  }
+  this->BeginTerm(true);
+  this->RunFor(Milliseconds{ 20'000 });
+  this->workers.EndAll();
+  this->RunFor(Milliseconds{ 500 });
+  EXPECT_EQ(this->StatusOf("job").outcome, JobOutcome::Succeeded);
+}
+
 // Guards against a task that is given up for the crash of one worker.
 TEST_F(WorkerCrashTest, StartsATaskAgainAfterOneCrash)
 {
