--- a/Tests/LibCell/TestWorkerCrashes.cpp
+++ b/Tests/LibCell/TestWorkerCrashes.cpp
@@ -45,6 +45,17 @@
     return most;
   }
 
+  /// Runs the job of a crashing task, and expects that it fails within the platform's limit.
+  void ExpectJobIsGivenUp(const JobSpecification& aSpec,
+                          Milliseconds aDuration = Milliseconds{ 60'000 })
+  {
+    this->AcceptJob(aSpec);
+    this->BeginTerm();
+    this->RunFor(aDuration);
+    EXPECT_LE(this->MaxStartsPerTask(aSpec.id.value), kMaxStartsOfCrashingTask);
+    EXPECT_EQ(this->StatusOf(aSpec.id.value).outcome, JobOutcome::Failed);
+  }
+
   /// Runs until a worker has crashed.
   void RunUntilCrash(std::size_t aCrashes, Milliseconds aTimeout)
   {
@@ -63,11 +74,7 @@
 TEST_F(WorkerCrashTest, GivesUpATaskThatCrashesItsWorkers)
 {
   this->AddWorkers(6, 4);
-  this->AcceptJob(MakeJob("poison", 1, 2));
-  this->BeginTerm();
-  this->RunFor(Milliseconds{ 60'000 });
-  EXPECT_LE(this->MaxStartsPerTask("poison"), kMaxStartsOfCrashingTask);
-  EXPECT_EQ(this->StatusOf("poison").outcome, JobOutcome::Failed);
+  this->ExpectJobIsGivenUp(MakeJob("poison", 1, 2));
 }
 
 // The same with workers that register under another id after a crash.
@@ -75,11 +82,7 @@
 {
   this->workers.restartMode = RestartMode::GetsNewId;
   this->AddWorkers(6, 4);
-  this->AcceptJob(MakeJob("poison", 1, 2));
-  this->BeginTerm();
-  this->RunFor(Milliseconds{ 60'000 });
-  EXPECT_LE(this->MaxStartsPerTask("poison"), kMaxStartsOfCrashingTask);
-  EXPECT_EQ(this->StatusOf("poison").outcome, JobOutcome::Failed);
+  this->ExpectJobIsGivenUp(MakeJob("poison", 1, 2));
 }
 
 // The same with workers that return after the lease of their runs has expired, so that the task
@@ -88,11 +91,7 @@
 {
   this->workers.restartDelay = Milliseconds{ 9000 };
   this->AddWorkers(8, 4);
-  this->AcceptJob(MakeJob("poison", 1, 2));
-  this->BeginTerm();
-  this->RunFor(Milliseconds{ 120'000 });
-  EXPECT_LE(this->MaxStartsPerTask("poison"), kMaxStartsOfCrashingTask);
-  EXPECT_EQ(this->StatusOf("poison").outcome, JobOutcome::Failed);
+  this->ExpectJobIsGivenUp(MakeJob("poison", 1, 2), Milliseconds{ 120'000 });
 }
 
 // The same with workers that crash before they respond to the start order.
@@ -100,11 +99,7 @@
 {
   this->workers.crashDelay = Milliseconds{ 0 };
   this->AddWorkers(6, 4);
-  this->AcceptJob(MakeJob("poison", 1, 2));
-  this->BeginTerm();
-  this->RunFor(Milliseconds{ 60'000 });
-  EXPECT_LE(this->MaxStartsPerTask("poison"), kMaxStartsOfCrashingTask);
-  EXPECT_EQ(this->StatusOf("poison").outcome, JobOutcome::Failed);
+  this->ExpectJobIsGivenUp(MakeJob("poison", 1, 2));
 }
 
 // The same with a gang, which crashes the workers of all its members with each run.
@@ -113,11 +108,7 @@
   this->AddWorkers(12, 4);
   auto spec = MakeJob("poison", 4, 3);
   spec.steps.front().isGang = true;
-  this->AcceptJob(spec);
-  this->BeginTerm();
-  this->RunFor(Milliseconds{ 60'000 });
-  EXPECT_LE(this->MaxStartsPerTask("poison"), kMaxStartsOfCrashingTask);
-  EXPECT_EQ(this->StatusOf("poison").outcome, JobOutcome::Failed);
+  this->ExpectJobIsGivenUp(spec);
 }
 
 // The same where tasks need tickets of the policy service, and room is reserved for a gang until it
@@ -168,11 +159,7 @@
   this->AddWorkers(6, 4);
   auto spec = MakeJob("poison", 1, 2);
   spec.steps.front().isService = true;
-  this->AcceptJob(spec);
-  this->BeginTerm();
-  this->RunFor(Milliseconds{ 60'000 });
-  EXPECT_LE(this->MaxStartsPerTask("poison"), kMaxStartsOfCrashingTask);
-  EXPECT_EQ(this->StatusOf("poison").outcome, JobOutcome::Failed);
+  this->ExpectJobIsGivenUp(spec);
 }
 
 // Guards against crashes that are forgotten when another instance takes over the term.
