LibCell: Wait for unlisted workers from when their rows can be read

All instances were killed in an outage of the store, and the store went away again 0.7 s after it was back. Two workers' rows had lapsed in the first outage and could not reappear; the new leader took them for gone 2.5 s after its term began (workers_gone), although nobody could read rows then, and started what they had ended.

The time counts from when changes of workers' rows have been read without a gap.

--- a/Libraries/LibCell/CellScheduler.h
+++ b/Libraries/LibCell/CellScheduler.h
@@ -181,6 +181,9 @@
   void OnJobRows(const std::vector<Row>& aRows);
   /// Applies a new or changed row of a worker.
   void OnWorkerEntry(const WorkerEntry& aEntry);
+  /// Called while changes of workers' rows cannot be read: a row that is missing then may only be
+  /// late.
+  void OnWorkerRowsUnavailable() { this->workerRowsCurrentSince = this->dependencies.clock.Now(); }
   /// Handles the removal of a worker's row.
   void OnWorkerUnlisted(const WorkerId& aWorker);
   /// Does all work that is due: lease renewals, stops, placement and writes.
@@ -597,6 +600,8 @@
   /// Unsynced workers without a row since the term began. They count as ended after a timeout.
   std::set<WorkerId> presumedGoneWorkers;
   TimePoint olderLeasesExpiry{};
+  /// Since then all changes of workers' rows have been read.
+  TimePoint workerRowsCurrentSince{};
 
   std::unordered_map<JobId, Job> jobs;
   /// Active jobs in order of their ids, so that a replay visits them in the same order.
--- a/Libraries/LibCell/CellSchedulerWorkers.cpp
+++ b/Libraries/LibCell/CellSchedulerWorkers.cpp
@@ -674,11 +674,12 @@
   if (this->presumedGoneWorkers.empty()) {
     return;
   }
+  const auto rowsCurrentSince = std::max(this->termBegin, this->workerRowsCurrentSince);
   const auto minSilence =
     std::max(this->options.rowRestoreTimeout,
              this->options.LeaseExpiryBound() - this->options.workerRowTimeout);
   if (this->dependencies.clock.Now() <
-      std::max(this->termBegin + minSilence, this->olderLeasesExpiry)) {
+      std::max(rowsCurrentSince + minSilence, this->olderLeasesExpiry)) {
     return;
   }
   const auto unlisted = std::move(this->presumedGoneWorkers);
--- a/Libraries/LibInstance/CellInstance.cpp
+++ b/Libraries/LibInstance/CellInstance.cpp
@@ -391,6 +391,12 @@
     return;
   }
   auto* currentScheduler = this->scheduler.get();
+  // A watch responds within its wait while nothing changes.
+  constexpr Milliseconds kMaxWorkerRowAge{ 2000 };
+  const auto lastRead = this->workerWatcher->LastResponse();
+  if (!lastRead || this->dependencies.clock.Now() - *lastRead > kMaxWorkerRowAge) {
+    currentScheduler->OnWorkerRowsUnavailable();
+  }
   currentScheduler->Tick();
   this->dependencies.timer.RunAfter(this->options.schedulerTickInterval, [this, currentScheduler] {
     if (this->scheduler.get() == currentScheduler) {
--- a/Tests/LibCell/TestTakeover.cpp
+++ b/Tests/LibCell/TestTakeover.cpp
@@ -286,6 +286,24 @@
   EXPECT_EQ(this->CountStartsOf("old"), 1U);
 }
 
+// Guards against starting a task twice. The store is away again before the row of a worker that
+// runs on can reappear, so that its absence proves nothing.
+TEST_F(TakeoverTest, WaitsForUnlistedWorkersWhileTheStoreIsAway)
+{
+  this->predecessorRecordAge = Milliseconds{ 1000 };
+  this->entries = { this->workers.Add("w1", 4) };
+  this->AcceptJob(MakeJob("old", 1, 4));
+  this->BeginTerm(true, Milliseconds{ 12'400 }, { { "w1" }, { "left" } });
+  for (int step = 0; step < 400; ++step) {
+    this->scheduler->OnWorkerRowsUnavailable();
+    this->RunFor(Milliseconds{ 10 });
+  }
+  this->RunFor(Milliseconds{ 2400 });
+  EXPECT_EQ(this->CountStartsOf("old"), 0U) << "the worker's row may reappear";
+  this->RunFor(Milliseconds{ 400 });
+  EXPECT_EQ(this->CountStartsOf("old"), 1U);
+}
+
 // Guards against starting a task twice. A leader and the workers of its zone are cut off together:
 // the workers' rows expire, although they still execute the leader's runs.
 TEST_F(TakeoverTest, WaitsForUnlistedWorkersOfAPredecessorThatWasCutOff)
--- a/Tests/Soak/TestSoak.cpp
+++ b/Tests/Soak/TestSoak.cpp
@@ -55,7 +55,10 @@
     SeedCase{ 6, "one end of a gang stands for all; its last members ended on a worker that left" },
     SeedCase{ 7,
               "a frozen worker listed ends after its lease, and began a start that it had kept" },
-    SeedCase{ 10, "more work than a workspace may run was taken for lost" }),
+    SeedCase{ 10, "more work than a workspace may run was taken for lost" },
+    SeedCase{
+      15,
+      "a worker whose row could not reappear while the store was away was taken for gone" }),
   [](const auto& aInfo) { return "Seed" + std::to_string(aInfo.param.seed); });
 
 }
