LibCell: Record a gang's start anew if one of its workers has restarted

A crash could be counted that never happened: a worker of a suspected gang started again under its id between the record of the gang's start and the start itself. Ids were compared, not incarnations, so the gang ran at the later incarnation under a record of the earlier one, and the next leader took the difference for a crash.

The comparison is now one function for tasks and gangs, and covers the incarnation. The decoder's test also covers a capacity that is null or no object, which passed before.

--- a/Libraries/LibCell/CellSchedulerCrashes.cpp
+++ b/Libraries/LibCell/CellSchedulerCrashes.cpp
@@ -49,6 +49,14 @@
   return both;
 }
 
+/// @return true if the task's recorded start names this incarnation of the worker
+bool
+IsRecordedAt(const Task& aTask, const Worker& aWorker)
+{
+  return aTask.recordedStart->worker == aWorker.entry.id &&
+         aTask.recordedStart->incarnation == aWorker.KnownIncarnation();
+}
+
 }
 
 void
@@ -292,10 +300,7 @@
     return false;
   }
   auto recorded = aEligible;
-  std::erase_if(recorded, [&task](const Worker* aWorker) {
-    return aWorker->entry.id != task.recordedStart->worker ||
-           aWorker->KnownIncarnation() != task.recordedStart->incarnation;
-  });
+  std::erase_if(recorded, [&task](const Worker* aWorker) { return !IsRecordedAt(task, *aWorker); });
   auto* worker = ChooseWorker(recorded, *aCandidate.specification, aCount);
   if (worker == nullptr) {
     this->RecordStart(job, task, aChosen, this->NextRunNumber());
@@ -310,8 +315,7 @@
 {
   return std::ranges::equal(
     aCandidate.run->tasks, aAssigned, [&aCandidate](const Task& aTask, const Worker* aWorker) {
-      return IsStartRecorded(*aCandidate.job, aTask) &&
-             aTask.recordedStart->worker == aWorker->entry.id;
+      return IsStartRecorded(*aCandidate.job, aTask) && IsRecordedAt(aTask, *aWorker);
     });
 }
 
@@ -341,10 +345,8 @@
     if (!IsStartRecorded(*aCandidate.job, task)) {
       return {};
     }
-    const auto found = std::ranges::find_if(aEligible, [&task](const Worker* aWorker) {
-      return aWorker->entry.id == task.recordedStart->worker &&
-             aWorker->KnownIncarnation() == task.recordedStart->incarnation;
-    });
+    const auto found = std::ranges::find_if(
+      aEligible, [&task](const Worker* aWorker) { return IsRecordedAt(task, *aWorker); });
     if (found == aEligible.end()) {
       return {};
     }
--- a/Tests/LibCell/TestWorkerCrashes.cpp
+++ b/Tests/LibCell/TestWorkerCrashes.cpp
@@ -321,6 +321,39 @@
   EXPECT_EQ(this->StatusOf("job").outcome, JobOutcome::Succeeded);
 }
 
+// Guards against a crash that is counted although there was none: a worker of a recorded gang
+// starts again under its id before the gang is sent there, and the next leader reads the old
+// incarnation.
+TEST_F(WorkerCrashTest, RecordsAGangAnewIfAWorkerHasRestarted)
+{
+  this->AddWorkers(2, 4);
+  auto gang = MakeJob("gang", 2, 4);
+  gang.steps.front().isGang = true;
+  this->AcceptJob(gang);
+  this->BeginTerm();
+  this->RunFor(Milliseconds{ 500 });
+  this->workers.Crash("w1");
+  const auto key = JobRowKey({ "gang" }, JobRowKind::Progress);
+  const auto findRecordedIncarnation = [this, &key]() -> std::int64_t {
+    const auto row = this->store.rows.find(key);
+    const auto record = row == this->store.rows.end() ? Result<ProgressRecord>(ProgressRecord{})
+                                                      : DecodeProgress(row->second.value);
+    const bool isRecorded =
+      !ValueOf(record).tasks.empty() && ValueOf(record).tasks.front().recordedStart.has_value();
+    return isRecorded ? ValueOf(record).tasks.front().recordedStart->incarnation : 0;
+  };
+  while (findRecordedIncarnation() == 0) {
+    this->RunFor(Milliseconds{ 10 });
+  }
+  auto& worker = this->workers.At("w1");
+  ASSERT_TRUE(worker.running.empty());
+  ++worker.entry.incarnation;
+  this->scheduler->OnWorkerEntry(worker.entry);
+  this->RunFor(Milliseconds{ 500 });
+  ASSERT_EQ(worker.running.size(), 1U);
+  EXPECT_EQ(findRecordedIncarnation(), worker.entry.incarnation);
+}
+
 // Guards against a task that is given up for the crash of one worker.
 TEST_F(WorkerCrashTest, StartsATaskAgainAfterOneCrash)
 {
--- a/Tests/Platform/TestDecoders.cpp
+++ b/Tests/Platform/TestDecoders.cpp
@@ -81,7 +81,9 @@
   const auto decoded = DecodeWorkerEntry("i-1", "{" + rest + R"(,"Capacity":{"Cpu":0}})");
   ASSERT_FALSE(IsError(decoded)) << ErrorOf(decoded).message;
   EXPECT_EQ(ValueOf(decoded).capacity, Resources{});
-  EXPECT_TRUE(IsError(DecodeWorkerEntry("i-1", "{" + rest + "}")));
+  for (const std::string& capacity : { "", ",\"Capacity\":null", ",\"Capacity\":7" }) {
+    EXPECT_TRUE(IsError(DecodeWorkerEntry("i-1", "{" + rest + capacity + "}"))) << capacity;
+  }
 }
 
 // Rows of other writers: missing fields, wrong types, an unknown state, binary data.
