LibCell: Name and explain the count of crashes in plain terms

No change of logic. One lookup of a task by its name in place of four copies; parameters, options and limits say what they are (aLaterIncarnation, minRunToClearCrashes, kMaxLostRuns); the reason of a job that is given up reads as two numbers; each regression test has a line that names its failure.

--- a/Libraries/LibCell/CellScheduler.h
+++ b/Libraries/LibCell/CellScheduler.h
@@ -104,9 +104,8 @@
   /// How long before its due time an occurrence may start. The platform's tolerance covers clock
   /// differences.
   Milliseconds maxEarlyStart{ 0 };
-  /// A run of this length at a worker that crashes then does not count together with earlier
-  /// crashes.
-  Milliseconds crashHistoryReset{ 600'000 };
+  /// A run that lasted this long before its worker crashed clears the earlier crashes of its task.
+  Milliseconds minRunToClearCrashes{ 600'000 };
   /// A run hangs if it makes no progress for half its estimate, or for this long if that is less.
   Milliseconds maxStallTimeout{ 2500 };
 };
@@ -181,8 +180,8 @@
   void OnJobRows(const std::vector<Row>& aRows);
   /// Applies a new or changed row of a worker.
   void OnWorkerEntry(const WorkerEntry& aEntry);
-  /// Called while changes of workers' rows cannot be read: a row that is missing then may only be
-  /// late.
+  /// Called while changes of workers' rows cannot be read. A row that is missing meanwhile does not
+  /// prove that its worker is gone.
   void OnWorkerRowsUnavailable() { this->workerRowsCurrentSince = this->dependencies.clock.Now(); }
   /// Handles the removal of a worker's row.
   void OnWorkerUnlisted(const WorkerId& aWorker);
@@ -297,6 +296,8 @@
   void MarkJobChanged(Job& aJob);
   /// @return the task, or null if its occurrence does not exist or the key is out of range.
   [[nodiscard]] Task* FindTask(Job& aJob, const TaskKey& aKey);
+  /// @return the task, or null if its job is unknown or it does not exist
+  [[nodiscard]] Task* FindTask(const TaskName& aTask);
   /// @return the job, or null if it is unknown.
   [[nodiscard]] Job* FindJob(const JobId& aJob);
   /// Takes a token for a new job from the workspace's bucket, which refills at the rate of its
@@ -418,23 +419,23 @@
   /// Remembers what a worker ran when contact with it was lost. Does nothing for a draining worker,
   /// which is expected to leave.
   void RecordWorkerLoss(const Worker& aWorker);
-  /// Counts the crash of a machine whose process has started again.
-  /// @param aBefore start of the later process, Unix ms
-  void ConfirmCrash(const std::string& aMachine, std::int64_t aBefore);
+  /// Counts the crash of a machine on which a later incarnation has started.
+  /// @param aLaterIncarnation start of the later process, Unix ms
+  void ConfirmCrash(const std::string& aMachine, std::int64_t aLaterIncarnation);
   /// Counts a crash against the tasks that ran at the worker, unless its whole rack was lost.
   void OnWorkerCrashed(const WorkerLoss& aLoss);
-  /// @return nothing if a worker of the lost one's rack responded on; otherwise the jobs that had
+  /// @return nothing if another worker of the rack kept responding; otherwise the jobs that had
   /// runs at every worker of the rack, and so may have crashed them all
   [[nodiscard]] std::optional<std::set<JobId>> FindJobsAtLostRack(const WorkerLoss& aLoss) const;
   /// Counts a run during which its worker crashed; fails the job after too many.
   void RecordCrashedRun(const LostRun& aRun, const WorkerId& aWorker);
-  /// Counts a run that was lost with its whole rack; fails the job after very many.
+  /// Counts a run that was lost with its whole rack; fails the job after too many lost runs.
   void RecordRackLoss(const LostRun& aRun);
   /// @return the task of a run if it is not over yet
   [[nodiscard]] Task* FindOpenTask(const LostRun& aRun);
   /// Fails the job if its task has crashed too many workers.
   void GiveUpCrashingTask(const LostRun& aRun);
-  /// Counts a start that a previous leader recorded as lost until its worker responds.
+  /// Treats a start that a previous leader recorded as a lost run until its worker responds.
   void AdoptRecordedStart(const TaskName& aTask, const RecordedStart& aStart);
   /// Records that a suspect's task starts at a worker.
   void RecordStart(Job& aJob, Task& aTask, const Worker& aWorker, std::uint64_t aRun);
--- a/Libraries/LibCell/CellSchedulerCrashes.cpp
+++ b/Libraries/LibCell/CellSchedulerCrashes.cpp
@@ -18,8 +18,8 @@
 /// those where it is not certain that the task ran.
 constexpr std::size_t kMaxBlamedCrashes = 2;
 constexpr std::size_t kMaxCrashes = 4;
-/// Lost workers after which a task is given up, including those that were lost with their racks.
-constexpr std::size_t kMaxLostWorkers = 5;
+/// Runs lost with their worker after which a task is given up, including those lost with a rack.
+constexpr std::size_t kMaxLostRuns = 5;
 
 std::set<JobId>
 JobsOf(std::span<const LostRun> aRuns)
@@ -96,9 +96,9 @@
 }
 
 void
-CellScheduler::ConfirmCrash(const std::string& aMachine, std::int64_t aBefore)
+CellScheduler::ConfirmCrash(const std::string& aMachine, std::int64_t aLaterIncarnation)
 {
-  if (const auto loss = this->lostWorkers.ConfirmCrash(aMachine, aBefore)) {
+  if (const auto loss = this->lostWorkers.ConfirmCrash(aMachine, aLaterIncarnation)) {
     this->OnWorkerCrashed(*loss);
   }
 }
@@ -165,7 +165,7 @@
   if (!jobsAtLostRack) {
     return;
   }
-  // Those that returned before the others were known to be lost counted as crashes of their own.
+  // Workers that restarted before the others were known to be lost were counted as single crashes.
   for (const auto* loss :
        this->lostWorkers.FindInRack(aLoss.rack, aLoss.lastContact, kSimultaneousLossWindow)) {
     for (const auto& run : loss->runs) {
@@ -179,12 +179,11 @@
 Task*
 CellScheduler::FindOpenTask(const LostRun& aRun)
 {
-  auto* job = this->FindJob(aRun.task.job);
-  if (job == nullptr || job->outcome != JobOutcome::Active) {
-    return nullptr;
-  }
-  auto* task = this->FindTask(*job, aRun.task.key);
-  return task == nullptr || task->phase == TaskPhase::Succeeded ? nullptr : task;
+  const auto* job = this->FindJob(aRun.task.job);
+  auto* task = this->FindTask(aRun.task);
+  const bool isOpen =
+    task != nullptr && job->outcome == JobOutcome::Active && task->phase != TaskPhase::Succeeded;
+  return isOpen ? task : nullptr;
 }
 
 void
@@ -194,7 +193,7 @@
   if (task == nullptr) {
     return;
   }
-  if (aRun.age >= this->options.crashHistoryReset) {
+  if (aRun.age >= this->options.minRunToClearCrashes) {
     task->crashedRuns.clear();
     task->blamedRuns.clear();
     task->rackLossRuns.clear();
@@ -241,14 +240,14 @@
   const auto crashes = task->crashedRuns.size();
   const bool isWithinLimits = task->blamedRuns.size() < kMaxBlamedCrashes &&
                               crashes < kMaxCrashes &&
-                              crashes + task->rackLossRuns.size() < kMaxLostWorkers;
+                              crashes + task->rackLossRuns.size() < kMaxLostRuns;
   if (isWithinLimits) {
     return;
   }
   const auto& key = aRun.task.key;
   this->EndJob(*this->FindJob(aRun.task.job),
                JobOutcome::Failed,
-               fmt::format("task {}.{}.{} lost {} workers to crashes, {} with their racks",
+               fmt::format("task {}.{}.{} lost {} workers to crashes and {} with their racks",
                            key.occurrence,
                            key.step,
                            key.index,
@@ -259,7 +258,7 @@
 void
 CellScheduler::AdoptRecordedStart(const TaskName& aTask, const RecordedStart& aStart)
 {
-  this->FindTask(*this->FindJob(aTask.job), aTask.key)->recordedStart = aStart;
+  this->FindTask(aTask)->recordedStart = aStart;
   this->lostWorkers.Add({ .worker = aStart.worker,
                           .machine = aStart.machine,
                           .incarnation = aStart.incarnation,
--- a/Libraries/LibCell/CellSchedulerJobs.cpp
+++ b/Libraries/LibCell/CellSchedulerJobs.cpp
@@ -35,6 +35,13 @@
   return &occurrence->second.steps[aKey.step].tasks[aKey.index];
 }
 
+Task*
+CellScheduler::FindTask(const TaskName& aTask)
+{
+  auto* job = this->FindJob(aTask.job);
+  return job == nullptr ? nullptr : this->FindTask(*job, aTask.key);
+}
+
 const QueuePolicy&
 CellScheduler::CurrentQueuePolicy(const Job& aJob) const
 {
--- a/Libraries/LibCell/CellSchedulerStarts.cpp
+++ b/Libraries/LibCell/CellSchedulerStarts.cpp
@@ -12,8 +12,8 @@
 /// How long a worker that did not answer a start gets no tasks. It may be cut off, which its lease
 /// renewals show only after their wait.
 constexpr Milliseconds kUnansweredStartAvoidance{ 1000 };
-/// Delay before a task starts again that several workers in a row have rejected; doubles with each
-/// rejection.
+/// Delay before a task that several workers in a row have rejected starts again. It doubles with
+/// each rejection.
 constexpr Milliseconds kMinRejectionBackoff{ 100 };
 constexpr Milliseconds kMaxRejectionBackoff{ 5000 };
 constexpr std::uint32_t kMaxBackoffDoublings = 6;
@@ -111,9 +111,9 @@
     }
     if (auto* job = this->FindJob(aTask.job)) {
       this->MarkJobStarted(*job);
-      if (auto* task = this->FindTask(*job, aTask.key)) {
-        task->rejectedStarts = 0;
-      }
+    }
+    if (auto* task = this->FindTask(aTask)) {
+      task->rejectedStarts = 0;
     }
     return;
   }
@@ -125,8 +125,7 @@
 CellScheduler::BackOffRejectedTask(Worker& aWorker, const TaskName& aTask)
 {
   const auto now = this->dependencies.clock.Now();
-  auto* job = this->FindJob(aTask.job);
-  auto* task = job != nullptr ? this->FindTask(*job, aTask.key) : nullptr;
+  auto* task = this->FindTask(aTask);
   const auto rejections = task != nullptr ? task->rejectedStarts++ : 0;
   if (rejections == 0) {
     aWorker.avoidUntil = std::max(aWorker.avoidUntil, now + kRejectionAvoidance);
--- a/Libraries/LibCell/CellSchedulerWorkers.cpp
+++ b/Libraries/LibCell/CellSchedulerWorkers.cpp
@@ -542,6 +542,7 @@
 CellScheduler::OnWorkerRestarted(Worker& aWorker, WorkerLossReason aReason)
 {
   this->RequeueLostRuns(aWorker, aReason);
+  // The start time of the next incarnation may not be known yet; any later one proves the crash.
   this->ConfirmCrash(aWorker.entry.MachineOrId(), aWorker.KnownIncarnation() + 1);
   aWorker.seenSequence = 0;
   aWorker.acknowledgedSequence = 0;
@@ -873,9 +874,8 @@
     }
     this->RecordRunOutcome(aWorker, allocation.task, true);
     this->StopRun(aWorker, allocation, "stands_still");
-    auto* job = this->FindJob(allocation.task.job);
-    auto* task = job != nullptr ? this->FindTask(*job, allocation.task.key) : nullptr;
-    // A task that has stalled before, elsewhere if possible, is no evidence against this worker.
+    auto* task = this->FindTask(allocation.task);
+    // A task that has stalled before is no evidence against this worker.
     if (task == nullptr || task->stalledRuns == 0) {
       aWorker.avoidUntil = now + this->options.quarantineDuration;
     }
--- a/Libraries/LibCell/Job.h
+++ b/Libraries/LibCell/Job.h
@@ -65,20 +65,20 @@
   std::set<std::uint64_t> failedRuns;
   /// Numbers of the runs during which their worker crashed, or may have crashed.
   std::set<std::uint64_t> crashedRuns;
-  /// Those of @ref crashedRuns that certainly ran, as the latest start at their worker.
+  /// Those of @ref crashedRuns that were the latest confirmed start at their worker.
   std::set<std::uint64_t> blamedRuns;
   /// Numbers of the runs that were lost with all workers of a rack; these are not held against the
   /// task.
   std::set<std::uint64_t> rackLossRuns;
-  /// The latest start of a task whose job is suspected of crashing workers. A later leader counts
-  /// the crash if this one does not live to see it.
+  /// The latest start of a task whose job is suspected of crashing workers. If this leader is gone
+  /// before the worker's crash is confirmed, a later leader counts it.
   std::optional<RecordedStart> recordedStart;
   /// Change count of the job that must be stored before @ref recordedStart is sent; 0 if it was
   /// sent or dropped.
   std::uint64_t recordedStartChange = 0;
   /// The task is not started before this time.
   TimePoint earliestStart{};
-  /// Number of its runs that were stopped since they made no progress.
+  /// Number of its runs that were stopped because they made no progress.
   std::uint32_t stalledRuns = 0;
   /// Starts in a row that workers rejected.
   std::uint32_t rejectedStarts = 0;
--- a/Libraries/LibCell/LostWorkers.cpp
+++ b/Libraries/LibCell/LostWorkers.cpp
@@ -22,11 +22,11 @@
 }
 
 std::optional<WorkerLoss>
-LostWorkers::ConfirmCrash(const std::string& aMachine, std::int64_t aBefore)
+LostWorkers::ConfirmCrash(const std::string& aMachine, std::int64_t aLaterIncarnation)
 {
   const auto found = this->byMachine.find(aMachine);
-  const bool isUnconfirmed =
-    found != this->byMachine.end() && !found->second.isCrash && found->second.incarnation < aBefore;
+  const bool isUnconfirmed = found != this->byMachine.end() && !found->second.isCrash &&
+                             found->second.incarnation < aLaterIncarnation;
   if (!isUnconfirmed) {
     return {};
   }
--- a/Libraries/LibCell/LostWorkers.h
+++ b/Libraries/LibCell/LostWorkers.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /// @file
-/// Losses of contact with workers, from which crashes are told apart from interruptions.
+/// Losses of contact with workers, some of which turn out to be crashes.
 
 #include <LibBase/Identifier.h>
 #include <LibBase/Task.h>
@@ -22,8 +22,7 @@
   std::uint64_t run = 0;
   /// How long the run had been at the worker at the last contact.
   Milliseconds age{ 0 };
-  /// It certainly ran there, and none that certainly did started later, so that it is the most
-  /// likely cause of a crash.
+  /// The worker had confirmed its start, and no later one: the most likely cause of a crash.
   bool isLatestStart = false;
 };
 
@@ -33,6 +32,7 @@
   WorkerId worker;
   /// The worker's machine, which keeps its name across incarnations.
   std::string machine;
+  /// Process start of the lost incarnation, Unix ms.
   std::int64_t incarnation = 0;
   RackId rack;
   /// When the worker responded last.
@@ -42,18 +42,19 @@
   bool isCrash = false;
 };
 
-/// The latest loss of each machine, until the machine turns out to have crashed or to run on. Has
-/// no clock and no I/O.
+/// The latest loss of contact with each machine. A later incarnation proves that the lost one has
+/// crashed; a response of the lost one proves that it has not.
 class LostWorkers
 {
 public:
   /// Adds a loss. The runs of an earlier record of the same incarnation are kept.
   void Add(WorkerLoss aLoss);
-  /// Marks the loss of an incarnation as a crash.
-  /// @param aBefore the machine has started a later incarnation than the lost one
-  /// @return the loss if it was not known to be a crash, otherwise nothing
+  /// Marks the machine's loss as a crash if it is one of an earlier incarnation.
+  /// @param aLaterIncarnation process start of an incarnation that is known to have started, Unix
+  /// ms
+  /// @return the loss if it was not known to be a crash before, otherwise nothing
   [[nodiscard]] std::optional<WorkerLoss> ConfirmCrash(const std::string& aMachine,
-                                                       std::int64_t aBefore);
+                                                       std::int64_t aLaterIncarnation);
   /// Removes the loss of an incarnation that responds again.
   void Dismiss(const std::string& aMachine, std::int64_t aIncarnation);
   /// Removes losses with an older last contact.
--- a/Libraries/LibCell/Records.h
+++ b/Libraries/LibCell/Records.h
@@ -104,6 +104,7 @@
   bool hasSucceeded = false;
   std::set<std::uint64_t> failedRuns;
   std::string checkpoint;
+  /// Runs during which workers crashed; see @ref Task for these fields.
   std::set<std::uint64_t> crashedRuns;
   std::set<std::uint64_t> blamedRuns;
   std::set<std::uint64_t> rackLossRuns;
--- a/Tests/LibCell/TestChangingWorkers.cpp
+++ b/Tests/LibCell/TestChangingWorkers.cpp
@@ -10,7 +10,7 @@
 class ChangingWorkerTest : public CellSchedulerFixture
 {
 protected:
-  /// @return the cores of all tasks at a worker, each of which takes as many as its job says
+  /// @return the cores in use at a worker
   [[nodiscard]] std::int64_t UsedCores(const std::string& aWorker, std::int64_t aCoresPerTask)
   {
     return static_cast<std::int64_t>(this->workers.At(aWorker).running.size()) * aCoresPerTask;
--- a/Tests/LibCell/TestFaultyTasks.cpp
+++ b/Tests/LibCell/TestFaultyTasks.cpp
@@ -76,7 +76,8 @@
   this->AcceptJob(MakeJob("bad", 1, 1));
   this->BeginTerm();
   EXPECT_LE(this->CountMostWorkersWithoutStarts(Milliseconds{ 10'000 }), 1U);
-  EXPECT_LE(this->workers.rejections, 12U) << "the task is retried at growing intervals";
+  // 100 ms, doubled up to 5 s, allows 8 retries in 10 s.
+  EXPECT_LE(this->workers.rejections, 12U);
 }
 
 }
--- a/Tests/LibCell/TestLostWorkers.cpp
+++ b/Tests/LibCell/TestLostWorkers.cpp
@@ -23,6 +23,7 @@
 
 }
 
+// Guards against a cut or another machine that is taken for a crash, and a crash that counts twice.
 TEST(LostWorkers, ConfirmsACrashOnceALaterIncarnationShows)
 {
   LostWorkers lost;
@@ -35,6 +36,7 @@
   EXPECT_FALSE(lost.ConfirmCrash("m1", 6).has_value()) << "it counts once";
 }
 
+// Guards against a cut that is counted as a crash when the machine restarts much later.
 TEST(LostWorkers, DismissesAnIncarnationThatRespondsAgain)
 {
   LostWorkers lost;
@@ -45,6 +47,7 @@
   EXPECT_TRUE(lost.IsEmpty());
 }
 
+// Guards against runs that are forgotten when their worker is removed before it restarts.
 TEST(LostWorkers, KeepsTheRunsOfAnEarlierRecordOfTheSameIncarnation)
 {
   LostWorkers lost;
@@ -56,6 +59,8 @@
   EXPECT_EQ(crash->runs.size(), 2U);
 }
 
+// Guards against a single crash that is taken for a lost rack, since another worker of the rack was
+// lost at another time.
 TEST(LostWorkers, FindsLossesInARackWithinAWindowAndForgetsOldOnes)
 {
   LostWorkers lost;
--- a/Tests/LibCell/TestRecords.cpp
+++ b/Tests/LibCell/TestRecords.cpp
@@ -48,6 +48,7 @@
   EXPECT_EQ(EncodeSpecification(ValueOf(decoded)), EncodeSpecification(spec));
 }
 
+// Guards against crashes and recorded starts that are lost between two leaders.
 TEST_F(RecordsTest, ProgressRoundTrips)
 {
   ProgressRecord record{ .hasStarted = true, .occurrencesSucceeded = 2 };
--- a/Tests/LibCell/TestWorkerCrashes.cpp
+++ b/Tests/LibCell/TestWorkerCrashes.cpp
@@ -77,7 +77,7 @@
   this->ExpectJobIsGivenUp(MakeJob("poison", 1, 2));
 }
 
-// The same with workers that register under another id after a crash.
+// Guards against crashes that go uncounted: workers register under another id afterwards.
 TEST_F(WorkerCrashTest, GivesUpATaskWhoseWorkersReturnUnderAnotherId)
 {
   this->workers.restartMode = RestartMode::GetsNewId;
@@ -85,8 +85,8 @@
   this->ExpectJobIsGivenUp(MakeJob("poison", 1, 2));
 }
 
-// The same with workers that return after the lease of their runs has expired, so that the task
-// starts again before anything shows that the worker has crashed.
+// Guards against crashes that go uncounted: workers return after their leases have expired, when
+// the task has already started elsewhere.
 TEST_F(WorkerCrashTest, GivesUpATaskWhoseWorkersReturnAfterTheirLease)
 {
   this->workers.restartDelay = Milliseconds{ 9000 };
@@ -94,7 +94,7 @@
   this->ExpectJobIsGivenUp(MakeJob("poison", 1, 2), Milliseconds{ 120'000 });
 }
 
-// The same with workers that crash before they respond to the start order.
+// Guards against crashes that go uncounted: workers crash before they respond to the start order.
 TEST_F(WorkerCrashTest, GivesUpATaskThatCrashesItsWorkersBeforeTheyRespond)
 {
   this->workers.crashDelay = Milliseconds{ 0 };
@@ -102,7 +102,7 @@
   this->ExpectJobIsGivenUp(MakeJob("poison", 1, 2));
 }
 
-// The same with a gang, which crashes the workers of all its members with each run.
+// Guards against a gang that crashes the workers of all its members with each run, without end.
 TEST_F(WorkerCrashTest, GivesUpAGangThatCrashesItsWorkers)
 {
   this->AddWorkers(12, 4);
@@ -111,8 +111,8 @@
   this->ExpectJobIsGivenUp(spec);
 }
 
-// The same where tasks need tickets of the policy service, and room is reserved for a gang until it
-// has them.
+// Guards against crashing tasks and gangs that start without end where they need tickets of the
+// policy service, and where room is reserved for a gang until it has them.
 TEST_F(WorkerCrashTest, GivesUpAGangWithTicketsThatCrashesItsWorkers)
 {
   this->policy.routes.front().queue.needsAdvice = true;
@@ -131,7 +131,7 @@
   }
 }
 
-// Guards against innocent jobs that come to nothing once they are suspects.
+// Guards against suspects that never finish although their workers crash no more.
 TEST_F(WorkerCrashTest, FinishesSuspectsWhoseWorkersDoNotCrashAgain)
 {
   this->AddWorkers(4, 8);
@@ -153,7 +153,7 @@
   EXPECT_EQ(this->StatusOf("wide").outcome, JobOutcome::Succeeded);
 }
 
-// The same with a service task, which is otherwise restarted however it ends.
+// Guards against a service task that crashes workers without end, since services always restart.
 TEST_F(WorkerCrashTest, GivesUpAServiceTaskThatCrashesItsWorkers)
 {
   this->AddWorkers(6, 4);
--- a/Tests/LibCell/TestWorkerDirectory.cpp
+++ b/Tests/LibCell/TestWorkerDirectory.cpp
@@ -53,6 +53,7 @@
   EXPECT_EQ(this->directory.Entries().front().id.value, "w2");
 }
 
+// Guards against workers that stay listed after their removal was missed.
 TEST_F(WorkerDirectoryTest, UnlistsWorkersThatASnapshotLacks)
 {
   this->directory.Apply({ .rows = { MakeRow("w1", "8"), MakeRow("w2", "8") } });
--- a/Tests/Soak/Checks.h
+++ b/Tests/Soak/Checks.h
@@ -28,7 +28,7 @@
   Milliseconds visibility{ 3000 };
   /// Crashes after which a task may be given up.
   std::uint32_t crashesToGiveUp = 2;
-  /// Crashes after which starts are limited, and how many more starts break the promise.
+  /// After this many crashes under a task, this many more starts of it are a violation.
   std::uint32_t crashBudget = 3;
   std::uint32_t startsBeyondBudget = 3;
   /// A capacity that has shrunk counts so long after the worker's entry shows it: the pages'
--- a/Tests/Soak/WorkerFleet.h
+++ b/Tests/Soak/WorkerFleet.h
@@ -99,7 +99,7 @@
   WorkerLife& Add(WorkerLife aLife);
   /// Ends a life with everything that runs there.
   void Remove(const std::string& aWorker, LossCause aCause);
-  /// @return the workers that a run crashes which began since the last call
+  /// @return the workers at which a crashing run has begun since the last call
   [[nodiscard]] std::vector<std::string> TakeCrashing();
   [[nodiscard]] WorkerLife* Find(const std::string& aWorker);
 
--- a/Tests/Soak/WorkerServers.cpp
+++ b/Tests/Soak/WorkerServers.cpp
@@ -22,7 +22,7 @@
 constexpr std::int64_t kMemoryMiB = 65'536;
 constexpr std::size_t kPerRack = 2;
 constexpr Milliseconds kDownAfterDrain{ 800 };
-/// Time after which a worker is back that a task has crashed.
+/// Time until a worker that a task has crashed starts again.
 constexpr Milliseconds kDownAfterCrash{ 1500 };
 /// Clocks of workers begin anywhere below this and run up to 2% slow.
 constexpr std::uint32_t kClockOffsets = 1'000'000;
@@ -131,7 +131,7 @@
 }
 
 void
-WorkerServers::CrashPoisoned()
+WorkerServers::CrashWorkersOfCrashingRuns()
 {
   for (const auto& id : this->fleet.TakeCrashing()) {
     for (std::size_t worker = 0; worker < this->slots.size(); ++worker) {
@@ -307,7 +307,7 @@
 WorkerServers::Tick()
 {
   this->fleet.Advance();
-  this->CrashPoisoned();
+  this->CrashWorkersOfCrashingRuns();
   this->After(kTick, [this] { this->Tick(); });
 }
 
--- a/Tests/Soak/WorkerServers.h
+++ b/Tests/Soak/WorkerServers.h
@@ -99,8 +99,8 @@
 
   [[nodiscard]] Result<Done> Begin(std::size_t aWorker, bool aKeepsId);
   void End(std::size_t aWorker, Milliseconds aDown, LossCause aCause);
-  /// Crashes the workers that began a run that does so.
-  void CrashPoisoned();
+  /// Crashes the workers at which a crashing run has begun.
+  void CrashWorkersOfCrashingRuns();
   void Handle(std::size_t aWorker, HttpCallPointer aCall);
   void Perform(std::size_t aWorker, const HttpCallPointer& aCall, bool aAnswers);
   /// Carries an order out; one that waits for an end is answered when there is one or its time is
