LibCell: Move the order, the ranking and the load report out of CellScheduler

Cause: the decisions under load that are to come would each have been one more method of CellScheduler (header of 657 lines). Change: Candidate, WaitReason, PlacementOrder, WorkerRanking and LoadReport are modules of their own; ChooseWorker and AssignGang take a ranking. No behaviour changes.

--- a/Libraries/LibCell/CellScheduler.cpp
+++ b/Libraries/LibCell/CellScheduler.cpp
@@ -6,8 +6,6 @@
 
 namespace {
 
-/// Often enough to distinguish a burst from a lasting backlog, at negligible cost.
-constexpr Milliseconds kLoadLogInterval{ 1000 };
 /// Bounds the size of the leader record. Further draining workers count as other workers.
 constexpr std::size_t kMaxDrainingWorkersPublished = 128;
 
@@ -18,6 +16,7 @@
   , options(aOptions)
   , policy(std::make_shared<CellPolicy>())
   , adviceDispatcher(std::make_unique<AdviceDispatcher>(this->dependencies.advice))
+  , load(this->dependencies.log)
 {
 }
 
@@ -108,10 +107,7 @@
     return;
   }
   const auto now = this->dependencies.clock.Now();
-  if (this->lastTick != TimePoint{}) {
-    this->load.maxTickGap = std::max(this->load.maxTickGap, now - this->lastTick);
-  }
-  this->lastTick = now;
+  this->load.CountTick(now);
   if (!this->unsyncedWorkers.empty() && now >= this->priorLeasesExpiry) {
     this->dependencies.log.Log(
       LogLevel::Info, "predecessor_waited_out", { { "unread", this->unsyncedWorkers.size() } });
@@ -144,48 +140,21 @@
 CellScheduler::LogLoad()
 {
   const auto now = this->dependencies.clock.Now();
-  if (now < this->nextLoadLog) {
+  if (!this->load.IsLineDue(now)) {
     return;
   }
-  this->nextLoadLog = now + kLoadLogInterval;
-  Resources used;
-  Resources capacity;
-  std::size_t usable = 0;
+  CellLoad cell{ .activeJobs = this->activeJobs.size(),
+                 .workers = this->workers.Size(),
+                 .unwrittenJobs = this->dirtyJobs.size(),
+                 .pendingAdvice = this->adviceDispatcher->PendingCount() };
   for (const auto* worker : this->workers.All()) {
     if (this->IsUsable(*worker, now)) {
-      ++usable;
-      used += worker->used;
-      capacity += worker->entry.capacity;
+      ++cell.usableWorkers;
+      cell.used += worker->used;
+      cell.capacity += worker->entry.capacity;
     }
   }
-  const auto countOf = [this](WaitReason aReason) {
-    return this->load.waitCounts.at(static_cast<std::size_t>(aReason));
-  };
-  this->dependencies.log.Log(LogLevel::Info,
-                             "cell_load",
-                             { { "active", this->activeJobs.size() },
-                               { "workers", this->workers.Size() },
-                               { "usable", usable },
-                               { "used_millicores", used.milliCores },
-                               { "millicores", capacity.milliCores },
-                               { "used_mib", used.memoryMiB },
-                               { "mib", capacity.memoryMiB },
-                               { "unwritten", this->dirtyJobs.size() },
-                               { "questions", this->adviceDispatcher->PendingCount() },
-                               { "placements", this->load.placements },
-                               { "cut_short", this->load.truncatedPlacements },
-                               { "placing_ms", this->load.placementTime.count() },
-                               { "longest_tick_gap_ms", this->load.maxTickGap.count() },
-                               { "placed", countOf(WaitReason::None) },
-                               { "wait_workers", countOf(WaitReason::NoWorkers) },
-                               { "wait_advice", countOf(WaitReason::Advice) },
-                               { "wait_limit", countOf(WaitReason::Limit) },
-                               { "wait_headroom", countOf(WaitReason::Headroom) },
-                               { "wait_room", countOf(WaitReason::Room) },
-                               { "wait_ticket", countOf(WaitReason::Ticket) },
-                               { "wait_members", countOf(WaitReason::Members) },
-                               { "wait_record", countOf(WaitReason::Record) } });
-  this->load = {};
+  this->load.LogLoad(cell, now);
 }
 
 void
--- a/Libraries/LibCell/CellScheduler.h
+++ b/Libraries/LibCell/CellScheduler.h
@@ -5,13 +5,17 @@
 
 #include <LibBase/Time.h>
 #include <LibCell/AdviceDispatcher.h>
+#include <LibCell/Candidate.h>
 #include <LibCell/Job.h>
+#include <LibCell/LoadReport.h>
 #include <LibCell/LostWorkers.h>
 #include <LibCell/Placement.h>
 #include <LibCell/Policy.h>
 #include <LibCell/Ports.h>
 #include <LibCell/Records.h>
+#include <LibCell/WaitReason.h>
 #include <LibCell/Worker.h>
+#include <LibCell/WorkerRanking.h>
 #include <LibCell/WorkerTable.h>
 #include <LibLog/Logger.h>
 #include <LibMetrics/MetricRegistry.h>
@@ -206,19 +210,6 @@
   [[nodiscard]] Milliseconds RemainingRecoveryTime() const;
 
 private:
-  /// A step with tasks to place.
-  struct Candidate
-  {
-    Job* job = nullptr;
-    std::uint32_t occurrence = 0;
-    std::uint32_t step = 0;
-    StepRun* run = nullptr;
-    const StepSpecification* specification = nullptr;
-    const QueuePolicy* queue = nullptr;
-    /// Candidates with a lower key are placed first.
-    std::int64_t priorityKey = 0;
-  };
-
   /// The workers of a pool that may get tasks in the current placement round.
   struct Pool
   {
@@ -233,33 +224,6 @@
     std::vector<std::pair<Resources, std::uint32_t>> demandsWithoutRoom;
   };
 
-  /// Why a step's tasks are still pending after a placement attempt.
-  enum class WaitReason : std::uint8_t
-  {
-    None,
-    NoWorkers,
-    Advice,
-    Limit,
-    Headroom,
-    Room,
-    Ticket,
-    /// Not every member of the gang is ready to start.
-    Members,
-    /// The record of a suspect's start is not stored yet.
-    Record,
-    Count,
-  };
-
-  /// Statistics since the last log line about the load.
-  struct LoadSample
-  {
-    std::array<std::uint32_t, static_cast<std::size_t>(WaitReason::Count)> waitCounts{};
-    std::uint32_t placements = 0;
-    std::uint32_t truncatedPlacements = 0;
-    Milliseconds placementTime{ 0 };
-    Milliseconds maxTickGap{ 0 };
-  };
-
   // Jobs.
   /// Adds a job that is new, or applies the end of a known one.
   void ApplySpecificationRow(const Row& aRow);
@@ -475,21 +439,16 @@
   // Placement.
   void RunPlacementRound();
   [[nodiscard]] std::vector<Candidate> CollectCandidates();
-  /// @return the priority class and, within it, the latest start that meets the objective.
-  [[nodiscard]] std::int64_t PriorityKeyOf(const Job& aJob,
-                                           const QueuePolicy& aQueue,
-                                           const OccurrenceRun& aOccurrence,
-                                           std::uint32_t aStep) const;
   /// @return false for a step that awaits its first advice, and for a gang without new advice
   /// outside a gang round.
   [[nodiscard]] bool NeedsPlacementAttempt(const Candidate& aCandidate) const;
   WaitReason PlaceStep(const Candidate& aCandidate);
   WaitReason PlaceTasks(const Candidate& aCandidate, Pool& aPool);
   WaitReason PlaceGang(const Candidate& aCandidate, Pool& aPool);
-  /// Logs the load of the cell once a second.
+  /// Logs the load of the cell if a line about it is due.
   void LogLoad();
-  /// Logs a step that has been pending for long.
-  void LogLongWait(const Candidate& aCandidate, WaitReason aReason);
+  /// @return the preference among workers for the tasks of a step
+  [[nodiscard]] const WorkerRanking& RankingFor(const Candidate& aCandidate) const;
   /// @param aNeedsTicket leaves out workers for which the step has no valid ticket
   [[nodiscard]] std::vector<Worker*> FindEligibleWorkers(const Candidate& aCandidate,
                                                          const Pool& aPool,
@@ -524,10 +483,9 @@
                         const Result<AdviceResponse>& aResponse);
   void NotifyPlacementDue();
   /// Chooses a worker for a task, if possible another one than where its last run failed.
-  [[nodiscard]] Worker* ChooseWorkerFor(const Job& aJob,
+  [[nodiscard]] Worker* ChooseWorkerFor(const Candidate& aCandidate,
                                         const Task& aTask,
                                         const std::vector<Worker*>& aEligible,
-                                        const StepSpecification& aStep,
                                         const TaskCountFunction& aCount);
   /// Chooses workers for a gang among eligible ones, if possible apart from other suspects of a
   /// crash.
@@ -630,6 +588,7 @@
   /// Workers with ends that are not acknowledged yet.
   std::set<WorkerNumber> workersWithEnds;
   std::unordered_map<std::string, Pool> pools;
+  SlownessRanking slownessRanking;
   /// What each workspace uses; references to its elements stay valid.
   std::unordered_map<WorkspaceId, WorkspaceUsage> workspaces;
   /// Workers that the leader record names.
@@ -644,9 +603,7 @@
   /// costs more than most of them.
   TimePoint roundBegin{};
   bool isPlacementDue = true;
-  LoadSample load;
-  TimePoint lastTick{};
-  TimePoint nextLoadLog{};
+  LoadReport load;
   TimePoint nextGangPlacement{};
   /// True if the current placement round attempts all pending gangs.
   bool isGangRound = true;
--- a/Libraries/LibCell/CellSchedulerGangs.cpp
+++ b/Libraries/LibCell/CellSchedulerGangs.cpp
@@ -1,6 +1,6 @@
 #include <LibCell/CellScheduler.h>
 #include <LibCell/Placement.h>
-#include <LibCell/PriorityClass.h>
+#include <LibCell/PlacementOrder.h>
 
 #include <algorithm>
 
@@ -15,7 +15,7 @@
 
 }
 
-CellScheduler::WaitReason
+WaitReason
 CellScheduler::PlaceGang(const Candidate& aCandidate, Pool& aPool)
 {
   const auto now = this->roundBegin;
@@ -66,15 +66,17 @@
 CellScheduler::AssignGangTo(const Candidate& aCandidate, const std::vector<Worker*>& aEligible)
 {
   const auto& step = *aCandidate.specification;
+  const auto& ranking = this->RankingFor(aCandidate);
   if (aCandidate.job->isCrashSuspect) {
     if (auto recorded = this->FindRecordedGang(aCandidate, aEligible)) {
       return recorded;
     }
-    if (auto apart = AssignGang(this->KeepSuspectsApart(*aCandidate.job, aEligible), step)) {
+    if (auto apart =
+          AssignGang(this->KeepSuspectsApart(*aCandidate.job, aEligible), step, ranking)) {
       return apart;
     }
   }
-  return AssignGang(aEligible, step);
+  return AssignGang(aEligible, step, ranking);
 }
 
 bool
@@ -167,8 +169,7 @@
 void
 CellScheduler::EarmarkWorkersForGang(const Candidate& aCandidate, const Pool& aPool)
 {
-  const bool isOnTime =
-    aCandidate.priorityKey < static_cast<std::int64_t>(PriorityClass::Late) * kPriorityClassSpan;
+  const bool isOnTime = !IsAtOrAfter(aCandidate.priorityKey, PriorityClass::Late);
   if (this->gangsWithEarmarkedWorkers >= kMaxGangsWithEarmarkedWorkers || !isOnTime) {
     return;
   }
--- a/Libraries/LibCell/CellSchedulerLimits.cpp
+++ b/Libraries/LibCell/CellSchedulerLimits.cpp
@@ -1,6 +1,6 @@
 #include <LibCell/CellScheduler.h>
 #include <LibCell/Placement.h>
-#include <LibCell/PriorityClass.h>
+#include <LibCell/PlacementOrder.h>
 
 #include <algorithm>
 #include <limits>
@@ -108,8 +108,7 @@
   this->ReleaseReservation(*aCandidate.run, step);
   auto& usage = *aCandidate.job->workspaceUsage;
   const auto total = step.demand * step.count;
-  const bool isOnTime =
-    aCandidate.priorityKey < static_cast<std::int64_t>(PriorityClass::Late) * kPriorityClassSpan;
+  const bool isOnTime = !IsAtOrAfter(aCandidate.priorityKey, PriorityClass::Late);
   // One gang per workspace at a time, so that its other batch tasks can go on.
   if (isOnTime && usage.limit && IsWithinLimit(total, *usage.limit) && !usage.reservedForGang) {
     usage.reservedForGang = total;
--- a/Libraries/LibCell/CellSchedulerPlacement.cpp
+++ b/Libraries/LibCell/CellSchedulerPlacement.cpp
@@ -1,9 +1,8 @@
 #include <LibCell/CellScheduler.h>
 #include <LibCell/Placement.h>
-#include <LibCell/PriorityClass.h>
+#include <LibCell/PlacementOrder.h>
 
 #include <algorithm>
-#include <array>
 #include <functional>
 
 namespace zinc::cell {
@@ -17,8 +16,6 @@
 constexpr std::uint32_t kMaxAttemptsBeyondLimit = 64;
 /// Placement attempts between two looks at the clock.
 constexpr std::uint32_t kAttemptsPerTimeCheck = 16;
-/// Interval at which a step that stays pending is logged.
-constexpr Milliseconds kWaitLogInterval{ 2000 };
 
 }
 
@@ -70,31 +67,7 @@
   }
 }
 
-std::int64_t
-CellScheduler::PriorityKeyOf(const Job& aJob,
-                             const QueuePolicy& aQueue,
-                             const OccurrenceRun& aOccurrence,
-                             std::uint32_t aStep) const
-{
-  const auto now = this->roundBegin;
-  const auto latestStart = aOccurrence.objective - aJob.criticalPaths[aStep];
-  auto priorityClass = PriorityClass::OnTime;
-  if (aJob.isBeyondWeight) {
-    priorityClass = PriorityClass::BeyondWeight;
-  } else if (aJob.spec.steps[aStep].isService) {
-    priorityClass = PriorityClass::Urgent;
-  } else if (aQueue.priority == 0 && latestStart >= now) {
-    priorityClass = PriorityClass::Urgent;
-  } else if (aQueue.priority == 0 && now < aOccurrence.deadline) {
-    priorityClass = PriorityClass::UrgentLate;
-  } else if (latestStart < now) {
-    priorityClass = PriorityClass::Late;
-  }
-  return static_cast<std::int64_t>(priorityClass) * kPriorityClassSpan +
-         latestStart.time_since_epoch().count();
-}
-
-std::vector<CellScheduler::Candidate>
+std::vector<Candidate>
 CellScheduler::CollectCandidates()
 {
   std::vector<Candidate> candidates;
@@ -105,13 +78,21 @@
         if (!occurrence.steps[step].IsPending()) {
           continue;
         }
-        candidates.push_back({ .job = job,
-                               .occurrence = number,
-                               .step = step,
-                               .run = &occurrence.steps[step],
-                               .specification = &job->spec.steps[step],
-                               .queue = &queue,
-                               .priorityKey = this->PriorityKeyOf(*job, queue, occurrence, step) });
+        const auto& specification = job->spec.steps[step];
+        candidates.push_back(
+          { .job = job,
+            .occurrence = number,
+            .step = step,
+            .run = &occurrence.steps[step],
+            .specification = &specification,
+            .queue = &queue,
+            .priorityKey = ComputePriorityKey({ .now = this->roundBegin,
+                                                .queuePriority = queue.priority,
+                                                .isService = specification.isService,
+                                                .isBeyondWeight = job->isBeyondWeight,
+                                                .objective = occurrence.objective,
+                                                .deadline = occurrence.deadline,
+                                                .criticalPath = job->criticalPaths[step] }) });
       }
     }
   }
@@ -149,8 +130,7 @@
   this->BuildPools();
   this->PlaceCandidates(candidates);
   const auto end = this->dependencies.clock.Now();
-  ++this->load.placements;
-  this->load.placementTime += end - now;
+  this->load.CountPlacement(end - now);
   // Bounds the duty cycle of placement, so that a long backlog leaves time for the workers.
   this->nextPlacement = end + (end - now) * this->options.placementIdleFactor;
 }
@@ -166,19 +146,19 @@
     // The remaining steps of a workspace at its limit would not fit either.
     auto& consecutive = candidate.job->workspaceUsage->attemptsBeyondLimit;
     if (consecutive >= kMaxAttemptsBeyondLimit) {
-      ++this->load.waitCounts.at(static_cast<std::size_t>(WaitReason::Limit));
+      this->load.CountAttempt(WaitReason::Limit);
       continue;
     }
     const auto reason = this->PlaceStep(candidate);
     consecutive = reason == WaitReason::Limit ? consecutive + 1 : 0;
-    ++this->load.waitCounts.at(static_cast<std::size_t>(reason));
-    this->LogLongWait(candidate, reason);
+    this->load.CountAttempt(reason);
+    this->load.LogLongWait(candidate, reason, this->roundBegin);
     // The rest is left to the next round, so that a long round does not delay other work.
     const bool isLong =
       ++attempts % kAttemptsPerTimeCheck == 0 &&
       this->dependencies.clock.Now() - this->roundBegin > this->options.maxPlacementDuration;
     if (this->hasLostLeadership || isLong) {
-      ++this->load.truncatedPlacements;
+      this->load.CountTruncatedPlacement();
       return;
     }
   }
@@ -197,43 +177,6 @@
   return !awaitsFirstAdvice && (this->isGangRound || !isGang);
 }
 
-void
-CellScheduler::LogLongWait(const Candidate& aCandidate, WaitReason aReason)
-{
-  constexpr std::array kNames = { "nothing", "workers", "advice",  "limit", "headroom",
-                                  "room",    "ticket",  "members", "record" };
-  static_assert(kNames.size() == static_cast<std::size_t>(WaitReason::Count));
-  const auto now = this->roundBegin;
-  auto& run = *aCandidate.run;
-  if (aReason == WaitReason::None) {
-    run.waitingSince = {};
-    return;
-  }
-  if (run.waitingSince == TimePoint{}) {
-    run.waitingSince = now;
-    run.nextWaitLog = now + kWaitLogInterval;
-  }
-  if (now < run.nextWaitLog) {
-    return;
-  }
-  run.nextWaitLog = now + kWaitLogInterval;
-  const auto& step = *aCandidate.specification;
-  this->dependencies.log.Log(LogLevel::Info,
-                             "step_waits",
-                             { { "job", aCandidate.job->spec.id.value },
-                               { "step", aCandidate.step },
-                               { "for", kNames.at(static_cast<std::size_t>(aReason)) },
-                               { "waited_ms", (now - run.waitingSince).count() },
-                               { "tasks", step.count },
-                               { "millicores", step.demand.milliCores },
-                               { "mib", step.demand.memoryMiB },
-                               { "gang", step.isGang },
-                               { "rank", aCandidate.priorityKey / kPriorityClassSpan },
-                               { "asked", run.advice.RequestedCount() },
-                               { "good", run.advice.Tickets().size() },
-                               { "workspace", aCandidate.job->spec.workspace.value } });
-}
-
 bool
 CellScheduler::HasRoom(Pool& aPool, const StepSpecification& aStep)
 {
@@ -254,7 +197,7 @@
   return false;
 }
 
-CellScheduler::WaitReason
+WaitReason
 CellScheduler::PlaceStep(const Candidate& aCandidate)
 {
   auto& run = *aCandidate.run;
@@ -323,8 +266,7 @@
 bool
 CellScheduler::IsNonUrgent(const Candidate& aCandidate) const
 {
-  return aCandidate.priorityKey >=
-         static_cast<std::int64_t>(PriorityClass::OnTime) * kPriorityClassSpan;
+  return IsAtOrAfter(aCandidate.priorityKey, PriorityClass::OnTime);
 }
 
 bool
@@ -340,7 +282,7 @@
   return aPool.free.milliCores - aDemand.milliCores >= headroom;
 }
 
-CellScheduler::WaitReason
+WaitReason
 CellScheduler::PlaceTasks(const Candidate& aCandidate, Pool& aPool)
 {
   const auto& step = *aCandidate.specification;
@@ -376,7 +318,7 @@
     if (!this->LeavesHeadroom(aCandidate, allocated, aPool)) {
       return WaitReason::Headroom;
     }
-    auto* worker = this->ChooseWorkerFor(*aCandidate.job, task, eligible, step, countTasksAt);
+    auto* worker = this->ChooseWorkerFor(aCandidate, task, eligible, countTasksAt);
     if (worker == nullptr) {
       ++unplaced;
       break;
@@ -408,22 +350,30 @@
   return unplaced > 0 ? WaitReason::Room : WaitReason::None;
 }
 
+const WorkerRanking&
+CellScheduler::RankingFor(const Candidate& /*aCandidate*/) const
+{
+  return this->slownessRanking;
+}
+
 Worker*
-CellScheduler::ChooseWorkerFor(const Job& aJob,
+CellScheduler::ChooseWorkerFor(const Candidate& aCandidate,
                                const Task& aTask,
                                const std::vector<Worker*>& aEligible,
-                               const StepSpecification& aStep,
                                const TaskCountFunction& aCount)
 {
-  if (aTask.lastFailedWorker.IsEmpty() && !aJob.isCrashSuspect) {
-    return ChooseWorker(aEligible, aStep, aCount);
+  const auto& step = *aCandidate.specification;
+  const auto& job = *aCandidate.job;
+  const auto& ranking = this->RankingFor(aCandidate);
+  if (aTask.lastFailedWorker.IsEmpty() && !job.isCrashSuspect) {
+    return ChooseWorker(aEligible, step, aCount, ranking);
   }
-  auto others = this->KeepSuspectsApart(aJob, aEligible);
+  auto others = this->KeepSuspectsApart(job, aEligible);
   std::erase_if(others, [&aTask](const Worker* aWorker) {
     return aWorker->entry.id == aTask.lastFailedWorker;
   });
-  auto* worker = ChooseWorker(others, aStep, aCount);
-  return worker != nullptr ? worker : ChooseWorker(aEligible, aStep, aCount);
+  auto* worker = ChooseWorker(others, step, aCount, ranking);
+  return worker != nullptr ? worker : ChooseWorker(aEligible, step, aCount, ranking);
 }
 
 void
--- /dev/null
+++ b/Libraries/LibCell/LoadReport.cpp
@@ -0,0 +1,100 @@
+#include <LibCell/LoadReport.h>
+
+#include <LibCell/PriorityClass.h>
+#include <algorithm>
+
+namespace zinc::cell {
+
+namespace {
+
+/// Often enough to distinguish a burst from a lasting backlog, at negligible cost.
+constexpr Milliseconds kLoadLogInterval{ 1000 };
+/// Interval at which a step that stays pending is logged.
+constexpr Milliseconds kWaitLogInterval{ 2000 };
+
+}
+
+void
+LoadReport::CountTick(TimePoint aNow)
+{
+  if (this->lastTick != TimePoint{}) {
+    this->sample.maxTickGap = std::max(this->sample.maxTickGap, aNow - this->lastTick);
+  }
+  this->lastTick = aNow;
+}
+
+void
+LoadReport::CountPlacement(Milliseconds aDuration)
+{
+  ++this->sample.placements;
+  this->sample.placementTime += aDuration;
+}
+
+void
+LoadReport::LogLongWait(const Candidate& aCandidate, WaitReason aReason, TimePoint aNow) const
+{
+  auto& run = *aCandidate.run;
+  if (aReason == WaitReason::None) {
+    run.waitingSince = {};
+    return;
+  }
+  if (run.waitingSince == TimePoint{}) {
+    run.waitingSince = aNow;
+    run.nextWaitLog = aNow + kWaitLogInterval;
+  }
+  if (aNow < run.nextWaitLog) {
+    return;
+  }
+  run.nextWaitLog = aNow + kWaitLogInterval;
+  const auto& step = *aCandidate.specification;
+  this->log.Log(LogLevel::Info,
+                "step_waits",
+                { { "job", aCandidate.job->spec.id.value },
+                  { "step", aCandidate.step },
+                  { "for", ToString(aReason) },
+                  { "waited_ms", (aNow - run.waitingSince).count() },
+                  { "tasks", step.count },
+                  { "millicores", step.demand.milliCores },
+                  { "mib", step.demand.memoryMiB },
+                  { "gang", step.isGang },
+                  { "rank", aCandidate.priorityKey / kPriorityClassSpan },
+                  { "asked", run.advice.RequestedCount() },
+                  { "good", run.advice.Tickets().size() },
+                  { "workspace", aCandidate.job->spec.workspace.value } });
+}
+
+void
+LoadReport::LogLoad(const CellLoad& aLoad, TimePoint aNow)
+{
+  this->nextLine = aNow + kLoadLogInterval;
+  const auto countOf = [this](WaitReason aReason) {
+    return this->sample.waitCounts.at(static_cast<std::size_t>(aReason));
+  };
+  this->log.Log(LogLevel::Info,
+                "cell_load",
+                { { "active", aLoad.activeJobs },
+                  { "workers", aLoad.workers },
+                  { "usable", aLoad.usableWorkers },
+                  { "used_millicores", aLoad.used.milliCores },
+                  { "millicores", aLoad.capacity.milliCores },
+                  { "used_mib", aLoad.used.memoryMiB },
+                  { "mib", aLoad.capacity.memoryMiB },
+                  { "unwritten", aLoad.unwrittenJobs },
+                  { "questions", aLoad.pendingAdvice },
+                  { "placements", this->sample.placements },
+                  { "cut_short", this->sample.truncatedPlacements },
+                  { "placing_ms", this->sample.placementTime.count() },
+                  { "longest_tick_gap_ms", this->sample.maxTickGap.count() },
+                  { "placed", countOf(WaitReason::None) },
+                  { "wait_workers", countOf(WaitReason::NoWorkers) },
+                  { "wait_advice", countOf(WaitReason::Advice) },
+                  { "wait_limit", countOf(WaitReason::Limit) },
+                  { "wait_headroom", countOf(WaitReason::Headroom) },
+                  { "wait_room", countOf(WaitReason::Room) },
+                  { "wait_ticket", countOf(WaitReason::Ticket) },
+                  { "wait_members", countOf(WaitReason::Members) },
+                  { "wait_record", countOf(WaitReason::Record) } });
+  this->sample = {};
+}
+
+}
--- a/Libraries/LibCell/Placement.cpp
+++ b/Libraries/LibCell/Placement.cpp
@@ -8,15 +8,6 @@
 
 namespace {
 
-/// Slowness is compared in steps of this size, so that room decides between similarly fast workers.
-constexpr double kSlownessStep = 0.35;
-
-int
-SlownessRank(const Worker& aWorker)
-{
-  return static_cast<int>((aWorker.slowness - 1.0) / kSlownessStep);
-}
-
 bool
 IsOutsideDataRack(const Worker& aWorker, const StepSpecification& aStep)
 {
@@ -34,13 +25,15 @@
 /// A worker with its sort key, which is computed once.
 struct RankedWorker
 {
-  std::tuple<int, bool, std::int64_t> rank;
+  std::tuple<WorkerRank, bool, std::int64_t> rank;
   std::uint32_t room = 0;
   Worker* worker = nullptr;
 };
 
 std::optional<std::vector<Worker*>>
-FillGang(std::span<Worker* const> aWorkers, const StepSpecification& aStep)
+FillGang(std::span<Worker* const> aWorkers,
+         const StepSpecification& aStep,
+         const WorkerRanking& aRanking)
 {
   std::vector<RankedWorker> ranked;
   std::uint64_t total = 0;
@@ -50,10 +43,11 @@
       continue;
     }
     total += room;
-    ranked.push_back(
-      { .rank = { SlownessRank(*worker), IsOutsideDataRack(*worker, aStep), -std::int64_t{ room } },
-        .room = room,
-        .worker = worker });
+    ranked.push_back({ .rank = { aRanking.RankOf(*worker),
+                                 IsOutsideDataRack(*worker, aStep),
+                                 -std::int64_t{ room } },
+                       .room = room,
+                       .worker = worker });
   }
   if (total < aStep.count) {
     return {};
@@ -123,18 +117,19 @@
 Worker*
 ChooseWorker(std::span<Worker* const> aWorkers,
              const StepSpecification& aStep,
-             const TaskCountFunction& aCount)
+             const TaskCountFunction& aCount,
+             const WorkerRanking& aRanking)
 {
   const auto demand = AllocatedDemand(aStep);
   Worker* best = nullptr;
-  std::tuple<bool, int, double> bestRank;
+  std::tuple<bool, WorkerRank, double> bestRank;
   for (auto* worker : aWorkers) {
     const bool isFull = aStep.maxTasksPerWorker > 0 && aCount(*worker) >= aStep.maxTasksPerWorker;
     if (isFull || CountFittingTasks(*worker, demand, 1) == 0) {
       continue;
     }
     const double freeShare = DominantShare(worker->FreeResources(), worker->entry.capacity);
-    const std::tuple rank(IsOutsideDataRack(*worker, aStep), SlownessRank(*worker), freeShare);
+    const std::tuple rank(IsOutsideDataRack(*worker, aStep), aRanking.RankOf(*worker), freeShare);
     if (best == nullptr || rank < bestRank) {
       best = worker;
       bestRank = rank;
@@ -144,16 +139,18 @@
 }
 
 std::optional<std::vector<Worker*>>
-AssignGang(std::span<Worker* const> aWorkers, const StepSpecification& aStep)
+AssignGang(std::span<Worker* const> aWorkers,
+           const StepSpecification& aStep,
+           const WorkerRanking& aRanking)
 {
   if (aStep.prefersSameRack) {
     for (const auto& rack : GroupByRack(aWorkers, aStep)) {
-      if (auto chosen = FillGang(rack, aStep)) {
+      if (auto chosen = FillGang(rack, aStep, aRanking)) {
         return chosen;
       }
     }
   }
-  return FillGang(aWorkers, aStep);
+  return FillGang(aWorkers, aStep, aRanking);
 }
 
 }
--- a/Libraries/LibCell/Placement.h
+++ b/Libraries/LibCell/Placement.h
@@ -4,6 +4,7 @@
 /// Choice of workers for a step's tasks: pure functions over the eligible workers.
 
 #include <LibCell/Worker.h>
+#include <LibCell/WorkerRanking.h>
 #include <functional>
 #include <optional>
 #include <span>
@@ -27,18 +28,21 @@
 /// Returns how many tasks of the step a worker already has.
 using TaskCountFunction = std::function<std::uint32_t(const Worker&)>;
 
-/// Chooses a worker for one task: prefers the rack of its data, then fast workers, then the
-/// tightest fit.
+/// Chooses a worker for one task: prefers the rack of its data, then workers of a low rank,
+/// then the tightest fit.
 /// @return null if no worker has room
 [[nodiscard]] Worker*
 ChooseWorker(std::span<Worker* const> aWorkers,
              const StepSpecification& aStep,
-             const TaskCountFunction& aCount);
+             const TaskCountFunction& aCount,
+             const WorkerRanking& aRanking);
 
 /// Chooses workers for all tasks of a gang: prefers a single rack if the step asks for it, then
-/// fast workers, the rack of the data and few workers.
+/// workers of a low rank, the rack of the data and few workers.
 /// @return a worker for each task, or nothing if the gang does not fit
 [[nodiscard]] std::optional<std::vector<Worker*>>
-AssignGang(std::span<Worker* const> aWorkers, const StepSpecification& aStep);
+AssignGang(std::span<Worker* const> aWorkers,
+           const StepSpecification& aStep,
+           const WorkerRanking& aRanking);
 
 }
--- /dev/null
+++ b/Libraries/LibCell/PlacementOrder.cpp
@@ -0,0 +1,33 @@
+#include <LibCell/PlacementOrder.h>
+
+namespace zinc::cell {
+
+namespace {
+
+PriorityClass
+ClassOf(const PriorityInput& aInput, TimePoint aLatestStart)
+{
+  if (aInput.isBeyondWeight) {
+    return PriorityClass::BeyondWeight;
+  }
+  const bool isMostUrgentQueue = aInput.queuePriority == 0;
+  if (aInput.isService || (isMostUrgentQueue && aLatestStart >= aInput.now)) {
+    return PriorityClass::Urgent;
+  }
+  if (isMostUrgentQueue && aInput.now < aInput.deadline) {
+    return PriorityClass::UrgentLate;
+  }
+  return aLatestStart < aInput.now ? PriorityClass::Late : PriorityClass::OnTime;
+}
+
+}
+
+std::int64_t
+ComputePriorityKey(const PriorityInput& aInput)
+{
+  const auto latestStart = aInput.objective - aInput.criticalPath;
+  return static_cast<std::int64_t>(ClassOf(aInput, latestStart)) * kPriorityClassSpan +
+         latestStart.time_since_epoch().count();
+}
+
+}
--- /dev/null
+++ b/Libraries/LibCell/WaitReason.h
@@ -0,0 +1,42 @@
+#pragma once
+
+/// @file
+/// Why a step still has tasks to place after a placement attempt.
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+
+namespace zinc::cell {
+
+/// Why a step's tasks are still pending after a placement attempt.
+enum class WaitReason : std::uint8_t
+{
+  None,
+  NoWorkers,
+  Advice,
+  Limit,
+  Headroom,
+  Room,
+  Ticket,
+  /// Not every member of the gang is ready to start.
+  Members,
+  /// The record of a suspect's start is not stored yet.
+  Record,
+  Count,
+};
+
+inline constexpr auto kWaitReasonCount = static_cast<std::size_t>(WaitReason::Count);
+
+/// @return the reason's name in the log
+[[nodiscard]] constexpr std::string_view
+ToString(WaitReason aReason)
+{
+  constexpr std::array<std::string_view, kWaitReasonCount> kNames = {
+    "nothing", "workers", "advice", "limit", "headroom", "room", "ticket", "members", "record"
+  };
+  return kNames.at(static_cast<std::size_t>(aReason));
+}
+
+}
