LibCell: Tell whether the document oversubscribes a pool

Cause: decisions for contended pools must act only where a deployment's own document asks for them. Change: PoolContention compares the sum of the workspaces' processor limits with the largest pool seen in the term.

--- a/Libraries/LibCell/CellScheduler.cpp
+++ b/Libraries/LibCell/CellScheduler.cpp
@@ -16,6 +16,7 @@
   , options(aOptions)
   , policy(std::make_shared<CellPolicy>())
   , adviceDispatcher(std::make_unique<AdviceDispatcher>(this->dependencies.advice))
+  , poolContention(this->options.contention)
   , load(this->dependencies.log)
 {
 }
@@ -76,6 +77,7 @@
 CellScheduler::SetPolicy(std::shared_ptr<const CellPolicy> aPolicy)
 {
   this->policy = std::move(aPolicy);
+  this->poolContention.SetPolicy(*this->policy);
   const auto higherLimit = [](std::int64_t aLeft, std::int64_t aRight) {
     return aLeft == 0 || aRight == 0 ? 0 : std::max(aLeft, aRight);
   };
--- a/Libraries/LibCell/CellScheduler.h
+++ b/Libraries/LibCell/CellScheduler.h
@@ -11,6 +11,7 @@
 #include <LibCell/LostWorkers.h>
 #include <LibCell/Placement.h>
 #include <LibCell/Policy.h>
+#include <LibCell/PoolContention.h>
 #include <LibCell/Ports.h>
 #include <LibCell/Records.h>
 #include <LibCell/WaitReason.h>
@@ -87,6 +88,7 @@
   Milliseconds maxPlacementDuration{ 60 };
   /// After a placement round the scheduler does other work for this many times its duration.
   int placementIdleFactor = 2;
+  PoolContentionOptions contention;
   /// Fraction of a pool's processors that only tasks of the most urgent queue may use.
   double urgentHeadroom = 0.05;
   /// Fraction of a workspace's limit that its batch tasks leave to its urgent tasks.
@@ -589,6 +591,7 @@
   std::set<WorkerNumber> workersWithEnds;
   std::unordered_map<std::string, Pool> pools;
   SlownessRanking slownessRanking;
+  PoolContention poolContention;
   /// What each workspace uses; references to its elements stay valid.
   std::unordered_map<WorkspaceId, WorkspaceUsage> workspaces;
   /// Workers that the leader record names.
--- a/Libraries/LibCell/CellSchedulerPlacement.cpp
+++ b/Libraries/LibCell/CellSchedulerPlacement.cpp
@@ -65,6 +65,9 @@
     pool.capacity += worker->entry.capacity;
     pool.free += worker->FreeResources();
   }
+  for (const auto& [name, pool] : this->pools) {
+    this->poolContention.UpdateCapacity(name, pool.capacity.milliCores);
+  }
 }
 
 std::vector<Candidate>
--- a/Libraries/LibCell/Forward.h
+++ b/Libraries/LibCell/Forward.h
@@ -11,6 +11,7 @@
 class LeaderElection;
 class LoadReport;
 class LostWorkers;
+class PoolContention;
 class StepAdvice;
 class TableWatcher;
 class WorkerDirectory;
