LibCell: Keep reachable instances free of long advice calls

The dispatcher kept a third of all instances free for short calls, so that the cut ones counted as free and every instance that responded had a long call: quick checks waited 2.8 s (p90) for advice. An instance that stayed cut off was also tried with an urgent request each second. Ruled out: too few instances (short calls take 17 to 30 ms); the leader's processor (same without processor time). Change: only instances that respond count; the backoff of a failing one doubles up to 8 s and one call shows its return. Measured: both new tests fail without the change; 150 tests of TestCell pass.

--- a/Libraries/LibCell/AdviceDispatcher.cpp
+++ b/Libraries/LibCell/AdviceDispatcher.cpp
@@ -59,16 +59,20 @@
 std::size_t
 AdviceDispatcher::MaxInstancesWithLongCall() const
 {
-  const auto shortOnly = static_cast<std::size_t>(static_cast<double>(this->instances.size()) *
-                                                  this->options.shortOnlyFraction);
-  return std::max<std::size_t>(1, this->instances.size()) - shortOnly;
+  // Instances that cannot be reached serve no short calls, so they do not count as kept free.
+  const auto responsive = static_cast<std::size_t>(std::ranges::count_if(
+    this->instances, [](const auto& aEntry) { return aEntry.second.IsResponsive(); }));
+  const auto shortOnly =
+    static_cast<std::size_t>(static_cast<double>(responsive) * this->options.shortOnlyFraction);
+  return std::max<std::size_t>(1, responsive) - shortOnly;
 }
 
 std::size_t
 AdviceDispatcher::CountInstancesWithLongCall() const
 {
-  return static_cast<std::size_t>(std::ranges::count_if(
-    this->instances, [](const auto& aEntry) { return aEntry.second.longCallsInFlight > 0; }));
+  return static_cast<std::size_t>(std::ranges::count_if(this->instances, [](const auto& aEntry) {
+    return aEntry.second.IsResponsive() && aEntry.second.longCallsInFlight > 0;
+  }));
 }
 
 std::size_t
@@ -79,6 +83,22 @@
   return usedSlots < maxSlots ? maxSlots - usedSlots : 0;
 }
 
+bool
+AdviceDispatcher::CanTake(const InstanceState& aState, bool aIsLong, TimePoint aNow) const
+{
+  if (aState.avoidUntil > aNow) {
+    return false;
+  }
+  // A single call shows whether an instance responds again.
+  if (!aState.IsResponsive()) {
+    return aState.callsInFlight == 0;
+  }
+  // No call is sent to an instance with a long call in flight, and no long call to one with any
+  // call in flight: another instance is free sooner.
+  return aState.callsInFlight < this->options.maxCallsPerInstance &&
+         aState.longCallsInFlight == 0 && (!aIsLong || aState.callsInFlight == 0);
+}
+
 std::map<std::string, AdviceDispatcher::InstanceState>::iterator
 AdviceDispatcher::ChooseInstance(bool aIsLong, TimePoint aNow)
 {
@@ -87,22 +107,40 @@
   }
   auto best = this->instances.end();
   for (auto instance = this->instances.begin(); instance != this->instances.end(); ++instance) {
-    const auto& state = instance->second;
-    // No call is sent to an instance with a long call in flight, and no long call to one with any
-    // call in flight: another instance is free sooner.
-    const bool isFull = state.callsInFlight >= this->options.maxCallsPerInstance ||
-                        state.longCallsInFlight > 0 || (aIsLong && state.callsInFlight > 0);
-    if (isFull || state.avoidUntil > aNow) {
+    if (!this->CanTake(instance->second, aIsLong, aNow)) {
       continue;
     }
     if (best == this->instances.end() ||
-        std::max(state.busyUntil, aNow) < std::max(best->second.busyUntil, aNow)) {
+        std::max(instance->second.busyUntil, aNow) < std::max(best->second.busyUntil, aNow)) {
       best = instance;
     }
   }
   return best;
 }
 
+void
+AdviceDispatcher::OnCallEnded(InstanceState& aState, bool aIsLong, bool aHasFailed)
+{
+  --aState.callsInFlight;
+  aState.longCallsInFlight -= aIsLong ? 1 : 0;
+  if (aState.callsInFlight == 0) {
+    aState.busyUntil = {};
+  }
+  if (!aHasFailed) {
+    aState.failures = 0;
+    return;
+  }
+  // Calls that were in flight together fail together.
+  if (aState.avoidUntil > this->lastCallTime) {
+    return;
+  }
+  constexpr std::uint32_t kMaxDoublings = 10;
+  const auto doublings = std::min(aState.failures++, kMaxDoublings);
+  aState.avoidUntil =
+    this->lastCallTime + std::min(this->options.failureBackoff * (std::int64_t{ 1 } << doublings),
+                                  this->options.maxFailureBackoff);
+}
+
 void
 AdviceDispatcher::Send(std::map<std::string, InstanceState>::iterator aInstance,
                        PendingRequest aPending,
@@ -127,14 +165,7 @@
       }
       const auto found = this->instances.find(name);
       if (found != this->instances.end()) {
-        --found->second.callsInFlight;
-        found->second.longCallsInFlight -= isLong ? 1 : 0;
-        if (found->second.callsInFlight == 0) {
-          found->second.busyUntil = {};
-        }
-        if (IsError(aResponse)) {
-          found->second.avoidUntil = this->lastCallTime + this->options.failureBackoff;
-        }
+        this->OnCallEnded(found->second, isLong, IsError(aResponse));
       }
       handler(std::move(aResponse));
     });
--- a/Libraries/LibCell/AdviceDispatcher.h
+++ b/Libraries/LibCell/AdviceDispatcher.h
@@ -27,8 +27,9 @@
   double shortOnlyFraction = 0.34;
   /// Pending requests per instance from which on the dispatcher counts as saturated.
   std::size_t saturatedBacklogPerInstance = 2;
-  /// How long an instance gets no calls after one has failed.
+  /// How long an instance gets no calls after one has failed. Doubles with each failure in a row.
   Milliseconds failureBackoff{ 1000 };
+  Milliseconds maxFailureBackoff{ 8000 };
 };
 
 /// Queues requests by priority and sends each through the instance that is expected to be free
@@ -75,6 +76,10 @@
     /// When its calls are expected to complete.
     TimePoint busyUntil{};
     TimePoint avoidUntil{};
+    /// Failed calls since the last response.
+    std::uint32_t failures = 0;
+
+    [[nodiscard]] bool IsResponsive() const { return this->failures == 0; }
   };
 
   struct PendingRequest
@@ -87,9 +92,14 @@
   {
     return aRequest.expectedDuration > this->options.longCallThreshold;
   }
-  /// @return how many instances may have a long call in flight at the same time.
+  /// @return how many responsive instances may have a long call in flight at the same time.
   [[nodiscard]] std::size_t MaxInstancesWithLongCall() const;
+  /// @return how many responsive instances have a long call in flight.
   [[nodiscard]] std::size_t CountInstancesWithLongCall() const;
+  /// @return true if the instance can take the request now
+  [[nodiscard]] bool CanTake(const InstanceState& aState, bool aIsLong, TimePoint aNow) const;
+  /// Notes the result of a call.
+  void OnCallEnded(InstanceState& aState, bool aIsLong, bool aHasFailed);
   void DispatchQueue(std::multimap<std::int64_t, PendingRequest>& aQueue,
                      bool aIsLong,
                      TimePoint aNow);
--- a/Tests/LibCell/TestAdviceDispatcher.cpp
+++ b/Tests/LibCell/TestAdviceDispatcher.cpp
@@ -117,6 +117,47 @@
   }
 }
 
+// Load: long requests fill the service while some instances are cut off. Guards against long calls
+// on all instances that can be reached, behind which short requests wait for seconds.
+TEST_F(AdviceDispatcherTest, KeepsReachableInstancesFreeOfLongCalls)
+{
+  this->dispatcher.SetInstances({ "a", "b", "c", "d", "e", "f" });
+  for (int number = 0; number < 3; ++number) {
+    this->Submit("lost", kShort, 0);
+    this->port.calls.back().handler(NotRun(ErrorCode::Unavailable, "cut off"));
+  }
+  this->port.calls.clear();
+  for (int number = 0; number < 6; ++number) {
+    this->Submit("long", kLong, 1);
+  }
+  ASSERT_EQ(this->port.calls.size(), 2U) << "one of the three that respond is left to short calls";
+  this->Submit("short", kShort, 0);
+  ASSERT_EQ(this->port.calls.size(), 3U);
+  EXPECT_EQ(this->port.calls.back().request.step.job.value, "short");
+}
+
+// Guards against urgent requests that time out at an instance that stays cut off for long.
+TEST_F(AdviceDispatcherTest, AvoidsAnInstanceLongerAfterEachFailure)
+{
+  this->dispatcher.SetInstances({ "a" });
+  const AdviceDispatcherOptions options;
+  auto backoff = options.failureBackoff;
+  this->Submit("next", kShort, 0);
+  for (int failure = 0; failure < 6; ++failure) {
+    ASSERT_EQ(this->port.calls.size(), 1U) << failure;
+    auto handler = std::move(this->port.calls.back().handler);
+    this->port.calls.clear();
+    handler(NotRun(ErrorCode::Unavailable, "cut off"));
+    this->Submit("next", kShort, 0);
+    this->now += backoff - Milliseconds{ 1 };
+    this->dispatcher.DispatchPending(this->now);
+    EXPECT_TRUE(this->port.calls.empty()) << failure;
+    this->now += Milliseconds{ 1 };
+    this->dispatcher.DispatchPending(this->now);
+    backoff = std::min(backoff * 2, options.maxFailureBackoff);
+  }
+}
+
 TEST_F(AdviceDispatcherTest, SendsLongRequestsThroughTheOnlyInstance)
 {
   this->dispatcher.SetInstances({ "a" });
