LibCell: Order the steps of a contended pool by remaining value

Cause: the late class was sorted by the latest start alone, so that a job 41 s old, whose result had no value any more, was placed before late jobs that still had value. A step counted as on time until its latest start, although its advice and its room came later. Ruled out: the length of the backlog as a part of the expected wait. It would move whole queues to the late class, which shortens the backlog again; the wait is therefore that of a step which is the next one. Change: in a contended pool a step is late once it cannot meet its objective after the expected wait, and in the new class WithoutValue, the last one, once it cannot meet its deadline. Work without value takes room only if no other work lacks it, and one such step at a time is placed with the work that is on time: 2% of the pool's processor time, the workspaces in turn. Work beyond the weight stays behind all other work of value. Pool moves into its own header.

--- a/Libraries/LibCell/Candidate.h
+++ b/Libraries/LibCell/Candidate.h
@@ -8,6 +8,8 @@
 
 namespace zinc::cell {
 
+class ContendedPool;
+
 /// A step with tasks to place.
 struct Candidate
 {
@@ -19,6 +21,8 @@
   const QueuePolicy* queue = nullptr;
   /// Candidates with a lower key are placed first; see @ref ComputePriorityKey.
   std::int64_t priorityKey = 0;
+  /// State of the step's pool if the pool is contended, otherwise null.
+  ContendedPool* contention = nullptr;
 };
 
 }
--- a/Libraries/LibCell/CellScheduler.h
+++ b/Libraries/LibCell/CellScheduler.h
@@ -6,11 +6,13 @@
 #include <LibBase/Time.h>
 #include <LibCell/AdviceDispatcher.h>
 #include <LibCell/Candidate.h>
+#include <LibCell/ContendedPool.h>
 #include <LibCell/Job.h>
 #include <LibCell/LoadReport.h>
 #include <LibCell/LostWorkers.h>
 #include <LibCell/Placement.h>
 #include <LibCell/Policy.h>
+#include <LibCell/Pool.h>
 #include <LibCell/PoolContention.h>
 #include <LibCell/Ports.h>
 #include <LibCell/Records.h>
@@ -212,20 +214,6 @@
   [[nodiscard]] Milliseconds RemainingRecoveryTime() const;
 
 private:
-  /// The workers of a pool that may get tasks in the current placement round.
-  struct Pool
-  {
-    std::vector<Worker*> workers;
-    Resources capacity;
-    Resources free;
-    /// The workers with the most free processors at the start of the round first; see
-    /// @ref SortByFreeCores.
-    std::vector<Worker*> byFreeCores;
-    /// Demands that fitted nowhere in this round. Room only shrinks within a round, so they need no
-    /// other scan.
-    std::vector<std::pair<Resources, std::uint32_t>> demandsWithoutRoom;
-  };
-
   // Jobs.
   /// Adds a job that is new, or applies the end of a known one.
   void ApplySpecificationRow(const Row& aRow);
@@ -441,6 +429,10 @@
   // Placement.
   void RunPlacementRound();
   [[nodiscard]] std::vector<Candidate> CollectCandidates();
+  /// Sorts by the keys that follow from the state of the pools.
+  void OrderCandidates(std::vector<Candidate>& aCandidates);
+  /// @return the state of the pool if it is contended, otherwise null
+  [[nodiscard]] ContendedPool* FindContendedPool(const std::string& aPool);
   /// @return false for a step that awaits its first advice, and for a gang without new advice
   /// outside a gang round.
   [[nodiscard]] bool NeedsPlacementAttempt(const Candidate& aCandidate) const;
@@ -592,6 +584,8 @@
   std::unordered_map<std::string, Pool> pools;
   SlownessRanking slownessRanking;
   PoolContention poolContention;
+  /// State of the pools that are or were contended.
+  std::unordered_map<std::string, ContendedPool> contendedPools;
   /// What each workspace uses; references to its elements stay valid.
   std::unordered_map<WorkspaceId, WorkspaceUsage> workspaces;
   /// Workers that the leader record names.
--- a/Libraries/LibCell/CellSchedulerAdvice.cpp
+++ b/Libraries/LibCell/CellSchedulerAdvice.cpp
@@ -130,6 +130,7 @@
   const auto expected = Milliseconds(static_cast<std::int64_t>(
     policy.baseMs + policy.perWorkerMs * static_cast<double>(aWorkers.size())));
   ++advice.requestsInFlight;
+  advice.expectedResponse = this->roundBegin + expected;
   std::vector<WorkerId> ids;
   ids.reserve(aWorkers.size());
   for (const auto number : aWorkers) {
--- a/Libraries/LibCell/CellSchedulerPlacement.cpp
+++ b/Libraries/LibCell/CellSchedulerPlacement.cpp
@@ -1,4 +1,5 @@
 #include <LibCell/CellScheduler.h>
+#include <LibCell/ExpectedWait.h>
 #include <LibCell/Placement.h>
 #include <LibCell/PlacementOrder.h>
 
@@ -19,7 +20,7 @@
 
 }
 
-CellScheduler::Pool*
+Pool*
 CellScheduler::FindPool(const std::string& aName)
 {
   const auto found = this->pools.find(aName);
@@ -67,42 +68,65 @@
   }
   for (const auto& [name, pool] : this->pools) {
     this->poolContention.UpdateCapacity(name, pool.capacity.milliCores);
+    if (this->poolContention.IsContended(name)) {
+      this->contendedPools[name].BeginRound(pool, this->roundBegin, this->isGangRound);
+    }
   }
 }
 
+ContendedPool*
+CellScheduler::FindContendedPool(const std::string& aPool)
+{
+  return this->poolContention.IsContended(aPool) ? &this->contendedPools[aPool] : nullptr;
+}
+
 std::vector<Candidate>
 CellScheduler::CollectCandidates()
 {
   std::vector<Candidate> candidates;
   for (const auto& [id, job] : this->activeJobs) {
     const auto& queue = this->CurrentQueuePolicy(*job);
+    auto* contention = this->FindContendedPool(queue.pool);
     for (auto& [number, occurrence] : job->occurrences) {
       for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
         if (!occurrence.steps[step].IsPending()) {
           continue;
         }
-        const auto& specification = job->spec.steps[step];
-        candidates.push_back(
-          { .job = job,
-            .occurrence = number,
-            .step = step,
-            .run = &occurrence.steps[step],
-            .specification = &specification,
-            .queue = &queue,
-            .priorityKey = ComputePriorityKey({ .now = this->roundBegin,
-                                                .queuePriority = queue.priority,
-                                                .isService = specification.isService,
-                                                .isBeyondWeight = job->isBeyondWeight,
-                                                .objective = occurrence.objective,
-                                                .deadline = occurrence.deadline,
-                                                .criticalPath = job->criticalPaths[step] }) });
+        candidates.push_back({ .job = job,
+                               .occurrence = number,
+                               .step = step,
+                               .run = &occurrence.steps[step],
+                               .specification = &job->spec.steps[step],
+                               .queue = &queue,
+                               .contention = contention });
       }
     }
   }
-  std::ranges::stable_sort(candidates, {}, &Candidate::priorityKey);
   return candidates;
 }
 
+void
+CellScheduler::OrderCandidates(std::vector<Candidate>& aCandidates)
+{
+  for (auto& candidate : aCandidates) {
+    const auto& occurrence = candidate.job->occurrences.at(candidate.occurrence);
+    candidate.priorityKey =
+      ComputePriorityKey({ .now = this->roundBegin,
+                           .queuePriority = candidate.queue->priority,
+                           .isService = candidate.specification->isService,
+                           .isBeyondWeight = candidate.job->isBeyondWeight,
+                           .objective = occurrence.objective,
+                           .deadline = occurrence.deadline,
+                           .criticalPath = candidate.job->criticalPaths[candidate.step],
+                           .isContended = candidate.contention != nullptr,
+                           .expectedWait = ExpectedWait(candidate, this->roundBegin) });
+  }
+  for (auto& [name, pool] : this->contendedPools) {
+    pool.PlaceExpiredShare(aCandidates);
+  }
+  std::ranges::stable_sort(aCandidates, {}, &Candidate::priorityKey);
+}
+
 void
 CellScheduler::RunPlacementRound()
 {
@@ -126,11 +150,12 @@
     ++this->gangRound;
     this->gangsWithEarmarkedWorkers = 0;
   }
-  const auto candidates = this->CollectCandidates();
+  auto candidates = this->CollectCandidates();
   if (candidates.empty()) {
     return;
   }
   this->BuildPools();
+  this->OrderCandidates(candidates);
   this->PlaceCandidates(candidates);
   const auto end = this->dependencies.clock.Now();
   this->load.CountPlacement(end - now);
@@ -155,6 +180,9 @@
     const auto reason = this->PlaceStep(candidate);
     consecutive = reason == WaitReason::Limit ? consecutive + 1 : 0;
     this->load.CountAttempt(reason);
+    if (candidate.contention != nullptr && IsForRoom(reason)) {
+      candidate.contention->NoteShortage(this->roundBegin);
+    }
     this->load.LogLongWait(candidate, reason, this->roundBegin);
     // The rest is left to the next round, so that a long round does not delay other work.
     const bool isLong =
@@ -171,6 +199,11 @@
 CellScheduler::NeedsPlacementAttempt(const Candidate& aCandidate) const
 {
   const auto& run = *aCandidate.run;
+  // Work without value takes only room that no other work needs.
+  const bool isWithoutValue = IsAtOrAfter(aCandidate.priorityKey, PriorityClass::WithoutValue);
+  if (isWithoutValue && aCandidate.contention->IsShort(this->roundBegin)) {
+    return run.reservation.has_value();
+  }
   if (run.advice.hasNewResponse || run.reservation) {
     return true;
   }
--- /dev/null
+++ b/Libraries/LibCell/Pool.h
@@ -0,0 +1,28 @@
+#pragma once
+
+/// @file
+/// The workers of a pool, as a placement round sees them.
+
+#include <LibBase/Resources.h>
+#include <LibCell/Worker.h>
+#include <cstdint>
+#include <utility>
+#include <vector>
+
+namespace zinc::cell {
+
+/// The workers of a pool that may get tasks in the current placement round.
+struct Pool
+{
+  std::vector<Worker*> workers;
+  Resources capacity;
+  Resources free;
+  /// The workers with the most free processors at the start of the round first; see
+  /// CellScheduler::SortByFreeCores.
+  std::vector<Worker*> byFreeCores;
+  /// Demands that fitted nowhere in this round. Room only shrinks within a round, so they need no
+  /// other scan.
+  std::vector<std::pair<Resources, std::uint32_t>> demandsWithoutRoom;
+};
+
+}
--- a/Libraries/LibCell/StepAdvice.h
+++ b/Libraries/LibCell/StepAdvice.h
@@ -49,6 +49,8 @@
   /// A response arrived since the last placement attempt.
   bool hasNewResponse = false;
   std::uint32_t requestsInFlight = 0;
+  /// When the response to the latest request is expected, if the request is sent at once.
+  TimePoint expectedResponse{};
   /// No request is sent before this time.
   TimePoint retryAt{};
 
