LibCell: Earmark a share of a contended pool for gangs and request their tickets first

Cause: in a contended pool of 350 workers at most five gangs had earmarked workers, a tenth of the pool, while 4.6 gangs a second arrive and small tasks take each core that becomes free. Capacity that was reserved for a gang stood idle while first requests of other gangs went before the request for its tickets. Change: EarmarkBudget bounds a contended pool by a quarter of its workers, other pools by five gangs as before; ticket requests for reserved capacity of contended pools go first. The test of the request order fails without the change; 161 tests of TestCell pass.

--- a/Libraries/LibCell/CellScheduler.h
+++ b/Libraries/LibCell/CellScheduler.h
@@ -7,6 +7,7 @@
 #include <LibCell/AdviceDispatcher.h>
 #include <LibCell/Candidate.h>
 #include <LibCell/ContendedPool.h>
+#include <LibCell/EarmarkBudget.h>
 #include <LibCell/Job.h>
 #include <LibCell/LoadReport.h>
 #include <LibCell/LostWorkers.h>
@@ -594,7 +595,7 @@
   std::map<QueueId, double> eligibleFractions;
   /// Number of the current gang round; workers that it earmarked get no batch tasks until the next.
   std::uint64_t gangRound = 1;
-  std::size_t gangsWithEarmarkedWorkers = 0;
+  EarmarkBudget earmarkBudget;
   std::uint64_t placementRound = 0;
   /// Start of the current placement round. Its decisions use one time, since reading the clock
   /// costs more than most of them.
--- a/Libraries/LibCell/CellSchedulerAdvice.cpp
+++ b/Libraries/LibCell/CellSchedulerAdvice.cpp
@@ -1,5 +1,6 @@
 #include <LibCell/CellScheduler.h>
 #include <LibCell/Placement.h>
+#include <LibCell/PlacementOrder.h>
 
 #include <algorithm>
 #include <iterator>
@@ -137,9 +138,11 @@
     advice.MarkRequested(number);
     ids.push_back(this->workers.FindByNumber(number)->entry.id);
   }
+  // The capacity reserved for a gang is idle until its tickets arrive.
+  const bool goesFirst = aCandidate.contention != nullptr && aCandidate.run->reservation;
   this->adviceDispatcher->Submit(
     { .step = name, .workers = std::move(ids), .expectedDuration = expected },
-    aCandidate.priorityKey,
+    goesFirst ? MakePriorityKey(PriorityClass::Urgent, TimePoint{}) : aCandidate.priorityKey,
     this->roundBegin,
     [this,
      guard = std::weak_ptr<bool>(this->livenessToken),
--- a/Libraries/LibCell/CellSchedulerGangs.cpp
+++ b/Libraries/LibCell/CellSchedulerGangs.cpp
@@ -10,8 +10,6 @@
 
 /// A reservation expires if its tickets are this much later than expected.
 constexpr Milliseconds kReservationMargin{ 700 };
-/// Number of gangs that can have earmarked workers at a time.
-constexpr std::size_t kMaxGangsWithEarmarkedWorkers = 5;
 
 }
 
@@ -170,7 +168,8 @@
 CellScheduler::EarmarkWorkersForGang(const Candidate& aCandidate, const Pool& aPool)
 {
   const bool isOnTime = !IsAtOrAfter(aCandidate.priorityKey, PriorityClass::Late);
-  if (this->gangsWithEarmarkedWorkers >= kMaxGangsWithEarmarkedWorkers || !isOnTime) {
+  const bool isContended = aCandidate.contention != nullptr;
+  if (!isOnTime || !this->earmarkBudget.AllowsGang(isContended, aPool.workers.size())) {
     return;
   }
   const auto& step = *aCandidate.specification;
@@ -180,7 +179,7 @@
     return aWorker->FreeResources().milliCores;
   });
   std::uint32_t slots = 0;
-  ++this->gangsWithEarmarkedWorkers;
+  this->earmarkBudget.AddGang();
   for (auto* worker : workers) {
     if (slots >= step.count) {
       return;
@@ -188,6 +187,10 @@
     Worker empty;
     empty.entry.capacity = worker->entry.capacity;
     slots += CountFittingTasks(empty, demand, step.count);
+    // A worker that is earmarked for another gang as well counts once.
+    if (worker->earmarkedInGangRound != this->gangRound) {
+      this->earmarkBudget.AddWorker();
+    }
     worker->earmarkedInGangRound = this->gangRound;
   }
 }
--- a/Libraries/LibCell/CellSchedulerPlacement.cpp
+++ b/Libraries/LibCell/CellSchedulerPlacement.cpp
@@ -148,7 +148,7 @@
   if (this->isGangRound) {
     this->nextGangPlacement = now + this->options.gangPlacementInterval;
     ++this->gangRound;
-    this->gangsWithEarmarkedWorkers = 0;
+    this->earmarkBudget.BeginRound();
   }
   auto candidates = this->CollectCandidates();
   if (candidates.empty()) {
--- a/Tests/LibCell/TestGangAdvice.cpp
+++ b/Tests/LibCell/TestGangAdvice.cpp
@@ -117,6 +117,39 @@
   EXPECT_LE(this->CountRequests("second"), countBefore + 1);
 }
 
+// Load: more requests for gangs than a contended pool's instances can make. Guards against capacity
+// that is reserved for a gang and idle while first requests of other gangs go before its tickets.
+TEST_F(GangAdvice, RequestsTicketsForReservedCapacityFirst)
+{
+  this->policy.workspaces[{ "team" }].quota = { .milliCores = 200'000 };
+  this->policy.routes.front().queue.stretch = 2.0;
+  this->AddWorkers(8, 9);
+  this->BeginTerm();
+  this->RunFor(Milliseconds{ 50 });
+  this->scheduler->SetInstances({ "one" });
+  this->AcceptJob(MakeGang("first", 5, 9));
+  this->RunFor(Milliseconds{ 200 });
+  ASSERT_EQ(this->CountStarts("first"), 5U);
+  this->AcceptJob(MakeGang("second", 5, 9));
+  this->RunFor(Milliseconds{ 2000 });
+  this->advice.isPaused = true;
+  for (const auto* id : { "third", "fourth" }) {
+    auto gang = MakeGang(id, 5, 9);
+    gang.steps.front().estimate = Milliseconds{ 2000 };
+    this->AcceptJob(gang);
+    this->RunFor(Milliseconds{ 100 });
+  }
+  ASSERT_EQ(this->advice.pending.size(), 1U);
+  this->workers.EndAll();
+  this->RunFor(Milliseconds{ 300 });
+  this->advice.isPaused = false;
+  this->advice.Deliver();
+  this->advice.isPaused = true;
+  this->RunFor(Milliseconds{ 50 });
+  ASSERT_EQ(this->advice.pending.size(), 1U);
+  EXPECT_EQ(this->advice.pending.front().first.step.job.value, "second");
+}
+
 // Steps of a workspace at its limit cannot start, so requests for them would only load the policy
 // service.
 TEST_F(GangAdvice, RequestsNothingForAStepBeyondItsLimit)
