LibCell: Start no task in evacuated zones

Ruled out: no start of the scheduler until the table was read, since leases would not be renewed meanwhile; a request for each instance to answer, since the store's response is the acknowledgement. Change: platform/ decodes the rows, EvacuationDirectory keeps the zones on every instance, EvacuatedZones decides, and the scheduler places nothing on workers there: reservations and earmarks are released, queued policy service requests that name them are cancelled, recorded starts are chosen again. A new leader places nothing before a read of the table that is at most 2 s old. After a withdrawal, and for workers that are cold by their row where the platform's contract is in force, the usable part of a worker grows in four steps. A watch no longer waits beyond the next full read, so that a change which it lost is found 4 s later instead of 4.9 s.

--- a/Libraries/LibCell/AdviceDispatcher.cpp
+++ b/Libraries/LibCell/AdviceDispatcher.cpp
@@ -56,6 +56,25 @@
   }
 }
 
+void
+AdviceDispatcher::CancelPending(const std::function<bool(const AdviceRequest&)>& aIsObsolete)
+{
+  std::vector<ResponseHandler> handlers;
+  for (auto* queue : { &this->shortRequests, &this->longRequests }) {
+    std::erase_if(*queue, [&](auto& aEntry) {
+      const bool isObsolete = aIsObsolete(aEntry.second.request);
+      if (isObsolete) {
+        handlers.push_back(std::move(aEntry.second.handler));
+      }
+      return isObsolete;
+    });
+  }
+  // A handler may submit the next request.
+  for (const auto& handler : handlers) {
+    handler(NotRun(ErrorCode::Unavailable, "The request names workers of an evacuated zone."));
+  }
+}
+
 std::size_t
 AdviceDispatcher::MaxInstancesWithLongCall() const
 {
--- a/Libraries/LibCell/AdviceDispatcher.h
+++ b/Libraries/LibCell/AdviceDispatcher.h
@@ -7,6 +7,7 @@
 #include <LibBase/Time.h>
 #include <LibCell/Ports.h>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -53,6 +54,10 @@
   /// Sends the pending requests for which an instance is free.
   void DispatchPending(TimePoint aNow);
 
+  /// Removes requests that were not sent yet. Their handlers get an error.
+  /// @param aIsObsolete returns true for a request to remove
+  void CancelPending(const std::function<bool(const AdviceRequest&)>& aIsObsolete);
+
   /// @return the number of requests that were not sent yet.
   [[nodiscard]] std::size_t PendingCount() const
   {
--- a/Libraries/LibCell/CellScheduler.cpp
+++ b/Libraries/LibCell/CellScheduler.cpp
@@ -17,6 +17,7 @@
   , policy(std::make_shared<CellPolicy>())
   , adviceDispatcher(std::make_unique<AdviceDispatcher>(this->dependencies.advice))
   , poolContention(this->options.contention)
+  , evacuationReport(this->dependencies.log, this->dependencies.metrics)
   , load(this->dependencies.log)
 {
 }
@@ -157,6 +158,7 @@
     }
   }
   this->load.LogLoad(cell, now);
+  this->evacuationReport.UpdateGauges(this->workers.All());
 }
 
 void
--- a/Libraries/LibCell/CellScheduler.h
+++ b/Libraries/LibCell/CellScheduler.h
@@ -6,6 +6,8 @@
 #include <LibBase/Time.h>
 #include <LibCell/AdviceDispatcher.h>
 #include <LibCell/Candidate.h>
+#include <LibCell/EvacuatedZones.h>
+#include <LibCell/EvacuationReport.h>
 #include <LibCell/Job.h>
 #include <LibCell/LoadReport.h>
 #include <LibCell/LostWorkers.h>
@@ -14,6 +16,7 @@
 #include <LibCell/PoolContention.h>
 #include <LibCell/Ports.h>
 #include <LibCell/Records.h>
+#include <LibCell/TermSnapshot.h>
 #include <LibCell/WaitReason.h>
 #include <LibCell/Worker.h>
 #include <LibCell/WorkerRanking.h>
@@ -126,23 +129,6 @@
   QueueId queue;
 };
 
-/// What was read from the store at the beginning of a term.
-struct TermSnapshot
-{
-  std::uint64_t fencingToken = 0;
-  /// Workers at which the previous leader may have started runs.
-  std::vector<WorkerId> previousWorkers;
-  /// Those of them that were draining, and the only jobs that may have runs there.
-  DrainingJobs drainingJobs;
-  bool hadPredecessor = false;
-  /// Age of the predecessor's leader record; empty if unknown.
-  std::optional<Milliseconds> predecessorRecordAge;
-  /// When all leases granted by leaders before the predecessor have expired.
-  TimePoint olderLeasesExpiry{};
-  std::vector<Row> jobRows;
-  std::vector<WorkerEntry> workers;
-};
-
 /// Holds the state of all jobs and workers during one term and places tasks. Runs on one thread;
 /// its ports call back on the same thread.
 class CellScheduler
@@ -182,6 +168,8 @@
   void SetPolicy(std::shared_ptr<const CellPolicy> aPolicy);
   /// Sets the instances that can call the policy service.
   void SetInstances(const std::vector<std::string>& aInstances);
+  /// Sets the evacuated zones, in which no task starts. Nothing is placed before the first call.
+  void SetEvacuatedZones(EvacuatedZones aZones);
   /// Applies new and changed rows of the job table.
   void OnJobRows(const std::vector<Row>& aRows);
   /// Applies a new or changed row of a worker.
@@ -216,6 +204,8 @@
   struct Pool
   {
     std::vector<Worker*> workers;
+    /// The pool's listed workers in evacuated zones.
+    std::vector<Worker*> evacuated;
     Resources capacity;
     Resources free;
     /// The workers with the most free processors at the start of the round first; see
@@ -412,8 +402,6 @@
   /// @return true if the start of each member at its assigned worker is recorded and stored
   [[nodiscard]] static bool IsGangRecorded(const Candidate& aCandidate,
                                            std::span<Worker* const> aAssigned);
-  /// @return true if the record of the task's next start is stored, and the start was not sent
-  [[nodiscard]] static bool IsStartRecorded(const Job& aJob, const Task& aTask);
   /// Starts a suspect's task where its start is recorded, if it still fits there. Otherwise records
   /// the start at the chosen worker.
   /// @return true if the task was started
@@ -592,6 +580,9 @@
   std::unordered_map<std::string, Pool> pools;
   SlownessRanking slownessRanking;
   PoolContention poolContention;
+  /// Empty until the zones have been read.
+  std::optional<EvacuatedZones> evacuatedZones;
+  EvacuationReport evacuationReport;
   /// What each workspace uses; references to its elements stay valid.
   std::unordered_map<WorkspaceId, WorkspaceUsage> workspaces;
   /// Workers that the leader record names.
--- a/Libraries/LibCell/CellSchedulerPlacement.cpp
+++ b/Libraries/LibCell/CellSchedulerPlacement.cpp
@@ -44,7 +44,9 @@
   // The row of the previous incarnation says nothing about this one's capacity, labels or pool.
   const bool hasCurrentRow =
     aWorker.entry.incarnation == 0 || aWorker.entry.incarnation >= aWorker.incarnation;
-  return aWorker.isListed && hasCurrentRow && !aWorker.entry.isDraining &&
+  const bool isEvacuated =
+    this->evacuatedZones && this->evacuatedZones->IsEvacuated(aWorker.entry.zone);
+  return !isEvacuated && aWorker.isListed && hasCurrentRow && !aWorker.entry.isDraining &&
          aWorker.reachability == WorkerReachability::Reachable && aWorker.isClockKnown &&
          aWorker.failedRenewals == 0 && aWorker.avoidUntil <= aNow &&
          aWorker.runsOfUnknownDemand == 0 && aWorker.isPublished;
@@ -56,17 +58,27 @@
   this->pools.clear();
   ++this->placementRound;
   for (auto* worker : this->workers.All()) {
+    if (worker->isListed && this->evacuatedZones->IsEvacuated(worker->entry.zone)) {
+      this->pools[worker->entry.pool].evacuated.push_back(worker);
+    }
     if (!this->IsUsable(*worker, this->roundBegin)) {
       continue;
     }
     worker->pooledInRound = this->placementRound;
-    auto& pool = this->pools[worker->entry.pool];
-    pool.workers.push_back(worker);
-    pool.capacity += worker->entry.capacity;
-    pool.free += worker->FreeResources();
+    this->pools[worker->entry.pool].workers.push_back(worker);
   }
-  for (const auto& [name, pool] : this->pools) {
-    this->poolContention.UpdateCapacity(name, pool.capacity.milliCores);
+  for (auto& [name, pool] : this->pools) {
+    this->evacuatedZones->WithholdColdCapacity(pool.workers, this->roundBegin);
+    for (const auto* worker : pool.workers) {
+      pool.capacity += worker->entry.capacity;
+      pool.free += worker->FreeResources();
+    }
+    // Evacuated workers come back, so they count as the pool's.
+    auto milliCores = pool.capacity.milliCores;
+    for (const auto* worker : pool.evacuated) {
+      milliCores += worker->entry.capacity.milliCores;
+    }
+    this->poolContention.UpdateCapacity(name, milliCores);
   }
 }
 
@@ -110,7 +122,7 @@
   this->lastPlacement = now;
   this->roundBegin = now;
   this->isPlacementDue = false;
-  if (now >= this->termEnd || !this->HasSyncedEnoughWorkers()) {
+  if (now >= this->termEnd || !this->evacuatedZones || !this->HasSyncedEnoughWorkers()) {
     return;
   }
   this->EstimateUnsyncedUsage();
@@ -211,6 +223,12 @@
     return WaitReason::NoWorkers;
   }
   run.advice.hasNewResponse = false;
+  if (NeedsEvacuatedWorkers(aCandidate, pool->workers, pool->evacuated)) {
+    return WaitReason::Evacuated;
+  }
+  if (pool->workers.empty()) {
+    return WaitReason::NoWorkers;
+  }
   // Tickets expire soon, so none are requested for a step that cannot start for another reason.
   const std::uint32_t needed = step.isGang ? step.count : 1;
   if (this->CountTasksWithinLimit(aCandidate, step.demand, needed) < needed) {
--- a/Libraries/LibCell/CellSchedulerWorkers.cpp
+++ b/Libraries/LibCell/CellSchedulerWorkers.cpp
@@ -61,6 +61,7 @@
     added.nextRenewal = now;
     added.lastResponse = now;
     added.isPublished = this->publishedWorkers.contains(aEntry.id);
+    UpdateColdTime(added, aEntry.coldLeft, now);
     this->dependencies.log.Log(LogLevel::Info,
                                "worker_listed",
                                { { "worker", aEntry.id.value },
@@ -93,6 +94,7 @@
   }
   worker.entry = aEntry;
   worker.isListed = true;
+  UpdateColdTime(worker, aEntry.coldLeft, now);
 }
 
 void
--- a/Libraries/LibCell/Forward.h
+++ b/Libraries/LibCell/Forward.h
@@ -7,6 +7,9 @@
 
 class AdviceDispatcher;
 class CellScheduler;
+class EvacuatedZones;
+class EvacuationDirectory;
+class EvacuationReport;
 class Intake;
 class LeaderElection;
 class LoadReport;
--- a/Libraries/LibCell/LoadReport.cpp
+++ b/Libraries/LibCell/LoadReport.cpp
@@ -93,7 +93,8 @@
                   { "wait_room", countOf(WaitReason::Room) },
                   { "wait_ticket", countOf(WaitReason::Ticket) },
                   { "wait_members", countOf(WaitReason::Members) },
-                  { "wait_record", countOf(WaitReason::Record) } });
+                  { "wait_record", countOf(WaitReason::Record) },
+                  { "wait_evacuated", countOf(WaitReason::Evacuated) } });
   this->sample = {};
 }
 
--- a/Libraries/LibCell/Ports.h
+++ b/Libraries/LibCell/Ports.h
@@ -146,6 +146,8 @@
   std::string machine;
   /// When the worker's process started, Unix milliseconds.
   std::int64_t incarnation = 0;
+  /// How much longer the worker runs slowly after its start.
+  Milliseconds coldLeft{ 0 };
 
   /// @return the machine, or the worker's id if the row names none
   [[nodiscard]] const std::string& MachineOrId() const
--- a/Libraries/LibCell/TableWatcher.cpp
+++ b/Libraries/LibCell/TableWatcher.cpp
@@ -1,5 +1,7 @@
 #include <LibCell/TableWatcher.h>
 
+#include <algorithm>
+
 namespace zinc::cell {
 
 TableWatcher::TableWatcher(StorePort& aStore,
@@ -133,15 +135,18 @@
   if (this->isStopped) {
     return;
   }
-  const bool isResyncDue = this->options.resyncInterval.count() > 0 &&
-                           this->clock.Now() - this->lastSnapshot >= this->options.resyncInterval;
-  if (isResyncDue) {
-    this->ReadSnapshot();
-    return;
+  auto maxWait = this->options.maxWait;
+  if (this->options.resyncInterval.count() > 0) {
+    const auto untilResync = this->lastSnapshot + this->options.resyncInterval - this->clock.Now();
+    if (untilResync.count() <= 0) {
+      this->ReadSnapshot();
+      return;
+    }
+    maxWait = std::min(maxWait, untilResync);
   }
   this->store.Watch(this->options.table,
                     this->version,
-                    this->options.maxWait,
+                    maxWait,
                     [weak = this->weak_from_this()](Result<RowBatch> aBatch) {
                       const auto self = weak.lock();
                       if (self && !self->isStopped) {
--- /dev/null
+++ b/Libraries/LibCell/TermSnapshot.h
@@ -0,0 +1,32 @@
+#pragma once
+
+/// @file
+/// The store's content at the beginning of a leader's term.
+
+#include <LibBase/Time.h>
+#include <LibCell/Ports.h>
+#include <LibCell/Records.h>
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace zinc::cell {
+
+/// What was read from the store at the beginning of a term.
+struct TermSnapshot
+{
+  std::uint64_t fencingToken = 0;
+  /// Workers at which the previous leader may have started runs.
+  std::vector<WorkerId> previousWorkers;
+  /// Those of them that were draining, and the only jobs that may have runs there.
+  DrainingJobs drainingJobs;
+  bool hadPredecessor = false;
+  /// Age of the predecessor's leader record; empty if unknown.
+  std::optional<Milliseconds> predecessorRecordAge;
+  /// When all leases granted by leaders before the predecessor have expired.
+  TimePoint olderLeasesExpiry{};
+  std::vector<Row> jobRows;
+  std::vector<WorkerEntry> workers;
+};
+
+}
--- a/Libraries/LibCell/WaitReason.h
+++ b/Libraries/LibCell/WaitReason.h
@@ -24,6 +24,8 @@
   Members,
   /// The record of a suspect's start is not stored yet.
   Record,
+  /// Only workers of evacuated zones could run it.
+  Evacuated,
   Count,
 };
 
@@ -34,7 +36,8 @@
 ToString(WaitReason aReason)
 {
   constexpr std::array<std::string_view, kWaitReasonCount> kNames = {
-    "nothing", "workers", "advice", "limit", "headroom", "room", "ticket", "members", "record"
+    "nothing", "workers", "advice",  "limit",  "headroom",
+    "room",    "ticket",  "members", "record", "evacuated"
   };
   return kNames.at(static_cast<std::size_t>(aReason));
 }
--- a/Libraries/LibCell/Worker.h
+++ b/Libraries/LibCell/Worker.h
@@ -154,6 +154,11 @@
   Resources used;
   /// Set aside for gangs.
   Resources reserved;
+  /// Free capacity that is not used yet, since the worker is cold.
+  Resources withheld;
+  /// When the worker became cold according to its row, and until when it stays so.
+  TimePoint coldSince{};
+  TimePoint coldUntil{};
   std::uint32_t runsOfUnknownDemand = 0;
   std::vector<Allocation> allocations;
   /// Failed runs in a row that the worker probably caused.
@@ -172,13 +177,13 @@
 
   [[nodiscard]] Resources FreeResources() const
   {
-    return this->entry.capacity - this->used - this->reserved;
+    return this->entry.capacity - this->used - this->reserved - this->withheld;
   }
 
   /// @return true if more is in use and reserved than the worker has, since its capacity has shrunk
   [[nodiscard]] bool IsOvercommitted() const
   {
-    const auto free = this->FreeResources();
+    const auto free = this->entry.capacity - this->used - this->reserved;
     return free.milliCores < 0 || free.memoryMiB < 0 || free.accelerators < 0;
   }
 
--- a/Libraries/LibInstance/CellInstance.cpp
+++ b/Libraries/LibInstance/CellInstance.cpp
@@ -67,6 +67,9 @@
              this->options.identity,
              this->options.election)
   , workerDirectory(this->dependencies.layout.decodeWorker, this->dependencies.log)
+  , evacuationDirectory(this->dependencies.layout.decodeEvacuation,
+                        this->options.evacuation,
+                        this->dependencies.log)
 {
 }
 
@@ -129,6 +132,8 @@
 void
 CellInstance::OnDocumentRows(const cell::TableUpdate& aUpdate)
 {
+  this->UpdateSchedulerZones(
+    this->evacuationDirectory.Apply(aUpdate, this->dependencies.clock.Now()));
   for (const auto& row : aUpdate.rows) {
     const bool isNewer = row.key.key == this->dependencies.layout.documentKey && !row.isDeleted &&
                          row.version > this->documentRowVersion;
@@ -166,6 +171,21 @@
   }
 }
 
+void
+CellInstance::UpdateSchedulerZones(bool aHaveChanged)
+{
+  if (!this->scheduler || (this->hasSchedulerZones && !aHaveChanged)) {
+    return;
+  }
+  const auto lastRead =
+    this->documentWatcher->HasSnapshot() ? this->documentWatcher->LastResponse() : std::nullopt;
+  if (!lastRead || this->dependencies.clock.Now() - *lastRead > this->options.maxEvacuationAge) {
+    return;
+  }
+  this->hasSchedulerZones = true;
+  this->scheduler->SetEvacuatedZones(this->evacuationDirectory.Zones());
+}
+
 void
 CellInstance::OnCellRows(const cell::TableUpdate& aUpdate)
 {
@@ -369,6 +389,7 @@
   if (this->policy) {
     this->scheduler->SetPolicy(this->policy);
   }
+  this->hasSchedulerZones = false;
   this->UpdateSchedulerInstances();
   this->scheduler->SetTermEnd(this->election.TermEnd());
   this->scheduler->SetPriorLeasesExpiry(start.term.priorLeasesExpiry);
@@ -397,6 +418,7 @@
   if (!lastRead || this->dependencies.clock.Now() - *lastRead > kMaxWorkerRowAge) {
     currentScheduler->OnWorkerRowsUnavailable();
   }
+  this->UpdateSchedulerZones(false);
   currentScheduler->Tick();
   this->dependencies.timer.RunAfter(this->options.schedulerTickInterval, [this, currentScheduler] {
     if (this->scheduler.get() == currentScheduler) {
--- a/Libraries/LibInstance/CellInstance.h
+++ b/Libraries/LibInstance/CellInstance.h
@@ -6,6 +6,7 @@
 
 #include <LibCell/CallerPort.h>
 #include <LibCell/CellScheduler.h>
+#include <LibCell/EvacuationDirectory.h>
 #include <LibCell/Intake.h>
 #include <LibCell/LeaderElection.h>
 #include <LibCell/MonitoredStore.h>
@@ -32,6 +33,8 @@
   std::string documentTable;
   std::string documentKey;
   std::function<Result<cell::CellPolicy>(std::string_view)> decodeDocument;
+  /// Decodes the keys of the evacuation rows, which are in the document's table.
+  cell::EvacuationDirectory::Decoder decodeEvacuation;
   /// Table to which each worker writes its own row.
   std::string workerTable;
   std::function<Result<cell::WorkerEntry>(const std::string&, std::string_view)> decodeWorker;
@@ -65,6 +68,10 @@
   Milliseconds documentLongPollTimeout{ 900 };
   /// Interval of full reads of the document, in case the store drops a change from its watch.
   Milliseconds documentRereadInterval{ 4000 };
+  cell::EvacuatedZonesOptions evacuation;
+  /// A new leader places nothing while its last response about the document's table is older; a
+  /// watch responds within its wait while nothing changes.
+  Milliseconds maxEvacuationAge{ 2000 };
   /// How long a replaced document still counts, since a former leader may have started tasks under
   /// it: the longest term plus the longest lease with its slack.
   Milliseconds formerDocumentRetention{ 20'000 };
@@ -176,6 +183,8 @@
     cell::TableWatcherOptions aOptions,
     void (CellInstance::*aOnUpdate)(const cell::TableUpdate&));
   void OnDocumentRows(const cell::TableUpdate& aUpdate);
+  /// Hands the evacuated zones to the scheduler once they are known and whenever they change.
+  void UpdateSchedulerZones(bool aHaveChanged);
   void OnCellRows(const cell::TableUpdate& aUpdate);
   void OnPeerRow(const cell::Row& aRow);
   void OnTermBegun(const cell::Term& aTerm);
@@ -202,6 +211,9 @@
   cell::LeaderElection election;
   cell::SpeedProbe speed;
   cell::WorkerDirectory workerDirectory;
+  cell::EvacuationDirectory evacuationDirectory;
+  /// True if the scheduler of the term knows the evacuated zones.
+  bool hasSchedulerZones = false;
   std::shared_ptr<cell::TableWatcher> documentWatcher;
   std::shared_ptr<cell::TableWatcher> cellWatcher;
   std::shared_ptr<cell::TableWatcher> jobWatcher;
--- a/Services/Entry/PlatformProgram.cpp
+++ b/Services/Entry/PlatformProgram.cpp
@@ -57,6 +57,11 @@
 constexpr Milliseconds kMaxLease{ 7500 };
 /// A worker's row is removed after this many heartbeat intervals without a heartbeat.
 constexpr int kMaxMissedHeartbeats = 3;
+/// Part of the bound on starts in an evacuated zone after which the operators' table is read in
+/// full. The rest is for the read itself, in case the store dropped the change from the watch.
+constexpr double kRereadFraction = 0.8;
+/// Full reads that are more frequent would load the store more than the watch.
+constexpr Milliseconds kMinRereadInterval{ 500 };
 
 /// Implements the timers of LibCell on the I/O context of the control thread.
 class AsioTimer final : public cell::TimerPort
@@ -228,6 +233,11 @@
   instanceOptions.scheduler.maxLease = std::min(this->boot.maxLease, kMaxLease);
   instanceOptions.scheduler.workerRowTimeout = this->boot.heartbeatInterval * kMaxMissedHeartbeats;
   instanceOptions.election.maxLeaseAfterTerm = instanceOptions.scheduler.LeaseExpiryBound();
+  instanceOptions.documentRereadInterval = std::clamp(
+    std::chrono::duration_cast<Milliseconds>(this->boot.evacuationBound * kRereadFraction),
+    kMinRereadInterval,
+    instanceOptions.documentRereadInterval);
+  instanceOptions.evacuation.limitsColdWorkers = this->boot.hasZoneContract;
   instanceOptions.scheduler.statusRetention = this->boot.statusRetention;
   this->instance = std::make_unique<CellInstance>(
     CellInstance::Dependencies{
@@ -251,6 +261,7 @@
       .layout = { .documentTable = platform::kOperatorTable,
                   .documentKey = platform::kDocumentKey,
                   .decodeDocument = &platform::DecodeDocument,
+                  .decodeEvacuation = &platform::DecodeEvacuationKey,
                   .workerTable = platform::kWorkerTable,
                   .decodeWorker = &platform::DecodeWorkerEntry } },
     std::move(instanceOptions));
--- a/Tests/Benchmarks/Scheduler/SimulatedCell.cpp
+++ b/Tests/Benchmarks/Scheduler/SimulatedCell.cpp
@@ -75,6 +75,7 @@
                                  .onLeadershipLost = [] {} },
     CellSchedulerOptions{});
   this->scheduler->SetPolicy(policy);
+  this->scheduler->SetEvacuatedZones(EvacuatedZones());
   this->scheduler->SetInstances(instances);
   this->scheduler->SetTermEnd(this->clock.Now() + kTermDuration);
   this->scheduler->BeginTerm({ .fencingToken = 1, .workers = entries });
--- a/Tests/LibCell/CellSchedulerFixture.cpp
+++ b/Tests/LibCell/CellSchedulerFixture.cpp
@@ -74,6 +74,9 @@
                                  .onLeadershipLost = [this] { this->hasLostLeadership = true; } },
     this->options);
   this->scheduler->SetPolicy(std::make_shared<CellPolicy>(this->policy));
+  if (this->hasReadZones) {
+    this->scheduler->SetEvacuatedZones(this->zones);
+  }
   this->scheduler->SetInstances({ "one", "two", "three" });
   this->scheduler->SetTermEnd(this->clock.Now() + Milliseconds{ 1'000'000 });
   this->scheduler->SetPriorLeasesExpiry(this->clock.Now() + aPriorLeasesExpiry);
--- a/Tests/LibCell/CellSchedulerFixture.h
+++ b/Tests/LibCell/CellSchedulerFixture.h
@@ -102,6 +102,9 @@
   CellSchedulerOptions options;
   CellPolicy policy;
   std::vector<WorkerEntry> entries;
+  /// Evacuated zones at the next @ref BeginTerm, and whether they have been read by then.
+  EvacuatedZones zones;
+  bool hasReadZones = true;
   bool hasLostLeadership = false;
   /// Whether the leader record is renewed in each step.
   bool publishesWorkers = true;
--- a/Tests/Platform/TestDecoders.cpp
+++ b/Tests/Platform/TestDecoders.cpp
@@ -4,6 +4,7 @@
 #include <platform/Base64.h>
 #include <platform/BootSettings.h>
 #include <platform/Decoders.h>
+#include <platform/StoreClient.h>
 
 namespace zinc::platform::test {
 
@@ -86,6 +87,31 @@
   }
 }
 
+// Guards against a request that is not understood, and against a foreign row taken for a request.
+TEST(Decoders, DecodesTheKeysOfEvacuations)
+{
+  EXPECT_EQ(ValueOf(DecodeEvacuationKey("evacuate/z1")), ZoneId{ "z1" });
+  EXPECT_EQ(ValueOf(DecodeEvacuationKey(kDocumentKey)), std::nullopt);
+  for (const std::string_view key :
+       { "evacuate/", "evacuate/z1/z2", "evacuate/z 1", "evacuate/\xff" }) {
+    EXPECT_TRUE(IsError(DecodeEvacuationKey(key))) << key;
+  }
+}
+
+// Guards against a worker that is lost to the cell because of an unreadable cold time.
+TEST(Decoders, DecodesTheColdTimeOfAWorker)
+{
+  const std::string rest =
+    R"({"Service":"s","Address":"10.1.2.3:80","Zone":"z","State":"ready","Capacity":{"Cpu":1})";
+  const auto decode = [&rest](const std::string& aTime) {
+    return ValueOf(DecodeWorkerEntry("i-1", rest + aTime + "}")).coldLeft;
+  };
+  EXPECT_EQ(decode(""), Milliseconds{ 0 });
+  EXPECT_EQ(decode(R"(,"ColdLeftMs":7500.5)"), Milliseconds{ 7500 });
+  EXPECT_EQ(decode(R"(,"ColdLeftMs":-1)"), Milliseconds{ 0 });
+  EXPECT_EQ(decode(R"(,"ColdLeftMs":"x")"), Milliseconds{ 0 });
+}
+
 // Rows of other writers: missing fields, wrong types, an unknown state, binary data.
 TEST(Decoders, RejectsForeignWorkerRows)
 {
