--- a/Tests/LibCell/TestEvacuatedZones.cpp
+++ b/Tests/LibCell/TestEvacuatedZones.cpp
@@ -115,12 +115,15 @@
   auto& queue = this->policy.routes.front().queue;
   queue.needsAdvice = true;
   queue.advice = { .baseMs = 500.0, .ticketValidity = Milliseconds{ 300 } };
+  QueueRoute plain{ .host = "host", .pathPrefix = "/plain/" };
+  plain.queue = { .name = { "plain" }, .pool = "pool", .priority = 1 };
+  this->policy.AddRoute(plain);
   this->AddWorkers("ab", 3, 4);
   this->BeginTerm();
   this->RunFor(Milliseconds{ 50 });
   this->AcceptJob(MakeGang("full", 6, 4));
   this->RunFor(Milliseconds{ 200 });
-  this->AcceptJob(MakeGang("gang", 3, 4));
+  this->AcceptJob(MakeGang("gang", 5, 4));
   this->RunFor(Milliseconds{ 1000 });
   // The tickets of the second gang have expired, so it reserves workers and asks for new ones.
   this->advice.isPaused = true;
@@ -134,12 +137,17 @@
   const auto requestsBefore = this->advice.requests.size();
   const auto startsBefore = this->CountStartsIn("a");
   this->SetEvacuated({ { "a" } });
+  auto free = MakeJob("free", 3, 4);
+  free.queue = plain.queue;
+  this->AcceptJob(free);
+  this->RunFor(Milliseconds{ 50 });
+  EXPECT_EQ(this->CountStartsIn("b"), 6U) << "room reserved elsewhere for the gang is free as well";
   this->advice.isPaused = false;
   this->RunFor(Milliseconds{ 300 });
   this->workers.EndAll();
   this->RunFor(Milliseconds{ 3000 });
   EXPECT_EQ(this->CountStartsIn("a"), startsBefore);
-  EXPECT_GT(this->CountStartsIn("b"), 3U);
+  EXPECT_GT(this->CountStartsIn("b"), 6U);
   ASSERT_GT(this->advice.requests.size(), requestsBefore);
   for (auto index = requestsBefore; index < this->advice.requests.size(); ++index) {
     for (const auto& worker : this->advice.requests[index].workers) {
@@ -256,6 +264,11 @@
   zones.WithholdColdCapacity(onlyCold, now);
   EXPECT_EQ(cold.FreeResources().milliCores, 7000);
   EXPECT_EQ(EvacuatedZones().UsableParts(cold, now), 4) << "not in force without the contract";
+  // There is always another place for the load of a zone that was evacuated until now.
+  zones.Update({ cold.entry.zone }, now);
+  zones.Update({}, now);
+  zones.WithholdColdCapacity(onlyCold, now);
+  EXPECT_EQ(cold.FreeResources().milliCores, 1000);
 }
 
 // Guards against a wrong reason of a wait: only a step that no other worker could run waits for the
--- a/Tests/LibInstance/TestRequestForwarder.cpp
+++ b/Tests/LibInstance/TestRequestForwarder.cpp
@@ -1,3 +1,4 @@
+#include "ManualTimer.h"
 #include <LibInstance/RequestForwarder.h>
 
 #include <algorithm>
@@ -12,36 +13,6 @@
 constexpr unsigned kUnavailable = 503;
 constexpr unsigned kOk = 200;
 
-/// Runs functions as the test advances the clock.
-class ManualTimer final : public cell::TimerPort
-{
-public:
-  explicit ManualTimer(ManualClock& aClock)
-    : clock(aClock)
-  {
-  }
-
-  void RunAfter(Milliseconds aDelay, std::function<void()> aFunction) override
-  {
-    this->functionsByDueTime.emplace(this->clock.Now() + aDelay, std::move(aFunction));
-  }
-
-  void Advance(Milliseconds aTime)
-  {
-    const auto until = this->clock.Now() + aTime;
-    while (!this->functionsByDueTime.empty() && this->functionsByDueTime.begin()->first <= until) {
-      auto next = this->functionsByDueTime.extract(this->functionsByDueTime.begin());
-      this->clock.Advance(std::max(Milliseconds{ 0 }, next.key() - this->clock.Now()));
-      next.mapped()();
-    }
-    this->clock.Advance(until - this->clock.Now());
-  }
-
-private:
-  ManualClock& clock;
-  std::multimap<TimePoint, std::function<void()>> functionsByDueTime;
-};
-
 /// A forwarder with eight peers, of which four reach the store.
 class RequestForwarderTest : public testing::Test
 {
--- a/Tests/Platform/TestDecoders.cpp
+++ b/Tests/Platform/TestDecoders.cpp
@@ -195,6 +195,10 @@
   EXPECT_EQ(ValueOf(settings).statusRetention, Milliseconds{ 60'000 });
   EXPECT_EQ(ValueOf(settings).milliCores, 250U);
   EXPECT_FALSE(ValueOf(settings).machines.has_value());
+  EXPECT_FALSE(ValueOf(settings).hasZoneContract);
+  auto newer = std::string(kSettings);
+  newer.replace(newer.find(R"("Unknown")"), 0, R"("Contracts": ["rules", "places"], )");
+  EXPECT_TRUE(ValueOf(DecodeBootSettings(newer)).hasZoneContract);
   const auto faulty = DecodeBootSettings(R"({"Node":"n","Zone":"z","Ip":"i","Listen":{},
     "PortRange":[1,2],"platform":{"Address":"10.0.0.9:80"},"Bounds":{}})");
   ASSERT_TRUE(IsError(faulty));
