LibCell: Do not prefer idle cold workers as a tight fit

Cause: the share of a worker that is withheld while it is cold counted as used, so that an idle cold worker looked nearly full and was chosen before idle warm ones. Change: the tightest fit compares what neither tasks nor reservations take. Measured: 158 tests of TestCell pass.

--- a/Libraries/LibCell/EvacuatedZones.cpp
+++ b/Libraries/LibCell/EvacuatedZones.cpp
@@ -92,7 +92,7 @@
     if (unusable == 0) {
       continue;
     }
-    const auto free = worker->FreeResources();
+    const auto free = worker->UnusedResources();
     const auto withhold = [this, unusable](std::int64_t aCapacity, std::int64_t aFree) {
       return std::clamp<std::int64_t>(
         aCapacity * unusable / this->options.returnParts, 0, std::max<std::int64_t>(0, aFree));
--- a/Libraries/LibCell/Placement.cpp
+++ b/Libraries/LibCell/Placement.cpp
@@ -128,7 +128,8 @@
     if (isFull || CountFittingTasks(*worker, demand, 1) == 0) {
       continue;
     }
-    const double freeShare = DominantShare(worker->FreeResources(), worker->entry.capacity);
+    // An idle worker that is cold must not pass for a tight fit.
+    const double freeShare = DominantShare(worker->UnusedResources(), worker->entry.capacity);
     const std::tuple rank(IsOutsideDataRack(*worker, aStep), aRanking.RankOf(*worker), freeShare);
     if (best == nullptr || rank < bestRank) {
       best = worker;
--- a/Libraries/LibCell/Worker.h
+++ b/Libraries/LibCell/Worker.h
@@ -175,15 +175,18 @@
     return this->incarnation != 0 ? this->incarnation : this->entry.incarnation;
   }
 
-  [[nodiscard]] Resources FreeResources() const
+  /// @return what neither tasks nor reservations take
+  [[nodiscard]] Resources UnusedResources() const
   {
-    return this->entry.capacity - this->used - this->reserved - this->withheld;
+    return this->entry.capacity - this->used - this->reserved;
   }
+  /// @return what new tasks may take
+  [[nodiscard]] Resources FreeResources() const { return this->UnusedResources() - this->withheld; }
 
   /// @return true if more is in use and reserved than the worker has, since its capacity has shrunk
   [[nodiscard]] bool IsOvercommitted() const
   {
-    const auto free = this->entry.capacity - this->used - this->reserved;
+    const auto free = this->UnusedResources();
     return free.milliCores < 0 || free.memoryMiB < 0 || free.accelerators < 0;
   }
 
