Soak: Evacuate zones and check that nothing starts there

Change: a seed evacuates up to two zones for 6 to 10 s, drawn from a stream of their own, so that the other faults of a seed stay the same. The check 'evacuations' allows no start later than EvacMs after the request; a fault that keeps an instance from the store extends the bound until it has passed once.

--- a/Tests/Soak/Checks.cpp
+++ b/Tests/Soak/Checks.cpp
@@ -454,6 +454,44 @@
   return found;
 }
 
+Violations
+CheckEvacuations(std::span<const Event> aHistory, const CheckContext& aContext)
+{
+  Violations found;
+  // From when on nothing may start in a zone.
+  std::map<std::string, Milliseconds> closedFrom;
+  int disturbances = 0;
+  Milliseconds disturbedSince{ 0 };
+  for (const auto& event : aHistory) {
+    // A disturbance of the store extends the bound, but not once the bound has passed: who leads
+    // then has read the request.
+    for (auto& [zone, from] : closedFrom) {
+      if (disturbances > 0 && disturbedSince <= from) {
+        from = event.at + aContext.evacuationBound;
+      }
+    }
+    if (event.kind == EventKind::StoreDisturbed) {
+      disturbedSince = disturbances++ == 0 ? event.at : disturbedSince;
+    } else if (event.kind == EventKind::StoreRestored) {
+      --disturbances;
+    } else if (event.kind == EventKind::ZoneEvacuated) {
+      closedFrom[event.place] = event.at + aContext.evacuationBound;
+    } else if (event.kind == EventKind::ZoneReturned) {
+      closedFrom.erase(event.place);
+    }
+    for (const auto& [zone, from] : closedFrom) {
+      const bool isStart = event.kind == EventKind::Started && event.place.starts_with(zone + "-");
+      if (isStart && event.orderedAt > from) {
+        found.push_back(fmt::format("{} starts in {}, which was to be closed from {} ms on",
+                                    Describe(event),
+                                    zone,
+                                    from.count()));
+      }
+    }
+  }
+  return found;
+}
+
 Violations
 CheckExits(std::span<const Event> aHistory, const CheckContext& aContext)
 {
@@ -496,6 +534,7 @@
   { "attempts", &CheckAttempts },
   { "quotas", &CheckQuotas },
   { "nothing lost", &CheckNothingLost },
+  { "evacuations", &CheckEvacuations },
   { "exits", &CheckExits },
   { "crashing tasks", &CheckCrashingTasks },
 };
--- a/Tests/Soak/Checks.h
+++ b/Tests/Soak/Checks.h
@@ -34,6 +34,8 @@
   /// A capacity that has shrunk counts so long after the worker's entry shows it: the pages'
   /// `ContactMs` and one heartbeat.
   Milliseconds capacityNotice{ 4500 };
+  /// Nothing starts in a zone so long after its evacuation was stored; the pages' `EvacMs`.
+  Milliseconds evacuationBound{ 5000 };
   /// Time from SIGTERM in which a process has to end; the pages' `GraceS`.
   Milliseconds gracePeriod{ 6000 };
 };
--- a/Tests/Soak/Event.h
+++ b/Tests/Soak/Event.h
@@ -46,6 +46,12 @@
   Exited,
   /// A worker's entry shows another capacity, which is the amount.
   CapacityShown,
+  /// The operator's request to evacuate the zone in the place was stored or withdrawn.
+  ZoneEvacuated,
+  ZoneReturned,
+  /// A fault that keeps an instance from the store began or ended.
+  StoreDisturbed,
+  StoreRestored,
 };
 
 /// One observation; fields that do not apply are empty.
--- a/Tests/Soak/SoakCell.cpp
+++ b/Tests/Soak/SoakCell.cpp
@@ -79,6 +79,7 @@
   { FaultKind::WorkerSlow, &SoakCell::DisturbWorker, &SoakCell::RestoreWorker },
   { FaultKind::ChangeDocument, &SoakCell::ChangeDocument, &SoakCell::Nothing },
   { FaultKind::ShrinkWorker, &SoakCell::ShrinkWorker, &SoakCell::RestoreCapacity },
+  { FaultKind::EvacuateZone, &SoakCell::EvacuateZone, &SoakCell::ReturnZone },
 };
 
 SoakCell::SoakCell(SoakCellOptions aOptions, Recorder& aRecorder)
@@ -286,6 +287,9 @@
   this->recorder.Record(
     { .kind = EventKind::Fault,
       .text = fmt::format("{}#{} begins", ToString(aFault.kind), aFault.target) });
+  if (KeepsFromStore(aFault.kind)) {
+    this->recorder.Record({ .kind = EventKind::StoreDisturbed });
+  }
   for (const auto& behaviour : kBehaviours) {
     if (behaviour.kind == aFault.kind) {
       (this->*behaviour.begin)(aFault);
@@ -304,6 +308,9 @@
       (this->*behaviour.end)(aFault);
     }
   }
+  if (KeepsFromStore(aFault.kind)) {
+    this->recorder.Record({ .kind = EventKind::StoreRestored });
+  }
 }
 
 void
@@ -555,4 +562,26 @@
   this->thread.Run([&] { this->store->Put("op", "config", document); });
 }
 
+void
+SoakCell::EvacuateZone(const SoakFault& aFault)
+{
+  const auto& zones = this->options.fleet.zones;
+  const auto& zone = zones[aFault.target % zones.size()];
+  if (++this->evacuations[zone] == 1) {
+    this->thread.Run([&] { this->store->Put("op", "evacuate/" + zone, "{}"); });
+    this->recorder.Record({ .kind = EventKind::ZoneEvacuated, .place = zone });
+  }
+}
+
+void
+SoakCell::ReturnZone(const SoakFault& aFault)
+{
+  const auto& zones = this->options.fleet.zones;
+  const auto& zone = zones[aFault.target % zones.size()];
+  if (--this->evacuations[zone] == 0) {
+    this->recorder.Record({ .kind = EventKind::ZoneReturned, .place = zone });
+    this->thread.Run([&] { this->store->Remove("op", "evacuate/" + zone); });
+  }
+}
+
 }
--- a/Tests/Soak/SoakCell.h
+++ b/Tests/Soak/SoakCell.h
@@ -9,6 +9,7 @@
 #include <StandIns/Relay.h>
 #include <StandIns/StandInThread.h>
 #include <System/ChildProcess.h>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -118,6 +119,8 @@
   void ChangeDocument(const SoakFault& aFault);
   void ShrinkWorker(const SoakFault& aFault);
   void RestoreCapacity(const SoakFault& aFault);
+  void EvacuateZone(const SoakFault& aFault);
+  void ReturnZone(const SoakFault& aFault);
 
   SoakCellOptions options;
   Recorder& recorder;
@@ -125,6 +128,8 @@
   std::shared_ptr<StoreServer> store;
   std::unique_ptr<WorkerServers> workers;
   std::vector<Instance> instances;
+  /// Requests in force to evacuate each zone.
+  std::map<std::string, int> evacuations;
   std::uint16_t peerPort = 0;
   mutable std::mutex keysMutex;
   KeyRing keys;
--- a/Tests/Soak/SoakFaults.cpp
+++ b/Tests/Soak/SoakFaults.cpp
@@ -34,6 +34,7 @@
   "worker_slow",
   "change_document",
   "shrink_worker",
+  "evacuate_zone",
 };
 
 constexpr std::uint32_t kFirst = 1000;
@@ -51,6 +52,11 @@
 constexpr std::uint32_t kDrawnTogether = 23;
 constexpr std::uint64_t kShrinkStream = 7001;
 constexpr std::uint32_t kMaxShrinks = 3;
+constexpr std::uint64_t kEvacuationStream = 7002;
+constexpr std::uint32_t kMaxEvacuations = 2;
+/// Longer than the bound after which nothing may start in the zone.
+constexpr std::uint32_t kShortestEvacuation = 6000;
+constexpr std::uint32_t kLongestEvacuation = 10'000;
 /// Time between a fault's end and its repetition.
 constexpr std::uint32_t kRepeatAfter = 1500;
 
@@ -62,6 +68,27 @@
   return kNames.at(static_cast<std::size_t>(aKind));
 }
 
+bool
+KeepsFromStore(FaultKind aKind)
+{
+  switch (aKind) {
+    case FaultKind::FreezeInstance:
+    case FaultKind::CutStore:
+    case FaultKind::CutStoreToTarget:
+    case FaultKind::CutStoreToClient:
+    case FaultKind::RefuseStore:
+    case FaultKind::DelayStore:
+    case FaultKind::SilenceStore:
+    case FaultKind::StoreDown:
+    case FaultKind::StoreSlow:
+    case FaultKind::StoreLosesAnswers:
+    case FaultKind::StoreLate:
+      return true;
+    default:
+      return false;
+  }
+}
+
 SoakSchedule
 DrawFaults(std::uint64_t aSeed)
 {
@@ -89,6 +116,14 @@
                          .at = Milliseconds(kFirst + shrinks(kLast - kFirst)),
                          .lasts = Milliseconds(kShortest + shrinks(kLongest - kShortest)) });
   }
+  pcg32 evacuations(aSeed, kEvacuationStream);
+  for (auto left = evacuations(kMaxEvacuations + 1); left > 0; --left) {
+    const auto length = kShortestEvacuation + evacuations(kLongestEvacuation - kShortestEvacuation);
+    schedule.push_back({ .kind = FaultKind::EvacuateZone,
+                         .target = evacuations(kTargets),
+                         .at = Milliseconds(kFirst + evacuations(kLast - kFirst)),
+                         .lasts = Milliseconds(length) });
+  }
   std::sort(schedule.begin(), schedule.end(), [](const SoakFault& aLeft, const SoakFault& aRight) {
     return aLeft.at < aRight.at;
   });
--- a/Tests/Soak/SoakFaults.h
+++ b/Tests/Soak/SoakFaults.h
@@ -37,13 +37,18 @@
   WorkerSlow,
   ChangeDocument,
   ShrinkWorker,
+  EvacuateZone,
 };
 
-inline constexpr std::size_t kFaultKinds = 24;
+inline constexpr std::size_t kFaultKinds = 25;
 
 [[nodiscard]] std::string_view
 ToString(FaultKind aKind);
 
+/// @return true for faults that keep an instance from reading the store, or delay what it reads
+[[nodiscard]] bool
+KeepsFromStore(FaultKind aKind);
+
 /// One fault.
 struct SoakFault
 {
--- a/Tests/Soak/SoakRun.cpp
+++ b/Tests/Soak/SoakRun.cpp
@@ -61,9 +61,10 @@
 WriteHistory(const std::string& aFile, const History& aHistory)
 {
   constexpr std::string_view kNames[] = {
-    "sent",        "accepted",        "refused", "unanswered",    "shown", "denied",
-    "cancel_sent", "cancel_answered", "started", "ended",         "noted", "worker_lost",
-    "fault",       "exit_asked",      "exited",  "capacity_shown"
+    "sent",           "accepted",       "refused",         "unanswered",      "shown",
+    "denied",         "cancel_sent",    "cancel_answered", "started",         "ended",
+    "noted",          "worker_lost",    "fault",           "exit_asked",      "exited",
+    "capacity_shown", "zone_evacuated", "zone_returned",   "store_disturbed", "store_restored"
   };
   std::ofstream file(aFile);
   for (const auto& event : aHistory) {
--- a/Tests/Soak/TestSoakChecks.cpp
+++ b/Tests/Soak/TestSoakChecks.cpp
@@ -159,6 +159,30 @@
   EXPECT_EQ(checkStart(5600), 1);
 }
 
+TEST(SoakChecks, FindAStartInAnEvacuatedZone)
+{
+  const auto operates = [](std::int64_t aTime, EventKind aKind) {
+    return At(aTime, { .kind = aKind, .place = "east" });
+  };
+  const auto checkStart = [](History aHistory, std::int64_t aTime, const std::string& aPlace) {
+    aHistory.push_back(Start(aTime, Task(0, 0), 1, aPlace));
+    const auto broken = Broken(aHistory);
+    return std::count(broken.begin(), broken.end(), "evacuations");
+  };
+  const History evacuated{ operates(1000, EventKind::ZoneEvacuated) };
+  EXPECT_EQ(checkStart(evacuated, 5900, "east-w0-1@1"), 0) << "before the bound";
+  EXPECT_EQ(checkStart(evacuated, 6100, "west-w0-1@1"), 0);
+  EXPECT_EQ(checkStart(evacuated, 6100, "east-w0-1@1"), 1);
+  const History disturbed{ operates(1000, EventKind::ZoneEvacuated),
+                           Simple(2000, EventKind::StoreDisturbed),
+                           Simple(4000, EventKind::StoreRestored) };
+  EXPECT_EQ(checkStart(disturbed, 8900, "east-w0-1@1"), 0);
+  EXPECT_EQ(checkStart(disturbed, 9100, "east-w0-1@1"), 1);
+  const History returned{ operates(1000, EventKind::ZoneEvacuated),
+                          operates(7000, EventKind::ZoneReturned) };
+  EXPECT_EQ(checkStart(returned, 7100, "east-w0-1@1"), 0);
+}
+
 TEST(SoakChecks, FindATaskThatCrashesWorkersWithoutEnd)
 {
   auto context = Context();
