LibInstance: Read the evacuated zones anew at the beginning of a term

Cause: a new leader relied on a response about table op of the last 2 s. A call in progress on a connection that broke with the predecessor would have held back placement for up to 2.1 s, and a change lost by the watch before the term went unnoticed. Change: the watch on the table starts again with a full read when a term begins, like those on jobs and workers; nothing is placed before. The option maxEvacuationAge is gone. CountFittingTasks has an overload for plain amounts, so that a check of a waiting step builds no worker.

--- a/Libraries/LibCell/EvacuatedZones.cpp
+++ b/Libraries/LibCell/EvacuatedZones.cpp
@@ -18,10 +18,8 @@
   if (isIneligible || !HasRequiredLabel(aWorker, step)) {
     return 0;
   }
-  Worker idle;
-  idle.entry.capacity = aWorker.entry.capacity;
   const auto perWorker = step.maxTasksPerWorker > 0 ? std::min(step.maxTasksPerWorker, aMax) : aMax;
-  return CountFittingTasks(idle, AllocatedDemand(step), perWorker);
+  return CountFittingTasks(aWorker.entry.capacity, AllocatedDemand(step), perWorker);
 }
 
 }
--- a/Libraries/LibCell/Placement.cpp
+++ b/Libraries/LibCell/Placement.cpp
@@ -94,16 +94,21 @@
 std::uint32_t
 CountFittingTasks(const Worker& aWorker, const Resources& aDemand, std::uint32_t aMax)
 {
-  const auto free = aWorker.FreeResources();
+  return CountFittingTasks(aWorker.FreeResources(), aDemand, aMax);
+}
+
+std::uint32_t
+CountFittingTasks(const Resources& aFree, const Resources& aDemand, std::uint32_t aMax)
+{
   auto room = static_cast<std::int64_t>(aMax);
-  const auto bound = [&room](std::int64_t aFree, std::int64_t aNeed) {
+  const auto bound = [&room](std::int64_t aAmount, std::int64_t aNeed) {
     if (aNeed > 0) {
-      room = std::min(room, std::max<std::int64_t>(0, aFree) / aNeed);
+      room = std::min(room, std::max<std::int64_t>(0, aAmount) / aNeed);
     }
   };
-  bound(free.milliCores, aDemand.milliCores);
-  bound(free.memoryMiB, aDemand.memoryMiB);
-  bound(free.accelerators, aDemand.accelerators);
+  bound(aFree.milliCores, aDemand.milliCores);
+  bound(aFree.memoryMiB, aDemand.memoryMiB);
+  bound(aFree.accelerators, aDemand.accelerators);
   return static_cast<std::uint32_t>(room);
 }
 
--- a/Libraries/LibCell/Placement.h
+++ b/Libraries/LibCell/Placement.h
@@ -21,6 +21,10 @@
 [[nodiscard]] std::uint32_t
 CountFittingTasks(const Worker& aWorker, const Resources& aDemand, std::uint32_t aMax);
 
+/// @return how many tasks of this demand fit into free resources, at most @p aMax.
+[[nodiscard]] std::uint32_t
+CountFittingTasks(const Resources& aFree, const Resources& aDemand, std::uint32_t aMax);
+
 /// @return true if the worker has the label that the step requires.
 [[nodiscard]] bool
 HasRequiredLabel(const Worker& aWorker, const StepSpecification& aStep);
--- a/Libraries/LibInstance/CellInstance.cpp
+++ b/Libraries/LibInstance/CellInstance.cpp
@@ -78,12 +78,7 @@
 void
 CellInstance::Start()
 {
-  this->documentWatcher =
-    this->StartWatcher({ .table = this->dependencies.layout.documentTable,
-                         .partitions = { "" },
-                         .maxWait = this->options.documentLongPollTimeout,
-                         .resyncInterval = this->options.documentRereadInterval },
-                       &CellInstance::OnDocumentRows);
+  this->StartDocumentWatcher();
   this->cellWatcher = this->StartWatcher({ .table = std::string(cell::kCellTable),
                                            .partitions = cell::CellTablePartitions(),
                                            .pollDelay = this->options.minCellReadInterval },
@@ -93,6 +88,20 @@
   this->TickElection();
 }
 
+void
+CellInstance::StartDocumentWatcher()
+{
+  if (this->documentWatcher) {
+    this->documentWatcher->Stop();
+  }
+  this->documentWatcher =
+    this->StartWatcher({ .table = this->dependencies.layout.documentTable,
+                         .partitions = { "" },
+                         .maxWait = this->options.documentLongPollTimeout,
+                         .resyncInterval = this->options.documentRereadInterval },
+                       &CellInstance::OnDocumentRows);
+}
+
 void
 CellInstance::MeasureSpeed()
 {
@@ -174,12 +183,8 @@
 void
 CellInstance::UpdateSchedulerZones(bool aHaveChanged)
 {
-  if (!this->scheduler || (this->hasSchedulerZones && !aHaveChanged)) {
-    return;
-  }
-  const auto lastRead =
-    this->documentWatcher->HasSnapshot() ? this->documentWatcher->LastResponse() : std::nullopt;
-  if (!lastRead || this->dependencies.clock.Now() - *lastRead > this->options.maxEvacuationAge) {
+  const bool isDue = aHaveChanged || !this->hasSchedulerZones;
+  if (!this->scheduler || !isDue || !this->documentWatcher->HasSnapshot()) {
     return;
   }
   this->hasSchedulerZones = true;
@@ -281,6 +286,9 @@
       { "previous_workers", aTerm.previousWorkers.size() } });
   this->pendingTerm = PendingTerm{ .term = aTerm };
   this->workerDirectory.Clear();
+  // A new leader has to know the zones that are evacuated now. The call in progress may belong to a
+  // connection that broke with the predecessor.
+  this->StartDocumentWatcher();
   this->jobWatcher = this->StartWatcher({ .table = std::string(cell::kJobTable),
                                           .partitions = cell::JobTablePartitions(),
                                           .pollDelay = this->options.minJobReadInterval },
--- a/Libraries/LibInstance/CellInstance.h
+++ b/Libraries/LibInstance/CellInstance.h
@@ -69,9 +69,6 @@
   /// Interval of full reads of the document, in case the store drops a change from its watch.
   Milliseconds documentRereadInterval{ 4000 };
   cell::EvacuatedZonesOptions evacuation;
-  /// A new leader places nothing while its last response about the document's table is older; a
-  /// watch responds within its wait while nothing changes.
-  Milliseconds maxEvacuationAge{ 2000 };
   /// How long a replaced document still counts, since a former leader may have started tasks under
   /// it: the longest term plus the longest lease with its slack.
   Milliseconds formerDocumentRetention{ 20'000 };
@@ -182,8 +179,11 @@
   [[nodiscard]] std::shared_ptr<cell::TableWatcher> StartWatcher(
     cell::TableWatcherOptions aOptions,
     void (CellInstance::*aOnUpdate)(const cell::TableUpdate&));
+  /// Starts the watch on the document's table with a full read.
+  void StartDocumentWatcher();
   void OnDocumentRows(const cell::TableUpdate& aUpdate);
-  /// Hands the evacuated zones to the scheduler once they are known and whenever they change.
+  /// Hands the evacuated zones to the scheduler once they were read during its term, and whenever
+  /// they change.
   void UpdateSchedulerZones(bool aHaveChanged);
   void OnCellRows(const cell::TableUpdate& aUpdate);
   void OnPeerRow(const cell::Row& aRow);
--- a/Tests/LibInstance/TestEvacuation.cpp
+++ b/Tests/LibInstance/TestEvacuation.cpp
@@ -88,7 +88,8 @@
              cell::Handler<cell::RowBatch> aHandler) override
   {
     this->RunAfter(kCallTime, [this, aTable, aAfter, aMaxWait, handler = std::move(aHandler)] {
-      if (!this->shared.isAvailable) {
+      const bool fails = this->shared.failsOperatorReads && aTable == kOperators;
+      if (!this->shared.isAvailable || fails) {
         handler(NotRun(ErrorCode::Unavailable, "down"));
         return;
       }
@@ -347,8 +348,8 @@
   EXPECT_GT(this->CountStarts("c", requestedAt + Milliseconds{ 7000 }), 0U);
 }
 
-// Guards against a request that is forgotten because it was made while the leader died and another
-// instance took over.
+// Guards against a request that is made while the leader dies and another instance takes over,
+// which cannot read it at first: what the successor read before its term is not enough.
 TEST_F(EvacuationTest, KeepsARequestMadeDuringATakeover)
 {
   this->StartInstance();
@@ -357,9 +358,13 @@
   this->RunFor(Milliseconds{ 2000 });
   this->instances.front().machine->isDead = true;
   this->RunFor(Milliseconds{ 1000 });
+  this->rows.failsOperatorReads = true;
   this->rows.SetEvacuated("a", true);
   const auto requestedAt = this->clock.Now();
-  this->RunFor(Milliseconds{ 25'000 });
+  this->RunFor(Milliseconds{ 20'000 });
+  EXPECT_EQ(this->CountStarts("b", requestedAt), 0U);
+  this->rows.failsOperatorReads = false;
+  this->RunFor(Milliseconds{ 2000 });
   EXPECT_EQ(this->CountStarts("a", requestedAt), 0U);
   EXPECT_GT(this->CountStarts("b", requestedAt), 0U);
 }
