LibCell: End the return of a zone by time

Cause: a zone that was given back counted as returning until the next change of the zones, so that a pool whose workers are all cold was limited there longer than elsewhere. Change: a zone counts as returning for the duration of the steps. Measured: 158 tests of TestCell pass; without the change LimitsWorkersThatAreColdByTheirRow fails.

--- a/Libraries/LibCell/EvacuatedZones.cpp
+++ b/Libraries/LibCell/EvacuatedZones.cpp
@@ -83,7 +83,9 @@
     std::ranges::all_of(aPool, [aNow](const Worker* aWorker) { return aNow < aWorker->coldUntil; });
   for (auto* worker : aPool) {
     worker->withheld = {};
-    const bool isReturning = this->withdrawals.contains(worker->entry.zone);
+    const auto withdrawal = this->withdrawals.find(worker->entry.zone);
+    const bool isReturning =
+      withdrawal != this->withdrawals.end() && aNow < withdrawal->second + this->ReturnDuration();
     const auto parts = isEveryWorkerCold && !isReturning ? this->options.returnParts
                                                          : this->UsableParts(*worker, aNow);
     const auto unusable = this->options.returnParts - parts;
--- a/Tests/LibCell/TestEvacuatedZones.cpp
+++ b/Tests/LibCell/TestEvacuatedZones.cpp
@@ -269,6 +269,8 @@
   zones.Update({}, now);
   zones.WithholdColdCapacity(onlyCold, now);
   EXPECT_EQ(cold.FreeResources().milliCores, 1000);
+  zones.WithholdColdCapacity(onlyCold, now + Milliseconds{ 6000 });
+  EXPECT_EQ(cold.FreeResources().milliCores, 7000);
 }
 
 // Guards against a wrong reason of a wait: only a step that no other worker could run waits for the
