--- a/Tests/Soak/TestSoak.cpp
+++ b/Tests/Soak/TestSoak.cpp
@@ -56,9 +56,9 @@
     SeedCase{ 7,
               "a frozen worker listed ends after its lease, and began a start that it had kept" },
     SeedCase{ 10, "more work than a workspace may run was taken for lost" },
-    SeedCase{
-      15,
-      "a worker whose row could not reappear while the store was away was taken for gone" }),
+    SeedCase{ 15,
+              "a worker whose row could not reappear while the store was away was taken for gone" },
+    SeedCase{ 105, "a program that ignored a request to evacuate started tasks in the zone" }),
   [](const auto& aInfo) { return "Seed" + std::to_string(aInfo.param.seed); });
 
 }
