--- a/Libraries/LibCell/Pool.h
+++ b/Libraries/LibCell/Pool.h
@@ -15,6 +15,8 @@
 struct Pool
 {
   std::vector<Worker*> workers;
+  /// The pool's listed workers in evacuated zones.
+  std::vector<Worker*> evacuated;
   Resources capacity;
   Resources free;
   /// The workers with the most free processors at the start of the round first; see
--- a/Libraries/LibInstance/CellInstance.cpp
+++ b/Libraries/LibInstance/CellInstance.cpp
@@ -67,6 +67,9 @@
              this->options.identity,
              this->options.election)
   , workerDirectory(this->dependencies.layout.decodeWorker, this->dependencies.log)
+  , evacuationDirectory(this->dependencies.layout.decodeEvacuation,
+                        this->options.evacuation,
+                        this->dependencies.log)
 {
 }
 
@@ -75,12 +78,7 @@
 void
 CellInstance::Start()
 {
-  this->documentWatcher =
-    this->StartWatcher({ .table = this->dependencies.layout.documentTable,
-                         .partitions = { "" },
-                         .maxWait = this->options.documentLongPollTimeout,
-                         .resyncInterval = this->options.documentRereadInterval },
-                       &CellInstance::OnDocumentRows);
+  this->StartDocumentWatcher();
   this->cellWatcher = this->StartWatcher({ .table = std::string(cell::kCellTable),
                                            .partitions = cell::CellTablePartitions(),
                                            .pollDelay = this->options.minCellReadInterval },
@@ -90,6 +88,20 @@
   this->TickElection();
 }
 
+void
+CellInstance::StartDocumentWatcher()
+{
+  if (this->documentWatcher) {
+    this->documentWatcher->Stop();
+  }
+  this->documentWatcher =
+    this->StartWatcher({ .table = this->dependencies.layout.documentTable,
+                         .partitions = { "" },
+                         .maxWait = this->options.documentLongPollTimeout,
+                         .resyncInterval = this->options.documentRereadInterval },
+                       &CellInstance::OnDocumentRows);
+}
+
 void
 CellInstance::MeasureSpeed()
 {
@@ -129,6 +141,8 @@
 void
 CellInstance::OnDocumentRows(const cell::TableUpdate& aUpdate)
 {
+  this->UpdateSchedulerZones(
+    this->evacuationDirectory.Apply(aUpdate, this->dependencies.clock.Now()));
   for (const auto& row : aUpdate.rows) {
     const bool isNewer = row.key.key == this->dependencies.layout.documentKey && !row.isDeleted &&
                          row.version > this->documentRowVersion;
@@ -166,6 +180,17 @@
   }
 }
 
+void
+CellInstance::UpdateSchedulerZones(bool aHaveChanged)
+{
+  const bool isDue = aHaveChanged || !this->hasSchedulerZones;
+  if (!this->scheduler || !isDue || !this->documentWatcher->HasSnapshot()) {
+    return;
+  }
+  this->hasSchedulerZones = true;
+  this->scheduler->SetEvacuatedZones(this->evacuationDirectory.Zones());
+}
+
 void
 CellInstance::OnCellRows(const cell::TableUpdate& aUpdate)
 {
@@ -261,6 +286,9 @@
       { "previous_workers", aTerm.previousWorkers.size() } });
   this->pendingTerm = PendingTerm{ .term = aTerm };
   this->workerDirectory.Clear();
+  // A new leader has to know the zones that are evacuated now. The call in progress may belong to a
+  // connection that broke with the predecessor.
+  this->StartDocumentWatcher();
   this->jobWatcher = this->StartWatcher({ .table = std::string(cell::kJobTable),
                                           .partitions = cell::JobTablePartitions(),
                                           .pollDelay = this->options.minJobReadInterval },
@@ -369,6 +397,7 @@
   if (this->policy) {
     this->scheduler->SetPolicy(this->policy);
   }
+  this->hasSchedulerZones = false;
   this->UpdateSchedulerInstances();
   this->scheduler->SetTermEnd(this->election.TermEnd());
   this->scheduler->SetPriorLeasesExpiry(start.term.priorLeasesExpiry);
@@ -397,6 +426,7 @@
   if (!lastRead || this->dependencies.clock.Now() - *lastRead > kMaxWorkerRowAge) {
     currentScheduler->OnWorkerRowsUnavailable();
   }
+  this->UpdateSchedulerZones(false);
   currentScheduler->Tick();
   this->dependencies.timer.RunAfter(this->options.schedulerTickInterval, [this, currentScheduler] {
     if (this->scheduler.get() == currentScheduler) {
