LibCell: Keep images that slow each other down apart

Cause: tasks contend for caches, memory and disks that they don't declare, so the tightest fit puts them next to each other. Ruled out: means with and without a neighbour, which blame the innocent neighbours of a guilty one; a ban, which would delay work. Change: InterferenceModel attributes run times and tail latencies to the image, the worker, its processor use and each neighbour. MetricRegistry can remove a gauge.

--- a/Libraries/LibCell/CellScheduler.cpp
+++ b/Libraries/LibCell/CellScheduler.cpp
@@ -16,6 +16,9 @@
   , options(aOptions)
   , policy(std::make_shared<CellPolicy>())
   , adviceDispatcher(std::make_unique<AdviceDispatcher>(this->dependencies.advice))
+  , interference(this->dependencies.log,
+                 this->dependencies.metrics,
+                 this->options.keepInterferingTasksApart)
   , poolContention(this->options.contention)
   , load(this->dependencies.log)
 {
@@ -136,6 +139,7 @@
   this->FlushProgress();
   this->CompactEndedJobs();
   this->LogLoad();
+  this->interference.Tick(now);
 }
 
 void
--- a/Libraries/LibCell/CellScheduler.h
+++ b/Libraries/LibCell/CellScheduler.h
@@ -6,6 +6,7 @@
 #include <LibBase/Time.h>
 #include <LibCell/AdviceDispatcher.h>
 #include <LibCell/Candidate.h>
+#include <LibCell/InterferenceMonitor.h>
 #include <LibCell/Job.h>
 #include <LibCell/LoadReport.h>
 #include <LibCell/LostWorkers.h>
@@ -114,6 +115,8 @@
   Milliseconds minRunToClearCrashes{ 600'000 };
   /// A run hangs if it makes no progress for half its estimate, or for this long if that is less.
   Milliseconds maxStallTimeout{ 2500 };
+  /// Prefers workers without tasks that were seen to slow the new one down, or to be slowed by it.
+  bool keepInterferingTasksApart = true;
 };
 
 /// State of a job as reported to callers.
@@ -450,7 +453,7 @@
   /// Logs the load of the cell if a line about it is due.
   void LogLoad();
   /// @return the preference among workers for the tasks of a step
-  [[nodiscard]] const WorkerRanking& RankingFor(const Candidate& aCandidate) const;
+  [[nodiscard]] const WorkerRanking& RankingFor(const Candidate& aCandidate);
   /// @param aNeedsTicket leaves out workers for which the step has no valid ticket
   [[nodiscard]] std::vector<Worker*> FindEligibleWorkers(const Candidate& aCandidate,
                                                          const Pool& aPool,
@@ -591,6 +594,7 @@
   std::set<WorkerNumber> workersWithEnds;
   std::unordered_map<std::string, Pool> pools;
   SlownessRanking slownessRanking;
+  InterferenceMonitor interference;
   PoolContention poolContention;
   /// What each workspace uses; references to its elements stay valid.
   std::unordered_map<WorkspaceId, WorkspaceUsage> workspaces;
--- a/Libraries/LibCell/CellSchedulerPlacement.cpp
+++ b/Libraries/LibCell/CellSchedulerPlacement.cpp
@@ -354,9 +354,9 @@
 }
 
 const WorkerRanking&
-CellScheduler::RankingFor(const Candidate& /*aCandidate*/) const
+CellScheduler::RankingFor(const Candidate& aCandidate)
 {
-  return this->slownessRanking;
+  return this->interference.RankingFor(this->slownessRanking, *aCandidate.specification);
 }
 
 Worker*
--- a/Libraries/LibCell/CellSchedulerStarts.cpp
+++ b/Libraries/LibCell/CellSchedulerStarts.cpp
@@ -50,6 +50,7 @@
                                   .lastProgress = now,
                                   .checkpoint = aCheckpoint,
                                   .estimate = step.estimate });
+  this->interference.OnRunStarted(aWorker.allocations.back(), step, now);
   aWorker.used += demand;
   job.workspaceUsage->running += demand;
   const auto* ticket = aCandidate.run->advice.FindTicket(aWorker.number);
--- a/Libraries/LibCell/CellSchedulerWorkers.cpp
+++ b/Libraries/LibCell/CellSchedulerWorkers.cpp
@@ -271,6 +271,7 @@
   this->ReconcileAllocations(aWorker, aSent, aReport);
   this->MarkWorkerSynced(aWorker.entry.id);
   this->AdvanceAcknowledgementsOf(aWorker);
+  this->interference.OnReport(aWorker, now);
   this->StopStalledRuns(aWorker);
   this->ThrottleBestEffortTasks(aWorker);
   if (!aWorker.unacknowledgedEnds.empty()) {
@@ -295,6 +296,7 @@
   if (isMeasurable) {
     const double ratio = static_cast<double>((now - allocation->startedAt).count()) /
                          static_cast<double>(allocation->estimate.count());
+    this->interference.OnRunSucceeded(aWorker, *allocation, ratio, now);
     aWorker.slowness +=
       (std::clamp(ratio, kMinRatio, kMaxRatio) - aWorker.slowness) * kSlownessWeight;
   }
@@ -469,6 +471,7 @@
     allocation.isBestEffort = step.isBestEffort;
     allocation.tailLatencyTarget = step.tailLatencyTarget;
     allocation.estimate = step.estimate;
+    this->interference.OnRunAdopted(allocation, step, now);
   } else {
     // The demand is no longer known; the worker gets no tasks until the run has ended.
     allocation.isDemandUnknown = true;
@@ -757,6 +760,7 @@
   if (found == aWorker.allocations.end()) {
     return;
   }
+  this->interference.OnRunReleased(aWorker, *found, this->dependencies.clock.Now());
   aWorker.used -= found->demand;
   aWorker.runsOfUnknownDemand -= found->isDemandUnknown ? 1 : 0;
   if (found->workspaceUsage != nullptr) {
--- a/Libraries/LibCell/Forward.h
+++ b/Libraries/LibCell/Forward.h
@@ -8,6 +8,9 @@
 class AdviceDispatcher;
 class CellScheduler;
 class Intake;
+class InterferenceModel;
+class InterferenceMonitor;
+class InterferenceRanking;
 class LeaderElection;
 class LoadReport;
 class LostWorkers;
--- a/Libraries/LibCell/Worker.h
+++ b/Libraries/LibCell/Worker.h
@@ -4,6 +4,7 @@
 /// The leader's state of a worker and of the runs allocated to it.
 
 #include <LibCell/Ports.h>
+#include <LibCell/RunNeighbours.h>
 #include <LibCell/WorkspaceUsage.h>
 #include <deque>
 #include <map>
@@ -107,6 +108,7 @@
   int dutyCyclePercent = 100;
   std::string checkpoint;
   Milliseconds estimate{ 0 };
+  RunNeighbours neighbours;
 };
 
 /// A reported end of a run that the worker keeps until the leader has stored it.
--- a/Libraries/LibMetrics/MetricRegistry.cpp
+++ b/Libraries/LibMetrics/MetricRegistry.cpp
@@ -189,6 +189,20 @@
   return this->Find<Histogram>(aFamily, aLabels, aBounds);
 }
 
+void
+MetricRegistry::RemoveGauge(std::string_view aName, const MetricLabels& aLabels)
+{
+  const std::scoped_lock lock(this->mutex);
+  const auto family = this->families.find(aName);
+  if (family == this->families.end()) {
+    return;
+  }
+  family->second.series.erase(LabelText(aLabels));
+  if (family->second.series.empty()) {
+    this->families.erase(family);
+  }
+}
+
 std::string
 MetricRegistry::Render() const
 {
--- a/Libraries/LibMetrics/MetricRegistry.h
+++ b/Libraries/LibMetrics/MetricRegistry.h
@@ -36,7 +36,8 @@
 LatencyBounds();
 
 /// Owns metrics and renders them. Looking one up takes a lock and compares texts: callers look up
-/// once and keep the reference, which lives as long as the registry. One name has one kind.
+/// once and keep the reference, which lives as long as the registry or until the metric is removed.
+/// One name has one kind.
 class MetricRegistry
 {
 public:
@@ -47,6 +48,9 @@
                                          const MetricLabels& aLabels = {},
                                          std::span<const double> aBounds = LatencyBounds());
 
+  /// Removes a gauge; references to it become invalid. Does nothing if there is none.
+  void RemoveGauge(std::string_view aName, const MetricLabels& aLabels);
+
   /// @return all metrics and the process's own in the text exposition format, version 0.0.4.
   [[nodiscard]] std::string Render() const;
 
--- a/Services/Entry/PlatformProgram.cpp
+++ b/Services/Entry/PlatformProgram.cpp
@@ -229,6 +229,7 @@
   instanceOptions.scheduler.workerRowTimeout = this->boot.heartbeatInterval * kMaxMissedHeartbeats;
   instanceOptions.election.maxLeaseAfterTerm = instanceOptions.scheduler.LeaseExpiryBound();
   instanceOptions.scheduler.statusRetention = this->boot.statusRetention;
+  instanceOptions.scheduler.keepInterferingTasksApart = this->options.keepInterferingTasksApart;
   this->instance = std::make_unique<CellInstance>(
     CellInstance::Dependencies{
       .store = *this->store,
