LibCell: Test crowded workers, tail latencies and pacing as causes of slow runs

Cause: the tests of the interference model had no crowded worker, no service task and no paced neighbour.

--- a/Libraries/LibCell/CellScheduler.h
+++ b/Libraries/LibCell/CellScheduler.h
@@ -338,9 +338,6 @@
   /// Stops a run at the next incarnation of a worker, which has the same id and may carry out a
   /// start order that was sent to the previous one.
   void PreventLateStart(Worker& aWorker, Allocation& aAllocation);
-  void LogLostRun(const Worker& aWorker,
-                  const Allocation& aAllocation,
-                  WorkerLossReason aReason) const;
   /// Adds a worker, or updates a known one; ends the incarnations that it supersedes.
   void ApplyWorkerEntry(const WorkerEntry& aEntry);
   /// Requeues the runs of unreachable workers whose lease has expired, and removes the unlisted
@@ -415,8 +412,6 @@
   /// @return true if the start of each member at its assigned worker is recorded and stored
   [[nodiscard]] static bool IsGangRecorded(const Candidate& aCandidate,
                                            std::span<Worker* const> aAssigned);
-  /// @return true if the record of the task's next start is stored, and the start was not sent
-  [[nodiscard]] static bool IsStartRecorded(const Job& aJob, const Task& aTask);
   /// Starts a suspect's task where its start is recorded, if it still fits there. Otherwise records
   /// the start at the chosen worker.
   /// @return true if the task was started
--- a/Libraries/LibCell/CellSchedulerCrashes.cpp
+++ b/Libraries/LibCell/CellSchedulerCrashes.cpp
@@ -57,6 +57,13 @@
          aTask.recordedStart->incarnation == aWorker.KnownIncarnation();
 }
 
+/// @return true if the record of the task's next start is stored, and the start was not sent
+bool
+IsStartRecorded(const Job& aJob, const Task& aTask)
+{
+  return aTask.recordedStartChange != 0 && aJob.durableChangeCount >= aTask.recordedStartChange;
+}
+
 }
 
 void
@@ -277,12 +284,6 @@
   aTask.recordedStartChange = aJob.changeCount;
 }
 
-bool
-CellScheduler::IsStartRecorded(const Job& aJob, const Task& aTask)
-{
-  return aTask.recordedStartChange != 0 && aJob.durableChangeCount >= aTask.recordedStartChange;
-}
-
 bool
 CellScheduler::StartRecordedTask(const Candidate& aCandidate,
                                  std::uint32_t aIndex,
--- a/Libraries/LibCell/CellSchedulerWorkers.cpp
+++ b/Libraries/LibCell/CellSchedulerWorkers.cpp
@@ -31,6 +31,27 @@
   return { aJob.spec.id, aKey };
 }
 
+void
+LogLostRun(const Logger& aLog,
+           const Worker& aWorker,
+           const Allocation& aAllocation,
+           WorkerLossReason aReason,
+           TimePoint aNow)
+{
+  aLog.Log(LogLevel::Info,
+           "run_lost",
+           { { "job", aAllocation.task.job.value },
+             { "step", aAllocation.task.key.step },
+             { "index", aAllocation.task.key.index },
+             { "run", aAllocation.run },
+             { "worker", aWorker.entry.id.value },
+             { "machine", aWorker.entry.machine },
+             { "rack", aWorker.entry.rack.value },
+             { "reason", ToString(aReason) },
+             { "age_ms", (aNow - aAllocation.startedAt).count() },
+             { "silent_ms", (aNow - aWorker.lastResponse).count() } });
+}
+
 }
 
 OrderTarget
@@ -578,7 +599,8 @@
                  { { "reason", std::string(ToString(aReason)) } })
     .Add(lostRuns.size());
   for (const auto& allocation : lostRuns) {
-    this->LogLostRun(aWorker, allocation, aReason);
+    LogLostRun(
+      this->dependencies.log, aWorker, allocation, aReason, this->dependencies.clock.Now());
     this->SaveCheckpoint(allocation);
     if (keepsId && allocation.phase != RunPhase::Running) {
       this->PreventLateStart(aWorker, *aWorker.FindAllocation(allocation.task, allocation.run));
@@ -606,26 +628,6 @@
   }
 }
 
-void
-CellScheduler::LogLostRun(const Worker& aWorker,
-                          const Allocation& aAllocation,
-                          WorkerLossReason aReason) const
-{
-  const auto now = this->dependencies.clock.Now();
-  this->dependencies.log.Log(LogLevel::Info,
-                             "run_lost",
-                             { { "job", aAllocation.task.job.value },
-                               { "step", aAllocation.task.key.step },
-                               { "index", aAllocation.task.key.index },
-                               { "run", aAllocation.run },
-                               { "worker", aWorker.entry.id.value },
-                               { "machine", aWorker.entry.machine },
-                               { "rack", aWorker.entry.rack.value },
-                               { "reason", ToString(aReason) },
-                               { "age_ms", (now - aAllocation.startedAt).count() },
-                               { "silent_ms", (now - aWorker.lastResponse).count() } });
-}
-
 void
 CellScheduler::SaveCheckpoint(const Allocation& aAllocation)
 {
--- a/Tests/Benchmarks/Scheduler/Main.cpp
+++ b/Tests/Benchmarks/Scheduler/Main.cpp
@@ -89,7 +89,31 @@
   }
 }
 
+/// The mixed load of several images, whose interference is observed.
+void
+CellWithImages(benchmark::State& aState)
+{
+  constexpr std::size_t kImagesOfKind = 6;
+  for ([[maybe_unused]] auto iteration : aState) {
+    auto options = OptionsFor(static_cast<std::size_t>(aState.range(0)));
+    options.kinds.clear();
+    for (auto kind : MixedKinds()) {
+      kind.jobsPerSecond /= kImagesOfKind;
+      for (std::size_t index = 0; index < kImagesOfKind; ++index) {
+        kind.image = kind.queue + std::to_string(index);
+        options.kinds.push_back(kind);
+      }
+    }
+    SimulatedCell cell(options);
+    cell.RunFor(kWarmUp);
+    const auto cost = cell.RunFor(kMeasured);
+    aState.SetIterationTime(std::chrono::duration<double>(cost.time).count());
+    Report(aState, cost);
+  }
+}
+
 BENCHMARK(CellUnderLoad)->Arg(48)->Arg(350)->Arg(1100)->Arg(5000)->Iterations(1)->UseManualTime();
+BENCHMARK(CellWithImages)->Arg(350)->Arg(1100)->Iterations(1)->UseManualTime();
 BENCHMARK(CellWithBacklog)->Args({ 350, 100 })->Args({ 1100, 600 })->Iterations(1)->UseManualTime();
 
 }
--- a/Tests/Benchmarks/Scheduler/SimulatedCell.cpp
+++ b/Tests/Benchmarks/Scheduler/SimulatedCell.cpp
@@ -150,7 +150,8 @@
     spec.steps.push_back({ .count = aKind.tasks,
                            .demand = { .milliCores = aKind.milliCores, .memoryMiB = kTaskMiB },
                            .estimate = aKind.runTime,
-                           .isGang = aKind.isGang });
+                           .isGang = aKind.isGang,
+                           .image = aKind.image });
     this->runTimes[spec.id] = aKind.runTime;
     rows.push_back({ .key = JobRowKey(spec.id, JobRowKind::Specification),
                      .value = EncodeSpecification(spec),
--- a/Tests/Benchmarks/Scheduler/SimulatedCell.h
+++ b/Tests/Benchmarks/Scheduler/SimulatedCell.h
@@ -33,6 +33,7 @@
   double advicePerWorkerMs = 1.0;
   /// Jobs a second in a cell of @ref SimulatedCell::kReferenceWorkers workers.
   double jobsPerSecond = 1.0;
+  std::string image;
 };
 
 /// Size and load of a cell.
--- a/Tests/LibCell/TestInterferenceModel.cpp
+++ b/Tests/LibCell/TestInterferenceModel.cpp
@@ -24,6 +24,9 @@
   double factor = 2.0;
   /// Slowdown of the first worker, of which its expected slowness says nothing.
   double firstWorkerFactor = 1.0;
+  /// Slowdown of every second worker, all of whose processors are in use and which runs twice as
+  /// many tasks as the others.
+  double crowdedFactor = 1.0;
 };
 
 /// Workers that always run as many tasks as they have room for, of images drawn at random.
@@ -105,8 +108,11 @@
   void Advance(Worker& aWorker)
   {
     auto& runs = this->work[aWorker.number];
-    const double own =
-      aWorker.slowness * (aWorker.number == 0 ? this->options.firstWorkerFactor : 1.0);
+    const bool isCrowded = this->options.crowdedFactor > 1.0 && aWorker.number % 2 == 1;
+    aWorker.used.milliCores = aWorker.entry.capacity.milliCores / (isCrowded ? 1 : 2);
+    const double own = aWorker.slowness *
+                       (aWorker.number == 0 ? this->options.firstWorkerFactor : 1.0) *
+                       (isCrowded ? this->options.crowdedFactor : 1.0);
     for (auto& run : runs) {
       const bool isNextToOther =
         run.image < 2 && std::ranges::any_of(runs, [&run](const Work& aOther) {
@@ -131,7 +137,7 @@
       aWorker.allocations.erase(aWorker.allocations.begin() + static_cast<std::ptrdiff_t>(index));
       runs.erase(runs.begin() + static_cast<std::ptrdiff_t>(index));
     }
-    while (runs.size() < this->options.runsPerWorker) {
+    while (runs.size() < this->options.runsPerWorker * (isCrowded ? 2 : 1)) {
       this->Start(aWorker);
     }
   }
@@ -179,6 +185,67 @@
   }
 }
 
+// Guards against a crowded worker, where every image meets more neighbours, being taken for pairs.
+TEST(InterferenceModel, DoesNotTakeACrowdedWorkerForAPair)
+{
+  constexpr std::uint64_t kCells = 20;
+  for (std::uint64_t seed = 1; seed <= kCells; ++seed) {
+    InterferingCell cell(
+      { .seed = seed, .workers = 16, .runsPerWorker = 3, .factor = 1.0, .crowdedFactor = 1.5 });
+    cell.RunFor(Milliseconds{ 60'000 });
+    EXPECT_TRUE(cell.named.empty()) << "seed " << seed << ": " << cell.named.begin()->first.first;
+  }
+}
+
+// Guards against service tasks whose tail latency is ignored, and against a neighbour that counts
+// in full although it is paced.
+TEST(InterferenceModel, LearnsFromTailLatenciesAndWeighsPacedNeighbours)
+{
+  constexpr int kWorkers = 4;
+  const Logger log({ .level = LogLevel::Error });
+  MetricRegistry metrics;
+  InterferenceMonitor monitor(log, metrics, true);
+  TimePoint now{ Milliseconds{ 1000 } };
+  const StepSpecification service{ .isService = true, .image = "service" };
+  const StepSpecification batch{ .isBestEffort = true, .image = "batch" };
+  std::vector<Worker> workers(kWorkers);
+  for (int index = 0; index < kWorkers; ++index) {
+    auto& worker = workers[static_cast<std::size_t>(index)];
+    worker.number = static_cast<WorkerNumber>(index);
+    worker.entry.capacity.milliCores = 1000;
+    worker.allocations.push_back(
+      { .phase = RunPhase::Running, .startedAt = now, .isService = true, .load = 10 });
+    monitor.OnRunStarted(worker.allocations.back(), service, now);
+  }
+  for (int round = 0; round < 40; ++round) {
+    for (auto& worker : workers) {
+      const bool hasNeighbour = (round / 10 + static_cast<int>(worker.number)) % 2 == 1;
+      worker.allocations.resize(1);
+      worker.allocations.front().load = hasNeighbour ? 20 : 10;
+      if (hasNeighbour) {
+        worker.allocations.push_back({ .phase = RunPhase::Running,
+                                       .startedAt = now - Milliseconds{ 5000 },
+                                       .isBestEffort = true });
+        monitor.OnRunStarted(worker.allocations.back(), batch, now);
+      }
+      monitor.OnReport(worker, now);
+    }
+    now += Milliseconds{ 500 };
+  }
+  const auto pairs = monitor.Model().PairsInEffect();
+  ASSERT_EQ(pairs.size(), 1);
+  EXPECT_EQ(pairs.front().victim, "service");
+  EXPECT_EQ(pairs.front().neighbour, "batch");
+  const SlownessRanking base;
+  const auto& ranking = monitor.RankingFor(base, service);
+  auto& withNeighbour = workers.front().allocations.size() > 1 ? workers.front() : workers.back();
+  EXPECT_GE(ranking.RankOf(withNeighbour).interference, 2);
+  withNeighbour.allocations.back().dutyCyclePercent = 5;
+  EXPECT_EQ(ranking.RankOf(withNeighbour).interference, 0);
+  EXPECT_EQ(&monitor.RankingFor(base, { .image = "other" }), &base);
+  EXPECT_EQ(&monitor.RankingFor(base, {}), &base);
+}
+
 // Guards against workers that stay avoided for an effect that has ended.
 TEST(InterferenceModel, ForgetsAPairWhoseEffectEnds)
 {
--- a/Tests/LibMetrics/TestMetricRegistry.cpp
+++ b/Tests/LibMetrics/TestMetricRegistry.cpp
@@ -73,6 +73,21 @@
   EXPECT_EQ(histogram.Snapshot().count, 0U);
 }
 
+// Guards against series that outlive what they describe, and a family without series.
+TEST(MetricRegistry, RemovesGauges)
+{
+  MetricRegistry registry;
+  const MetricFamily family{ "zinc_pair", "Pairs." };
+  registry.FindGauge(family, { { "pair", "one" } }).Set(1.0);
+  registry.FindGauge(family, { { "pair", "two" } }).Set(2.0);
+  registry.RemoveGauge("zinc_pair", { { "pair", "one" } });
+  EXPECT_EQ(registry.Render().find("one"), std::string::npos);
+  EXPECT_NE(registry.Render().find("two"), std::string::npos);
+  registry.RemoveGauge("zinc_pair", { { "pair", "two" } });
+  registry.RemoveGauge("zinc_pair", { { "pair", "two" } });
+  EXPECT_EQ(registry.Render().find("zinc_pair"), std::string::npos);
+}
+
 TEST(MetricRegistry, CountsAcrossThreads)
 {
   MetricRegistry registry;
