LibCell: Test that the interference model needs each of its causes

Cause: without its causes for the worker and for processor use the model still passed the tests of slow and crowded workers, which confidence and the number of workers covered. Change: three tests confound a pair with slow workers and with crowded times; a control names the pair. The factor is logged with two decimals, and bench-scheduler compares a load with and without images.

--- a/Libraries/LibCell/InterferenceMonitor.cpp
+++ b/Libraries/LibCell/InterferenceMonitor.cpp
@@ -16,6 +16,8 @@
 constexpr Milliseconds kLatencyWindow{ 1000 };
 constexpr double kMaxDutyCyclePercent = 100.0;
 constexpr std::size_t kMaxGauges = 16;
+/// Factors are logged with two decimals.
+constexpr double kFactorDigits = 100.0;
 constexpr std::size_t kMaxPendingChanges = 64;
 
 constexpr MetricFamily kPairFamily{
@@ -228,7 +230,7 @@
                 aIsInEffect ? "interference_found" : "interference_dropped",
                 { { "victim", next->pair.victim },
                   { "neighbour", next->pair.neighbour },
-                  { "factor", next->pair.factor },
+                  { "factor", std::round(next->pair.factor * kFactorDigits) / kFactorDigits },
                   { "runs", std::llround(next->pair.runs) } });
   this->changes.erase(next);
 }
--- a/Tests/Benchmarks/Scheduler/Main.cpp
+++ b/Tests/Benchmarks/Scheduler/Main.cpp
@@ -89,7 +89,7 @@
   }
 }
 
-/// The mixed load of several images, whose interference is observed.
+/// The mixed load in 18 kinds, which have images and are observed if the second argument is 1.
 void
 CellWithImages(benchmark::State& aState)
 {
@@ -100,7 +100,7 @@
     for (auto kind : MixedKinds()) {
       kind.jobsPerSecond /= kImagesOfKind;
       for (std::size_t index = 0; index < kImagesOfKind; ++index) {
-        kind.image = kind.queue + std::to_string(index);
+        kind.image = aState.range(1) == 1 ? kind.queue + std::to_string(index) : "";
         options.kinds.push_back(kind);
       }
     }
@@ -113,7 +113,13 @@
 }
 
 BENCHMARK(CellUnderLoad)->Arg(48)->Arg(350)->Arg(1100)->Arg(5000)->Iterations(1)->UseManualTime();
-BENCHMARK(CellWithImages)->Arg(350)->Arg(1100)->Iterations(1)->UseManualTime();
+BENCHMARK(CellWithImages)
+  ->Args({ 350, 0 })
+  ->Args({ 350, 1 })
+  ->Args({ 1100, 0 })
+  ->Args({ 1100, 1 })
+  ->Iterations(1)
+  ->UseManualTime();
 BENCHMARK(CellWithBacklog)->Args({ 350, 100 })->Args({ 1100, 600 })->Iterations(1)->UseManualTime();
 
 }
--- a/Tests/LibCell/TestInterferenceModel.cpp
+++ b/Tests/LibCell/TestInterferenceModel.cpp
@@ -197,6 +197,87 @@
   }
 }
 
+/// Feeds a model with two images, of which one is next to the other at the first three workers
+/// only, and a third one that is alone everywhere.
+class Confounded : public testing::Test
+{
+protected:
+  static constexpr int kRounds = 60;
+
+  [[nodiscard]] static bool IsSpecial(int aWorker) { return aWorker < 3; }
+
+  void Add(std::string_view aVictim,
+           std::string_view aNeighbour,
+           int aWorker,
+           double aValue,
+           double aProcessorUse = 0.5)
+  {
+    const NeighbourShare neighbour{ .image = this->model.RecordImage(aNeighbour, this->now),
+                                    .share = 1.0 };
+    const auto victim = this->model.RecordImage(aVictim, this->now);
+    const double jitter = 1.0 + 0.02 * static_cast<double>(++this->samples % 5);
+    this->model.AddSample({ .victim = victim,
+                            .value = aValue * jitter,
+                            .processorUse = aProcessorUse,
+                            .worker = static_cast<WorkerNumber>(aWorker),
+                            .neighbours = { &neighbour, 1 } },
+                          this->now);
+    this->wasNamed = this->wasNamed || this->model.HasPairsInEffect();
+  }
+
+  InterferenceModel model;
+  TimePoint now{ Milliseconds{ 1000 } };
+  int samples = 0;
+  bool wasNamed = false;
+};
+
+// Guards against slow workers being held against the images that happen to be next to each other
+// there, although a third image is slow there too.
+TEST_F(Confounded, SlowWorkersAreNotAPair)
+{
+  for (int round = 0; round < kRounds; ++round) {
+    for (int worker = 0; worker < 6; ++worker) {
+      const double value = IsSpecial(worker) ? 1.5 : 1.0;
+      for (int repetition = 0; repetition < 4; ++repetition) {
+        this->Add("third", "", worker, value);
+      }
+      this->Add("one", IsSpecial(worker) ? "two" : "", worker, value);
+    }
+    this->now += Milliseconds{ 300 };
+  }
+  EXPECT_FALSE(this->wasNamed);
+}
+
+// Guards against times at which workers are crowded being held against a neighbour that is met
+// mostly then.
+TEST_F(Confounded, CrowdedWorkersAreNotAPair)
+{
+  for (int round = 0; round < kRounds; ++round) {
+    const bool isCrowded = round % 2 == 1;
+    const double value = isCrowded ? 1.5 : 1.0;
+    const double use = isCrowded ? 1.0 : 0.5;
+    for (int worker = 0; worker < 6; ++worker) {
+      this->Add("one", "", worker, value, use);
+      this->Add("one", isCrowded ? "two" : "", worker, value, use);
+    }
+    this->now += Milliseconds{ 300 };
+  }
+  EXPECT_FALSE(this->wasNamed);
+}
+
+// Guards against the two tests above passing because no pair is ever named.
+TEST_F(Confounded, APairAtOrdinaryWorkersIsNamed)
+{
+  for (int round = 0; round < kRounds; ++round) {
+    for (int worker = 0; worker < 6; ++worker) {
+      this->Add("third", "", worker, 1.0);
+      this->Add("one", IsSpecial(worker) ? "two" : "", worker, IsSpecial(worker) ? 1.5 : 1.0);
+    }
+    this->now += Milliseconds{ 300 };
+  }
+  EXPECT_TRUE(this->wasNamed);
+}
+
 // Guards against service tasks whose tail latency is ignored, and against a neighbour that counts
 // in full although it is paced.
 TEST(InterferenceModel, LearnsFromTailLatenciesAndWeighsPacedNeighbours)
