LibCell: Test the bounds of lines and gauges about interference

Cause: no test covered the log lines, or many pairs at a time. Change: a test finds 18 pairs at once and counts lines and series.

--- a/Tests/LibCell/TestInterferenceModel.cpp
+++ b/Tests/LibCell/TestInterferenceModel.cpp
@@ -1,6 +1,8 @@
 #include <LibCell/InterferenceMonitor.h>
 #include <algorithm>
 #include <cmath>
+#include <cstdio>
+#include <cstdlib>
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 #include <map>
@@ -327,6 +329,62 @@
   EXPECT_EQ(&monitor.RankingFor(base, {}), &base);
 }
 
+// Guards against a flood of lines and series when many pairs are found at a time.
+TEST(InterferenceModel, ReportsPairsWithinBounds)
+{
+  constexpr std::size_t kVictims = 6;
+  constexpr std::size_t kNeighbours = 3;
+  constexpr std::size_t kMaxGauges = 16;
+  char* text = nullptr;
+  std::size_t size = 0;
+  std::FILE* output = open_memstream(&text, &size);
+  const Logger log({ .output = output });
+  MetricRegistry metrics;
+  InterferenceMonitor monitor(log, metrics, true);
+  TimePoint now{ Milliseconds{ 100'000 } };
+  for (std::size_t round = 0; round < 200; ++round) {
+    for (std::size_t index = 0; index < kVictims; ++index) {
+      Worker worker;
+      worker.number = static_cast<WorkerNumber>((round + index) % 7);
+      worker.entry.capacity.milliCores = 1000;
+      const auto begin = now - Milliseconds{ 1000 };
+      worker.allocations.assign(2, { .phase = RunPhase::Running, .startedAt = begin });
+      monitor.OnRunStarted(
+        worker.allocations.front(), { .image = fmt::format("victim-{}", index) }, now);
+      const auto neighbour = round % (kNeighbours + 1);
+      const bool isAlone = neighbour == kNeighbours;
+      const StepSpecification other{ .image =
+                                       isAlone ? "" : fmt::format("neighbour-{}", neighbour) };
+      monitor.OnRunStarted(worker.allocations.back(), other, now);
+      monitor.OnRunSucceeded(worker, worker.allocations.front(), isAlone ? 1.0 : 2.0, now);
+    }
+    now += Milliseconds{ 50 };
+  }
+  const auto countOf = [](std::string_view aText, std::string_view aPart) {
+    std::size_t count = 0;
+    for (auto at = aText.find(aPart); at != std::string_view::npos;
+         at = aText.find(aPart, at + 1)) {
+      ++count;
+    }
+    return count;
+  };
+  ASSERT_EQ(monitor.Model().PairsInEffect().size(), kVictims * kNeighbours);
+  monitor.Tick(now);
+  monitor.Tick(now + Milliseconds{ 900 });
+  EXPECT_EQ(countOf(metrics.Render(), "zinc_cell_interference_factor{"), kMaxGauges);
+  std::fflush(output);
+  EXPECT_EQ(countOf(text, "event=interference_found"), 1);
+  monitor.Tick(now + Milliseconds{ 1000 });
+  monitor.Tick(now + Milliseconds{ 200'000 });
+  std::fclose(output);
+  EXPECT_EQ(countOf(text, "event=interference_found"), 3);
+  EXPECT_EQ(countOf(text, "event=interference_dropped"), 1);
+  EXPECT_EQ(countOf(text, "factor="), 4);
+  EXPECT_EQ(countOf(text, "runs="), 4);
+  EXPECT_EQ(countOf(metrics.Render(), "zinc_cell_interference_factor"), 0);
+  std::free(text);
+}
+
 // Guards against workers that stay avoided for an effect that has ended.
 TEST(InterferenceModel, ForgetsAPairWhoseEffectEnds)
 {
