LibCell: Bound the neighbours of a run and keep sampled images

Cause: a long run kept an entry for each image that it met, without bound, since evicted images return under new numbers. An image was seen only at the start of a run, so that of a long-running service was evicted and not measured again. The tail latency of a paced service was a sample, although pacing slows it down. Change: a run keeps 64 past neighbours, those with the longest overlap. A sample marks its images as seen. Best-effort services are no victims.

--- a/Libraries/LibCell/InterferenceModel.cpp
+++ b/Libraries/LibCell/InterferenceModel.cpp
@@ -170,6 +170,7 @@
   }
   const auto victim = this->SlotOf(aSample.victim);
   auto& image = this->images[victim];
+  image.lastSeen = aNow;
   auto& level = image.levels.at(static_cast<std::size_t>(aSample.measure));
   double value = std::log(aSample.value / std::max(aSample.expectedSlowness, 0.1));
   if (aSample.measure == InterferenceMeasure::RunTime) {
@@ -201,7 +202,9 @@
     if (this->Find(neighbour.image) == nullptr || neighbour.share <= 0.0 || count == terms.size()) {
       continue;
     }
-    auto& pair = image.neighbours[this->SlotOf(neighbour.image)];
+    const auto slot = this->SlotOf(neighbour.image);
+    this->images[slot].lastSeen = aNow;
+    auto& pair = image.neighbours[slot];
     this->ForgetPair(pair, aNow);
     pair.runs += neighbour.share * aSample.weight;
     pair.workers |= BitOf(aSample.worker % kMaxSlots);
--- a/Libraries/LibCell/InterferenceMonitor.cpp
+++ b/Libraries/LibCell/InterferenceMonitor.cpp
@@ -15,6 +15,8 @@
 /// A neighbour affects the reported tail latency only after it has run for this long.
 constexpr Milliseconds kLatencyWindow{ 1000 };
 constexpr double kMaxDutyCyclePercent = 100.0;
+/// Past neighbours that a run keeps; the model observes at most as many images.
+constexpr std::size_t kMaxPastNeighbours = 64;
 constexpr std::size_t kMaxGauges = 16;
 /// Factors are logged with two decimals.
 constexpr double kFactorDigits = 100.0;
@@ -115,8 +117,8 @@
   }
   auto& run = aAllocation.neighbours;
   run.image = this->model.RecordImage(aStep.image, aNow);
-  run.hasLatency = aStep.isService;
-  // All members of a gang end with the slowest one, and a paced run takes longer by itself.
+  // All members of a gang end with the slowest one, and a paced run is slow by itself.
+  run.hasLatency = aStep.isService && !aStep.isBestEffort;
   run.isMeasurable =
     !aStep.isService && !aStep.isGang && !aStep.isBestEffort && aAllocation.checkpoint.empty();
 }
@@ -168,7 +170,12 @@
     auto& past = other.neighbours.past;
     auto found = std::ranges::find(past, image, &RunNeighbours::PastNeighbour::image);
     if (found == past.end()) {
-      found = past.insert(found, { .image = image });
+      // The number of images that a long run meets is unbounded, since evicted images return under
+      // new numbers.
+      if (past.size() >= kMaxPastNeighbours) {
+        past.erase(std::ranges::min_element(past, {}, &RunNeighbours::PastNeighbour::milliseconds));
+      }
+      found = past.insert(past.end(), { .image = image });
     }
     found->milliseconds += static_cast<double>(overlap.count()) * DutyCycleOf(aAllocation);
   }
--- a/Tests/LibCell/TestInterferenceModel.cpp
+++ b/Tests/LibCell/TestInterferenceModel.cpp
@@ -427,4 +427,64 @@
   EXPECT_EQ(model.EstimateOf("first", "third").runs, 0.0);
 }
 
+// Guards against long-running tasks whose image is evicted while they still give samples.
+TEST(InterferenceModel, KeepsImagesThatGiveSamples)
+{
+  InterferenceModel model({ .maxImages = 3 });
+  const TimePoint begin{ Milliseconds{ 1000 } };
+  const auto service = model.RecordImage("service", begin);
+  const auto batch = model.RecordImage("batch", begin);
+  const NeighbourShare neighbour{ .image = batch, .share = 1.0 };
+  for (int index = 1; index <= 10; ++index) {
+    const auto now = begin + Milliseconds{ 10 * index };
+    model.RecordImage(fmt::format("short-{}", index), now - Milliseconds{ 5 });
+    model.AddSample({ .victim = service, .neighbours = { &neighbour, 1 } }, now);
+  }
+  EXPECT_EQ(model.FindImage("service"), service);
+  EXPECT_EQ(model.FindImage("batch"), batch);
+}
+
+// Guards against memory of a long run that grows with the images that it meets.
+TEST(InterferenceModel, BoundsThePastNeighboursOfARun)
+{
+  constexpr std::size_t kMaxPastNeighbours = 64;
+  const Logger log({ .level = LogLevel::Error });
+  MetricRegistry metrics;
+  InterferenceMonitor monitor(log, metrics, true);
+  TimePoint now{ Milliseconds{ 1000 } };
+  Worker worker;
+  worker.allocations.push_back({ .phase = RunPhase::Running, .startedAt = now });
+  monitor.OnRunStarted(worker.allocations.front(), { .image = "long" }, now);
+  for (int index = 0; index < 200; ++index) {
+    worker.allocations.push_back({ .phase = RunPhase::Running, .startedAt = now });
+    monitor.OnRunStarted(
+      worker.allocations.back(), { .image = fmt::format("short-{}", index) }, now);
+    now += Milliseconds{ index == 0 ? 500 : 10 };
+    monitor.OnRunReleased(worker, worker.allocations.back(), now);
+    worker.allocations.pop_back();
+  }
+  const auto& past = worker.allocations.front().neighbours.past;
+  EXPECT_EQ(past.size(), kMaxPastNeighbours);
+  EXPECT_EQ(past.front().milliseconds, 500.0);
+}
+
+// Guards against the tail latency of a paced service being taken for a neighbour's effect.
+TEST(InterferenceModel, DoesNotMeasurePacedServices)
+{
+  const Logger log({ .level = LogLevel::Error });
+  MetricRegistry metrics;
+  InterferenceMonitor monitor(log, metrics, true);
+  const TimePoint now{ Milliseconds{ 10'000 } };
+  Worker worker;
+  worker.entry.capacity.milliCores = 1000;
+  worker.allocations.assign(2,
+                            { .phase = RunPhase::Running, .startedAt = TimePoint{}, .load = 10 });
+  const StepSpecification paced{ .isService = true, .isBestEffort = true, .image = "paced" };
+  monitor.OnRunStarted(worker.allocations.front(), paced, now);
+  monitor.OnRunStarted(worker.allocations.back(), { .isService = true, .image = "other" }, now);
+  monitor.OnReport(worker, now);
+  EXPECT_EQ(monitor.Model().EstimateOf("paced", "other").runs, 0.0);
+  EXPECT_GT(monitor.Model().EstimateOf("other", "paced").runs, 0.0);
+}
+
 }
