--- a/Libraries/LibCell/CellScheduler.h
+++ b/Libraries/LibCell/CellScheduler.h
@@ -10,6 +10,7 @@
 #include <LibCell/EarmarkBudget.h>
 #include <LibCell/EvacuatedZones.h>
 #include <LibCell/EvacuationReport.h>
+#include <LibCell/InterferenceMonitor.h>
 #include <LibCell/Job.h>
 #include <LibCell/LoadReport.h>
 #include <LibCell/LostWorkers.h>
@@ -120,6 +121,8 @@
   Milliseconds minRunToClearCrashes{ 600'000 };
   /// A run hangs if it makes no progress for half its estimate, or for this long if that is less.
   Milliseconds maxStallTimeout{ 2500 };
+  /// Prefers workers without tasks that were seen to slow the new one down, or to be slowed by it.
+  bool keepInterferingTasksApart = true;
 };
 
 /// State of a job as reported to callers.
@@ -312,9 +315,6 @@
   /// Stops a run at the next incarnation of a worker, which has the same id and may carry out a
   /// start order that was sent to the previous one.
   void PreventLateStart(Worker& aWorker, Allocation& aAllocation);
-  void LogLostRun(const Worker& aWorker,
-                  const Allocation& aAllocation,
-                  WorkerLossReason aReason) const;
   /// Adds a worker, or updates a known one; ends the incarnations that it supersedes.
   void ApplyWorkerEntry(const WorkerEntry& aEntry);
   /// Requeues the runs of unreachable workers whose lease has expired, and removes the unlisted
@@ -429,7 +429,7 @@
   /// Logs the load of the cell if a line about it is due.
   void LogLoad();
   /// @return the preference among workers for the tasks of a step
-  [[nodiscard]] const WorkerRanking& RankingFor(const Candidate& aCandidate) const;
+  [[nodiscard]] const WorkerRanking& RankingFor(const Candidate& aCandidate);
   /// @param aNeedsTicket leaves out workers for which the step has no valid ticket
   [[nodiscard]] std::vector<Worker*> FindEligibleWorkers(const Candidate& aCandidate,
                                                          const Pool& aPool,
@@ -570,6 +570,7 @@
   std::set<WorkerNumber> workersWithEnds;
   std::unordered_map<std::string, Pool> pools;
   SlownessRanking slownessRanking;
+  InterferenceMonitor interference;
   PoolContention poolContention;
   /// State of the pools that are or were contended.
   std::unordered_map<std::string, ContendedPool> contendedPools;
--- a/Libraries/LibCell/CellSchedulerWorkers.cpp
+++ b/Libraries/LibCell/CellSchedulerWorkers.cpp
@@ -31,6 +31,27 @@
   return { aJob.spec.id, aKey };
 }
 
+void
+LogLostRun(const Logger& aLog,
+           const Worker& aWorker,
+           const Allocation& aAllocation,
+           WorkerLossReason aReason,
+           TimePoint aNow)
+{
+  aLog.Log(LogLevel::Info,
+           "run_lost",
+           { { "job", aAllocation.task.job.value },
+             { "step", aAllocation.task.key.step },
+             { "index", aAllocation.task.key.index },
+             { "run", aAllocation.run },
+             { "worker", aWorker.entry.id.value },
+             { "machine", aWorker.entry.machine },
+             { "rack", aWorker.entry.rack.value },
+             { "reason", ToString(aReason) },
+             { "age_ms", (aNow - aAllocation.startedAt).count() },
+             { "silent_ms", (aNow - aWorker.lastResponse).count() } });
+}
+
 }
 
 OrderTarget
@@ -273,6 +294,7 @@
   this->ReconcileAllocations(aWorker, aSent, aReport);
   this->MarkWorkerSynced(aWorker.entry.id);
   this->AdvanceAcknowledgementsOf(aWorker);
+  this->interference.OnReport(aWorker, now);
   this->StopStalledRuns(aWorker);
   this->ThrottleBestEffortTasks(aWorker);
   if (!aWorker.unacknowledgedEnds.empty()) {
@@ -297,6 +319,7 @@
   if (isMeasurable) {
     const double ratio = static_cast<double>((now - allocation->startedAt).count()) /
                          static_cast<double>(allocation->estimate.count());
+    this->interference.OnRunSucceeded(aWorker, *allocation, ratio, now);
     aWorker.slowness +=
       (std::clamp(ratio, kMinRatio, kMaxRatio) - aWorker.slowness) * kSlownessWeight;
   }
@@ -471,6 +494,7 @@
     allocation.isBestEffort = step.isBestEffort;
     allocation.tailLatencyTarget = step.tailLatencyTarget;
     allocation.estimate = step.estimate;
+    this->interference.OnRunAdopted(allocation, step, now);
   } else {
     // The demand is no longer known; the worker gets no tasks until the run has ended.
     allocation.isDemandUnknown = true;
@@ -577,7 +601,8 @@
                  { { "reason", std::string(ToString(aReason)) } })
     .Add(lostRuns.size());
   for (const auto& allocation : lostRuns) {
-    this->LogLostRun(aWorker, allocation, aReason);
+    LogLostRun(
+      this->dependencies.log, aWorker, allocation, aReason, this->dependencies.clock.Now());
     this->SaveCheckpoint(allocation);
     if (keepsId && allocation.phase != RunPhase::Running) {
       this->PreventLateStart(aWorker, *aWorker.FindAllocation(allocation.task, allocation.run));
@@ -605,26 +630,6 @@
   }
 }
 
-void
-CellScheduler::LogLostRun(const Worker& aWorker,
-                          const Allocation& aAllocation,
-                          WorkerLossReason aReason) const
-{
-  const auto now = this->dependencies.clock.Now();
-  this->dependencies.log.Log(LogLevel::Info,
-                             "run_lost",
-                             { { "job", aAllocation.task.job.value },
-                               { "step", aAllocation.task.key.step },
-                               { "index", aAllocation.task.key.index },
-                               { "run", aAllocation.run },
-                               { "worker", aWorker.entry.id.value },
-                               { "machine", aWorker.entry.machine },
-                               { "rack", aWorker.entry.rack.value },
-                               { "reason", ToString(aReason) },
-                               { "age_ms", (now - aAllocation.startedAt).count() },
-                               { "silent_ms", (now - aWorker.lastResponse).count() } });
-}
-
 void
 CellScheduler::SaveCheckpoint(const Allocation& aAllocation)
 {
@@ -759,6 +764,7 @@
   if (found == aWorker.allocations.end()) {
     return;
   }
+  this->interference.OnRunReleased(aWorker, *found, this->dependencies.clock.Now());
   aWorker.used -= found->demand;
   aWorker.runsOfUnknownDemand -= found->isDemandUnknown ? 1 : 0;
   if (found->workspaceUsage != nullptr) {
--- a/Tests/Benchmarks/Scheduler/Main.cpp
+++ b/Tests/Benchmarks/Scheduler/Main.cpp
@@ -89,7 +89,37 @@
   }
 }
 
+/// The mixed load in 18 kinds, which have images and are observed if the second argument is 1.
+void
+CellWithImages(benchmark::State& aState)
+{
+  constexpr std::size_t kImagesOfKind = 6;
+  for ([[maybe_unused]] auto iteration : aState) {
+    auto options = OptionsFor(static_cast<std::size_t>(aState.range(0)));
+    options.kinds.clear();
+    for (auto kind : MixedKinds()) {
+      kind.jobsPerSecond /= kImagesOfKind;
+      for (std::size_t index = 0; index < kImagesOfKind; ++index) {
+        kind.image = aState.range(1) == 1 ? kind.queue + std::to_string(index) : "";
+        options.kinds.push_back(kind);
+      }
+    }
+    SimulatedCell cell(options);
+    cell.RunFor(kWarmUp);
+    const auto cost = cell.RunFor(kMeasured);
+    aState.SetIterationTime(std::chrono::duration<double>(cost.time).count());
+    Report(aState, cost);
+  }
+}
+
 BENCHMARK(CellUnderLoad)->Arg(48)->Arg(350)->Arg(1100)->Arg(5000)->Iterations(1)->UseManualTime();
+BENCHMARK(CellWithImages)
+  ->Args({ 350, 0 })
+  ->Args({ 350, 1 })
+  ->Args({ 1100, 0 })
+  ->Args({ 1100, 1 })
+  ->Iterations(1)
+  ->UseManualTime();
 BENCHMARK(CellWithBacklog)->Args({ 350, 100 })->Args({ 1100, 600 })->Iterations(1)->UseManualTime();
 
 }
