LibCell: Rank workers of uneven pools by expected completion

Cause: slowness smoothed the ratio of run time to estimate, although estimates are off by two and all members of a gang end together, and every task preferred fast workers, so that batches with slack took the workers that quick checks need.

Change: WorkerSpeeds fits log(run time / estimate) = step term + worker term, with the worker's kind and the step's image and workspace as priors. CompletionRanking prefers the slowest workers at which a task meets its objective. RankingSelector applies it to pools whose speeds spread by two or more; SlownessRanking stays for others. Requests for advice name workers in the same order. Gangs get workers of like speed.

--- a/Libraries/LibCell/CellScheduler.cpp
+++ b/Libraries/LibCell/CellScheduler.cpp
@@ -16,6 +16,7 @@
   , options(aOptions)
   , policy(std::make_shared<CellPolicy>())
   , adviceDispatcher(std::make_unique<AdviceDispatcher>(this->dependencies.advice))
+  , rankings(this->dependencies.log, this->dependencies.metrics, this->options.unevenPools)
   , poolContention(this->options.contention)
   , load(this->dependencies.log)
 {
--- a/Libraries/LibCell/CellScheduler.h
+++ b/Libraries/LibCell/CellScheduler.h
@@ -13,10 +13,10 @@
 #include <LibCell/Policy.h>
 #include <LibCell/PoolContention.h>
 #include <LibCell/Ports.h>
+#include <LibCell/RankingSelector.h>
 #include <LibCell/Records.h>
 #include <LibCell/WaitReason.h>
 #include <LibCell/Worker.h>
-#include <LibCell/WorkerRanking.h>
 #include <LibCell/WorkerTable.h>
 #include <LibLog/Logger.h>
 #include <LibMetrics/MetricRegistry.h>
@@ -89,6 +89,7 @@
   /// After a placement round the scheduler does other work for this many times its duration.
   int placementIdleFactor = 2;
   PoolContentionOptions contention;
+  UnevenPoolOptions unevenPools;
   /// Fraction of a pool's processors that only tasks of the most urgent queue may use.
   double urgentHeadroom = 0.05;
   /// Fraction of a workspace's limit that its batch tasks leave to its urgent tasks.
@@ -450,7 +451,10 @@
   /// Logs the load of the cell if a line about it is due.
   void LogLoad();
   /// @return the preference among workers for the tasks of a step
-  [[nodiscard]] const WorkerRanking& RankingFor(const Candidate& aCandidate) const;
+  [[nodiscard]] const WorkerRanking& RankingFor(const Candidate& aCandidate)
+  {
+    return this->rankings.Select(aCandidate, this->roundBegin);
+  }
   /// @param aNeedsTicket leaves out workers for which the step has no valid ticket
   [[nodiscard]] std::vector<Worker*> FindEligibleWorkers(const Candidate& aCandidate,
                                                          const Pool& aPool,
@@ -496,11 +500,12 @@
     const std::vector<Worker*>& aEligible);
   /// Requests new tickets for eligible workers with room.
   void RenewTickets(const Candidate& aCandidate, Pool& aPool);
-  /// @return workers that no request has named yet, those with the most room first. Together with
-  /// the eligible workers they are expected to have room for several times the step's tasks.
+  /// @return workers that no request has named yet, the preferred ones of an uneven pool first and
+  /// among these those with the most room. Together with the eligible workers they are expected to
+  /// have room for several times the step's tasks.
   [[nodiscard]] std::vector<WorkerNumber> ChooseWorkersForRequest(const Candidate& aCandidate,
                                                                   Pool& aPool,
-                                                                  std::size_t aMax) const;
+                                                                  std::size_t aMax);
   /// Requests advice on workers that no request has named yet, unless a response is pending.
   void RequestMoreAdvice(const Candidate& aCandidate, Pool& aPool);
   /// Starts all members of a gang. The start of a suspect is recorded first.
@@ -590,7 +595,7 @@
   /// Workers with ends that are not acknowledged yet.
   std::set<WorkerNumber> workersWithEnds;
   std::unordered_map<std::string, Pool> pools;
-  SlownessRanking slownessRanking;
+  RankingSelector rankings;
   PoolContention poolContention;
   /// What each workspace uses; references to its elements stay valid.
   std::unordered_map<WorkspaceId, WorkspaceUsage> workspaces;
--- a/Libraries/LibCell/CellSchedulerAdvice.cpp
+++ b/Libraries/LibCell/CellSchedulerAdvice.cpp
@@ -31,7 +31,8 @@
   const std::size_t pending = run.waitingTasks;
   std::vector<WorkerNumber> requested;
   std::size_t room = 0;
-  for (const auto* worker : this->FindEligibleWorkers(aCandidate, aPool, false)) {
+  const auto eligible = this->FindEligibleWorkers(aCandidate, aPool, false);
+  for (const auto* worker : this->rankings.OrderForAdvice(aCandidate, this->roundBegin, eligible)) {
     const auto fits = CountFittingTasks(*worker, demand, step.count);
     if (fits == 0 || this->IsTicketValid(run.advice.FindTicket(worker->number))) {
       continue;
@@ -55,9 +56,7 @@
 }
 
 std::vector<WorkerNumber>
-CellScheduler::ChooseWorkersForRequest(const Candidate& aCandidate,
-                                       Pool& aPool,
-                                       std::size_t aMax) const
+CellScheduler::ChooseWorkersForRequest(const Candidate& aCandidate, Pool& aPool, std::size_t aMax)
 {
   const auto& step = *aCandidate.specification;
   const auto& advice = aCandidate.run->advice;
@@ -74,7 +73,8 @@
     known == this->eligibleFractions.end() ? kDefaultEligibleFraction : known->second;
   const double wantedRoom = static_cast<double>(step.count) * this->options.adviceRoomFactor;
   std::vector<WorkerNumber> named;
-  for (const auto* worker : SortByFreeCores(aPool)) {
+  for (const auto* worker :
+       this->rankings.OrderForAdvice(aCandidate, this->roundBegin, SortByFreeCores(aPool))) {
     const bool isEnough =
       expectedRoom >= wantedRoom && named.size() >= this->options.minWorkersPerRequest;
     if (isEnough || named.size() == aMax) {
--- a/Libraries/LibCell/CellSchedulerPlacement.cpp
+++ b/Libraries/LibCell/CellSchedulerPlacement.cpp
@@ -67,6 +67,7 @@
   }
   for (const auto& [name, pool] : this->pools) {
     this->poolContention.UpdateCapacity(name, pool.capacity.milliCores);
+    this->rankings.OnPoolBuilt(name, pool.workers, this->roundBegin);
   }
 }
 
@@ -353,12 +354,6 @@
   return unplaced > 0 ? WaitReason::Room : WaitReason::None;
 }
 
-const WorkerRanking&
-CellScheduler::RankingFor(const Candidate& /*aCandidate*/) const
-{
-  return this->slownessRanking;
-}
-
 Worker*
 CellScheduler::ChooseWorkerFor(const Candidate& aCandidate,
                                const Task& aTask,
--- a/Libraries/LibCell/CellSchedulerStarts.cpp
+++ b/Libraries/LibCell/CellSchedulerStarts.cpp
@@ -49,7 +49,8 @@
                                   .tailLatencyTarget = step.tailLatencyTarget,
                                   .lastProgress = now,
                                   .checkpoint = aCheckpoint,
-                                  .estimate = step.estimate });
+                                  .estimate = step.estimate,
+                                  .timing = this->rankings.TimingForRun(aCandidate, aCheckpoint) });
   aWorker.used += demand;
   job.workspaceUsage->running += demand;
   const auto* ticket = aCandidate.run->advice.FindTicket(aWorker.number);
--- a/Libraries/LibCell/CellSchedulerWorkers.cpp
+++ b/Libraries/LibCell/CellSchedulerWorkers.cpp
@@ -8,13 +8,6 @@
 
 namespace {
 
-/// Weight of the latest run in the smoothed slowness of a worker.
-constexpr double kSlownessWeight = 0.15;
-/// Estimates are rough, so that the ratio of a single run is clamped to these limits.
-constexpr double kMinRatio = 0.4;
-constexpr double kMaxRatio = 4.0;
-/// Shorter runs are not measured: they depend more on the worker's polling than on its speed.
-constexpr Milliseconds kMinMeasuredRun{ 200 };
 /// Delay before a stop that was not accepted is sent again.
 constexpr Milliseconds kStopRetryDelay{ 400 };
 /// Delay before a service task that ended is started again; limits the restarts of one that fails
@@ -269,6 +262,7 @@
     this->OnActiveRun(aWorker, run);
   }
   this->ReconcileAllocations(aWorker, aSent, aReport);
+  this->rankings.OnReport(aWorker, now);
   this->MarkWorkerSynced(aWorker.entry.id);
   this->AdvanceAcknowledgementsOf(aWorker);
   this->StopStalledRuns(aWorker);
@@ -289,16 +283,10 @@
 {
   const auto now = this->dependencies.clock.Now();
   auto* allocation = aWorker.FindAllocation(aEnd.task, aEnd.run);
-  const bool isMeasurable = allocation != nullptr && aEnd.outcome == RunOutcome::Succeeded &&
-                            allocation->estimate > kMinMeasuredRun &&
-                            allocation->checkpoint.empty();
-  if (isMeasurable) {
-    const double ratio = static_cast<double>((now - allocation->startedAt).count()) /
-                         static_cast<double>(allocation->estimate.count());
-    aWorker.slowness +=
-      (std::clamp(ratio, kMinRatio, kMaxRatio) - aWorker.slowness) * kSlownessWeight;
-  }
   if (allocation != nullptr) {
+    if (aEnd.outcome == RunOutcome::Succeeded) {
+      this->rankings.OnRunSucceeded(aWorker, *allocation, now);
+    }
     this->ReleaseAllocation(aWorker, aEnd.task, aEnd.run);
   }
   auto* job = this->FindJob(aEnd.task.job);
--- a/Libraries/LibCell/Job.h
+++ b/Libraries/LibCell/Job.h
@@ -8,6 +8,7 @@
 #include <LibCell/StepAdvice.h>
 #include <LibCell/WorkspaceUsage.h>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -119,6 +120,8 @@
   /// All steps that it depends on have succeeded.
   bool isReady = false;
   StepAdvice advice;
+  /// Expected run time of its tasks; set once a placement attempt or a start needs it.
+  std::shared_ptr<StepTiming> timing;
   std::optional<GangReservation> reservation;
   /// When a placement attempt first left tasks waiting; reset once none is left.
   TimePoint waitingSince{};
--- a/Libraries/LibCell/Placement.cpp
+++ b/Libraries/LibCell/Placement.cpp
@@ -30,6 +30,27 @@
   Worker* worker = nullptr;
 };
 
+/// @return the first workers in the order of their ranks that have room for the gang and whose
+/// speeds differ by at most @p aRange; all workers if there are none
+std::span<const RankedWorker>
+FindEqualSpeeds(std::span<const RankedWorker> aRanked, std::uint32_t aCount, int aRange)
+{
+  const auto speedOf = [](const RankedWorker& aWorker) { return std::get<0>(aWorker.rank).speed; };
+  std::uint64_t room = 0;
+  std::size_t end = 0;
+  for (std::size_t begin = 0; begin < aRanked.size(); ++begin) {
+    const auto maxSpeed = speedOf(aRanked[begin]) + aRange;
+    for (; end < aRanked.size() && speedOf(aRanked[end]) <= maxSpeed; ++end) {
+      room += aRanked[end].room;
+    }
+    if (room >= aCount) {
+      return aRanked.subspan(begin, end - begin);
+    }
+    room -= aRanked[begin].room;
+  }
+  return aRanked;
+}
+
 std::optional<std::vector<Worker*>>
 FillGang(std::span<Worker* const> aWorkers,
          const StepSpecification& aStep,
@@ -54,7 +75,10 @@
   }
   std::ranges::stable_sort(ranked, {}, &RankedWorker::rank);
   std::vector<Worker*> chosen;
-  for (const auto& entry : ranked) {
+  const std::span<const RankedWorker> all(ranked);
+  const auto range = aRanking.GangSpeedRange();
+  const auto usable = range ? FindEqualSpeeds(all, aStep.count, *range) : all;
+  for (const auto& entry : usable) {
     const auto remaining = aStep.count - static_cast<std::uint32_t>(chosen.size());
     chosen.insert(chosen.end(), std::min(entry.room, remaining), entry.worker);
     if (chosen.size() == aStep.count) {
--- a/Libraries/LibCell/Worker.h
+++ b/Libraries/LibCell/Worker.h
@@ -4,9 +4,11 @@
 /// The leader's state of a worker and of the runs allocated to it.
 
 #include <LibCell/Ports.h>
+#include <LibCell/WorkerSpeed.h>
 #include <LibCell/WorkspaceUsage.h>
 #include <deque>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -107,6 +109,8 @@
   int dutyCyclePercent = 100;
   std::string checkpoint;
   Milliseconds estimate{ 0 };
+  /// Expected run time of the step; null if the run does not tell the speed of its worker.
+  std::shared_ptr<StepTiming> timing;
 };
 
 /// A reported end of a run that the worker keeps until the leader has stored it.
@@ -161,8 +165,7 @@
   TaskName lastFailed;
   /// The worker gets no tasks until then.
   TimePoint avoidUntil{};
-  /// Smoothed ratio of run time to estimate; 1 is the cell's mean.
-  double slowness = 1.0;
+  WorkerSpeed speed;
 
   /// @return the process start that the worker reported, or else the one in its row; 0 if unknown
   [[nodiscard]] std::int64_t KnownIncarnation() const
--- a/Libraries/LibCell/WorkerRanking.cpp
+++ b/Libraries/LibCell/WorkerRanking.cpp
@@ -12,7 +12,7 @@
 WorkerRank
 SlownessRanking::RankOf(const Worker& aWorker) const
 {
-  return { .speed = static_cast<int>((aWorker.slowness - 1.0) / kSlownessStep) };
+  return { .speed = static_cast<int>((aWorker.speed.smoothedRatio - 1.0) / kSlownessStep) };
 }
 
 }
--- a/Libraries/LibCell/WorkerRanking.h
+++ b/Libraries/LibCell/WorkerRanking.h
@@ -5,6 +5,7 @@
 
 #include <LibCell/Worker.h>
 #include <compare>
+#include <optional>
 
 namespace zinc::cell {
 
@@ -27,6 +28,9 @@
   WorkerRanking& operator=(const WorkerRanking&) = delete;
 
   [[nodiscard]] virtual WorkerRank RankOf(const Worker& aWorker) const = 0;
+  /// @return the largest difference of @ref WorkerRank::speed within a gang, whose slowest member
+  /// determines its end; nothing if the members' speeds do not matter
+  [[nodiscard]] virtual std::optional<int> GangSpeedRange() const { return {}; }
 };
 
 /// Prefers fast workers for every task. Similarly fast workers have the same rank, so that room
