LibCell: Group uneven pools by speed once per round

Cause: each request for advice sorted the whole pool by rank.

Change: the first request of a round groups the pool's workers by speed; a step's order joins the groups.

--- a/Libraries/LibCell/CellSchedulerAdvice.cpp
+++ b/Libraries/LibCell/CellSchedulerAdvice.cpp
@@ -31,8 +31,9 @@
   const std::size_t pending = run.waitingTasks;
   std::vector<WorkerNumber> requested;
   std::size_t room = 0;
-  const auto eligible = this->FindEligibleWorkers(aCandidate, aPool, false);
-  for (const auto* worker : this->rankings.OrderForAdvice(aCandidate, this->roundBegin, eligible)) {
+  auto eligible = this->FindEligibleWorkers(aCandidate, aPool, false);
+  this->rankings.SortForAdvice(aCandidate, this->roundBegin, eligible);
+  for (const auto* worker : eligible) {
     const auto fits = CountFittingTasks(*worker, demand, step.count);
     if (fits == 0 || this->IsTicketValid(run.advice.FindTicket(worker->number))) {
       continue;
@@ -74,7 +75,7 @@
   const double wantedRoom = static_cast<double>(step.count) * this->options.adviceRoomFactor;
   std::vector<WorkerNumber> named;
   for (const auto* worker :
-       this->rankings.OrderForAdvice(aCandidate, this->roundBegin, SortByFreeCores(aPool))) {
+       this->rankings.OrderPool(aCandidate, this->roundBegin, SortByFreeCores(aPool))) {
     const bool isEnough =
       expectedRoom >= wantedRoom && named.size() >= this->options.minWorkersPerRequest;
     if (isEnough || named.size() == aMax) {
--- a/Libraries/LibCell/CompletionRanking.cpp
+++ b/Libraries/LibCell/CompletionRanking.cpp
@@ -62,6 +62,14 @@
 
 }
 
+int
+CompletionRanking::MaxBand() const
+{
+  constexpr double kLargestBand = kLateRank;
+  const double band = std::floor(this->maxRating / kRatingBand);
+  return static_cast<int>(std::clamp(band, -kLargestBand, kLargestBand));
+}
+
 WorkerRank
 CompletionRanking::RankOf(const Worker& aWorker) const
 {
--- a/Libraries/LibCell/CompletionRanking.h
+++ b/Libraries/LibCell/CompletionRanking.h
@@ -46,6 +46,8 @@
     this->isGang = aIsGang;
   }
 
+  /// @return the slowest band whose workers are fast enough for the most part
+  [[nodiscard]] int MaxBand() const;
   [[nodiscard]] WorkerRank RankOf(const Worker& aWorker) const override;
   [[nodiscard]] std::optional<int> GangSpeedRange() const override;
 
--- a/Libraries/LibCell/RankingSelector.cpp
+++ b/Libraries/LibCell/RankingSelector.cpp
@@ -92,6 +92,7 @@
     found = this->pools.emplace(std::string(aPool), PoolState{}).first;
   }
   auto& state = found->second;
+  state.byBand.clear();
   if (aNow < state.nextSpread) {
     return;
   }
@@ -127,13 +128,6 @@
                   { "measured", spread->confidentWorkers } });
 }
 
-bool
-RankingSelector::IsUneven(std::string_view aPool) const
-{
-  const auto found = this->pools.find(aPool);
-  return found != this->pools.end() && found->second.isUneven;
-}
-
 const WorkerRanking&
 RankingSelector::Select(const Candidate& aCandidate, TimePoint aNow)
 {
@@ -167,18 +161,43 @@
   return this->completionRanking;
 }
 
-std::span<Worker* const>
-RankingSelector::OrderForAdvice(const Candidate& aCandidate,
-                                TimePoint aNow,
-                                std::span<Worker* const> aWorkers)
+void
+RankingSelector::SortForAdvice(const Candidate& aCandidate,
+                               TimePoint aNow,
+                               std::vector<Worker*>& aWorkers)
 {
   const auto& ranking = this->Select(aCandidate, aNow);
-  if (&ranking == &this->slownessRanking) {
+  if (&ranking != &this->slownessRanking) {
+    std::ranges::stable_sort(
+      aWorkers, {}, [&ranking](const Worker* aWorker) { return ranking.RankOf(*aWorker); });
+  }
+}
+
+std::span<Worker* const>
+RankingSelector::OrderPool(const Candidate& aCandidate,
+                           TimePoint aNow,
+                           std::span<Worker* const> aWorkers)
+{
+  if (&this->Select(aCandidate, aNow) == &this->slownessRanking) {
     return aWorkers;
   }
-  this->ordered.assign(aWorkers.begin(), aWorkers.end());
-  std::ranges::stable_sort(
-    this->ordered, {}, [&ranking](const Worker* aWorker) { return ranking.RankOf(*aWorker); });
+  auto& byBand = this->pools.find(aCandidate.queue->pool)->second.byBand;
+  if (byBand.empty()) {
+    for (auto* worker : aWorkers) {
+      byBand[worker->speed.band].push_back(worker);
+    }
+  }
+  this->ordered.clear();
+  const auto firstLate = byBand.upper_bound(this->completionRanking.MaxBand());
+  const auto append = [this](const std::vector<Worker*>& aBand) {
+    this->ordered.insert(this->ordered.end(), aBand.begin(), aBand.end());
+  };
+  for (auto band = firstLate; band != byBand.begin();) {
+    append((--band)->second);
+  }
+  for (auto band = firstLate; band != byBand.end(); ++band) {
+    append(band->second);
+  }
   return this->ordered;
 }
 
--- a/Libraries/LibCell/RankingSelector.h
+++ b/Libraries/LibCell/RankingSelector.h
@@ -52,12 +52,16 @@
   void OnPoolBuilt(std::string_view aPool, std::span<Worker* const> aWorkers, TimePoint aNow);
   /// @return the preference among workers for the tasks of a step; valid until the next call
   [[nodiscard]] const WorkerRanking& Select(const Candidate& aCandidate, TimePoint aNow);
+  /// Sorts eligible workers by the preference of the step if the pool is uneven.
+  void SortForAdvice(const Candidate& aCandidate, TimePoint aNow, std::vector<Worker*>& aWorkers);
+  /// Orders a whole pool for a request for advice. In an uneven pool the workers are grouped by
+  /// speed once per round, since a request names few of thousands.
+  /// @param aWorkers the workers of the pool, the same throughout a round
   /// @return the workers in the order of the step's preference if the pool is uneven, otherwise in
-  /// the given order, which also applies to workers of the same rank; valid until the next call
-  [[nodiscard]] std::span<Worker* const> OrderForAdvice(const Candidate& aCandidate,
-                                                        TimePoint aNow,
-                                                        std::span<Worker* const> aWorkers);
-  [[nodiscard]] bool IsUneven(std::string_view aPool) const;
+  /// the given order, which also applies to workers of similar speed; valid until the next call
+  [[nodiscard]] std::span<Worker* const> OrderPool(const Candidate& aCandidate,
+                                                   TimePoint aNow,
+                                                   std::span<Worker* const> aWorkers);
 
 private:
   struct PoolState
@@ -66,6 +70,8 @@
     double fastRating = 0.0;
     TimePoint nextSpread{};
     Gauge* spread = nullptr;
+    /// The workers by @ref WorkerSpeed::band; empty until the round needs them.
+    std::map<int, std::vector<Worker*>> byBand;
   };
 
   [[nodiscard]] StepTiming& TimingOf(const Candidate& aCandidate);
@@ -80,7 +86,7 @@
   const StepRun* rankedRun = nullptr;
   TimePoint rankedAt{};
   std::uint32_t rankedWaitingTasks = 0;
-  /// The last result of @ref OrderForAdvice.
+  /// The last result of @ref OrderPool.
   std::vector<Worker*> ordered;
   std::map<std::string, PoolState, std::less<>> pools;
   /// Actual over expected run times by queue.
