LibCell: Bound what a step's first ends tell of its workers

Cause: the tasks of a step that end first are shorter than the others. The step's factor followed them closely, so that later ends counted against their workers, and workers that get only batches appeared too slow: the spread of a pool at one to 2.7 was measured as 3.4.

Ruled out: a prior that ties the factors of all queues together (spread 3.3 after 39 s).

Change: the variance of a step's factor is at least 0.05.

Result: spread 2.66 after 39 s. The tests of advice and of gangs first measure all workers, since a kind that never got a task ranks as the mean of the others.

--- a/Libraries/LibCell/WorkerRanking.h
+++ b/Libraries/LibCell/WorkerRanking.h
@@ -15,6 +15,8 @@
   int speed = 0;
   int interference = 0;
 
+  // clang-tidy takes the comparison with 0 that the compiler generates for a null pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   friend auto operator<=>(const WorkerRank&, const WorkerRank&) = default;
 };
 
--- a/Libraries/LibCell/WorkerSpeeds.cpp
+++ b/Libraries/LibCell/WorkerSpeeds.cpp
@@ -18,7 +18,10 @@
 constexpr double kInitialGroupVariance = 0.137;
 constexpr double kMinGroupVariance = 0.01;
 constexpr double kMaxGroupVariance = 0.5;
-constexpr double kMinStepVariance = 0.002;
+/// A step's factor is not taken as better known than this: the tasks that end first are shorter
+/// than the others, so that later ones would count against their workers. With 0.002 the spread of
+/// a pool at one to 2.7 was measured as 3.4, with 0.05 as 2.7.
+constexpr double kMinStepVariance = 0.05;
 /// Weight of the latest step in the factor of its group.
 constexpr double kGroupWeight = 0.05;
 /// Variance of the speeds of a kind that is not known: speeds at one to 2.7 in equal parts.
--- a/Tests/LibCell/TestUnevenWorkers.cpp
+++ b/Tests/LibCell/TestUnevenWorkers.cpp
@@ -34,6 +34,21 @@
   bool isGang = false;
 };
 
+/// @return quick checks, and batches with slack; the rates are not set
+std::vector<Traffic>
+MixedTraffic(double aMaxEstimateError = 1.9)
+{
+  return { { .queue = "checks", .maxEstimateError = aMaxEstimateError },
+           { .queue = "batches",
+             .priority = 1,
+             .tasks = 8,
+             .cores = 4,
+             .taskMs = 2700.0,
+             .stretch = 4.0,
+             .slack = Milliseconds{ 3000 },
+             .maxEstimateError = aMaxEstimateError } };
+}
+
 /// What became of the jobs of a queue.
 struct Outcome
 {
@@ -169,6 +184,16 @@
     return outcomes;
   }
 
+  /// Runs a load under which workers of each speed are measured, and lets it end.
+  void MeasureAllWorkers()
+  {
+    auto traffic = MixedTraffic();
+    traffic[0].rate = this->RateFor(traffic[0], 0.6);
+    traffic[1].rate = this->RateFor(traffic[1], 0.3);
+    this->RunLoad(traffic, Milliseconds{ 8000 });
+    this->RunLoad({}, Milliseconds{ 3000 });
+  }
+
   /// @return the share of the starts since an index of @ref SimulatedWorkers::starts at workers
   /// whose id begins with @p aPrefix
   [[nodiscard]] double ShareOfStarts(std::size_t aSince,
@@ -231,21 +256,6 @@
   std::size_t jobsSubmitted = 0;
 };
 
-/// Quick checks at 60% of the capacity and batches with slack at 15%.
-std::vector<Traffic>
-MixedTraffic(double aMaxEstimateError = 1.9)
-{
-  return { { .queue = "checks", .maxEstimateError = aMaxEstimateError },
-           { .queue = "batches",
-             .priority = 1,
-             .tasks = 8,
-             .cores = 4,
-             .taskMs = 2700.0,
-             .stretch = 4.0,
-             .slack = Milliseconds{ 3000 },
-             .maxEstimateError = aMaxEstimateError } };
-}
-
 constexpr double kUnattainableSpread = 1e9;
 
 /// Late checks with the ranking by completion and with @ref SlownessRanking.
@@ -273,6 +283,8 @@
         total->late += outcome.late;
       }
     }
+    this->RecordProperty("late_by_completion", static_cast<int>(comparison.byCompletion.late));
+    this->RecordProperty("late_by_slowness", static_cast<int>(comparison.bySlowness.late));
     return comparison;
   }
 };
@@ -383,6 +395,26 @@
   EXPECT_GT(this->ShareOfStarts(since, "checks", worker), 0.1);
 }
 
+// Guards against a new leader that ranks workers as equal for long. Load: a takeover in a cell of
+// three speeds at 85% of the capacity.
+TEST_F(UnevenWorkersTest, ANewLeaderLearnsTheSpreadWithinSeconds)
+{
+  this->AddThreeSpeeds(16);
+  this->BeginTerm();
+  auto traffic = MixedTraffic();
+  traffic[0].rate = this->RateFor(traffic[0], 0.6);
+  traffic[1].rate = this->RateFor(traffic[1], 0.25);
+  this->RunLoad(traffic, Milliseconds{ 5000 });
+  auto& spread = this->metrics.FindGauge({ .name = "zinc_cell_speed_spread", .help = "" },
+                                         { { "pool", "pool" } });
+  spread.Set(0.0);
+  this->BeginTerm(true);
+  this->RunLoad(traffic, Milliseconds{ 6000 });
+  EXPECT_GT(spread.Value(), 2.0);
+  this->RunLoad(traffic, Milliseconds{ 30'000 });
+  EXPECT_NEAR(spread.Value(), kFast / kSlow, 0.4);
+}
+
 // Guards against a change of behaviour in pools whose workers are equal. Load: estimates off by
 // two.
 TEST_F(UnevenWorkersTest, APoolOfEqualWorkersStaysEven)
@@ -407,11 +439,10 @@
 {
   this->AddThreeSpeeds(12);
   this->BeginTerm();
+  this->MeasureAllWorkers();
   auto traffic = MixedTraffic(1.0);
   traffic[0].rate = this->RateFor(traffic[0], 0.2);
   traffic[0].needsAdvice = true;
-  this->RunLoad(traffic, Milliseconds{ 10'000 });
-  this->advice.requests.clear();
   this->RunLoad(traffic, Milliseconds{ 2000 });
   std::size_t named = 0;
   std::size_t slow = 0;
@@ -430,10 +461,10 @@
 {
   this->AddThreeSpeeds(16);
   this->BeginTerm();
+  this->MeasureAllWorkers();
   auto traffic = MixedTraffic();
-  traffic[0].rate = this->RateFor(traffic[0], 0.6);
-  traffic[1].rate = this->RateFor(traffic[1], 0.1);
-  this->RunLoad(traffic, Milliseconds{ 10'000 });
+  traffic[0].rate = this->RateFor(traffic[0], 0.3);
+  this->RunLoad(traffic, Milliseconds{ 1000 });
   const auto since = this->workers.starts.size();
   this->Submit({ .queue = "gangs",
                  .priority = 1,
