--- a/Libraries/LibCell/CellScheduler.h
+++ b/Libraries/LibCell/CellScheduler.h
@@ -5,7 +5,6 @@
 
 #include <LibBase/Time.h>
 #include <LibCell/AdviceDispatcher.h>
-#include <LibCell/Candidate.h>
 #include <LibCell/Job.h>
 #include <LibCell/LoadReport.h>
 #include <LibCell/LostWorkers.h>
@@ -451,10 +450,7 @@
   /// Logs the load of the cell if a line about it is due.
   void LogLoad();
   /// @return the preference among workers for the tasks of a step
-  [[nodiscard]] const WorkerRanking& RankingFor(const Candidate& aCandidate)
-  {
-    return this->rankings.Select(aCandidate, this->roundBegin);
-  }
+  [[nodiscard]] const WorkerRanking& RankingFor(const Candidate& aCandidate);
   /// @param aNeedsTicket leaves out workers for which the step has no valid ticket
   [[nodiscard]] std::vector<Worker*> FindEligibleWorkers(const Candidate& aCandidate,
                                                          const Pool& aPool,
@@ -500,9 +496,8 @@
     const std::vector<Worker*>& aEligible);
   /// Requests new tickets for eligible workers with room.
   void RenewTickets(const Candidate& aCandidate, Pool& aPool);
-  /// @return workers that no request has named yet, the preferred ones of an uneven pool first and
-  /// among these those with the most room. Together with the eligible workers they are expected to
-  /// have room for several times the step's tasks.
+  /// @return workers that no request has named yet, preferred ones first. Together with the
+  /// eligible workers they are expected to have room for several times the step's tasks.
   [[nodiscard]] std::vector<WorkerNumber> ChooseWorkersForRequest(const Candidate& aCandidate,
                                                                   Pool& aPool,
                                                                   std::size_t aMax);
--- a/Libraries/LibCell/CellSchedulerPlacement.cpp
+++ b/Libraries/LibCell/CellSchedulerPlacement.cpp
@@ -354,6 +354,12 @@
   return unplaced > 0 ? WaitReason::Room : WaitReason::None;
 }
 
+const WorkerRanking&
+CellScheduler::RankingFor(const Candidate& aCandidate)
+{
+  return this->rankings.Select(aCandidate, this->roundBegin);
+}
+
 Worker*
 CellScheduler::ChooseWorkerFor(const Candidate& aCandidate,
                                const Task& aTask,
--- a/Tests/LibCell/TestUnevenWorkers.cpp
+++ b/Tests/LibCell/TestUnevenWorkers.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstdio>
 #include <map>
 #include <random>
 
@@ -433,6 +434,29 @@
   EXPECT_LT(spread.Value(), 1.5);
 }
 
+// Guards against a pool that switches to and fro and fills the log. Load: three speeds, then so few
+// tasks that the slow workers are idle.
+TEST_F(UnevenWorkersTest, LogsOnceThatAPoolIsUneven)
+{
+  const std::unique_ptr<std::FILE, int (*)(std::FILE*)> file(std::tmpfile(), &std::fclose);
+  this->log = Logger({ .output = file.get() });
+  this->AddThreeSpeeds(8);
+  this->BeginTerm();
+  this->MeasureAllWorkers();
+  auto traffic = MixedTraffic();
+  traffic[0].rate = this->RateFor(traffic[0], 0.2);
+  this->RunLoad(traffic, Milliseconds{ 20'000 });
+  std::rewind(file.get());
+  std::string text;
+  for (int next = std::fgetc(file.get()); next != EOF; next = std::fgetc(file.get())) {
+    text.push_back(static_cast<char>(next));
+  }
+  const auto first = text.find("pool_uneven");
+  ASSERT_NE(first, std::string::npos);
+  EXPECT_EQ(text.find("pool_uneven", first + 1), std::string::npos);
+  EXPECT_EQ(text.find("pool_even"), std::string::npos);
+}
+
 // Guards against advice about workers that would not be chosen. Load: checks whose queue needs
 // tickets, in a cell with free workers of each speed.
 TEST_F(UnevenWorkersTest, RequestsAdviceForPreferredWorkersFirst)
