Benchmarks: Measure the scheduler with workers of three speeds

Cause: the benchmark's workers are equal, so that the completion ranking was never measured.

Change: UnevenCellUnderLoad, workers of 0.6, 1.0 and 1.6 times the usual speed.

--- a/Tests/Benchmarks/Scheduler/Main.cpp
+++ b/Tests/Benchmarks/Scheduler/Main.cpp
@@ -75,6 +75,21 @@
   }
 }
 
+/// The mixed load at workers of three speeds.
+void
+UnevenCellUnderLoad(benchmark::State& aState)
+{
+  for ([[maybe_unused]] auto iteration : aState) {
+    auto options = OptionsFor(static_cast<std::size_t>(aState.range(0)));
+    options.hasUnevenWorkers = true;
+    SimulatedCell cell(std::move(options));
+    cell.RunFor(kWarmUp);
+    const auto cost = cell.RunFor(kMeasured);
+    aState.SetIterationTime(std::chrono::duration<double>(cost.time).count());
+    Report(aState, cost);
+  }
+}
+
 /// The mixed load, and a backlog of batch jobs that is submitted at once.
 void
 CellWithBacklog(benchmark::State& aState)
@@ -90,6 +105,7 @@
 }
 
 BENCHMARK(CellUnderLoad)->Arg(48)->Arg(350)->Arg(1100)->Arg(5000)->Iterations(1)->UseManualTime();
+BENCHMARK(UnevenCellUnderLoad)->Arg(350)->Arg(1100)->Arg(5000)->Iterations(1)->UseManualTime();
 BENCHMARK(CellWithBacklog)->Args({ 350, 100 })->Args({ 1100, 600 })->Iterations(1)->UseManualTime();
 
 }
--- a/Tests/Benchmarks/Scheduler/SimulatedCell.cpp
+++ b/Tests/Benchmarks/Scheduler/SimulatedCell.cpp
@@ -1,6 +1,7 @@
 #include "SimulatedCell.h"
 
 #include <algorithm>
+#include <array>
 #include <fmt/format.h>
 #include <utility>
 
@@ -20,6 +21,8 @@
 constexpr int kMsPerPercent = 50;
 /// Fraction of the workers that are eligible for a step.
 constexpr double kEligibleFraction = 0.25;
+/// Speeds of the workers in an uneven cell.
+constexpr std::array kUnevenSpeeds{ 0.6, 1.0, 1.6 };
 
 }
 
@@ -58,7 +61,10 @@
                         .capacity = { .milliCores = kWorkerMilliCores, .memoryMiB = kWorkerMiB },
                         .machine = fmt::format("machine-{}", number),
                         .incarnation = 1 });
-    this->workers[entries.back().id] = {};
+    auto& worker = this->workers[entries.back().id];
+    if (this->options.hasUnevenWorkers) {
+      worker.speed = kUnevenSpeeds.at(number % kUnevenSpeeds.size());
+    }
   }
   std::vector<std::string> instances;
   for (std::size_t number = 0; number < this->options.instances; ++number) {
@@ -198,7 +204,7 @@
   this->After(kCallDelay, [this, order = std::move(aOrder), handler = std::move(aHandler)] {
     this->workers.at(order.target.worker)
       .activeRuns.push_back({ .task = order.task, .run = order.run });
-    this->After(this->runTimes.at(order.task.job),
+    this->After(this->RunTimeOf(order),
                 [this, worker = order.target.worker, task = order.task, run = order.run] {
                   this->EndRun(worker, task, run);
                 });
@@ -206,6 +212,14 @@
   });
 }
 
+Milliseconds
+SimulatedCell::RunTimeOf(const StartOrder& aOrder) const
+{
+  const auto usual = static_cast<double>(this->runTimes.at(aOrder.task.job).count());
+  return Milliseconds(
+    static_cast<std::int64_t>(usual / this->workers.at(aOrder.target.worker).speed));
+}
+
 void
 SimulatedCell::EndRun(const WorkerId& aWorker, const TaskName& aTask, std::uint64_t aRun)
 {
--- a/Tests/Benchmarks/Scheduler/SimulatedCell.h
+++ b/Tests/Benchmarks/Scheduler/SimulatedCell.h
@@ -44,6 +44,8 @@
   /// Multiplies the rates of all kinds of job.
   double load = 1.0;
   std::vector<JobKind> kinds;
+  /// Every third worker has 0.6 times and every third 1.6 times the usual speed.
+  bool hasUnevenWorkers = false;
 };
 
 /// Time in the scheduler and what it achieved in it.
@@ -91,6 +93,7 @@
 private:
   struct WorkerState
   {
+    double speed = 1.0;
     std::uint64_t lastSequence = 0;
     std::vector<ActiveRun> activeRuns;
     std::vector<EndedRun> endedRuns;
@@ -114,6 +117,7 @@
   void Arrive(std::size_t aKind);
   void EndRun(const WorkerId& aWorker, const TaskName& aTask, std::uint64_t aRun);
   void Respond(const WorkerId& aWorker);
+  [[nodiscard]] Milliseconds RunTimeOf(const StartOrder& aOrder) const;
   [[nodiscard]] bool IsEligible(const StepName& aStep, const WorkerId& aWorker) const;
 
   SimulatedCellOptions options;
