--- a/Libraries/LibCell/CellScheduler.h
+++ b/Libraries/LibCell/CellScheduler.h
@@ -19,11 +19,11 @@
 #include <LibCell/Pool.h>
 #include <LibCell/PoolContention.h>
 #include <LibCell/Ports.h>
+#include <LibCell/RankingSelector.h>
 #include <LibCell/Records.h>
 #include <LibCell/TermSnapshot.h>
 #include <LibCell/WaitReason.h>
 #include <LibCell/Worker.h>
-#include <LibCell/WorkerRanking.h>
 #include <LibCell/WorkerTable.h>
 #include <LibLog/Logger.h>
 #include <LibMetrics/MetricRegistry.h>
@@ -96,6 +96,7 @@
   /// After a placement round the scheduler does other work for this many times its duration.
   int placementIdleFactor = 2;
   PoolContentionOptions contention;
+  UnevenPoolOptions unevenPools;
   /// Fraction of a pool's processors that only tasks of the most urgent queue may use.
   double urgentHeadroom = 0.05;
   /// Fraction of a workspace's limit that its batch tasks leave to its urgent tasks.
@@ -475,11 +476,11 @@
     const std::vector<Worker*>& aEligible);
   /// Requests new tickets for eligible workers with room.
   void RenewTickets(const Candidate& aCandidate, Pool& aPool);
-  /// @return workers that no request has named yet, those with the most room first. Together with
-  /// the eligible workers they are expected to have room for several times the step's tasks.
+  /// @return workers that no request has named yet, preferred ones first. Together with the
+  /// eligible workers they are expected to have room for several times the step's tasks.
   [[nodiscard]] std::vector<WorkerNumber> ChooseWorkersForRequest(const Candidate& aCandidate,
                                                                   Pool& aPool,
-                                                                  std::size_t aMax) const;
+                                                                  std::size_t aMax);
   /// Requests advice on workers that no request has named yet, unless a response is pending.
   void RequestMoreAdvice(const Candidate& aCandidate, Pool& aPool);
   /// Starts all members of a gang. The start of a suspect is recorded first.
@@ -569,7 +570,7 @@
   /// Workers with ends that are not acknowledged yet.
   std::set<WorkerNumber> workersWithEnds;
   std::unordered_map<std::string, Pool> pools;
-  SlownessRanking slownessRanking;
+  RankingSelector rankings;
   InterferenceMonitor interference;
   PoolContention poolContention;
   /// State of the pools that are or were contended.
--- a/Libraries/LibCell/CellSchedulerAdvice.cpp
+++ b/Libraries/LibCell/CellSchedulerAdvice.cpp
@@ -32,7 +32,9 @@
   const std::size_t pending = run.waitingTasks;
   std::vector<WorkerNumber> requested;
   std::size_t room = 0;
-  for (const auto* worker : this->FindEligibleWorkers(aCandidate, aPool, false)) {
+  auto eligible = this->FindEligibleWorkers(aCandidate, aPool, false);
+  this->rankings.SortForAdvice(aCandidate, this->roundBegin, eligible);
+  for (const auto* worker : eligible) {
     const auto fits = CountFittingTasks(*worker, demand, step.count);
     if (fits == 0 || this->IsTicketValid(run.advice.FindTicket(worker->number))) {
       continue;
@@ -56,9 +58,7 @@
 }
 
 std::vector<WorkerNumber>
-CellScheduler::ChooseWorkersForRequest(const Candidate& aCandidate,
-                                       Pool& aPool,
-                                       std::size_t aMax) const
+CellScheduler::ChooseWorkersForRequest(const Candidate& aCandidate, Pool& aPool, std::size_t aMax)
 {
   const auto& step = *aCandidate.specification;
   const auto& advice = aCandidate.run->advice;
@@ -75,7 +75,8 @@
     known == this->eligibleFractions.end() ? kDefaultEligibleFraction : known->second;
   const double wantedRoom = static_cast<double>(step.count) * this->options.adviceRoomFactor;
   std::vector<WorkerNumber> named;
-  for (const auto* worker : SortByFreeCores(aPool)) {
+  for (const auto* worker :
+       this->rankings.OrderPool(aCandidate, this->roundBegin, SortByFreeCores(aPool))) {
     const bool isEnough =
       expectedRoom >= wantedRoom && named.size() >= this->options.minWorkersPerRequest;
     if (isEnough || named.size() == aMax) {
--- a/Libraries/LibCell/CellSchedulerPlacement.cpp
+++ b/Libraries/LibCell/CellSchedulerPlacement.cpp
@@ -83,6 +83,7 @@
     if (this->poolContention.IsContended(name)) {
       this->contendedPools[name].BeginRound(pool, this->roundBegin, this->isGangRound);
     }
+    this->rankings.OnPoolBuilt(name, pool.workers, this->roundBegin);
   }
 }
 
@@ -407,7 +408,8 @@
 const WorkerRanking&
 CellScheduler::RankingFor(const Candidate& aCandidate)
 {
-  return this->interference.RankingFor(this->slownessRanking, *aCandidate.specification);
+  const auto& ranking = this->rankings.Select(aCandidate, this->roundBegin);
+  return this->interference.RankingFor(ranking, *aCandidate.specification);
 }
 
 Worker*
--- a/Libraries/LibCell/CellSchedulerWorkers.cpp
+++ b/Libraries/LibCell/CellSchedulerWorkers.cpp
@@ -8,11 +8,6 @@
 
 namespace {
 
-/// Weight of the latest run in the smoothed slowness of a worker.
-constexpr double kSlownessWeight = 0.15;
-/// Estimates are rough, so that the ratio of a single run is clamped to these limits.
-constexpr double kMinRatio = 0.4;
-constexpr double kMaxRatio = 4.0;
 /// Shorter runs are not measured: they depend more on the worker's polling than on its speed.
 constexpr Milliseconds kMinMeasuredRun{ 200 };
 /// Delay before a stop that was not accepted is sent again.
@@ -25,6 +20,18 @@
 /// Interval of the lease renewals of a worker whose ends are not stored yet.
 constexpr Milliseconds kUnacknowledgedRenewalInterval{ 400 };
 
+/// @return the run time of an ended run over its estimate; nothing if the run is too short or was
+/// resumed from a checkpoint
+std::optional<double>
+MeasureRatio(const Allocation& aAllocation, TimePoint aNow)
+{
+  if (aAllocation.estimate <= kMinMeasuredRun || !aAllocation.checkpoint.empty()) {
+    return {};
+  }
+  return static_cast<double>((aNow - aAllocation.startedAt).count()) /
+         static_cast<double>(aAllocation.estimate.count());
+}
+
 TaskName
 MakeTaskName(const Job& aJob, const TaskKey& aKey)
 {
@@ -292,6 +299,7 @@
     this->OnActiveRun(aWorker, run);
   }
   this->ReconcileAllocations(aWorker, aSent, aReport);
+  this->rankings.OnReport(aWorker, now);
   this->MarkWorkerSynced(aWorker.entry.id);
   this->AdvanceAcknowledgementsOf(aWorker);
   this->interference.OnReport(aWorker, now);
@@ -313,17 +321,13 @@
 {
   const auto now = this->dependencies.clock.Now();
   auto* allocation = aWorker.FindAllocation(aEnd.task, aEnd.run);
-  const bool isMeasurable = allocation != nullptr && aEnd.outcome == RunOutcome::Succeeded &&
-                            allocation->estimate > kMinMeasuredRun &&
-                            allocation->checkpoint.empty();
-  if (isMeasurable) {
-    const double ratio = static_cast<double>((now - allocation->startedAt).count()) /
-                         static_cast<double>(allocation->estimate.count());
-    this->interference.OnRunSucceeded(aWorker, *allocation, ratio, now);
-    aWorker.slowness +=
-      (std::clamp(ratio, kMinRatio, kMaxRatio) - aWorker.slowness) * kSlownessWeight;
-  }
   if (allocation != nullptr) {
+    if (aEnd.outcome == RunOutcome::Succeeded) {
+      if (const auto ratio = MeasureRatio(*allocation, now)) {
+        this->interference.OnRunSucceeded(aWorker, *allocation, *ratio, now);
+      }
+      this->rankings.OnRunSucceeded(aWorker, *allocation, now);
+    }
     this->ReleaseAllocation(aWorker, aEnd.task, aEnd.run);
   }
   auto* job = this->FindJob(aEnd.task.job);
--- a/Libraries/LibCell/InterferenceRanking.h
+++ b/Libraries/LibCell/InterferenceRanking.h
@@ -28,6 +28,10 @@
   }
 
   [[nodiscard]] WorkerRank RankOf(const Worker& aWorker) const override;
+  [[nodiscard]] std::optional<int> GangSpeedRange() const override
+  {
+    return this->base->GangSpeedRange();
+  }
 
 private:
   const InterferenceModel& model;
--- a/Libraries/LibCell/WorkerRanking.h
+++ b/Libraries/LibCell/WorkerRanking.h
@@ -5,6 +5,7 @@
 
 #include <LibCell/Worker.h>
 #include <compare>
+#include <optional>
 
 namespace zinc::cell {
 
@@ -14,6 +15,8 @@
   int speed = 0;
   int interference = 0;
 
+  // clang-tidy takes the comparison with 0 that the compiler generates for a null pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   friend auto operator<=>(const WorkerRank&, const WorkerRank&) = default;
 };
 
@@ -27,6 +30,9 @@
   WorkerRanking& operator=(const WorkerRanking&) = delete;
 
   [[nodiscard]] virtual WorkerRank RankOf(const Worker& aWorker) const = 0;
+  /// @return the largest difference of @ref WorkerRank::speed within a gang, whose slowest member
+  /// determines its end; nothing if the members' speeds do not matter
+  [[nodiscard]] virtual std::optional<int> GangSpeedRange() const { return {}; }
 };
 
 /// Prefers fast workers for every task. Similarly fast workers have the same rank, so that room
--- a/Tests/LibCell/TestInterferenceModel.cpp
+++ b/Tests/LibCell/TestInterferenceModel.cpp
@@ -48,7 +48,7 @@
       auto& worker = this->workers.emplace_back();
       worker.number = static_cast<WorkerNumber>(index);
       worker.entry.capacity.milliCores = 32'000;
-      worker.slowness = this->Within(1.6);
+      worker.speed.smoothedRatio = this->Within(1.6);
       this->work.emplace_back();
     }
     this->now += Milliseconds{ 1'000'000 };
@@ -112,7 +112,7 @@
     auto& runs = this->work[aWorker.number];
     const bool isCrowded = this->options.crowdedFactor > 1.0 && aWorker.number % 2 == 1;
     aWorker.used.milliCores = aWorker.entry.capacity.milliCores / (isCrowded ? 1 : 2);
-    const double own = aWorker.slowness *
+    const double own = aWorker.speed.smoothedRatio *
                        (aWorker.number == 0 ? this->options.firstWorkerFactor : 1.0) *
                        (isCrowded ? this->options.crowdedFactor : 1.0);
     for (auto& run : runs) {
