Platform: Do not copy strings in the loop of a decoder test

Cause: the loop bound a reference to const std::string to an element of another type (range-loop-construct). Change: the loop uses the elements as they are. Measured: 56 tests of TestPlatform pass; the build prints no warning for the file.

--- a/Tests/Platform/TestDecoders.cpp
+++ b/Tests/Platform/TestDecoders.cpp
@@ -82,7 +82,7 @@
   const auto decoded = DecodeWorkerEntry("i-1", "{" + rest + R"(,"Capacity":{"Cpu":0}})");
   ASSERT_FALSE(IsError(decoded)) << ErrorOf(decoded).message;
   EXPECT_EQ(ValueOf(decoded).capacity, Resources{});
-  for (const std::string& capacity : { "", ",\"Capacity\":null", ",\"Capacity\":7" }) {
+  for (const auto* capacity : { "", ",\"Capacity\":null", ",\"Capacity\":7" }) {
     EXPECT_TRUE(IsError(DecodeWorkerEntry("i-1", "{" + rest + capacity + "}"))) << capacity;
   }
 }
