LibCell: Release the reservation of a gang that needs an evacuated zone

Cause: a gang that lost a reserved worker and then had too few workers outside the evacuated zone returned from placement before its reservation was checked. The other reserved workers stayed reserved until the evacuation ended. Change: the reservation is released when a step waits for the end of an evacuation. Measured: 159 tests of TestCell pass; without the change ReleasesTheReservationOfAGangThatNeedsTheZone fails (3 starts instead of 5).

--- a/Libraries/LibCell/CellSchedulerPlacement.cpp
+++ b/Libraries/LibCell/CellSchedulerPlacement.cpp
@@ -224,6 +224,7 @@
   }
   run.advice.hasNewResponse = false;
   if (NeedsEvacuatedWorkers(aCandidate, pool->workers, pool->evacuated)) {
+    this->ReleaseReservation(run, step);
     return WaitReason::Evacuated;
   }
   if (pool->workers.empty()) {
--- a/Tests/LibCell/TestEvacuatedZones.cpp
+++ b/Tests/LibCell/TestEvacuatedZones.cpp
@@ -156,6 +156,41 @@
   }
 }
 
+// Guards against a gang that keeps its reservation while it waits for the end of an evacuation: the
+// loss of a reserved worker leaves too few workers outside the zone.
+TEST_F(EvacuatedZonesTest, ReleasesTheReservationOfAGangThatNeedsTheZone)
+{
+  auto& queue = this->policy.routes.front().queue;
+  queue.needsAdvice = true;
+  queue.advice = { .baseMs = 500.0, .ticketValidity = Milliseconds{ 300 } };
+  QueueRoute plain{ .host = "host", .pathPrefix = "/plain/" };
+  plain.queue = { .name = { "plain" }, .pool = "pool", .priority = 1 };
+  this->policy.AddRoute(plain);
+  this->AddWorkers("ab", 3, 4);
+  this->SetEvacuated({ { "a" } });
+  this->BeginTerm();
+  this->RunFor(Milliseconds{ 50 });
+  this->AcceptJob(MakeGang("full", 3, 4));
+  this->RunFor(Milliseconds{ 200 });
+  ASSERT_EQ(this->CountStartsIn("b"), 3U);
+  this->AcceptJob(MakeGang("gang", 3, 4));
+  this->RunFor(Milliseconds{ 1000 });
+  // The tickets of the second gang have expired, so it reserves workers and asks for new ones.
+  this->advice.isPaused = true;
+  this->workers.EndAll();
+  this->RunFor(Milliseconds{ 100 });
+  // The response arrives before the next placement round sees the loss of the worker.
+  this->scheduler->OnWorkerUnlisted({ "b3" });
+  this->advice.isPaused = false;
+  this->advice.Deliver();
+  auto free = MakeJob("free", 2, 4);
+  free.queue = plain.queue;
+  this->AcceptJob(free);
+  this->RunFor(Milliseconds{ 3000 });
+  EXPECT_EQ(this->CountStartsIn("b"), 5U) << "the other reserved workers are free again";
+  EXPECT_EQ(this->CountStartsIn("a"), 0U);
+}
+
 // Guards against the start of a crash suspect where it was recorded before the request.
 TEST_F(EvacuatedZonesTest, ChoosesRecordedStartsAgain)
 {
