LibCell: Begin the cold time anew when a worker restarts

Cause: a worker that restarted under its id while it was cold kept the beginning of the previous cold time, so that a part of its capacity that should still be withheld was usable at once. Change: a row of a newer incarnation begins a new cold time. Measured: 160 tests of TestCell, 14 of TestInstance and 33 of TestAdapter pass; without the change BeginsTheStepsAnewWhenAColdWorkerRestarts fails (4 starts instead of 2).

--- a/Libraries/LibCell/CellSchedulerWorkers.cpp
+++ b/Libraries/LibCell/CellSchedulerWorkers.cpp
@@ -92,6 +92,10 @@
     this->OnWorkerRestarted(worker, WorkerLossReason::RowOfNextIncarnation);
     worker.incarnation = aEntry.incarnation;
   }
+  if (aEntry.incarnation > worker.entry.incarnation) {
+    // The cold time of the previous incarnation has ended with it.
+    worker.coldUntil = {};
+  }
   worker.entry = aEntry;
   worker.isListed = true;
   UpdateColdTime(worker, aEntry.coldLeft, now);
--- a/Tests/LibCell/TestEvacuatedZones.cpp
+++ b/Tests/LibCell/TestEvacuatedZones.cpp
@@ -276,6 +276,25 @@
   }
 }
 
+// Guards against a rush to a worker that restarts under its id while it is still cold.
+TEST_F(EvacuatedZonesTest, BeginsTheStepsAnewWhenAColdWorkerRestarts)
+{
+  this->zones = EvacuatedZones({ .limitsColdWorkers = true });
+  this->AddWorkers("ab", 1, 8);
+  this->BeginTerm();
+  this->RunFor(Milliseconds{ 50 });
+  auto entry = this->entries.front();
+  entry.coldLeft = Milliseconds{ 8000 };
+  this->scheduler->OnWorkerEntry(entry);
+  this->RunFor(Milliseconds{ 6000 });
+  entry.incarnation = ++this->workers.At("a1").entry.incarnation;
+  this->scheduler->OnWorkerEntry(entry);
+  this->AcceptJob(MakeJob("backlog", 64, 1, 60'000));
+  this->RunFor(Milliseconds{ 2000 });
+  EXPECT_EQ(this->CountStartsIn("a"), 2U);
+  EXPECT_EQ(this->CountStartsIn("b"), 8U);
+}
+
 // Guards against a rush to workers that have just started, and against a cell that holds back load
 // although all its workers have just started.
 TEST(EvacuatedZones, LimitsWorkersThatAreColdByTheirRow)
