docs: Use usual terms for evacuated zones

Cause: a heading and two comments used figurative wording. Change: they state the rule; no code changes.

--- a/Libraries/LibCell/CellSchedulerPlacement.cpp
+++ b/Libraries/LibCell/CellSchedulerPlacement.cpp
@@ -73,7 +73,7 @@
       pool.capacity += worker->entry.capacity;
       pool.free += worker->FreeResources();
     }
-    // Evacuated workers come back, so they count as the pool's.
+    // Evacuated workers return, so their capacity counts toward the contention of the pool.
     auto milliCores = pool.capacity.milliCores;
     for (const auto* worker : pool.evacuated) {
       milliCores += worker->entry.capacity.milliCores;
--- a/Libraries/LibCell/EvacuatedZones.h
+++ b/Libraries/LibCell/EvacuatedZones.h
@@ -21,7 +21,7 @@
   /// Equal parts of a worker's capacity; the first is usable at once, one more after each step.
   std::int64_t returnParts = 4;
   /// Duration of a step after a withdrawal. A worker's row is at most 1.7 s old (heartbeat and read
-  /// interval), so that a row that reports a longer cold time arrives within the first step.
+  /// interval), so a row that reports a longer cold time arrives within the first step.
   Milliseconds returnStep{ 2000 };
   /// Whether load also returns in steps to workers that are cold according to their row.
   bool limitsColdWorkers = false;
--- a/Libraries/LibCell/Placement.cpp
+++ b/Libraries/LibCell/Placement.cpp
@@ -133,7 +133,7 @@
     if (isFull || CountFittingTasks(*worker, demand, 1) == 0) {
       continue;
     }
-    // An idle worker that is cold must not pass for a tight fit.
+    // Withheld capacity counts as free, so that an idle cold worker is not ranked as a tight fit.
     const double freeShare = DominantShare(worker->UnusedResources(), worker->entry.capacity);
     const std::tuple rank(IsOutsideDataRack(*worker, aStep), aRanking.RankOf(*worker), freeShare);
     if (best == nullptr || rank < bestRank) {
