--- a/Libraries/LibCell/CellSchedulerPlacement.cpp
+++ b/Libraries/LibCell/CellSchedulerPlacement.cpp
@@ -74,7 +74,7 @@
       pool.capacity += worker->entry.capacity;
       pool.free += worker->FreeResources();
     }
-    // Evacuated workers come back, so they count as the pool's.
+    // Evacuated workers return, so their capacity counts toward the contention of the pool.
     auto milliCores = pool.capacity.milliCores;
     for (const auto* worker : pool.evacuated) {
       milliCores += worker->entry.capacity.milliCores;
@@ -258,6 +258,7 @@
   }
   run.advice.hasNewResponse = false;
   if (NeedsEvacuatedWorkers(aCandidate, pool->workers, pool->evacuated)) {
+    this->ReleaseReservation(run, step);
     return WaitReason::Evacuated;
   }
   if (pool->workers.empty()) {
