LibCell: Forecast the wait of jobs in contended pools

Cause: nothing in the cell tells how long a job that arrives now waits, so instances accept jobs that can no longer end in time.

Change: CompletionForecast divides the waiting work of each queue by the rate at which such work starts, apart for workspaces beyond their weight or limit, and corrects the result by the waits that happened. DrainMeter counts tasks of equal size and needs a call for each arrival; work of gangs and of single tasks differs by a factor of a hundred, so the forecast measures work instead.

TestCell passes.

--- a/Libraries/LibCell/CellScheduler.cpp
+++ b/Libraries/LibCell/CellScheduler.cpp
@@ -206,6 +206,15 @@
   return pending;
 }
 
+std::vector<ExpectedWait>
+CellScheduler::ExpectedWaits()
+{
+  if (!this->poolContention.HasContendedPool()) {
+    return {};
+  }
+  return this->forecast.Update(this->CollectCandidates(), this->dependencies.clock.Now());
+}
+
 bool
 CellScheduler::MayHaveRuns(const Worker& aWorker) const
 {
--- a/Libraries/LibCell/CellScheduler.h
+++ b/Libraries/LibCell/CellScheduler.h
@@ -6,6 +6,7 @@
 #include <LibBase/Time.h>
 #include <LibCell/AdviceDispatcher.h>
 #include <LibCell/Candidate.h>
+#include <LibCell/CompletionForecast.h>
 #include <LibCell/Job.h>
 #include <LibCell/LoadReport.h>
 #include <LibCell/LostWorkers.h>
@@ -116,16 +117,6 @@
   Milliseconds maxStallTimeout{ 2500 };
 };
 
-/// State of a job as reported to callers.
-struct JobStatus
-{
-  bool isKnown = false;
-  JobOutcome outcome = JobOutcome::Active;
-  bool hasStarted = false;
-  WorkspaceId workspace;
-  QueueId queue;
-};
-
 /// What was read from the store at the beginning of a term.
 struct TermSnapshot
 {
@@ -197,6 +188,9 @@
   [[nodiscard]] JobStatus StatusOf(const JobId& aJob) const;
   /// @return for each queue the number of accepted jobs without start times that have not started.
   [[nodiscard]] std::map<std::string, std::uint64_t> PendingJobsByQueue() const;
+  /// @return the expected waits of jobs that arrive now, for the leader record; updates the
+  /// forecast
+  [[nodiscard]] std::vector<ExpectedWait> ExpectedWaits();
   /// @return the draining workers and the jobs that may have runs there, for the leader record. The
   /// next leader need not wait for them to place tasks of other jobs.
   [[nodiscard]] DrainingJobs DrainingJobsToPublish() const;
@@ -592,6 +586,7 @@
   std::unordered_map<std::string, Pool> pools;
   SlownessRanking slownessRanking;
   PoolContention poolContention;
+  CompletionForecast forecast{ this->poolContention };
   /// What each workspace uses; references to its elements stay valid.
   std::unordered_map<WorkspaceId, WorkspaceUsage> workspaces;
   /// Workers that the leader record names.
--- a/Libraries/LibCell/CellSchedulerJobs.cpp
+++ b/Libraries/LibCell/CellSchedulerJobs.cpp
@@ -10,8 +10,6 @@
 /// Clocks of two instances differ by less than this. A recorded arrival time that is older, or in
 /// the future, is ignored.
 constexpr Milliseconds kMaxPlausibleAge{ 10'000 };
-/// A job that takes this many times its objective has no value any more, by the platform's rules.
-constexpr int kDeadlineFactor = 3;
 /// A workspace's weight is its rate of jobs a second; its burst is this many seconds of that rate.
 constexpr double kWeightBurstSeconds = 4.0;
 
@@ -291,12 +289,9 @@
   for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
     occurrence.steps[step].CreateTasks(aJob.spec.steps[step].count);
   }
-  const auto& queue = this->CurrentQueuePolicy(aJob);
-  const auto criticalPath = std::ranges::max(aJob.criticalPaths);
   const auto start = aJob.spec.occurrences > 0 ? this->dependencies.clock.Now() : aJob.receivedAt;
-  occurrence.objective = start + queue.slack +
-                         Milliseconds(static_cast<std::int64_t>(
-                           static_cast<double>(criticalPath.count()) * queue.stretch));
+  occurrence.objective =
+    start + ComputeObjective(this->CurrentQueuePolicy(aJob), std::ranges::max(aJob.criticalPaths));
   occurrence.deadline = start + (occurrence.objective - start) * kDeadlineFactor;
   this->MarkReadySteps(aJob, aNumber);
   return occurrence;
@@ -480,6 +475,7 @@
     return;
   }
   aJob.hasStarted = true;
+  this->forecast.RecordFirstStart(aJob.spec.id, this->dependencies.clock.Now());
   this->dependencies.metrics
     .FindHistogram(
       { .name = "zinc_cell_wait_seconds", .help = "Time from receipt to first start." },
--- a/Libraries/LibCell/CellSchedulerStarts.cpp
+++ b/Libraries/LibCell/CellSchedulerStarts.cpp
@@ -60,6 +60,7 @@
                     .leaseDeadline = this->ExtendLease(aWorker),
                     .checkpoint = aCheckpoint,
                     .ticket = ticket == nullptr ? "" : ticket->text };
+  this->forecast.RecordStart(aCandidate, now);
   this->dependencies.log.Log(LogLevel::Info,
                              "run_started",
                              { { "job", job.spec.id.value },
--- /dev/null
+++ b/Libraries/LibCell/CompletionForecast.cpp
@@ -0,0 +1,279 @@
+#include <LibCell/CompletionForecast.h>
+
+#include <LibCell/Placement.h>
+#include <algorithm>
+#include <cmath>
+
+namespace zinc::cell {
+
+namespace {
+
+/// Time constant of the rate of starts. Shorter than a burst; gangs, of which a few start per
+/// second, still give a steady rate.
+constexpr Milliseconds kRateDecayTime{ 8000 };
+/// The rate of a shorter backlog is unknown.
+constexpr Milliseconds kMinObservation{ 1000 };
+/// Shorter waits are not published: requests for advice alone take as long.
+constexpr Milliseconds kMinPublishedWait{ 500 };
+/// Shorter forecasts are not compared, since the forecast is up to 500 ms off a job's arrival.
+constexpr Milliseconds kMinComparedWait{ 1000 };
+constexpr Milliseconds kMaxWait{ 600'000 };
+/// Expired work counts up to this many times the work that has value. Where work with value goes
+/// first, an overload shows as work that expires instead of longer waits. The bound lets the
+/// forecast fall as soon as new work no longer waits, however much expired work is left.
+constexpr double kMaxExpiredRatio = 9.0;
+/// Weight of one job in the correction, which follows within a few dozen jobs.
+constexpr double kCorrectionWeight = 0.05;
+/// Jobs that start and jobs that expire are compared differently, so the correction is bounded.
+constexpr double kMinCorrection = 0.5;
+constexpr double kMaxCorrection = 2.0;
+/// Fraction of a workspace's limit that batch tasks may use; the rest is headroom for urgent ones.
+constexpr double kUsableLimit = 0.94;
+
+double
+CountMilliseconds(Milliseconds aTime)
+{
+  return static_cast<double>(aTime.count());
+}
+
+/// @return the work of one task
+double
+WorkOf(const StepSpecification& aStep)
+{
+  const auto milliCores = std::max<std::int64_t>(1, aStep.demand.milliCores);
+  return static_cast<double>(milliCores) * std::max(1.0, CountMilliseconds(aStep.estimate));
+}
+
+/// @return true if the step's tasks occupy processors and end by themselves
+bool
+CountsAsWork(const StepSpecification& aStep)
+{
+  return !aStep.isService && !aStep.isBestEffort;
+}
+
+/// @return true if the workspace's limit leaves no room for the next task, or for the whole gang
+bool
+IsAtLimit(const Candidate& aCandidate)
+{
+  const auto& usage = *aCandidate.job->workspaceUsage;
+  if (!usage.limit || usage.limit->milliCores == 0) {
+    return false;
+  }
+  const auto& step = *aCandidate.specification;
+  const auto milliCores = usage.running.milliCores + usage.unsynced.milliCores +
+                          step.demand.milliCores * (step.isGang ? step.count : 1);
+  return static_cast<double>(milliCores) >
+         kUsableLimit * static_cast<double>(usage.limit->milliCores);
+}
+
+TimePoint
+LatestStart(const Candidate& aCandidate)
+{
+  const auto& job = *aCandidate.job;
+  return job.occurrences.at(aCandidate.occurrence).deadline - job.criticalPaths[aCandidate.step];
+}
+
+double
+DecayFactor(Milliseconds aTime)
+{
+  return std::exp(-CountMilliseconds(std::max(aTime, Milliseconds{ 0 })) /
+                  CountMilliseconds(kRateDecayTime));
+}
+
+}
+
+void
+CompletionForecast::RecordStart(const Candidate& aCandidate, TimePoint aNow)
+{
+  if (this->backlogs.empty()) {
+    return;
+  }
+  const auto work = WorkOf(*aCandidate.specification);
+  const auto record = [this, work, aNow](const BacklogKey& aKey) {
+    const auto found = this->backlogs.find(aKey);
+    if (found != this->backlogs.end()) {
+      auto& backlog = found->second;
+      backlog.decayedStarts = backlog.decayedStarts * DecayFactor(aNow - backlog.lastStart) + work;
+      backlog.lastStart = aNow;
+    }
+  };
+  record({ aCandidate.queue->name, aCandidate.job->spec.workspace });
+  if (!aCandidate.job->isBeyondWeight) {
+    record({ aCandidate.queue->name, {} });
+  }
+}
+
+void
+CompletionForecast::RecordFirstStart(const JobId& aJob, TimePoint aNow)
+{
+  const auto found = this->waitingJobs.find(aJob);
+  if (found == this->waitingJobs.end()) {
+    return;
+  }
+  const auto& job = found->second;
+  if (job.forecast) {
+    this->Compare(job.queue, *job.forecast, aNow - job.receivedAt);
+  }
+  this->waitingJobs.erase(found);
+}
+
+std::vector<ExpectedWait>
+CompletionForecast::Update(std::span<const Candidate> aCandidates, TimePoint aNow)
+{
+  ++this->updateCount;
+  for (auto& [key, backlog] : this->backlogs) {
+    backlog.valuedWork = 0;
+    backlog.expiredWork = 0;
+    backlog.largestStep = 0;
+    backlog.isBeyondShare = false;
+  }
+  for (const auto& candidate : aCandidates) {
+    if (CountsAsWork(*candidate.specification) &&
+        this->contention.IsContended(candidate.queue->pool)) {
+      this->TrackJob(candidate, aNow);
+      this->AddWaitingWork(candidate, aNow);
+    }
+  }
+  std::erase_if(this->waitingJobs, [this](const auto& aEntry) {
+    return aEntry.second.lastUpdate != this->updateCount;
+  });
+  // A new backlog starts with a new rate, since the rate without a backlog is that of arrivals.
+  std::erase_if(this->backlogs, [](const auto& aEntry) {
+    return aEntry.second.valuedWork + aEntry.second.expiredWork == 0;
+  });
+  for (auto& [key, backlog] : this->backlogs) {
+    backlog.wait = ComputeWait(backlog, aNow);
+  }
+  for (auto* job : this->newJobs) {
+    const auto after = this->FindWait(job->queue, job->workspace);
+    job->forecast =
+      job->forecast && after ? std::optional((*job->forecast + *after) / 2) : std::nullopt;
+  }
+  this->newJobs.clear();
+  return this->ListWaits();
+}
+
+double
+CompletionForecast::CorrectionOf(const QueueId& aQueue) const
+{
+  const auto found = this->corrections.find(aQueue);
+  return found == this->corrections.end() ? 1.0 : found->second;
+}
+
+void
+CompletionForecast::AddWaitingWork(const Candidate& aCandidate, TimePoint aNow)
+{
+  const auto stepWork = WorkOf(*aCandidate.specification) * aCandidate.run->waitingTasks;
+  const bool isExpired = aNow > LatestStart(aCandidate);
+  const bool isBeyondShare = aCandidate.job->isBeyondWeight || IsAtLimit(aCandidate);
+  const auto add = [&](const BacklogKey& aKey) {
+    const auto [found, isNew] = this->backlogs.try_emplace(aKey);
+    auto& backlog = found->second;
+    if (isNew) {
+      backlog.since = aNow;
+      backlog.lastStart = aNow;
+    }
+    (isExpired ? backlog.expiredWork : backlog.valuedWork) += stepWork;
+    backlog.largestStep = std::max(backlog.largestStep, stepWork);
+    backlog.isBeyondShare = backlog.isBeyondShare || isBeyondShare;
+  };
+  add({ aCandidate.queue->name, aCandidate.job->spec.workspace });
+  if (!isBeyondShare) {
+    add({ aCandidate.queue->name, {} });
+  }
+}
+
+std::optional<Milliseconds>
+CompletionForecast::ComputeWait(const Backlog& aBacklog, TimePoint aNow)
+{
+  const Milliseconds observed = aNow - aBacklog.since;
+  if (observed < kMinObservation) {
+    return {};
+  }
+  // The next start of a large step may be due at any moment; without it, a queue of gangs would
+  // seem not to start at all between two of them.
+  const double started =
+    aBacklog.decayedStarts * DecayFactor(aNow - aBacklog.lastStart) + aBacklog.largestStep;
+  const double observedMs = CountMilliseconds(kRateDecayTime) * (1.0 - DecayFactor(observed));
+  const double waiting =
+    aBacklog.valuedWork + std::min(aBacklog.expiredWork, kMaxExpiredRatio * aBacklog.valuedWork);
+  const double wait = waiting / started * observedMs;
+  return Milliseconds(static_cast<std::int64_t>(std::min(wait, CountMilliseconds(kMaxWait))));
+}
+
+std::optional<Milliseconds>
+CompletionForecast::FindWait(const QueueId& aQueue, const WorkspaceId& aWorkspace) const
+{
+  std::optional<Milliseconds> wait;
+  if (const auto all = this->backlogs.find({ aQueue, {} }); all != this->backlogs.end()) {
+    wait = all->second.wait;
+  }
+  const auto own = this->backlogs.find({ aQueue, aWorkspace });
+  if (own != this->backlogs.end() && own->second.isBeyondShare && own->second.wait) {
+    wait = std::max(wait.value_or(Milliseconds{ 0 }), *own->second.wait);
+  }
+  return wait;
+}
+
+void
+CompletionForecast::TrackJob(const Candidate& aCandidate, TimePoint aNow)
+{
+  const auto& job = *aCandidate.job;
+  if (job.hasStarted || job.spec.occurrences > 0) {
+    return;
+  }
+  const auto [found, isNew] = this->waitingJobs.try_emplace(job.spec.id);
+  auto& waiting = found->second;
+  waiting.lastUpdate = this->updateCount;
+  if (isNew) {
+    waiting.queue = aCandidate.queue->name;
+    waiting.workspace = job.spec.workspace;
+    waiting.receivedAt = job.receivedAt;
+    waiting.latestStart = LatestStart(aCandidate);
+    waiting.forecast = this->FindWait(waiting.queue, waiting.workspace);
+    this->newJobs.push_back(&waiting);
+  } else if (waiting.forecast && aNow > waiting.latestStart) {
+    // The job's wait is at least as long as this, and its forecast was right if it was longer.
+    const auto atLeast = waiting.latestStart - waiting.receivedAt;
+    this->Compare(
+      waiting.queue, *waiting.forecast, std::max<Milliseconds>(atLeast, *waiting.forecast));
+    waiting.forecast.reset();
+  }
+}
+
+void
+CompletionForecast::Compare(const QueueId& aQueue, Milliseconds aForecast, Milliseconds aActual)
+{
+  if (aForecast < kMinComparedWait) {
+    return;
+  }
+  const double ratio = CountMilliseconds(aActual) / CountMilliseconds(aForecast);
+  auto& correction = this->corrections.try_emplace(aQueue, 1.0).first->second;
+  correction += kCorrectionWeight * (std::min(ratio, kMaxCorrection) - correction);
+  correction = std::clamp(correction, kMinCorrection, kMaxCorrection);
+}
+
+std::vector<ExpectedWait>
+CompletionForecast::ListWaits() const
+{
+  std::vector<ExpectedWait> waits;
+  for (const auto& [key, backlog] : this->backlogs) {
+    const auto& [queue, workspace] = key;
+    const bool isPublished = workspace.IsEmpty() || backlog.isBeyondShare;
+    if (!isPublished || !backlog.wait) {
+      continue;
+    }
+    const Milliseconds wait(
+      static_cast<std::int64_t>(CountMilliseconds(*backlog.wait) * this->CorrectionOf(queue)));
+    if (wait >= kMinPublishedWait) {
+      waits.push_back({ .queue = queue, .workspace = workspace, .wait = wait });
+    }
+  }
+  std::ranges::stable_sort(waits, {}, [](const ExpectedWait& aWait) {
+    return std::pair(!aWait.workspace.IsEmpty(), -aWait.wait.count());
+  });
+  waits.resize(std::min(waits.size(), kMaxExpectedWaits));
+  return waits;
+}
+
+}
--- a/Libraries/LibCell/Forward.h
+++ b/Libraries/LibCell/Forward.h
@@ -7,6 +7,7 @@
 
 class AdviceDispatcher;
 class CellScheduler;
+class CompletionForecast;
 class Intake;
 class LeaderElection;
 class LoadReport;
@@ -19,6 +20,7 @@
 class WorkerTable;
 struct Candidate;
 struct CellPolicy;
+struct ExpectedWait;
 struct Job;
 struct JobSpecification;
 struct Worker;
--- a/Libraries/LibCell/Job.cpp
+++ b/Libraries/LibCell/Job.cpp
@@ -18,6 +18,13 @@
   return paths;
 }
 
+Milliseconds
+ComputeObjective(const QueuePolicy& aQueue, Milliseconds aCriticalPath)
+{
+  return aQueue.slack + Milliseconds(static_cast<std::int64_t>(
+                          static_cast<double>(aCriticalPath.count()) * aQueue.stretch));
+}
+
 std::string_view
 ToString(JobOutcome aOutcome)
 {
--- a/Libraries/LibCell/Job.h
+++ b/Libraries/LibCell/Job.h
@@ -181,11 +181,29 @@
   }
 };
 
+/// State of a job as reported to callers.
+struct JobStatus
+{
+  bool isKnown = false;
+  JobOutcome outcome = JobOutcome::Active;
+  bool hasStarted = false;
+  WorkspaceId workspace;
+  QueueId queue;
+};
+
 /// @return for each step the estimated duration of the longest chain of dependent steps that begins
 /// with it, itself included
 [[nodiscard]] std::vector<Milliseconds>
 ComputeCriticalPaths(const JobSpecification& aSpec);
 
+/// A job that takes this many times its objective has no value any more, by the platform's rules.
+inline constexpr int kDeadlineFactor = 3;
+
+/// @return the time from a job's receipt to its target end
+/// @param aCriticalPath estimated duration of the longest chain of its steps
+[[nodiscard]] Milliseconds
+ComputeObjective(const QueuePolicy& aQueue, Milliseconds aCriticalPath);
+
 /// @return the outcome's name in the API
 [[nodiscard]] std::string_view
 ToString(JobOutcome aOutcome);
--- a/Libraries/LibCell/PoolContention.cpp
+++ b/Libraries/LibCell/PoolContention.cpp
@@ -38,6 +38,13 @@
   return found != this->pools.end() && found->second.isContended;
 }
 
+bool
+PoolContention::HasContendedPool() const
+{
+  return std::ranges::any_of(this->pools,
+                             [](const auto& aEntry) { return aEntry.second.isContended; });
+}
+
 double
 PoolContention::OversubscriptionOf(std::string_view aPool) const
 {
--- a/Libraries/LibCell/PoolContention.h
+++ b/Libraries/LibCell/PoolContention.h
@@ -40,6 +40,7 @@
   void UpdateCapacity(std::string_view aPool, std::int64_t aMilliCores);
   /// @return true if the pool is contended; false for one without workers
   [[nodiscard]] bool IsContended(std::string_view aPool) const;
+  [[nodiscard]] bool HasContendedPool() const;
   /// @return the sum of the workspaces' limits over the pool's processors; 0 for a pool without
   /// workers
   [[nodiscard]] double OversubscriptionOf(std::string_view aPool) const;
