LibCell: Publish expected waits in the leader record

Cause: an instance decides on a job without a call to the leader, so the leader's forecast has to reach it with a row that it reads anyway.

A reader ignores entries of a form that it does not know. The age of the record by the store's clock becomes readable. The record of a takeover does not repeat the predecessor's waits.

--- a/Libraries/LibCell/LeaderElection.cpp
+++ b/Libraries/LibCell/LeaderElection.cpp
@@ -367,7 +367,8 @@
                          this->dependencies.store.StoreTime().value_or(Milliseconds{ 0 }),
                        .workers = report.workers,
                        .drainingJobs = report.drainingJobs,
-                       .backlog = report.pendingJobs };
+                       .backlog = report.pendingJobs,
+                       .expectedWaits = report.expectedWaits };
   // A successor reads the draining workers, too.
   for (const auto& [worker, jobs] : report.drainingJobs) {
     record.workers.push_back(worker.value);
--- a/Libraries/LibCell/LeaderElection.h
+++ b/Libraries/LibCell/LeaderElection.h
@@ -57,6 +57,8 @@
   DrainingJobs drainingJobs;
   /// Accepted jobs of each queue that have not started.
   std::map<std::string, std::uint64_t> pendingJobs;
+  /// Expected waits of jobs that arrive now.
+  std::vector<ExpectedWait> expectedWaits;
   /// Runs of earlier leaders may still exist at workers that have not reported yet.
   bool isRecovering = false;
   /// Time until the leases of such runs have expired.
@@ -163,6 +165,8 @@
   [[nodiscard]] std::size_t Rank() const;
   /// @return the leader as last read from the store.
   [[nodiscard]] const std::optional<LeaderRecord>& CurrentLeader() const { return this->leader; }
+  /// @return the time since the leader record was written; empty if unknown.
+  [[nodiscard]] std::optional<Milliseconds> LeaderRecordAge() const;
 
 private:
   enum class State : std::uint8_t
@@ -186,8 +190,6 @@
   [[nodiscard]] TimePoint LeaderLeasesExpiry() const;
   /// @return when all leases granted by leaders before the current one have expired.
   [[nodiscard]] TimePoint OlderLeasesExpiry() const;
-  /// @return the time since the leader record was written; empty if unknown.
-  [[nodiscard]] std::optional<Milliseconds> LeaderRecordAge() const;
   void RequestLeadership();
   void OnLeadershipResult(TimePoint aSent, const Result<CommitResult>& aResult);
   void BeginTerm(std::uint64_t aToken, TimePoint aSent);
--- a/Libraries/LibCell/Records.cpp
+++ b/Libraries/LibCell/Records.cpp
@@ -51,6 +51,37 @@
                         .incarnation = aValue[3].asInt64() };
 }
 
+Json::Value
+ToJson(const ExpectedWait& aWait)
+{
+  Json::Value value(Json::arrayValue);
+  value.append(aWait.queue.value);
+  value.append(aWait.workspace.value);
+  value.append(Json::Int64(aWait.wait.count()));
+  return value;
+}
+
+/// Ignores entries of another form: later versions may change them, and the rest of the leader
+/// record stays readable.
+std::vector<ExpectedWait>
+DecodeExpectedWaits(const Json::Value& aValue)
+{
+  std::vector<ExpectedWait> waits;
+  if (!aValue.isArray()) {
+    return waits;
+  }
+  for (const auto& wait : aValue) {
+    const bool isReadable = wait.isArray() && wait.size() >= 3 && wait[0].isString() &&
+                            wait[1].isString() && wait[2].isInt64() && wait[2].asInt64() >= 0;
+    if (isReadable && waits.size() < kMaxExpectedWaits) {
+      waits.push_back({ .queue = { wait[0].asString() },
+                        .workspace = { wait[1].asString() },
+                        .wait = Milliseconds(wait[2].asInt64()) });
+    }
+  }
+  return waits;
+}
+
 Json::Value
 EncodeRuns(const std::set<std::uint64_t>& aRuns)
 {
@@ -525,6 +556,9 @@
   for (const auto& [queue, count] : aRecord.backlog) {
     value["waiting"][queue] = Json::UInt64(count);
   }
+  for (const auto& wait : aRecord.expectedWaits) {
+    value["expected_waits"].append(ToJson(wait));
+  }
   return WriteJson(value);
 }
 
@@ -554,6 +588,7 @@
       for (const auto& queue : aValue["waiting"].getMemberNames()) {
         record.backlog[queue] = aValue["waiting"][queue].asUInt64();
       }
+      record.expectedWaits = DecodeExpectedWaits(aValue["expected_waits"]);
       return record;
     });
 }
--- a/Libraries/LibCell/Records.h
+++ b/Libraries/LibCell/Records.h
@@ -4,6 +4,7 @@
 /// Keys, partitions and encodings of the rows that the cell keeps in the store.
 
 #include <LibBase/Verdict.h>
+#include <LibCell/ExpectedWait.h>
 #include <LibCell/Job.h>
 #include <LibCell/Ports.h>
 #include <map>
@@ -162,6 +163,9 @@
   DrainingJobs drainingJobs;
   /// Number of accepted jobs that have not started, by queue.
   std::map<std::string, std::uint64_t> backlog;
+  /// Expected waits of jobs that arrive now, at most @ref kMaxExpectedWaits; empty if nothing waits
+  /// for long, and in the rows of older versions.
+  std::vector<ExpectedWait> expectedWaits;
 };
 
 /// @return the key of an instance record.
--- a/Tests/LibCell/TestLeaderElection.cpp
+++ b/Tests/LibCell/TestLeaderElection.cpp
@@ -31,6 +31,7 @@
                    .makeReport =
                      [this] {
                        return LeaderReport{ .workers = this->workers,
+                                            .expectedWaits = this->expectedWaits,
                                             .isRecovering = this->isRecovering,
                                             .recoveryLeft = this->recoveryLeft };
                      },
@@ -50,6 +51,7 @@
     MonitoredStore monitoredStore;
     std::vector<std::string> workers;
     std::vector<std::string> publishedWorkers;
+    std::vector<ExpectedWait> expectedWaits;
     bool isRecovering = false;
     Milliseconds recoveryLeft{ 0 };
     std::optional<Term> term;
@@ -119,6 +121,29 @@
   EXPECT_FALSE(first.term);
 }
 
+// Failure: the leader is killed while its expected waits are in circulation. Guards against
+// refusals by the forecast of a dead leader: its age grows, and the successor's record, which is of
+// a recovering leader, does not repeat it.
+TEST_F(LeaderElectionTest, DoesNotRepeatThePredecessorsExpectedWaits)
+{
+  Instance first(*this, "first");
+  Instance second(*this, "second");
+  first.expectedWaits = { { { "queue" }, {}, Milliseconds{ 9000 } } };
+  this->Run({ &first, &second }, Milliseconds{ 300 });
+  this->Run({ &first }, Milliseconds{ 700 });
+  ASSERT_TRUE(first.term);
+  this->Run({ &second }, Milliseconds{ 20 });
+  EXPECT_EQ(second.election.CurrentLeader()->expectedWaits, first.expectedWaits);
+  this->Run({ &second }, Milliseconds{ 1500 });
+  EXPECT_EQ(second.election.CurrentLeader()->expectedWaits, first.expectedWaits);
+  second.isRecovering = true;
+  this->Run({ &second }, Milliseconds{ 1000 });
+  ASSERT_TRUE(second.term);
+  const auto record = DecodeLeaderRecord(this->LeaderRow().value);
+  EXPECT_TRUE(ValueOf(record).expectedWaits.empty());
+  EXPECT_TRUE(ValueOf(record).isRecovering);
+}
+
 TEST_F(LeaderElectionTest, TakesOverImmediatelyFromARestartedLeader)
 {
   Instance first(*this, "first");
--- a/Tests/LibCell/TestRecords.cpp
+++ b/Tests/LibCell/TestRecords.cpp
@@ -88,6 +88,46 @@
   EXPECT_FALSE(ParseJobRowKey("job.z").has_value());
 }
 
+// Guards against expected waits that are lost or changed on their way to the instances.
+TEST_F(RecordsTest, RestoresExpectedWaits)
+{
+  LeaderRecord record{ .instance = "a", .backlog = { { "queue", 3 } } };
+  record.expectedWaits = { { { "queue" }, {}, Milliseconds{ 1500 } },
+                           { { "queue" }, { "team" }, Milliseconds{ 90'000 } } };
+  const auto decoded = DecodeLeaderRecord(EncodeLeaderRecord(record));
+  ASSERT_FALSE(IsError(decoded));
+  EXPECT_EQ(ValueOf(decoded).expectedWaits, record.expectedWaits);
+  EXPECT_EQ(ValueOf(decoded).backlog, record.backlog);
+}
+
+// Old and new instances mixed: the row of an old leader, and the row of a new one while nothing
+// waits, which is the same.
+TEST_F(RecordsTest, ReadsLeaderRecordsWithoutExpectedWaits)
+{
+  const auto text = EncodeLeaderRecord({ .instance = "a", .token = 7 });
+  EXPECT_EQ(text.find("expected_waits"), std::string::npos);
+  const auto decoded = DecodeLeaderRecord(R"({"instance":"a","token":7,"waiting":{"queue":3}})");
+  ASSERT_FALSE(IsError(decoded));
+  EXPECT_TRUE(ValueOf(decoded).expectedWaits.empty());
+  EXPECT_EQ(ValueOf(decoded).backlog.at("queue"), 3U);
+}
+
+// Old and new instances mixed: an old instance, like this one, reads known fields only, so the row
+// of a leader that is newer must not become unreadable.
+TEST_F(RecordsTest, ReadsLeaderRecordsOfLaterVersions)
+{
+  const auto decoded = DecodeLeaderRecord(
+    R"({"instance":"a","token":7,"later_field":[{"x":1}],"expected_waits":[)"
+    R"(["queue","",800],["queue","team",900,"later"],"text",["queue",5,1],["queue","",-1],[],{}]})");
+  ASSERT_FALSE(IsError(decoded));
+  EXPECT_EQ(ValueOf(decoded).token, 7U);
+  ASSERT_EQ(ValueOf(decoded).expectedWaits.size(), 2U);
+  EXPECT_EQ(ValueOf(decoded).expectedWaits[1].wait, Milliseconds{ 900 });
+  const auto other = DecodeLeaderRecord(R"({"token":7,"expected_waits":{"queue":1}})");
+  ASSERT_FALSE(IsError(other));
+  EXPECT_TRUE(ValueOf(other).expectedWaits.empty());
+}
+
 TEST_F(RecordsTest, CompactsTheRowsOfEndedJobs)
 {
   this->RunUntilCompaction();
