LibCell: Refuse jobs that would end too late to be useful

Change: AdmissionGate refuses a job if the leader's forecast, reduced by a margin of a quarter, still ends after three times the objective. The admitted share falls with the excess, by a hash of the id. GatedIntake asks the gate in CellInstance::Submit and refuses only after it has read that the store has no row for the id; a failed read, a known id or an attempt in flight is submitted as usual. Each refusal is logged with its inputs and counted by queue and reason.

Ruled out: refusals at the leader, which would need a call for each job.

Result: TestCell, TestInstance and TestAdapter pass.

--- a/Libraries/LibInstance/CellInstance.cpp
+++ b/Libraries/LibInstance/CellInstance.cpp
@@ -52,6 +52,11 @@
           this->dependencies.log,
           this->dependencies.metrics)
   , intake(this->store, this->dependencies.clock)
+  , gatedIntake({ .store = this->store,
+                  .intake = this->intake,
+                  .log = this->dependencies.log,
+                  .metrics = this->dependencies.metrics,
+                  .findForecast = [this] { return this->CurrentForecast(); } })
   , election({ .store = this->store,
                .clock = this->dependencies.clock,
                .log = this->dependencies.log,
@@ -426,13 +431,33 @@
     }
     return report;
   }
+  this->expectedWaits = this->scheduler->ExpectedWaits();
+  this->expectedWaitsMadeAt = this->dependencies.clock.Now();
   return { .workers = this->scheduler->WorkersToPublish(),
            .drainingJobs = this->scheduler->DrainingJobsToPublish(),
            .pendingJobs = this->scheduler->PendingJobsByQueue(),
+           .expectedWaits = this->expectedWaits,
            .isRecovering = this->scheduler->IsRecovering(),
            .recoveryLeft = this->scheduler->RemainingRecoveryTime() };
 }
 
+cell::ForecastView
+CellInstance::CurrentForecast() const
+{
+  if (this->scheduler) {
+    return { .waits = this->expectedWaits,
+             .age = this->dependencies.clock.Now() - this->expectedWaitsMadeAt,
+             .isRecovering = this->scheduler->IsRecovering() };
+  }
+  const auto& leader = this->election.CurrentLeader();
+  if (!leader) {
+    return {};
+  }
+  return { .waits = leader->expectedWaits,
+           .age = this->election.LeaderRecordAge(),
+           .isRecovering = leader->isRecovering };
+}
+
 void
 CellInstance::CheckStore(cell::Handler<bool> aHandler)
 {
@@ -540,7 +565,7 @@
 void
 CellInstance::Submit(const cell::JobSpecification& aSpec, cell::Handler<Done> aHandler)
 {
-  this->intake.Submit(aSpec, std::move(aHandler));
+  this->gatedIntake.Submit(aSpec, std::move(aHandler));
 }
 
 void
--- a/Libraries/LibInstance/CellInstance.h
+++ b/Libraries/LibInstance/CellInstance.h
@@ -6,6 +6,7 @@
 
 #include <LibCell/CallerPort.h>
 #include <LibCell/CellScheduler.h>
+#include <LibCell/GatedIntake.h>
 #include <LibCell/Intake.h>
 #include <LibCell/LeaderElection.h>
 #include <LibCell/MonitoredStore.h>
@@ -184,6 +185,8 @@
   void OnWorkerRows(const cell::TableUpdate& aUpdate);
   void StartSchedulerIfReady();
   [[nodiscard]] cell::LeaderReport BuildLeaderReport();
+  /// @return the leader's expected waits as this instance knows them.
+  [[nodiscard]] cell::ForecastView CurrentForecast() const;
   void TickScheduler();
   void TickElection();
   void MeasureSpeed();
@@ -199,6 +202,7 @@
   CellInstanceOptions options;
   cell::MonitoredStore store;
   cell::Intake intake;
+  cell::GatedIntake gatedIntake;
   cell::LeaderElection election;
   cell::SpeedProbe speed;
   cell::WorkerDirectory workerDirectory;
@@ -211,6 +215,9 @@
   /// a call of the scheduler itself.
   std::vector<std::unique_ptr<cell::CellScheduler>> endedSchedulers;
   std::optional<PendingTerm> pendingTerm;
+  /// Expected waits in the last report of this leader, which does not read its own record.
+  std::vector<cell::ExpectedWait> expectedWaits;
+  TimePoint expectedWaitsMadeAt{};
   std::shared_ptr<const cell::CellPolicy> policy;
   /// Documents that were replaced recently, oldest first, with the time of their replacement.
   std::deque<std::pair<TimePoint, std::shared_ptr<const cell::CellPolicy>>> formerPolicies;
