Tests: Check that refusals are true and name a retry delay

Cause: a refusal promises that the job never runs, and the gate must not refuse a workspace within its weight for another's burst.

--- a/Tests/LibTraffic/TestHttpServer.cpp
+++ b/Tests/LibTraffic/TestHttpServer.cpp
@@ -24,6 +24,10 @@
                                      .idleTimeout = Milliseconds(2000) };
     auto created =
       HttpServer::Create(this->context, options, [](IncomingRequest aRequest, Respond aRespond) {
+        if (aRequest.path == "/busy") {
+          aRespond({ .status = 429, .retryAfter = Milliseconds(4321) });
+          return;
+        }
         aRespond({ .body = aRequest.path + "|" + aRequest.bearer + "|" +
                            std::string(aRequest.Query("q").value_or("-")) + "|" + aRequest.body });
         aRespond({ .body = "a second answer" });
@@ -70,6 +74,15 @@
   EXPECT_EQ(answer.find("a second answer"), std::string::npos);
 }
 
+// Load: refused callers. Guards against callers that are not told when to return, or too early.
+TEST_F(HttpServerTest, SendsTheRetryDelayInSecondsRoundedUp)
+{
+  const auto answer =
+    this->Exchange("POST /busy HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+  EXPECT_TRUE(answer.starts_with("HTTP/1.1 429 ")) << answer;
+  EXPECT_NE(answer.find("\r\nRetry-After: 5\r\n"), std::string::npos) << answer;
+}
+
 TEST_F(HttpServerTest, RefusesBadRequestsAsNotRun)
 {
   const struct
--- a/Tests/Platform/TestCallerInterface.cpp
+++ b/Tests/Platform/TestCallerInterface.cpp
@@ -121,8 +121,11 @@
   const auto rejected = this->Call(RequestMethod::Post, kJob);
   EXPECT_EQ(rejected.status, 503U);
   EXPECT_EQ(rejected.retryAfter, Milliseconds{ 1000 });
-  this->caller.submitResult = NotRun(ErrorCode::Overloaded, "full");
-  EXPECT_EQ(this->Call(RequestMethod::Post, kJob).status, 429U);
+  // A job that the admission gate refuses.
+  this->caller.submitResult = NotRun(ErrorCode::Overloaded, "full", Milliseconds{ 4321 });
+  const auto refused = this->Call(RequestMethod::Post, kJob);
+  EXPECT_EQ(refused.status, 429U);
+  EXPECT_EQ(refused.retryAfter, Milliseconds{ 4321 });
   this->caller.submitResult = MayHaveRun(ErrorCode::Timeout, "lost");
   EXPECT_EQ(this->Call(RequestMethod::Post, kJob).status, 504U);
 }
