LibInstance: Log the expected waits of the cell

Cause: a refusal names the wait that it followed, but not what the leader forecasts for other queues and workspaces.

Change: the leader logs its forecasts at most once per second.

--- a/Libraries/LibInstance/CellInstance.cpp
+++ b/Libraries/LibInstance/CellInstance.cpp
@@ -1,6 +1,8 @@
 #include <LibInstance/CellInstance.h>
 
 #include <algorithm>
+#include <fmt/format.h>
+#include <span>
 
 namespace zinc {
 
@@ -433,6 +435,7 @@
   }
   this->expectedWaits = this->scheduler->ExpectedWaits();
   this->expectedWaitsMadeAt = this->dependencies.clock.Now();
+  this->LogExpectedWaits();
   return { .workers = this->scheduler->WorkersToPublish(),
            .drainingJobs = this->scheduler->DrainingJobsToPublish(),
            .pendingJobs = this->scheduler->PendingJobsByQueue(),
@@ -441,6 +444,30 @@
            .recoveryLeft = this->scheduler->RemainingRecoveryTime() };
 }
 
+void
+CellInstance::LogExpectedWaits()
+{
+  constexpr Milliseconds kLineInterval{ 1000 };
+  constexpr std::size_t kMaxWaitsPerLine = 8;
+  if (this->expectedWaits.empty() || this->expectedWaitsMadeAt < this->nextExpectedWaitsLine) {
+    return;
+  }
+  this->nextExpectedWaitsLine = this->expectedWaitsMadeAt + kLineInterval;
+  std::string text;
+  for (const auto& wait : std::span(this->expectedWaits)
+                            .first(std::min(this->expectedWaits.size(), kMaxWaitsPerLine))) {
+    text += fmt::format("{}{}{}{}={}",
+                        text.empty() ? "" : " ",
+                        wait.queue.value,
+                        wait.workspace.IsEmpty() ? "" : "/",
+                        wait.workspace.value,
+                        wait.wait.count());
+  }
+  this->dependencies.log.Log(LogLevel::Info,
+                             "expected_waits",
+                             { { "count", this->expectedWaits.size() }, { "wait_ms", text } });
+}
+
 cell::ForecastView
 CellInstance::CurrentForecast() const
 {
--- a/Libraries/LibInstance/CellInstance.h
+++ b/Libraries/LibInstance/CellInstance.h
@@ -185,6 +185,8 @@
   void OnWorkerRows(const cell::TableUpdate& aUpdate);
   void StartSchedulerIfReady();
   [[nodiscard]] cell::LeaderReport BuildLeaderReport();
+  /// Logs the expected waits, at most once per second.
+  void LogExpectedWaits();
   /// @return the leader's expected waits as this instance knows them.
   [[nodiscard]] cell::ForecastView CurrentForecast() const;
   void TickScheduler();
@@ -218,6 +220,7 @@
   /// Expected waits in the last report of this leader, which does not read its own record.
   std::vector<cell::ExpectedWait> expectedWaits;
   TimePoint expectedWaitsMadeAt{};
+  TimePoint nextExpectedWaitsLine{};
   std::shared_ptr<const cell::CellPolicy> policy;
   /// Documents that were replaced recently, oldest first, with the time of their replacement.
   std::deque<std::pair<TimePoint, std::shared_ptr<const cell::CellPolicy>>> formerPolicies;
--- a/Tests/LibTraffic/TestHttpServer.cpp
+++ b/Tests/LibTraffic/TestHttpServer.cpp
@@ -77,8 +77,7 @@
 // Load: refused callers. Guards against callers that are not told when to return, or too early.
 TEST_F(HttpServerTest, SendsTheRetryDelayInSecondsRoundedUp)
 {
-  const auto answer =
-    this->Exchange("POST /busy HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+  const auto answer = this->Exchange("POST /busy HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
   EXPECT_TRUE(answer.starts_with("HTTP/1.1 429 ")) << answer;
   EXPECT_NE(answer.find("\r\nRetry-After: 5\r\n"), std::string::npos) << answer;
 }
