Tests: Check admission by the leader record in CellInstance

Cause: the gate's age of the forecast comes from the leader record and the store's clock, which only CellInstance connects.

Change: an instance with a manual clock and a store in memory reads the record of a leader that lives, dies, recovers or cannot be read.

--- /dev/null
+++ b/Tests/LibInstance/TestAdmission.cpp
@@ -0,0 +1,211 @@
+#include "LibCell/MemoryStore.h"
+#include <LibInstance/CellInstance.h>
+
+#include <boost/asio/io_context.hpp>
+#include <gtest/gtest.h>
+#include <map>
+
+namespace zinc {
+
+namespace {
+
+/// Runs functions as the test advances the clock.
+class StepTimer final : public cell::TimerPort
+{
+public:
+  explicit StepTimer(ManualClock& aClock)
+    : clock(aClock)
+  {
+  }
+
+  void RunAfter(Milliseconds aDelay, std::function<void()> aFunction) override
+  {
+    this->functions.emplace(this->clock.Now() + std::max(aDelay, Milliseconds{ 1 }),
+                            std::move(aFunction));
+  }
+
+  void Advance(Milliseconds aTime)
+  {
+    for (auto left = aTime; left > Milliseconds{ 0 }; left -= Milliseconds{ 1 }) {
+      this->clock.Advance(Milliseconds{ 1 });
+      while (!this->functions.empty() && this->functions.begin()->first <= this->clock.Now()) {
+        this->functions.extract(this->functions.begin()).mapped()();
+      }
+    }
+  }
+
+private:
+  ManualClock& clock;
+  std::multimap<TimePoint, std::function<void()>> functions;
+};
+
+/// A store in memory that reports its time and delays the responses to watches.
+class TimedStore final : public cell::StorePort
+{
+public:
+  static constexpr Milliseconds kWatchDelay{ 20 };
+
+  TimedStore(StepTimer& aTimer, ManualClock& aClock)
+    : timer(aTimer)
+    , clock(aClock)
+  {
+  }
+
+  [[nodiscard]] Milliseconds Time() const { return this->clock.Now().time_since_epoch(); }
+
+  void Read(const cell::RowRange& aRange, cell::Handler<cell::RowBatch> aHandler) override
+  {
+    this->memory.Read(aRange, this->AddTime(std::move(aHandler)));
+  }
+  void Watch(const std::string& aTable,
+             std::uint64_t aAfterVersion,
+             Milliseconds aMaxWait,
+             cell::Handler<cell::RowBatch> aHandler) override
+  {
+    this->timer.RunAfter(
+      kWatchDelay, [this, aTable, aAfterVersion, aMaxWait, handler = std::move(aHandler)] {
+        this->memory.Watch(aTable, aAfterVersion, aMaxWait, this->AddTime(handler));
+      });
+  }
+  void Commit(cell::Transaction aTransaction, cell::Handler<cell::CommitResult> aHandler) override
+  {
+    this->memory.Commit(std::move(aTransaction), std::move(aHandler));
+  }
+
+  cell::test::MemoryStore memory;
+
+private:
+  [[nodiscard]] cell::Handler<cell::RowBatch> AddTime(cell::Handler<cell::RowBatch> aHandler)
+  {
+    return [this, handler = std::move(aHandler)](Result<cell::RowBatch> aBatch) {
+      if (!IsError(aBatch)) {
+        ValueOf(aBatch).storeTime = this->Time();
+      }
+      handler(std::move(aBatch));
+    };
+  }
+
+  StepTimer& timer;
+  ManualClock& clock;
+};
+
+class NoWorkers final : public cell::WorkerPort
+{
+public:
+  void RenewLease(cell::LeaseRenewal,
+                  cell::Handler<std::variant<cell::WorkerReport, cell::OrderResult>>) override
+  {
+  }
+  void Start(cell::StartOrder, cell::Handler<cell::OrderResult>) override {}
+  void Stop(cell::RunOrder, cell::Handler<cell::OrderResult>) override {}
+  void Throttle(cell::RunOrder, int, cell::Handler<cell::OrderResult>) override {}
+  void Disconnect(const WorkerId&) override {}
+};
+
+/// An instance that is not the leader, and the record of the leader that it reads.
+class AdmissionTest : public testing::Test
+{
+protected:
+  AdmissionTest()
+  {
+    this->clock.Advance(Milliseconds{ 1'000'000 });
+    this->WriteLeaderRecord();
+    this->instance.Start();
+    this->timer.Advance(Milliseconds{ 300 });
+  }
+
+  void WriteLeaderRecord(bool aIsRecovering = false)
+  {
+    cell::LeaderRecord record{ .instance = "leader",
+                               .incarnation = "leader1",
+                               .token = 1,
+                               .isRecovering = aIsRecovering,
+                               .writtenAt = this->store.Time() };
+    record.expectedWaits.push_back({ { "queue" }, {}, Milliseconds{ 60'000 } });
+    this->store.memory.Put({ .table = std::string(cell::kCellTable),
+                             .partition = std::string(cell::kLeaderPartition),
+                             .key = std::string(cell::kLeaderKey) },
+                           cell::EncodeLeaderRecord(record));
+  }
+
+  /// Submits a job that must start within a second or two.
+  /// @return true if it is refused
+  bool IsRefused()
+  {
+    cell::JobSpecification spec{ .id = { "job" + std::to_string(this->submitted++) },
+                                 .workspace = { "team" } };
+    spec.queue = { .name = { "queue" } };
+    spec.steps.push_back({ .estimate = Milliseconds{ 500 } });
+    bool isRefused = false;
+    this->instance.Submit(spec, [&isRefused](const Result<Done>& aResult) {
+      isRefused = IsError(aResult) && ErrorOf(aResult).code == ErrorCode::Overloaded;
+    });
+    return isRefused;
+  }
+
+  ManualClock clock;
+  StepTimer timer{ this->clock };
+  TimedStore store{ this->timer, this->clock };
+  NoWorkers workers;
+  boost::asio::io_context context;
+  InstanceCallClient calls{ HttpOptions{ .traffic = this->context,
+                                         .control = this->context.get_executor() } };
+  Logger log{ { .level = LogLevel::Error } };
+  MetricRegistry metrics;
+  int submitted = 0;
+  CellInstance instance{
+    { .store = this->store,
+      .workers = this->workers,
+      .advise = [](const cell::AdviceRequest&, const cell::Handler<cell::AdviceResponse>&) {},
+      .calls = this->calls,
+      .timer = this->timer,
+      .clock = this->clock,
+      .wallClock = [] { return cell::WallTime{}; },
+      .log = this->log,
+      .metrics = this->metrics,
+      .layout = { .documentTable = "op",
+                  .documentKey = "config",
+                  .decodeDocument =
+                    [](std::string_view) { return Result<cell::CellPolicy>(cell::CellPolicy{}); },
+                  .workerTable = "workers",
+                  .decodeWorker =
+                    [](const std::string&, std::string_view) {
+                      return Result<cell::WorkerEntry>(cell::WorkerEntry{});
+                    } } },
+    { .identity = { .name = "self", .incarnation = "self1", .milliCores = 100 },
+      // The tests look at the time after the leader's death, before the instance takes over.
+      .election = { .leaderTimeout = Milliseconds{ 60'000 } } }
+  };
+};
+
+}
+
+// Failure: the leader dies with its forecasts in circulation. Guards against refusals by them after
+// 2 s, and against forecasts that do not reach the gate of an instance.
+TEST_F(AdmissionTest, RefusesByTheRecordOfALivingLeaderOnly)
+{
+  EXPECT_TRUE(this->IsRefused());
+  this->timer.Advance(Milliseconds{ 1600 });
+  EXPECT_TRUE(this->IsRefused());
+  this->timer.Advance(Milliseconds{ 300 });
+  EXPECT_FALSE(this->IsRefused());
+  this->WriteLeaderRecord();
+  this->timer.Advance(Milliseconds{ 1000 });
+  EXPECT_TRUE(this->IsRefused());
+  this->WriteLeaderRecord(true);
+  this->timer.Advance(Milliseconds{ 1000 });
+  EXPECT_FALSE(this->IsRefused());
+}
+
+// Failure: the instance loses the store during a burst. Guards against refusals that were not
+// verified, and against forecasts that stay in force while no newer record can be read.
+TEST_F(AdmissionTest, RefusesNothingWithoutTheStore)
+{
+  this->store.memory.mode = cell::test::StoreMode::Unavailable;
+  EXPECT_FALSE(this->IsRefused());
+  this->timer.Advance(Milliseconds{ 3000 });
+  this->store.memory.mode = cell::test::StoreMode::Available;
+  EXPECT_FALSE(this->IsRefused());
+}
+
+}
