LibCell: Remember the rate of starts before a backlog

Cause: the rate of starts began anew with each backlog. A pause of all starts for 1.5 s, as while the policy service does not respond, gave a forecast of 274 s in a queue that had kept up, and so refused its jobs.

Change: the rate before the backlog counts if it is higher. It decays over 8 s, so a longer pause or a lasting loss of capacity still shows.

--- a/Libraries/LibCell/CompletionForecast.cpp
+++ b/Libraries/LibCell/CompletionForecast.cpp
@@ -11,6 +11,8 @@
 /// Time constant of the rate of starts. Shorter than a burst; gangs, of which a few start per
 /// second, still give a steady rate.
 constexpr Milliseconds kRateDecayTime{ 8000 };
+/// The rate is forgotten this long after the last start, when it has decayed to a fiftieth.
+constexpr Milliseconds kRateRetention{ 32'000 };
 /// The rate of a shorter backlog is unknown.
 constexpr Milliseconds kMinObservation{ 1000 };
 /// Shorter waits are not published: requests for advice alone take as long.
@@ -85,17 +87,16 @@
 void
 CompletionForecast::RecordStart(const Candidate& aCandidate, TimePoint aNow)
 {
-  if (this->backlogs.empty()) {
+  const auto& step = *aCandidate.specification;
+  if (!CountsAsWork(step) || !this->contention.IsContended(aCandidate.queue->pool)) {
     return;
   }
-  const auto work = WorkOf(*aCandidate.specification);
-  const auto record = [this, work, aNow](const BacklogKey& aKey) {
-    const auto found = this->backlogs.find(aKey);
-    if (found != this->backlogs.end()) {
-      auto& backlog = found->second;
-      backlog.decayedStarts = backlog.decayedStarts * DecayFactor(aNow - backlog.lastStart) + work;
-      backlog.lastStart = aNow;
-    }
+  const auto record = [this, work = WorkOf(step), aNow](const BacklogKey& aKey) {
+    auto& backlog = this->backlogs[aKey];
+    const auto decay = DecayFactor(aNow - backlog.decayedAt);
+    backlog.starts = backlog.starts * decay + work;
+    backlog.startsInBacklog = backlog.startsInBacklog * decay + (backlog.since ? work : 0);
+    backlog.decayedAt = aNow;
   };
   record({ aCandidate.queue->name, aCandidate.job->spec.workspace });
   if (!aCandidate.job->isBeyondWeight) {
@@ -137,10 +138,7 @@
   std::erase_if(this->waitingJobs, [this](const auto& aEntry) {
     return aEntry.second.lastUpdate != this->updateCount;
   });
-  // A new backlog starts with a new rate, since the rate without a backlog is that of arrivals.
-  std::erase_if(this->backlogs, [](const auto& aEntry) {
-    return aEntry.second.valuedWork + aEntry.second.expiredWork == 0;
-  });
+  this->EndBacklogs(aNow);
   for (auto& [key, backlog] : this->backlogs) {
     backlog.wait = ComputeWait(backlog, aNow);
   }
@@ -167,11 +165,10 @@
   const bool isExpired = aNow > LatestStart(aCandidate);
   const bool isBeyondShare = aCandidate.job->isBeyondWeight || IsAtLimit(aCandidate);
   const auto add = [&](const BacklogKey& aKey) {
-    const auto [found, isNew] = this->backlogs.try_emplace(aKey);
-    auto& backlog = found->second;
-    if (isNew) {
+    auto& backlog = this->backlogs[aKey];
+    if (!backlog.since) {
       backlog.since = aNow;
-      backlog.lastStart = aNow;
+      backlog.startsInBacklog = 0;
     }
     (isExpired ? backlog.expiredWork : backlog.valuedWork) += stepWork;
     backlog.largestStep = std::max(backlog.largestStep, stepWork);
@@ -183,21 +180,37 @@
   }
 }
 
+void
+CompletionForecast::EndBacklogs(TimePoint aNow)
+{
+  for (auto& [key, backlog] : this->backlogs) {
+    if (backlog.valuedWork + backlog.expiredWork == 0) {
+      backlog.since.reset();
+    }
+  }
+  std::erase_if(this->backlogs, [aNow](const auto& aEntry) {
+    return !aEntry.second.since && aNow - aEntry.second.decayedAt > kRateRetention;
+  });
+}
+
 std::optional<Milliseconds>
 CompletionForecast::ComputeWait(const Backlog& aBacklog, TimePoint aNow)
 {
-  const Milliseconds observed = aNow - aBacklog.since;
-  if (observed < kMinObservation) {
+  if (!aBacklog.since || aNow - *aBacklog.since < kMinObservation) {
     return {};
   }
+  const auto decay = DecayFactor(aNow - aBacklog.decayedAt);
   // The next start of a large step may be due at any moment; without it, a queue of gangs would
   // seem not to start at all between two of them.
-  const double started =
-    aBacklog.decayedStarts * DecayFactor(aNow - aBacklog.lastStart) + aBacklog.largestStep;
-  const double observedMs = CountMilliseconds(kRateDecayTime) * (1.0 - DecayFactor(observed));
+  const double startsInBacklog = aBacklog.startsInBacklog * decay + aBacklog.largestStep;
+  const double observedFraction = 1.0 - DecayFactor(aNow - *aBacklog.since);
+  // Starts before the backlog show a rate that was possible, so that a short pause of all starts
+  // does not look like an overload.
+  const double rate = std::max(startsInBacklog / observedFraction, aBacklog.starts * decay) /
+                      CountMilliseconds(kRateDecayTime);
   const double waiting =
     aBacklog.valuedWork + std::min(aBacklog.expiredWork, kMaxExpiredRatio * aBacklog.valuedWork);
-  const double wait = waiting / started * observedMs;
+  const double wait = waiting / rate;
   return Milliseconds(static_cast<std::int64_t>(std::min(wait, CountMilliseconds(kMaxWait))));
 }
 
--- a/Libraries/LibCell/CompletionForecast.h
+++ b/Libraries/LibCell/CompletionForecast.h
@@ -59,11 +59,13 @@
     double largestStep = 0;
     /// Part of the waiting work is beyond the workspace's weight or limit.
     bool isBeyondShare = false;
-    /// Started work, exponentially decayed until @ref lastStart.
-    double decayedStarts = 0;
-    TimePoint lastStart{};
-    /// When the current backlog began.
-    TimePoint since{};
+    /// Started work, exponentially decayed until @ref decayedAt.
+    double starts = 0;
+    /// The same since the current backlog began.
+    double startsInBacklog = 0;
+    TimePoint decayedAt{};
+    /// When the current backlog began; empty without one.
+    std::optional<TimePoint> since;
     /// Forecast without correction; empty until it can be computed.
     std::optional<Milliseconds> wait;
   };
@@ -83,6 +85,8 @@
   };
 
   void AddWaitingWork(const Candidate& aCandidate, TimePoint aNow);
+  /// Ends the backlogs without waiting work, and removes those without recent starts.
+  void EndBacklogs(TimePoint aNow);
   [[nodiscard]] static std::optional<Milliseconds> ComputeWait(const Backlog& aBacklog,
                                                                TimePoint aNow);
   /// @return the forecast for a job of the workspace, or nothing
--- a/Tests/LibCell/TestCompletionForecast.cpp
+++ b/Tests/LibCell/TestCompletionForecast.cpp
@@ -267,6 +267,34 @@
   EXPECT_TRUE(this->Update().empty());
 }
 
+// Load: a steady load without a backlog. Failure: nothing starts for 1.5 s, as while the policy
+// service does not respond. Guards against refusals because of a short pause.
+TEST_F(ForecastOfJobsTest, RemembersTheRateBeforeTheBacklog)
+{
+  constexpr std::size_t kJobsPerRound = 50;
+  const auto addJobs = [this] {
+    for (std::size_t index = 0; index < kJobsPerRound; ++index) {
+      this->AddJob();
+    }
+  };
+  for (int round = 0; round < 40; ++round) {
+    addJobs();
+    while (!this->jobs.empty()) {
+      this->Start(this->jobs.size() - 1);
+    }
+    this->clock.Advance(Milliseconds{ 500 });
+    EXPECT_TRUE(this->Update().empty());
+  }
+  std::vector<ExpectedWait> waits;
+  for (int round = 0; round < 4; ++round) {
+    addJobs();
+    waits = this->Update();
+    this->clock.Advance(Milliseconds{ 500 });
+  }
+  ASSERT_EQ(waits.size(), 1U);
+  EXPECT_LT(waits.front().wait, Milliseconds{ 3000 });
+}
+
 // Load: backlogs of more workspaces beyond their weight than the leader record has room for. Guards
 // against a leader record that exceeds the store's limit.
 TEST_F(ForecastOfJobsTest, BoundsTheNumberOfForecasts)
