LibCell: End the forecast's backlogs with the contention

Cause: without a contended pool the scheduler skipped the update of the forecast, while starts were no longer counted. A backlog from before stayed open, so that a document which made the pool contended again gave a long wait at once, from the work waiting and no recent starts.

Change: the forecast is updated without candidates meanwhile, which ends its backlogs and forgets its waiting jobs. It costs nothing in a cell that never had a contended pool, since both are empty.

Result: MeasuresAnewAfterATimeWithoutContention failed before and passes; TestCell passes, 181 tests.

--- a/Libraries/LibCell/CellScheduler.cpp
+++ b/Libraries/LibCell/CellScheduler.cpp
@@ -209,10 +209,12 @@
 std::vector<ExpectedWait>
 CellScheduler::ExpectedWaits()
 {
+  const auto now = this->dependencies.clock.Now();
   if (!this->poolContention.HasContendedPool()) {
-    return {};
+    // Ends the backlogs, since starts are not counted without contention.
+    return this->forecast.Update({}, now);
   }
-  return this->forecast.Update(this->CollectCandidates(), this->dependencies.clock.Now());
+  return this->forecast.Update(this->CollectCandidates(), now);
 }
 
 bool
--- a/Tests/LibCell/TestCompletionForecast.cpp
+++ b/Tests/LibCell/TestCompletionForecast.cpp
@@ -120,6 +120,26 @@
   EXPECT_TRUE(this->waits.empty());
 }
 
+// Load: arrivals at the rate of starts behind a backlog, while new documents end the contention and
+// begin it again. Guards against a forecast from the time in which no starts were counted.
+TEST_F(CompletionForecastTest, MeasuresAnewAfterATimeWithoutContention)
+{
+  const auto setLimits = [this](std::int64_t aMilliCores) {
+    for (auto& [name, workspace] : this->policy.workspaces) {
+      workspace.quota.milliCores = aMilliCores;
+    }
+    this->scheduler->SetPolicy(std::make_shared<CellPolicy>(this->policy));
+  };
+  this->BeginTerm();
+  this->RunLoad(Milliseconds{ 4000 }, { "one", "two" });
+  EXPECT_FALSE(this->waits.empty());
+  setLimits(5000);
+  this->RunLoad(Milliseconds{ 20'000 }, { "one" });
+  EXPECT_TRUE(this->waits.empty());
+  setLimits(10'000);
+  EXPECT_TRUE(this->scheduler->ExpectedWaits().empty());
+}
+
 // Load: a workspace at ten times its weight next to a calm one. Guards against a forecast for the
 // calm workspace that includes the other's burst.
 TEST_F(CompletionForecastTest, SeparatesABurstBeyondTheWeight)
