LibCell: Admit jobs of best-effort steps only

Cause: the forecast leaves out best-effort steps, whose cores are not reserved, but the gate refused jobs that have no other steps by the wait of the queue's other work.

Change: the gate admits such jobs. A job with a further step that needs processors is decided on as before.

--- a/Libraries/LibCell/AdmissionGate.cpp
+++ b/Libraries/LibCell/AdmissionGate.cpp
@@ -60,14 +60,14 @@
   return longest;
 }
 
-/// @return true if the job starts immediately and ends by itself, so that an objective applies to
-/// its end
+/// @return true if the job may start immediately, waits for processors and ends by itself, so that
+/// the forecast and an objective apply to it
 bool
-HasObjective(const JobSpecification& aSpec)
+IsCoveredByForecast(const JobSpecification& aSpec)
 {
-  return aSpec.occurrences == 0 && !aSpec.steps.empty() &&
-         std::ranges::none_of(aSpec.steps,
-                              [](const StepSpecification& aStep) { return aStep.isService; });
+  return aSpec.occurrences == 0 &&
+         std::ranges::none_of(aSpec.steps, &StepSpecification::isService) &&
+         !std::ranges::all_of(aSpec.steps, &StepSpecification::isBestEffort);
 }
 
 }
@@ -83,7 +83,7 @@
 {
   const bool isUsable = aForecast.age && *aForecast.age <= kMaxForecastAge &&
                         !aForecast.isRecovering && !aForecast.waits.empty();
-  if (!isUsable || !HasObjective(aSpec)) {
+  if (!isUsable || !IsCoveredByForecast(aSpec)) {
     return {};
   }
   const auto longest = FindLongestWait(aSpec, aForecast.waits);
--- a/Tests/LibCell/TestAdmissionGate.cpp
+++ b/Tests/LibCell/TestAdmissionGate.cpp
@@ -149,12 +149,18 @@
   EXPECT_FALSE(FindRefusal(job, forecast.View()));
 }
 
-// Guards against refusals of jobs whose end has no deadline, or that start later.
-TEST(AdmissionGate, AdmitsServicesAndJobsWithStartTimes)
+// Guards against refusals of jobs whose end has no deadline, that start later, or that wait for no
+// processors.
+TEST(AdmissionGate, AdmitsServicesBestEffortJobsAndJobsWithStartTimes)
 {
   auto service = MakeJob("a");
   service.steps.back().isService = true;
   EXPECT_FALSE(FindRefusal(service, Forecast().View()));
+  auto bestEffort = MakeJob("a");
+  bestEffort.steps.back().isBestEffort = true;
+  EXPECT_TRUE(FindRefusal(bestEffort, Forecast().View())) << "the other step needs processors";
+  bestEffort.steps.front().isBestEffort = true;
+  EXPECT_FALSE(FindRefusal(bestEffort, Forecast().View()));
   auto timed = MakeJob("a");
   timed.occurrences = 2;
   EXPECT_FALSE(FindRefusal(timed, Forecast().View()));
