LibCell: Refuse no job while the store is slow

Cause: a refusal needs a read of the store, and a job whose read failed is submitted afterwards. With a store that does not respond, a read of up to 1,200 ms came before up to 600 ms in the intake's queue and up to 1,800 ms of the transaction, while callers need a response within 3 s. Refused callers that retry immediately also queued one read each on the connections that carry the leader's renewals.

Change: no read is sent while the store is unavailable or a call has been in flight for over 500 ms; the job is submitted as usual and counted as withdrawn with the reason store_slow. A read that becomes slow itself still precedes the intake's time.

--- a/Libraries/LibCell/GatedIntake.cpp
+++ b/Libraries/LibCell/GatedIntake.cpp
@@ -10,6 +10,13 @@
     this->Accept(aSpec, std::move(aHandler));
     return;
   }
+  // A slow read before the transaction would exceed the time in which the caller needs a response,
+  // and more reads would delay the leader's renewals on the same connections.
+  if (!this->dependencies.store.IsResponsive()) {
+    this->CountWithdrawal(aSpec, "store_slow");
+    this->Accept(aSpec, std::move(aHandler));
+    return;
+  }
   ReadStoredJob(
     this->dependencies.store,
     aSpec.id,
--- a/Tests/LibCell/TestGatedIntake.cpp
+++ b/Tests/LibCell/TestGatedIntake.cpp
@@ -125,6 +125,24 @@
   EXPECT_EQ(this->instance.CountWithdrawn("read_failed"), 1U);
 }
 
+// Failure: the store responds slowly during a burst. Guards against a read before the transaction
+// that leaves no time to respond to the caller, and against reads that pile up.
+TEST_F(GatedIntakeTest, SubmitsAsUsualWhileTheStoreIsSlow)
+{
+  this->instance.isGateOpen = true;
+  this->store.mode = StoreMode::DelayingResponses;
+  const auto slow = this->instance.Submit("a");
+  this->instance.isGateOpen = false;
+  this->instance.clock.Advance(Milliseconds{ 501 });
+  const auto result = this->instance.Submit("b");
+  EXPECT_EQ(this->instance.CountWithdrawn("store_slow"), 1U);
+  this->store.mode = StoreMode::Available;
+  this->store.DeliverResponses();
+  ASSERT_TRUE(result->has_value());
+  EXPECT_FALSE(IsError(**result));
+  EXPECT_TRUE(IsStored(this->store, "b"));
+}
+
 // Load: callers that retry immediately while the first attempt waits for its transaction. Guards
 // against "not run" for a job whose row is written a moment later.
 TEST_F(GatedIntakeTest, JoinsAnAttemptInFlight)
