Tests: Detect a missing observation time and equal hash seeds

Cause: with the observation time of the forecast set to 1 ms, or with the same hash seed for admission and jitter, every test still passed.

Change: the takeover test also asks for a forecast 900 ms after the takeover, and expects one a second later. A new test looks at the retry delays of a queue that is partly admitted.

--- a/Tests/LibCell/TestAdmissionGate.cpp
+++ b/Tests/LibCell/TestAdmissionGate.cpp
@@ -118,6 +118,23 @@
   EXPECT_GT(delays.size(), 900U);
 }
 
+// Load: a wait at which half of the jobs are admitted. Guards against refused callers that return
+// in a part of the range only, since admission depends on a hash of the same id.
+TEST(AdmissionGate, SpreadsRetriesOfAPartlyAdmittedQueue)
+{
+  constexpr Milliseconds kWait{ 7812 };
+  const Forecast forecast(kWait + kFresh);
+  std::set<Milliseconds> delays;
+  for (int index = 0; index < kJobCount; ++index) {
+    if (const auto refusal = FindRefusal(MakeJob(std::to_string(index)), forecast.View())) {
+      delays.insert(refusal->retryAfter);
+    }
+  }
+  ASSERT_FALSE(delays.empty());
+  EXPECT_LT(*delays.begin(), kWait * 1.02);
+  EXPECT_GT(*delays.rbegin(), kWait * 1.48);
+}
+
 // Failures: the leader is dead, its record is an hour old, its age is unknown, or the leader is
 // recovering. Guards against refusals by a forecast that says nothing about the present load.
 TEST(AdmissionGate, AdmitsWithoutACurrentForecast)
--- a/Tests/LibCell/TestCompletionForecast.cpp
+++ b/Tests/LibCell/TestCompletionForecast.cpp
@@ -184,6 +184,9 @@
   EXPECT_TRUE(this->scheduler->ExpectedWaits().empty());
   this->RunLoad(Milliseconds{ 900 }, {});
   EXPECT_TRUE(this->waits.empty());
+  EXPECT_TRUE(this->scheduler->ExpectedWaits().empty());
+  this->RunLoad(Milliseconds{ 1000 }, {});
+  EXPECT_FALSE(this->waits.empty()) << "the backlog is still there";
 }
 
 namespace {
