--- a/Libraries/LibCell/CellScheduler.cpp
+++ b/Libraries/LibCell/CellScheduler.cpp
@@ -213,6 +213,17 @@
   return pending;
 }
 
+std::vector<ExpectedWait>
+CellScheduler::ExpectedWaits()
+{
+  const auto now = this->dependencies.clock.Now();
+  if (!this->poolContention.HasContendedPool()) {
+    // Ends the backlogs, since starts are not counted without contention.
+    return this->forecast.Update({}, now);
+  }
+  return this->forecast.Update(this->CollectCandidates(), now);
+}
+
 bool
 CellScheduler::MayHaveRuns(const Worker& aWorker) const
 {
--- a/Libraries/LibCell/CellScheduler.h
+++ b/Libraries/LibCell/CellScheduler.h
@@ -6,6 +6,7 @@
 #include <LibBase/Time.h>
 #include <LibCell/AdviceDispatcher.h>
 #include <LibCell/Candidate.h>
+#include <LibCell/CompletionForecast.h>
 #include <LibCell/ContendedPool.h>
 #include <LibCell/EarmarkBudget.h>
 #include <LibCell/EvacuatedZones.h>
@@ -126,16 +127,6 @@
   bool keepInterferingTasksApart = true;
 };
 
-/// State of a job as reported to callers.
-struct JobStatus
-{
-  bool isKnown = false;
-  JobOutcome outcome = JobOutcome::Active;
-  bool hasStarted = false;
-  WorkspaceId workspace;
-  QueueId queue;
-};
-
 /// Holds the state of all jobs and workers during one term and places tasks. Runs on one thread;
 /// its ports call back on the same thread.
 class CellScheduler
@@ -192,6 +183,9 @@
   [[nodiscard]] JobStatus StatusOf(const JobId& aJob) const;
   /// @return for each queue the number of accepted jobs without start times that have not started.
   [[nodiscard]] std::map<std::string, std::uint64_t> PendingJobsByQueue() const;
+  /// @return the expected waits of jobs that arrive now, for the leader record; updates the
+  /// forecast
+  [[nodiscard]] std::vector<ExpectedWait> ExpectedWaits();
   /// @return the draining workers and the jobs that may have runs there, for the leader record. The
   /// next leader need not wait for them to place tasks of other jobs.
   [[nodiscard]] DrainingJobs DrainingJobsToPublish() const;
@@ -578,6 +572,7 @@
   /// Empty until the zones have been read.
   std::optional<EvacuatedZones> evacuatedZones;
   EvacuationReport evacuationReport;
+  CompletionForecast forecast{ this->poolContention };
   /// What each workspace uses; references to its elements stay valid.
   std::unordered_map<WorkspaceId, WorkspaceUsage> workspaces;
   /// Workers that the leader record names.
--- a/Libraries/LibCell/CellSchedulerPlacement.cpp
+++ b/Libraries/LibCell/CellSchedulerPlacement.cpp
@@ -1,7 +1,7 @@
 #include <LibCell/CellScheduler.h>
-#include <LibCell/ExpectedWait.h>
 #include <LibCell/Placement.h>
 #include <LibCell/PlacementOrder.h>
+#include <LibCell/WaitEstimate.h>
 
 #include <algorithm>
 #include <functional>
@@ -132,7 +132,7 @@
                            .deadline = occurrence.deadline,
                            .criticalPath = candidate.job->criticalPaths[candidate.step],
                            .isContended = candidate.contention != nullptr,
-                           .expectedWait = ExpectedWait(candidate, this->roundBegin) });
+                           .expectedWait = EstimateWait(candidate, this->roundBegin) });
   }
   for (auto& [name, pool] : this->contendedPools) {
     pool.PlaceExpiredShare(aCandidates);
--- a/Libraries/LibCell/ExpectedWait.h
+++ b/Libraries/LibCell/ExpectedWait.h
@@ -1,18 +1,28 @@
 #pragma once
 
 /// @file
-/// The shortest time in which a pending step of a contended pool can be expected to start. Load:
-/// more pending work than the pool and the policy service can serve.
+/// The leader's forecast for jobs that arrive now, as its record publishes it.
 
+#include <LibBase/Identifier.h>
 #include <LibBase/Time.h>
-#include <LibCell/Candidate.h>
+#include <cstddef>
 
 namespace zinc::cell {
 
-/// Estimates the wait as if the step were the next one. A longer backlog therefore moves no step to
-/// a later class by itself, which would feed back into the estimate.
-/// @return the longer one of the times to advice and to room; 0 in a pool that is not contended
-[[nodiscard]] Milliseconds
-ExpectedWait(const Candidate& aCandidate, TimePoint aNow);
+/// Maximum number of forecasts in the leader record. A cell has a few queues and tens of
+/// workspaces; the bound keeps the record under 64 kB with names of any permitted length.
+inline constexpr std::size_t kMaxExpectedWaits = 64;
+
+/// Expected time until a job that arrives now starts.
+struct ExpectedWait
+{
+  QueueId queue;
+  /// Workspace that is beyond its weight or at its limit. Empty: the value holds for the queue's
+  /// other workspaces.
+  WorkspaceId workspace;
+  Milliseconds wait{ 0 };
+
+  friend bool operator==(const ExpectedWait&, const ExpectedWait&) = default;
+};
 
 }
--- a/Libraries/LibCell/ExpectedWait.cpp
+++ b/Libraries/LibCell/WaitEstimate.cpp
@@ -1,4 +1,4 @@
-#include <LibCell/ExpectedWait.h>
+#include <LibCell/WaitEstimate.h>
 
 #include <LibCell/ContendedPool.h>
 #include <LibCell/Placement.h>
@@ -29,7 +29,7 @@
 }
 
 Milliseconds
-ExpectedWait(const Candidate& aCandidate, TimePoint aNow)
+EstimateWait(const Candidate& aCandidate, TimePoint aNow)
 {
   if (aCandidate.contention == nullptr) {
     return Milliseconds{ 0 };
--- a/Libraries/LibInstance/CellInstance.cpp
+++ b/Libraries/LibInstance/CellInstance.cpp
@@ -1,6 +1,8 @@
 #include <LibInstance/CellInstance.h>
 
 #include <algorithm>
+#include <fmt/format.h>
+#include <span>
 
 namespace zinc {
 
@@ -52,6 +54,11 @@
           this->dependencies.log,
           this->dependencies.metrics)
   , intake(this->store, this->dependencies.clock)
+  , gatedIntake({ .store = this->store,
+                  .intake = this->intake,
+                  .log = this->dependencies.log,
+                  .metrics = this->dependencies.metrics,
+                  .findForecast = [this] { return this->CurrentForecast(); } })
   , election({ .store = this->store,
                .clock = this->dependencies.clock,
                .log = this->dependencies.log,
@@ -456,13 +463,58 @@
     }
     return report;
   }
+  this->expectedWaits = this->scheduler->ExpectedWaits();
+  this->expectedWaitsMadeAt = this->dependencies.clock.Now();
+  this->LogExpectedWaits();
   return { .workers = this->scheduler->WorkersToPublish(),
            .drainingJobs = this->scheduler->DrainingJobsToPublish(),
            .pendingJobs = this->scheduler->PendingJobsByQueue(),
+           .expectedWaits = this->expectedWaits,
            .isRecovering = this->scheduler->IsRecovering(),
            .recoveryLeft = this->scheduler->RemainingRecoveryTime() };
 }
 
+void
+CellInstance::LogExpectedWaits()
+{
+  constexpr Milliseconds kLineInterval{ 1000 };
+  constexpr std::size_t kMaxWaitsPerLine = 8;
+  if (this->expectedWaits.empty() || this->expectedWaitsMadeAt < this->nextExpectedWaitsLine) {
+    return;
+  }
+  this->nextExpectedWaitsLine = this->expectedWaitsMadeAt + kLineInterval;
+  std::string text;
+  for (const auto& wait : std::span(this->expectedWaits)
+                            .first(std::min(this->expectedWaits.size(), kMaxWaitsPerLine))) {
+    text += fmt::format("{}{}{}{}={}",
+                        text.empty() ? "" : " ",
+                        wait.queue.value,
+                        wait.workspace.IsEmpty() ? "" : "/",
+                        wait.workspace.value,
+                        wait.wait.count());
+  }
+  this->dependencies.log.Log(LogLevel::Info,
+                             "expected_waits",
+                             { { "count", this->expectedWaits.size() }, { "wait_ms", text } });
+}
+
+cell::ForecastView
+CellInstance::CurrentForecast() const
+{
+  if (this->scheduler) {
+    return { .waits = this->expectedWaits,
+             .age = this->dependencies.clock.Now() - this->expectedWaitsMadeAt,
+             .isRecovering = this->scheduler->IsRecovering() };
+  }
+  const auto& leader = this->election.CurrentLeader();
+  if (!leader) {
+    return {};
+  }
+  return { .waits = leader->expectedWaits,
+           .age = this->election.LeaderRecordAge(),
+           .isRecovering = leader->isRecovering };
+}
+
 void
 CellInstance::CheckStore(cell::Handler<bool> aHandler)
 {
@@ -570,7 +622,7 @@
 void
 CellInstance::Submit(const cell::JobSpecification& aSpec, cell::Handler<Done> aHandler)
 {
-  this->intake.Submit(aSpec, std::move(aHandler));
+  this->gatedIntake.Submit(aSpec, std::move(aHandler));
 }
 
 void
--- a/Libraries/LibInstance/CellInstance.h
+++ b/Libraries/LibInstance/CellInstance.h
@@ -7,6 +7,7 @@
 #include <LibCell/CallerPort.h>
 #include <LibCell/CellScheduler.h>
 #include <LibCell/EvacuationDirectory.h>
+#include <LibCell/GatedIntake.h>
 #include <LibCell/Intake.h>
 #include <LibCell/LeaderElection.h>
 #include <LibCell/MonitoredStore.h>
@@ -193,6 +194,10 @@
   void OnWorkerRows(const cell::TableUpdate& aUpdate);
   void StartSchedulerIfReady();
   [[nodiscard]] cell::LeaderReport BuildLeaderReport();
+  /// Logs the expected waits, at most once per second.
+  void LogExpectedWaits();
+  /// @return the leader's expected waits as this instance knows them.
+  [[nodiscard]] cell::ForecastView CurrentForecast() const;
   void TickScheduler();
   void TickElection();
   void MeasureSpeed();
@@ -208,6 +213,7 @@
   CellInstanceOptions options;
   cell::MonitoredStore store;
   cell::Intake intake;
+  cell::GatedIntake gatedIntake;
   cell::LeaderElection election;
   cell::SpeedProbe speed;
   cell::WorkerDirectory workerDirectory;
@@ -223,6 +229,10 @@
   /// a call of the scheduler itself.
   std::vector<std::unique_ptr<cell::CellScheduler>> endedSchedulers;
   std::optional<PendingTerm> pendingTerm;
+  /// Expected waits in the last report of this leader, which does not read its own record.
+  std::vector<cell::ExpectedWait> expectedWaits;
+  TimePoint expectedWaitsMadeAt{};
+  TimePoint nextExpectedWaitsLine{};
   std::shared_ptr<const cell::CellPolicy> policy;
   /// Documents that were replaced recently, oldest first, with the time of their replacement.
   std::deque<std::pair<TimePoint, std::shared_ptr<const cell::CellPolicy>>> formerPolicies;
