LibCell: Keep the ratings of workers that end few runs for longer

A worker that ends no runs reverted to the mean of its kind within 10 s. In a pool of 350 workers at speeds of 0.6, 1.0 and 1.6 the slow ones end few runs, so that the measured spread settled at 1.7 to 2.04 instead of 2.67 and the pool alternated between uneven and even.

The time is now 60 s.

With 60 s alone, AvoidsAWorkerThatBecomesEightTimesSlower failed: the recovered worker got no checks in seconds 20 to 24 after its recovery. A worker whose speed has changed for the worse therefore still reverts with 10 s until it is within a standard deviation of its kind. Also tried (trials): 10 s beyond a factor of two of the kind, which failed the test (2% of the checks, 10% required), and beyond two standard deviations, which passed, but depends on a variance that shrinks as slow workers end fewer runs.

TestCell: 167 of 167 tests pass. Late checks in UnevenWorkersComparison: 84, 194 and 395, before 94, 197 and 390.

--- a/Libraries/LibCell/WorkerSpeed.h
+++ b/Libraries/LibCell/WorkerSpeed.h
@@ -46,6 +46,8 @@
   double rating = 0.0;
   /// @ref rating in steps of @ref kRatingBand.
   int band = 0;
+  /// The worker has become slow and is still rated slower than its kind.
+  bool hasSlowed = false;
   TimePoint updatedAt{};
   /// The incarnation that the values belong to.
   std::int64_t incarnation = std::numeric_limits<std::int64_t>::min();
--- a/Libraries/LibCell/WorkerSpeeds.cpp
+++ b/Libraries/LibCell/WorkerSpeeds.cpp
@@ -35,8 +35,13 @@
 constexpr double kKindWeight = 0.005;
 /// Weight of the prior of a kind or group in runs.
 constexpr double kPriorWeight = 5.0;
-/// Time in which a worker that ends no runs reverts to the mean of its kind by 63%.
-constexpr double kReversionMs = 10'000.0;
+/// Time in which a worker that ends no runs reverts to the mean of its kind by 63%. With 10 s the
+/// ratings of slow workers, which end few runs, moved so close to the mean that a pool alternated
+/// between uneven and even.
+constexpr double kReversionMs = 60'000.0;
+/// The same for a worker that has become slow, since it gets hardly any tasks that would show its
+/// recovery.
+constexpr double kRecoveryMs = 10'000.0;
 /// Prediction errors are clipped to this many standard deviations, since single tasks take seven
 /// times as long as others.
 constexpr double kMaxError = 2.5;
@@ -170,8 +175,10 @@
     return;
   }
   const auto prior = this->PriorOf(speed.kind);
-  const double kept = std::exp(-elapsed / kReversionMs);
-  speed.logSlowness = prior.mean + (speed.logSlowness - prior.mean) * kept;
+  const double difference = speed.logSlowness - prior.mean;
+  speed.hasSlowed = speed.hasSlowed && difference > std::sqrt(prior.variance);
+  const double kept = std::exp(-elapsed / (speed.hasSlowed ? kRecoveryMs : kReversionMs));
+  speed.logSlowness = prior.mean + difference * kept;
   speed.variance = prior.variance + (speed.variance - prior.variance) * kept * kept;
   speed.updatedAt = aNow;
 }
@@ -218,6 +225,7 @@
   if (std::abs(speed.bias) > kMaxBias) {
     workerTotal += std::max(0.0, kChangedVariance - speed.variance);
     speed.variance = std::max(speed.variance, kChangedVariance);
+    speed.hasSlowed = speed.bias > 0.0;
     speed.bias = 0.0;
     clippedError = error;
   }
