--- a/Libraries/LibCell/WorkerSpeeds.cpp
+++ b/Libraries/LibCell/WorkerSpeeds.cpp
@@ -39,17 +39,9 @@
 /// ratings of slow workers, which end few runs, moved so close to the mean that a pool alternated
 /// between uneven and even.
 constexpr double kReversionMs = 60'000.0;
-<<<<<<< HEAD
-/// The same for a worker that is slower than its kind by more than @ref kOutlierDeviations, since
-/// it gets hardly any tasks that would show its recovery.
-constexpr double kOutlierReversionMs = 10'000.0;
-/// In standard deviations of the kind.
-constexpr double kOutlierDeviations = 2.0;
-=======
 /// The same for a worker that has become slow, since it gets hardly any tasks that would show its
 /// recovery.
 constexpr double kRecoveryMs = 10'000.0;
->>>>>>> part-4
 /// Prediction errors are clipped to this many standard deviations, since single tasks take seven
 /// times as long as others.
 constexpr double kMaxError = 2.5;
@@ -184,13 +176,8 @@
   }
   const auto prior = this->PriorOf(speed.kind);
   const double difference = speed.logSlowness - prior.mean;
-<<<<<<< HEAD
-  const bool isOutlier = difference > kOutlierDeviations * std::sqrt(prior.variance);
-  const double kept = std::exp(-elapsed / (isOutlier ? kOutlierReversionMs : kReversionMs));
-=======
   speed.hasSlowed = speed.hasSlowed && difference > std::sqrt(prior.variance);
   const double kept = std::exp(-elapsed / (speed.hasSlowed ? kRecoveryMs : kReversionMs));
->>>>>>> part-4
   speed.logSlowness = prior.mean + difference * kept;
   speed.variance = prior.variance + (speed.variance - prior.variance) * kept * kept;
   speed.updatedAt = aNow;
