LibCell: Test that idle slow workers keep their ratings

No test failed while the ratings of idle workers reverted within 10 s and uneven pools alternated with even ones. The new test has workers of three speeds idle for 15 s.

--- a/Tests/LibCell/TestWorkerSpeeds.cpp
+++ b/Tests/LibCell/TestWorkerSpeeds.cpp
@@ -86,6 +86,26 @@
   EXPECT_GT(spread->ratio, 2.0);
 }
 
+// Guards against a pool that alternates between uneven and even, since the slow workers, which end
+// few runs, are soon rated like the others. Load: workers of three speeds and one kind, idle for
+// 15 s.
+TEST_F(WorkerSpeedsTest, AnIdleSlowWorkerKeepsItsRating)
+{
+  for (int index = 0; index < 4; ++index) {
+    this->AddWorker("m1", 0.6);
+    this->AddWorker("m1", 1.0);
+    this->AddWorker("m1", 1.6);
+  }
+  this->RunSteps(400, 1.2);
+  this->now += Milliseconds{ 15'000 };
+  for (auto* worker : this->pointers) {
+    this->model.Refresh(*worker, this->now);
+  }
+  for (std::size_t index = 0; index < this->workers.size(); index += 3) {
+    EXPECT_LT(std::log(this->RelativeSpeed(index, index + 2)), 0.6 * std::log(0.6 / 1.6));
+  }
+}
+
 // Guards against expected run times that repeat an error that all estimates of a queue share.
 TEST_F(WorkerSpeedsTest, LearnsTheFactorOfAQueue)
 {
