LibCell: See the spread of a pool whose workers end few runs

The least variance of a step's factor (0.05) kept the terms close to their prior, and the estimation error was subtracted from a spread that such estimates understate already. Change: 0.025, and the spread of the estimates as they are.

--- a/Libraries/LibCell/WorkerSpeeds.cpp
+++ b/Libraries/LibCell/WorkerSpeeds.cpp
@@ -19,9 +19,9 @@
 constexpr double kMinGroupVariance = 0.01;
 constexpr double kMaxGroupVariance = 0.5;
 /// A step's factor is not taken as better known than this: the tasks that end first are shorter
-/// than the others, so that later ones would count against their workers. With 0.002 the spread of
-/// a pool at one to 2.7 was measured as 3.4, with 0.05 as 2.7.
-constexpr double kMinStepVariance = 0.05;
+/// than the others, so that later ones would count against their workers. A larger bound hides the
+/// speeds of workers that end about one run per second.
+constexpr double kMinStepVariance = 0.025;
 /// Weight of the latest step in the factor of its group.
 constexpr double kGroupWeight = 0.05;
 /// Variance of the speeds of a kind that is not known: speeds at one to 2.7 in equal parts.
@@ -68,9 +68,6 @@
 /// Bounds of the memory; document and platform have far fewer kinds, images and workspaces.
 constexpr std::size_t kMaxKinds = 256;
 constexpr std::size_t kMaxGroups = 4096;
-/// Distance between the tenth and the ninetieth percentile of a normal distribution in standard
-/// deviations.
-constexpr double kPercentileDistance = 2.563;
 
 double
 LogRatio(Milliseconds aRunTime, Milliseconds aEstimate)
@@ -280,12 +277,10 @@
 {
   std::vector<double> values;
   values.reserve(aWorkers.size());
-  double variance = 0.0;
   for (const auto* worker : aWorkers) {
     const auto& speed = worker->speed;
     if (speed.incarnation == worker->KnownIncarnation() && speed.variance <= kConfidentVariance) {
       values.push_back(speed.logSlowness);
-      variance += speed.variance;
     }
   }
   if (values.size() < std::max(kMinConfidentWorkers, (aWorkers.size() + 1) / 2)) {
@@ -296,9 +291,7 @@
   const auto last = values.size() - 1;
   const double fast = values[last / kPercentiles];
   const double slow = values[last - last / kPercentiles];
-  const double error =
-    kPercentileDistance * kPercentileDistance * variance / static_cast<double>(values.size());
-  const double distance = std::sqrt(std::max(0.0, (slow - fast) * (slow - fast) - error));
+  const double distance = slow - fast;
   return SpeedSpread{ .ratio = std::exp(distance),
                       .fastRating = fast,
                       .confidentWorkers = values.size() };
--- a/Libraries/LibCell/WorkerSpeeds.h
+++ b/Libraries/LibCell/WorkerSpeeds.h
@@ -36,7 +36,7 @@
 /// Spread of the speeds within a pool.
 struct SpeedSpread
 {
-  /// Speed at the ninetieth percentile over that at the tenth, corrected for the estimation error.
+  /// Estimated speed at the ninetieth percentile over that at the tenth.
   double ratio = 1.0;
   /// Rating at the tenth percentile, i.e. of fast workers.
   double fastRating = 0.0;
