LibCell: Start work without value while most of a contended pool is free

Work without value waits while work of value lacks room, and a gang that fits nowhere counted as such lack for as long as it waited. Change: nothing lacks room while more than 40% of the pool's processors are free.

--- a/Libraries/LibCell/ContendedPool.h
+++ b/Libraries/LibCell/ContendedPool.h
@@ -34,12 +34,18 @@
   /// @return true if work of value lacks room, so that work without value has to wait
   [[nodiscard]] bool IsShort(TimePoint aNow) const
   {
-    return this->lastShortage != TimePoint{} && aNow - this->lastShortage < kShortageMemory;
+    const bool isMostlyFree = static_cast<double>(this->freeMilliCores) >
+                              kMostlyFreeShare * static_cast<double>(this->milliCores);
+    return !isMostlyFree && this->lastShortage != TimePoint{} &&
+           aNow - this->lastShortage < kShortageMemory;
   }
 
 private:
   /// Gangs are attempted every 50 ms, so this remembers one that did not fit for two attempts.
   static constexpr Milliseconds kShortageMemory{ 100 };
+  /// A step that fits nowhere although this share of the pool's processors is free does not lack
+  /// room. It may never fit, and must not keep all work without value from its start.
+  static constexpr double kMostlyFreeShare = 0.4;
 
   TimePoint now{};
   std::int64_t milliCores = 0;
