--- a/Libraries/LibCell/AdmissionGate.cpp
+++ b/Libraries/LibCell/AdmissionGate.cpp
@@ -2,6 +2,8 @@
 
 #include <LibCell/Job.h>
 #include <algorithm>
+#include <cmath>
+#include <limits>
 #include <xxhash.h>
 
 namespace zinc::cell {
@@ -32,10 +34,11 @@
 double
 UnitHash(const JobId& aJob, XXH64_hash_t aSeed)
 {
-  constexpr int kUnusedBits = 11;
-  constexpr double kScale = 1.0 / 9007199254740992.0;
+  // A double holds 53 bits exactly.
+  constexpr int kBits = std::numeric_limits<double>::digits;
+  constexpr int kHashBits = 64;
   const auto hash = XXH3_64bits_withSeed(aJob.value.data(), aJob.value.size(), aSeed);
-  return static_cast<double>(hash >> kUnusedBits) * kScale;
+  return std::ldexp(static_cast<double>(hash >> (kHashBits - kBits)), -kBits);
 }
 
 Milliseconds
--- a/Libraries/LibCell/AdviceDispatcher.cpp
+++ b/Libraries/LibCell/AdviceDispatcher.cpp
@@ -71,7 +71,8 @@
   }
   // A handler may submit the next request.
   for (const auto& handler : handlers) {
-    handler(NotRun(ErrorCode::Unavailable, "The request names workers of an evacuated zone."));
+    handler(
+      NotRun(ErrorCode::Unavailable, "The request was cancelled, since its workers get no tasks."));
   }
 }
 
--- a/Libraries/LibCell/CellScheduler.h
+++ b/Libraries/LibCell/CellScheduler.h
@@ -572,7 +572,7 @@
   /// Empty until the zones have been read.
   std::optional<EvacuatedZones> evacuatedZones;
   EvacuationReport evacuationReport;
-  CompletionForecast forecast{ this->poolContention };
+  CompletionForecast forecast{ this->poolContention, this->options.limitHeadroom };
   /// What each workspace uses; references to its elements stay valid.
   std::unordered_map<WorkspaceId, WorkspaceUsage> workspaces;
   /// Workers that the leader record names.
--- a/Libraries/LibCell/CellSchedulerWorkers.cpp
+++ b/Libraries/LibCell/CellSchedulerWorkers.cpp
@@ -8,8 +8,6 @@
 
 namespace {
 
-/// Shorter runs are not measured: they depend more on the worker's polling than on its speed.
-constexpr Milliseconds kMinMeasuredRun{ 200 };
 /// Delay before a stop that was not accepted is sent again.
 constexpr Milliseconds kStopRetryDelay{ 400 };
 /// Delay before a service task that ended is started again; limits the restarts of one that fails
@@ -20,18 +18,6 @@
 /// Interval of the lease renewals of a worker whose ends are not stored yet.
 constexpr Milliseconds kUnacknowledgedRenewalInterval{ 400 };
 
-/// @return the run time of an ended run over its estimate; nothing if the run is too short or was
-/// resumed from a checkpoint
-std::optional<double>
-MeasureRatio(const Allocation& aAllocation, TimePoint aNow)
-{
-  if (aAllocation.estimate <= kMinMeasuredRun || !aAllocation.checkpoint.empty()) {
-    return {};
-  }
-  return static_cast<double>((aNow - aAllocation.startedAt).count()) /
-         static_cast<double>(aAllocation.estimate.count());
-}
-
 TaskName
 MakeTaskName(const Job& aJob, const TaskKey& aKey)
 {
@@ -327,7 +313,7 @@
   auto* allocation = aWorker.FindAllocation(aEnd.task, aEnd.run);
   if (allocation != nullptr) {
     if (aEnd.outcome == RunOutcome::Succeeded) {
-      if (const auto ratio = MeasureRatio(*allocation, now)) {
+      if (const auto ratio = allocation->MeasureRunTimeRatio(now)) {
         this->interference.OnRunSucceeded(aWorker, *allocation, *ratio, now);
       }
       this->rankings.OnRunSucceeded(aWorker, *allocation, now);
--- a/Libraries/LibCell/CompletionForecast.cpp
+++ b/Libraries/LibCell/CompletionForecast.cpp
@@ -29,8 +29,6 @@
 /// Jobs that start and jobs that expire are compared differently, so the correction is bounded.
 constexpr double kMinCorrection = 0.5;
 constexpr double kMaxCorrection = 2.0;
-/// Fraction of a workspace's limit that batch tasks may use; the rest is headroom for urgent ones.
-constexpr double kUsableLimit = 0.94;
 
 double
 CountMilliseconds(Milliseconds aTime)
@@ -55,7 +53,7 @@
 
 /// @return true if the workspace's limit leaves no room for the next task, or for the whole gang
 bool
-IsAtLimit(const Candidate& aCandidate)
+IsAtLimit(const Candidate& aCandidate, double aLimitHeadroom)
 {
   const auto& usage = *aCandidate.job->workspaceUsage;
   if (!usage.limit || usage.limit->milliCores == 0) {
@@ -65,11 +63,12 @@
   const auto milliCores = usage.running.milliCores + usage.unsynced.milliCores +
                           step.demand.milliCores * (step.isGang ? step.count : 1);
   return static_cast<double>(milliCores) >
-         kUsableLimit * static_cast<double>(usage.limit->milliCores);
+         (1.0 - aLimitHeadroom) * static_cast<double>(usage.limit->milliCores);
 }
 
+/// @return the latest start after which the result still has value to the caller
 TimePoint
-LatestStart(const Candidate& aCandidate)
+LatestUsefulStart(const Candidate& aCandidate)
 {
   const auto& job = *aCandidate.job;
   return job.occurrences.at(aCandidate.occurrence).deadline - job.criticalPaths[aCandidate.step];
@@ -162,8 +161,9 @@
 CompletionForecast::AddWaitingWork(const Candidate& aCandidate, TimePoint aNow)
 {
   const auto stepWork = WorkOf(*aCandidate.specification) * aCandidate.run->waitingTasks;
-  const bool isExpired = aNow > LatestStart(aCandidate);
-  const bool isBeyondShare = aCandidate.job->isBeyondWeight || IsAtLimit(aCandidate);
+  const bool isExpired = aNow > LatestUsefulStart(aCandidate);
+  const bool isBeyondShare =
+    aCandidate.job->isBeyondWeight || IsAtLimit(aCandidate, this->limitHeadroom);
   const auto add = [&](const BacklogKey& aKey) {
     auto& backlog = this->backlogs[aKey];
     if (!backlog.since) {
@@ -242,7 +242,7 @@
     waiting.queue = aCandidate.queue->name;
     waiting.workspace = job.spec.workspace;
     waiting.receivedAt = job.receivedAt;
-    waiting.latestStart = LatestStart(aCandidate);
+    waiting.latestStart = LatestUsefulStart(aCandidate);
     waiting.forecast = this->FindWait(waiting.queue, waiting.workspace);
     this->newJobs.push_back(&waiting);
   } else if (waiting.forecast && aNow > waiting.latestStart) {
--- a/Libraries/LibCell/CompletionForecast.h
+++ b/Libraries/LibCell/CompletionForecast.h
@@ -26,8 +26,10 @@
 {
 public:
   /// @param aContention must outlive this object
-  explicit CompletionForecast(const PoolContention& aContention)
+  /// @param aLimitHeadroom fraction of a workspace's limit that batch tasks leave to urgent ones
+  CompletionForecast(const PoolContention& aContention, double aLimitHeadroom)
     : contention(aContention)
+    , limitHeadroom(aLimitHeadroom)
   {
   }
 
@@ -98,6 +100,7 @@
   [[nodiscard]] std::vector<ExpectedWait> ListWaits() const;
 
   const PoolContention& contention;
+  double limitHeadroom = 0.0;
   std::map<BacklogKey, Backlog> backlogs;
   std::unordered_map<JobId, WaitingJob> waitingJobs;
   /// Those of them that are new in the current update.
--- a/Libraries/LibCell/EarmarkBudget.h
+++ b/Libraries/LibCell/EarmarkBudget.h
@@ -14,8 +14,9 @@
 {
   /// Gangs with earmarked workers in a pool that is not contended.
   std::size_t maxGangs = 5;
-  /// Largest share of a contended pool's workers. A number of gangs would bound a large pool to few
-  /// gangs at a time, while its small tasks take each core that becomes free.
+  /// No further gang once this share of a contended pool's workers is earmarked. A number of gangs
+  /// would bound a large pool to few at a time, while its small tasks take each core that becomes
+  /// free.
   double maxContendedShare = 0.25;
 };
 
--- a/Libraries/LibCell/EvacuationReport.cpp
+++ b/Libraries/LibCell/EvacuationReport.cpp
@@ -44,7 +44,7 @@
     [&](LogLevel aLevel, std::string_view aEvent, const ZoneId& aZone, TimePoint aSince) {
       const auto load = LoadOf(aZone, aWorkers);
       this->log.Log(aLevel,
-                    load.workers == 0 ? "evacuation_of_unknown_zone" : aEvent,
+                    aEvent,
                     { { "zone", aZone.value },
                       { "age_ms", (aNow - aSince).count() },
                       { "workers", load.workers },
@@ -58,7 +58,9 @@
   }
   for (const auto& [zone, since] : aZones.Requests()) {
     if (!this->reported.contains(zone)) {
-      logChange(LogLevel::Warning, "zone_evacuated", zone, since);
+      const bool isKnown = LoadOf(zone, aWorkers).workers > 0;
+      logChange(
+        LogLevel::Warning, isKnown ? "zone_evacuated" : "evacuation_of_unknown_zone", zone, since);
     }
   }
   this->reported = aZones.Requests();
--- a/Libraries/LibCell/EvacuationReport.h
+++ b/Libraries/LibCell/EvacuationReport.h
@@ -25,8 +25,8 @@
   EvacuationReport(const EvacuationReport&) = delete;
   EvacuationReport& operator=(const EvacuationReport&) = delete;
 
-  /// Logs the zones that were evacuated or given back since the last call. A zone without workers
-  /// is logged as unknown.
+  /// Logs the zones that were evacuated or given back since the last call. An evacuated zone
+  /// without workers is logged as unknown.
   void LogChanges(const EvacuatedZones& aZones, std::span<Worker* const> aWorkers, TimePoint aNow);
   /// Sets the gauges to the number of tasks that run in each evacuated zone.
   void UpdateGauges(std::span<Worker* const> aWorkers);
--- a/Libraries/LibCell/InterferenceModel.cpp
+++ b/Libraries/LibCell/InterferenceModel.cpp
@@ -28,6 +28,8 @@
 constexpr double kMaxDeviations = 1.5;
 /// Limits of the ratio of a run time to its estimate.
 constexpr double kMaxRunTimeRatio = 4.0;
+/// Keeps the logarithm of a ratio finite; the smoothed slowness of a worker is at least 0.4.
+constexpr double kMinSlowness = 0.1;
 /// Processor use up to which a worker is not crowded.
 constexpr double kCrowdingBegin = 0.5;
 constexpr double kMaxProcessorUse = 1.5;
@@ -172,7 +174,7 @@
   auto& image = this->images[victim];
   image.lastSeen = aNow;
   auto& level = image.levels.at(static_cast<std::size_t>(aSample.measure));
-  double value = std::log(aSample.value / std::max(aSample.expectedSlowness, 0.1));
+  double value = std::log(aSample.value / std::max(aSample.expectedSlowness, kMinSlowness));
   if (aSample.measure == InterferenceMeasure::RunTime) {
     value = std::clamp(value, -std::log(kMaxRunTimeRatio), std::log(kMaxRunTimeRatio));
   }
--- a/Libraries/LibCell/RankingSelector.cpp
+++ b/Libraries/LibCell/RankingSelector.cpp
@@ -12,8 +12,6 @@
 /// Estimates are rough, so that the ratio of a single run is clamped to these limits.
 constexpr double kMinRatio = 0.4;
 constexpr double kMaxRatio = 4.0;
-/// Shorter runs are not measured: they depend more on the worker's polling than on its speed.
-constexpr Milliseconds kMinMeasuredRun{ 200 };
 constexpr std::array kRatioBounds{ 0.25, 0.5, 0.7, 0.8, 0.9, 1.0, 1.1, 1.25, 1.5, 2.0, 4.0, 8.0 };
 
 }
@@ -64,11 +62,9 @@
 RankingSelector::OnRunSucceeded(Worker& aWorker, const Allocation& aAllocation, TimePoint aNow)
 {
   const auto runTime = aNow - aAllocation.startedAt;
-  if (aAllocation.estimate > kMinMeasuredRun && aAllocation.checkpoint.empty()) {
-    const double ratio =
-      static_cast<double>(runTime.count()) / static_cast<double>(aAllocation.estimate.count());
+  if (const auto measured = aAllocation.MeasureRunTimeRatio(aNow)) {
     auto& smoothed = aWorker.speed.smoothedRatio;
-    smoothed += (std::clamp(ratio, kMinRatio, kMaxRatio) - smoothed) * kRatioWeight;
+    smoothed += (std::clamp(*measured, kMinRatio, kMaxRatio) - smoothed) * kRatioWeight;
   }
   if (aAllocation.timing == nullptr) {
     return;
--- /dev/null
+++ b/Libraries/LibCell/Worker.cpp
@@ -0,0 +1,17 @@
+#include <LibCell/Worker.h>
+
+namespace zinc::cell {
+
+std::optional<double>
+Allocation::MeasureRunTimeRatio(TimePoint aNow) const
+{
+  // Shorter runs depend more on the worker's polling than on its speed.
+  constexpr Milliseconds kMinMeasuredRun{ 200 };
+  if (this->estimate <= kMinMeasuredRun || !this->checkpoint.empty()) {
+    return {};
+  }
+  return static_cast<double>((aNow - this->startedAt).count()) /
+         static_cast<double>(this->estimate.count());
+}
+
+}
--- a/Libraries/LibCell/Worker.h
+++ b/Libraries/LibCell/Worker.h
@@ -113,6 +113,10 @@
   RunNeighbours neighbours;
   /// Expected run time of the step; null if the run does not tell the speed of its worker.
   std::shared_ptr<StepTiming> timing;
+
+  /// @return the run time of a run that ends now over its estimate; nothing if the run was resumed
+  /// from a checkpoint or is too short to be measured
+  [[nodiscard]] std::optional<double> MeasureRunTimeRatio(TimePoint aNow) const;
 };
 
 /// A reported end of a run that the worker keeps until the leader has stored it.
--- a/Libraries/LibCell/WorkerSpeeds.cpp
+++ b/Libraries/LibCell/WorkerSpeeds.cpp
@@ -60,7 +60,7 @@
 /// exp(0.4) = 1.5 times.
 constexpr double kSingleOverdueMargin = 0.7;
 constexpr double kJointOverdueMargin = 0.4;
-/// Share of a single overdue run that is held against the worker; the task may be the cause.
+/// Share of a single overdue run that counts as the worker's; the task may be the cause.
 constexpr double kSingleOverdueShare = 0.5;
 /// A speed is known well enough if the standard deviation of its log is at most 0.3.
 constexpr double kConfidentVariance = 0.09;
--- a/Tests/LibCell/TestAdmissionProperties.cpp
+++ b/Tests/LibCell/TestAdmissionProperties.cpp
@@ -224,7 +224,7 @@
   ManualClock clock;
   PoolContention contention;
   WorkspaceUsage usage;
-  CompletionForecast forecast{ this->contention };
+  CompletionForecast forecast{ this->contention, CellSchedulerOptions{}.limitHeadroom };
   std::vector<std::unique_ptr<Job>> jobs;
   std::vector<ExpectedWait> waits;
   std::size_t submitted = 0;
--- a/Tests/LibCell/TestCompletionForecast.cpp
+++ b/Tests/LibCell/TestCompletionForecast.cpp
@@ -252,7 +252,7 @@
   CellPolicy policy;
   PoolContention contention;
   WorkspaceUsage usage;
-  CompletionForecast forecast{ this->contention };
+  CompletionForecast forecast{ this->contention, CellSchedulerOptions{}.limitHeadroom };
   std::vector<std::unique_ptr<Job>> jobs;
   std::size_t added = 0;
 };
