LibCell: End a workspace's forecast with its burst

Change: the work beyond a workspace's weight counts for its forecast only while jobs beyond the weight arrive (2.5 s).

--- a/Libraries/LibCell/CompletionForecast.cpp
+++ b/Libraries/LibCell/CompletionForecast.cpp
@@ -20,6 +20,10 @@
 /// Shorter forecasts are not compared, since the forecast is up to 500 ms off a job's arrival.
 constexpr Milliseconds kMinComparedWait{ 1000 };
 constexpr Milliseconds kMaxWait{ 600'000 };
+/// A workspace counts as beyond its weight for this long after its last job beyond it arrived. Its
+/// next jobs go before what is left of the burst. Its weight allows a job per second or more, so
+/// that those of a lasting burst are seen again.
+constexpr Milliseconds kBeyondWeightWindow{ 2500 };
 /// Expired work counts up to this many times the work that has value. Where work with value goes
 /// first, an overload shows as work that expires instead of longer waits. The bound lets the
 /// forecast fall as soon as new work no longer waits, however much expired work is left.
@@ -127,6 +131,13 @@
     backlog.largestStep = 0;
     backlog.isBeyondShare = false;
   }
+  this->workspacesBeyondWeight.clear();
+  for (const auto& candidate : aCandidates) {
+    const auto& job = *candidate.job;
+    if (job.isBeyondWeight && aNow - job.receivedAt <= kBeyondWeightWindow) {
+      this->workspacesBeyondWeight.insert(job.spec.workspace);
+    }
+  }
   for (const auto& candidate : aCandidates) {
     if (CountsAsWork(*candidate.specification) &&
         this->contention.IsContended(candidate.queue->pool)) {
@@ -162,8 +173,10 @@
 {
   const auto stepWork = WorkOf(*aCandidate.specification) * aCandidate.run->waitingTasks;
   const bool isExpired = aNow > LatestUsefulStart(aCandidate);
-  const bool isBeyondShare =
-    aCandidate.job->isBeyondWeight || IsAtLimit(aCandidate, this->limitHeadroom);
+  const auto& job = *aCandidate.job;
+  const bool isWorkspaceBeyondWeight = this->workspacesBeyondWeight.contains(job.spec.workspace);
+  const bool isAtLimit = IsAtLimit(aCandidate, this->limitHeadroom);
+  const bool isBeyondShare = isWorkspaceBeyondWeight || isAtLimit;
   const auto add = [&](const BacklogKey& aKey) {
     auto& backlog = this->backlogs[aKey];
     if (!backlog.since) {
@@ -174,8 +187,11 @@
     backlog.largestStep = std::max(backlog.largestStep, stepWork);
     backlog.isBeyondShare = backlog.isBeyondShare || isBeyondShare;
   };
-  add({ aCandidate.queue->name, aCandidate.job->spec.workspace });
-  if (!isBeyondShare) {
+  // What is left of a burst goes behind the next jobs of its workspace.
+  if (!job.isBeyondWeight || isWorkspaceBeyondWeight) {
+    add({ aCandidate.queue->name, job.spec.workspace });
+  }
+  if (!job.isBeyondWeight && !isAtLimit) {
     add({ aCandidate.queue->name, {} });
   }
 }
--- a/Libraries/LibCell/CompletionForecast.h
+++ b/Libraries/LibCell/CompletionForecast.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <unordered_map>
 #include <utility>
@@ -108,6 +109,8 @@
   /// Moving average of actual over forecast waits.
   std::map<QueueId, double> corrections;
   std::uint64_t updateCount = 0;
+  /// Workspaces of which a job beyond the weight has arrived lately.
+  std::set<WorkspaceId> workspacesBeyondWeight;
 };
 
 }
--- a/Tests/LibCell/TestCompletionForecast.cpp
+++ b/Tests/LibCell/TestCompletionForecast.cpp
@@ -318,6 +318,24 @@
   EXPECT_LT(waits.front().wait, Milliseconds{ 3000 });
 }
 
+// Load: a workspace's burst beyond its weight has ended, and what is left of it waits for long.
+// Guards against refusals of the workspace's next jobs, which go before it.
+TEST_F(ForecastOfJobsTest, EndsTheWaitOfAWorkspaceWithItsBurst)
+{
+  for (int index = 0; index < 100; ++index) {
+    this->AddJob("burst").isBeyondWeight = true;
+  }
+  this->AddJob("burst");
+  (void)this->Update();
+  this->clock.Advance(Milliseconds{ 2000 });
+  const auto isOfBurst = [](const ExpectedWait& aWait) {
+    return aWait.workspace == WorkspaceId{ "burst" };
+  };
+  EXPECT_TRUE(std::ranges::any_of(this->Update(), isOfBurst));
+  this->clock.Advance(Milliseconds{ 2000 });
+  EXPECT_FALSE(std::ranges::any_of(this->Update(), isOfBurst));
+}
+
 // Load: backlogs of more workspaces beyond their weight than the leader record has room for. Guards
 // against a leader record that exceeds the store's limit.
 TEST_F(ForecastOfJobsTest, BoundsTheNumberOfForecasts)
