LibCell: Remove the contention switch and the interference estimate

Cause: five mechanisms were switched on where the workspaces' limits add up to 1.7 times the pool, a figure between the deployments known at the time. The interference estimate found no pair in any log that was searched. Ruled out: that one of the five carries what another costs. Change: PoolContention, ContendedPool, ExpiredWorkShare, WaitEstimate, EarmarkBudget, Interference* and RunNeighbours leave with their tests (TestPoolContention, TestContendedPool, TestExpiredWorkShare, TestEarmarkBudget, TestInterference*, and of TestPlacementOrder those of work without value and of the expected wait). The forecast of admission stays for the promise that callers are refused at once and truly; it and the order of reserved gangs' tickets apply in every pool now.

--- a/Libraries/LibCell/Candidate.h
+++ b/Libraries/LibCell/Candidate.h
@@ -8,8 +8,6 @@
 
 namespace zinc::cell {
 
-class ContendedPool;
-
 /// A step with tasks to place.
 struct Candidate
 {
@@ -21,8 +19,6 @@
   const QueuePolicy* queue = nullptr;
   /// Candidates with a lower key are placed first; see @ref ComputePriorityKey.
   std::int64_t priorityKey = 0;
-  /// State of the step's pool if the pool is contended, otherwise null.
-  ContendedPool* contention = nullptr;
 };
 
 }
--- a/Libraries/LibCell/CellScheduler.cpp
+++ b/Libraries/LibCell/CellScheduler.cpp
@@ -17,10 +17,6 @@
   , policy(std::make_shared<CellPolicy>())
   , adviceDispatcher(std::make_unique<AdviceDispatcher>(this->dependencies.advice))
   , rankings(this->dependencies.log, this->dependencies.metrics, this->options.unevenPools)
-  , interference(this->dependencies.log,
-                 this->dependencies.metrics,
-                 this->options.keepInterferingTasksApart)
-  , poolContention(this->options.contention)
   , evacuationReport(this->dependencies.log, this->dependencies.metrics)
   , load(this->dependencies.log)
 {
@@ -82,7 +78,6 @@
 CellScheduler::SetPolicy(std::shared_ptr<const CellPolicy> aPolicy)
 {
   this->policy = std::move(aPolicy);
-  this->poolContention.SetPolicy(*this->policy);
   const auto higherLimit = [](std::int64_t aLeft, std::int64_t aRight) {
     return aLeft == 0 || aRight == 0 ? 0 : std::max(aLeft, aRight);
   };
@@ -141,7 +136,6 @@
   this->FlushProgress();
   this->CompactEndedJobs();
   this->LogLoad();
-  this->interference.Tick(now);
 }
 
 void
@@ -216,12 +210,7 @@
 std::vector<ExpectedWait>
 CellScheduler::ExpectedWaits()
 {
-  const auto now = this->dependencies.clock.Now();
-  if (!this->poolContention.HasContendedPool()) {
-    // Ends the backlogs, since starts are not counted without contention.
-    return this->forecast.Update({}, now);
-  }
-  return this->forecast.Update(this->CollectCandidates(), now);
+  return this->forecast.Update(this->CollectCandidates(), this->dependencies.clock.Now());
 }
 
 bool
--- a/Libraries/LibCell/CellScheduler.h
+++ b/Libraries/LibCell/CellScheduler.h
@@ -7,18 +7,14 @@
 #include <LibCell/AdviceDispatcher.h>
 #include <LibCell/Candidate.h>
 #include <LibCell/CompletionForecast.h>
-#include <LibCell/ContendedPool.h>
-#include <LibCell/EarmarkBudget.h>
 #include <LibCell/EvacuatedZones.h>
 #include <LibCell/EvacuationReport.h>
-#include <LibCell/InterferenceMonitor.h>
 #include <LibCell/Job.h>
 #include <LibCell/LoadReport.h>
 #include <LibCell/LostWorkers.h>
 #include <LibCell/Placement.h>
 #include <LibCell/Policy.h>
 #include <LibCell/Pool.h>
-#include <LibCell/PoolContention.h>
 #include <LibCell/Ports.h>
 #include <LibCell/RankingSelector.h>
 #include <LibCell/Records.h>
@@ -96,7 +92,6 @@
   Milliseconds maxPlacementDuration{ 60 };
   /// After a placement round the scheduler does other work for this many times its duration.
   int placementIdleFactor = 2;
-  PoolContentionOptions contention;
   UnevenPoolOptions unevenPools;
   /// Fraction of a pool's processors that only tasks of the most urgent queue may use.
   double urgentHeadroom = 0.05;
@@ -123,8 +118,6 @@
   Milliseconds minRunToClearCrashes{ 600'000 };
   /// A run hangs if it makes no progress for half its estimate, or for this long if that is less.
   Milliseconds maxStallTimeout{ 2500 };
-  /// Prefers workers without tasks that were seen to slow the new one down, or to be slowed by it.
-  bool keepInterferingTasksApart = true;
 };
 
 /// Holds the state of all jobs and workers during one term and places tasks. Runs on one thread;
@@ -411,10 +404,8 @@
   // Placement.
   void RunPlacementRound();
   [[nodiscard]] std::vector<Candidate> CollectCandidates();
-  /// Sorts by the keys that follow from the state of the pools.
-  void OrderCandidates(std::vector<Candidate>& aCandidates);
-  /// @return the state of the pool if it is contended, otherwise null
-  [[nodiscard]] ContendedPool* FindContendedPool(const std::string& aPool);
+  /// Sorts by priority.
+  void OrderCandidates(std::vector<Candidate>& aCandidates) const;
   /// @return false for a step that awaits its first advice, and for a gang without new advice
   /// outside a gang round.
   [[nodiscard]] bool NeedsPlacementAttempt(const Candidate& aCandidate) const;
@@ -565,14 +556,10 @@
   std::set<WorkerNumber> workersWithEnds;
   std::unordered_map<std::string, Pool> pools;
   RankingSelector rankings;
-  InterferenceMonitor interference;
-  PoolContention poolContention;
-  /// State of the pools that are or were contended.
-  std::unordered_map<std::string, ContendedPool> contendedPools;
   /// Empty until the zones have been read.
   std::optional<EvacuatedZones> evacuatedZones;
   EvacuationReport evacuationReport;
-  CompletionForecast forecast{ this->poolContention, this->options.limitHeadroom };
+  CompletionForecast forecast{ this->options.limitHeadroom };
   /// What each workspace uses; references to its elements stay valid.
   std::unordered_map<WorkspaceId, WorkspaceUsage> workspaces;
   /// Workers that the leader record names.
@@ -581,7 +568,8 @@
   std::map<QueueId, double> eligibleFractions;
   /// Number of the current gang round; workers that it earmarked get no batch tasks until the next.
   std::uint64_t gangRound = 1;
-  EarmarkBudget earmarkBudget;
+  /// Gangs for which workers are earmarked in that round.
+  std::size_t gangsWithEarmarkedWorkers = 0;
   std::uint64_t placementRound = 0;
   /// Start of the current placement round. Its decisions use one time, since reading the clock
   /// costs more than most of them.
--- a/Libraries/LibCell/CellSchedulerAdvice.cpp
+++ b/Libraries/LibCell/CellSchedulerAdvice.cpp
@@ -139,11 +139,11 @@
     advice.MarkRequested(number);
     ids.push_back(this->workers.FindByNumber(number)->entry.id);
   }
-  // The capacity reserved for a gang is idle until its tickets arrive.
-  const bool goesFirst = aCandidate.contention != nullptr && aCandidate.run->reservation;
+  // The capacity reserved for a gang is idle until its tickets arrive, so its request goes first.
   this->adviceDispatcher->Submit(
     { .step = name, .workers = std::move(ids), .expectedDuration = expected },
-    goesFirst ? MakePriorityKey(PriorityClass::Urgent, TimePoint{}) : aCandidate.priorityKey,
+    aCandidate.run->reservation ? MakePriorityKey(PriorityClass::Urgent, TimePoint{})
+                                : aCandidate.priorityKey,
     this->roundBegin,
     [this,
      guard = std::weak_ptr<bool>(this->livenessToken),
--- a/Libraries/LibCell/CellSchedulerGangs.cpp
+++ b/Libraries/LibCell/CellSchedulerGangs.cpp
@@ -10,6 +10,8 @@
 
 /// A reservation expires if its tickets are this much later than expected.
 constexpr Milliseconds kReservationMargin{ 700 };
+/// Gangs for which workers are kept free of batch tasks at the same time.
+constexpr std::size_t kMaxGangsWithEarmarkedWorkers = 5;
 
 }
 
@@ -168,8 +170,7 @@
 CellScheduler::EarmarkWorkersForGang(const Candidate& aCandidate, const Pool& aPool)
 {
   const bool isOnTime = !IsAtOrAfter(aCandidate.priorityKey, PriorityClass::Late);
-  const bool isContended = aCandidate.contention != nullptr;
-  if (!isOnTime || !this->earmarkBudget.AllowsGang(isContended, aPool.workers.size())) {
+  if (!isOnTime || this->gangsWithEarmarkedWorkers >= kMaxGangsWithEarmarkedWorkers) {
     return;
   }
   const auto& step = *aCandidate.specification;
@@ -179,7 +180,7 @@
     return aWorker->FreeResources().milliCores;
   });
   std::uint32_t slots = 0;
-  this->earmarkBudget.AddGang();
+  ++this->gangsWithEarmarkedWorkers;
   for (auto* worker : workers) {
     if (slots >= step.count) {
       return;
@@ -187,10 +188,6 @@
     Worker empty;
     empty.entry.capacity = worker->entry.capacity;
     slots += CountFittingTasks(empty, demand, step.count);
-    // A worker that is earmarked for another gang as well counts once.
-    if (worker->earmarkedInGangRound != this->gangRound) {
-      this->earmarkBudget.AddWorker();
-    }
     worker->earmarkedInGangRound = this->gangRound;
   }
 }
--- a/Libraries/LibCell/CellSchedulerPlacement.cpp
+++ b/Libraries/LibCell/CellSchedulerPlacement.cpp
@@ -1,7 +1,6 @@
 #include <LibCell/CellScheduler.h>
 #include <LibCell/Placement.h>
 #include <LibCell/PlacementOrder.h>
-#include <LibCell/WaitEstimate.h>
 
 #include <algorithm>
 #include <functional>
@@ -74,32 +73,16 @@
       pool.capacity += worker->entry.capacity;
       pool.free += worker->FreeResources();
     }
-    // Evacuated workers return, so their capacity counts toward the contention of the pool.
-    auto milliCores = pool.capacity.milliCores;
-    for (const auto* worker : pool.evacuated) {
-      milliCores += worker->entry.capacity.milliCores;
-    }
-    this->poolContention.UpdateCapacity(name, milliCores);
-    if (this->poolContention.IsContended(name)) {
-      this->contendedPools[name].BeginRound(pool, this->roundBegin, this->isGangRound);
-    }
     this->rankings.OnPoolBuilt(name, pool.workers, this->roundBegin);
   }
 }
 
-ContendedPool*
-CellScheduler::FindContendedPool(const std::string& aPool)
-{
-  return this->poolContention.IsContended(aPool) ? &this->contendedPools[aPool] : nullptr;
-}
-
 std::vector<Candidate>
 CellScheduler::CollectCandidates()
 {
   std::vector<Candidate> candidates;
   for (const auto& [id, job] : this->activeJobs) {
     const auto& queue = this->CurrentQueuePolicy(*job);
-    auto* contention = this->FindContendedPool(queue.pool);
     for (auto& [number, occurrence] : job->occurrences) {
       for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
         if (!occurrence.steps[step].IsPending()) {
@@ -110,8 +93,7 @@
                                .step = step,
                                .run = &occurrence.steps[step],
                                .specification = &job->spec.steps[step],
-                               .queue = &queue,
-                               .contention = contention });
+                               .queue = &queue });
       }
     }
   }
@@ -119,7 +101,7 @@
 }
 
 void
-CellScheduler::OrderCandidates(std::vector<Candidate>& aCandidates)
+CellScheduler::OrderCandidates(std::vector<Candidate>& aCandidates) const
 {
   for (auto& candidate : aCandidates) {
     const auto& occurrence = candidate.job->occurrences.at(candidate.occurrence);
@@ -130,12 +112,7 @@
                            .isBeyondWeight = candidate.job->isBeyondWeight,
                            .objective = occurrence.objective,
                            .deadline = occurrence.deadline,
-                           .criticalPath = candidate.job->criticalPaths[candidate.step],
-                           .isContended = candidate.contention != nullptr,
-                           .expectedWait = EstimateWait(candidate, this->roundBegin) });
-  }
-  for (auto& [name, pool] : this->contendedPools) {
-    pool.PlaceExpiredShare(aCandidates);
+                           .criticalPath = candidate.job->criticalPaths[candidate.step] });
   }
   std::ranges::stable_sort(aCandidates, {}, &Candidate::priorityKey);
 }
@@ -161,7 +138,7 @@
   if (this->isGangRound) {
     this->nextGangPlacement = now + this->options.gangPlacementInterval;
     ++this->gangRound;
-    this->earmarkBudget.BeginRound();
+    this->gangsWithEarmarkedWorkers = 0;
   }
   auto candidates = this->CollectCandidates();
   if (candidates.empty()) {
@@ -193,9 +170,6 @@
     const auto reason = this->PlaceStep(candidate);
     consecutive = reason == WaitReason::Limit ? consecutive + 1 : 0;
     this->load.CountAttempt(reason);
-    if (candidate.contention != nullptr && IsForRoom(reason)) {
-      candidate.contention->NoteShortage(this->roundBegin);
-    }
     this->load.LogLongWait(candidate, reason, this->roundBegin);
     // The rest is left to the next round, so that a long round does not delay other work.
     const bool isLong =
@@ -212,11 +186,6 @@
 CellScheduler::NeedsPlacementAttempt(const Candidate& aCandidate) const
 {
   const auto& run = *aCandidate.run;
-  // Work without value takes only room that no other work needs.
-  const bool isWithoutValue = IsAtOrAfter(aCandidate.priorityKey, PriorityClass::WithoutValue);
-  if (isWithoutValue && aCandidate.contention->IsShort(this->roundBegin)) {
-    return run.reservation.has_value();
-  }
   if (run.advice.hasNewResponse || run.reservation) {
     return true;
   }
@@ -409,8 +378,7 @@
 const WorkerRanking&
 CellScheduler::RankingFor(const Candidate& aCandidate)
 {
-  const auto& ranking = this->rankings.Select(aCandidate, this->roundBegin);
-  return this->interference.RankingFor(ranking, *aCandidate.specification);
+  return this->rankings.Select(aCandidate, this->roundBegin);
 }
 
 Worker*
--- a/Libraries/LibCell/CellSchedulerStarts.cpp
+++ b/Libraries/LibCell/CellSchedulerStarts.cpp
@@ -51,7 +51,6 @@
                                   .checkpoint = aCheckpoint,
                                   .estimate = step.estimate,
                                   .timing = this->rankings.TimingForRun(aCandidate, aCheckpoint) });
-  this->interference.OnRunStarted(aWorker.allocations.back(), step, now);
   aWorker.used += demand;
   job.workspaceUsage->running += demand;
   const auto* ticket = aCandidate.run->advice.FindTicket(aWorker.number);
--- a/Libraries/LibCell/CellSchedulerWorkers.cpp
+++ b/Libraries/LibCell/CellSchedulerWorkers.cpp
@@ -292,7 +292,6 @@
   this->rankings.OnReport(aWorker, now);
   this->MarkWorkerSynced(aWorker.entry.id);
   this->AdvanceAcknowledgementsOf(aWorker);
-  this->interference.OnReport(aWorker, now);
   this->StopStalledRuns(aWorker);
   this->ThrottleBestEffortTasks(aWorker);
   if (!aWorker.unacknowledgedEnds.empty()) {
@@ -313,9 +312,6 @@
   auto* allocation = aWorker.FindAllocation(aEnd.task, aEnd.run);
   if (allocation != nullptr) {
     if (aEnd.outcome == RunOutcome::Succeeded) {
-      if (const auto ratio = allocation->MeasureRunTimeRatio(now)) {
-        this->interference.OnRunSucceeded(aWorker, *allocation, *ratio, now);
-      }
       this->rankings.OnRunSucceeded(aWorker, *allocation, now);
     }
     this->ReleaseAllocation(aWorker, aEnd.task, aEnd.run);
@@ -488,7 +484,6 @@
     allocation.isBestEffort = step.isBestEffort;
     allocation.tailLatencyTarget = step.tailLatencyTarget;
     allocation.estimate = step.estimate;
-    this->interference.OnRunAdopted(allocation, step, now);
   } else {
     // The demand is no longer known; the worker gets no tasks until the run has ended.
     allocation.isDemandUnknown = true;
@@ -758,7 +753,6 @@
   if (found == aWorker.allocations.end()) {
     return;
   }
-  this->interference.OnRunReleased(aWorker, *found, this->dependencies.clock.Now());
   aWorker.used -= found->demand;
   aWorker.runsOfUnknownDemand -= found->isDemandUnknown ? 1 : 0;
   if (found->workspaceUsage != nullptr) {
--- a/Libraries/LibCell/CompletionForecast.cpp
+++ b/Libraries/LibCell/CompletionForecast.cpp
@@ -91,7 +91,7 @@
 CompletionForecast::RecordStart(const Candidate& aCandidate, TimePoint aNow)
 {
   const auto& step = *aCandidate.specification;
-  if (!CountsAsWork(step) || !this->contention.IsContended(aCandidate.queue->pool)) {
+  if (!CountsAsWork(step)) {
     return;
   }
   const auto record = [this, work = WorkOf(step), aNow](const BacklogKey& aKey) {
@@ -139,8 +139,7 @@
     }
   }
   for (const auto& candidate : aCandidates) {
-    if (CountsAsWork(*candidate.specification) &&
-        this->contention.IsContended(candidate.queue->pool)) {
+    if (CountsAsWork(*candidate.specification)) {
       this->TrackJob(candidate, aNow);
       this->AddWaitingWork(candidate, aNow);
     }
--- a/Libraries/LibCell/CompletionForecast.h
+++ b/Libraries/LibCell/CompletionForecast.h
@@ -6,7 +6,6 @@
 
 #include <LibCell/Candidate.h>
 #include <LibCell/ExpectedWait.h>
-#include <LibCell/PoolContention.h>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -19,18 +18,16 @@
 namespace zinc::cell {
 
 /// Divides the waiting work of each queue by the rate at which such work starts, and corrects the
-/// result by the waits that happened. Only queues of contended pools have a forecast.
+/// result by the waits that happened.
 ///
 /// Work is the product of processors and estimated run time. An error that all estimates of a queue
 /// share cancels out.
 class CompletionForecast
 {
 public:
-  /// @param aContention must outlive this object
   /// @param aLimitHeadroom fraction of a workspace's limit that batch tasks leave to urgent ones
-  CompletionForecast(const PoolContention& aContention, double aLimitHeadroom)
-    : contention(aContention)
-    , limitHeadroom(aLimitHeadroom)
+  explicit CompletionForecast(double aLimitHeadroom)
+    : limitHeadroom(aLimitHeadroom)
   {
   }
 
@@ -100,7 +97,6 @@
   void Compare(const QueueId& aQueue, Milliseconds aForecast, Milliseconds aActual);
   [[nodiscard]] std::vector<ExpectedWait> ListWaits() const;
 
-  const PoolContention& contention;
   double limitHeadroom = 0.0;
   std::map<BacklogKey, Backlog> backlogs;
   std::unordered_map<JobId, WaitingJob> waitingJobs;
--- a/Libraries/LibCell/CompletionRanking.cpp
+++ b/Libraries/LibCell/CompletionRanking.cpp
@@ -70,13 +70,13 @@
   return static_cast<int>(std::clamp(band, -kLargestBand, kLargestBand));
 }
 
-WorkerRank
+int
 CompletionRanking::RankOf(const Worker& aWorker) const
 {
   const auto& speed = aWorker.speed;
   const int band =
     this->isGang ? static_cast<int>(std::lround(speed.rating * kGangRanksPerLog)) : speed.band;
-  return { .speed = speed.rating <= this->maxRating ? -band : kLateRank + band };
+  return speed.rating <= this->maxRating ? -band : kLateRank + band;
 }
 
 std::optional<int>
--- a/Libraries/LibCell/CompletionRanking.h
+++ b/Libraries/LibCell/CompletionRanking.h
@@ -48,7 +48,7 @@
 
   /// @return the slowest band whose workers are fast enough for the most part
   [[nodiscard]] int MaxBand() const;
-  [[nodiscard]] WorkerRank RankOf(const Worker& aWorker) const override;
+  [[nodiscard]] int RankOf(const Worker& aWorker) const override;
   [[nodiscard]] std::optional<int> GangSpeedRange() const override;
 
 private:
--- a/Libraries/LibCell/Placement.cpp
+++ b/Libraries/LibCell/Placement.cpp
@@ -25,7 +25,7 @@
 /// A worker with its sort key, which is computed once.
 struct RankedWorker
 {
-  std::tuple<WorkerRank, bool, std::int64_t> rank;
+  std::tuple<int, bool, std::int64_t> rank;
   std::uint32_t room = 0;
   Worker* worker = nullptr;
 };
@@ -35,7 +35,7 @@
 std::span<const RankedWorker>
 FindEqualSpeeds(std::span<const RankedWorker> aRanked, std::uint32_t aCount, int aRange)
 {
-  const auto speedOf = [](const RankedWorker& aWorker) { return std::get<0>(aWorker.rank).speed; };
+  const auto speedOf = [](const RankedWorker& aWorker) { return std::get<0>(aWorker.rank); };
   std::uint64_t room = 0;
   std::size_t end = 0;
   for (std::size_t begin = 0; begin < aRanked.size(); ++begin) {
@@ -151,7 +151,7 @@
 {
   const auto demand = AllocatedDemand(aStep);
   Worker* best = nullptr;
-  std::tuple<bool, WorkerRank, double> bestRank;
+  std::tuple<bool, int, double> bestRank;
   for (auto* worker : aWorkers) {
     const bool isFull = aStep.maxTasksPerWorker > 0 && aCount(*worker) >= aStep.maxTasksPerWorker;
     if (isFull || CountFittingTasks(*worker, demand, 1) == 0) {
--- a/Libraries/LibCell/PlacementOrder.h
+++ b/Libraries/LibCell/PlacementOrder.h
@@ -25,10 +25,6 @@
   TimePoint deadline{};
   /// Estimated duration of the longest chain of steps that begins with this one.
   Milliseconds criticalPath{ 0 };
-  /// The step's pool is contended. The remaining fields count only then.
-  bool isContended = false;
-  /// Expected time to advice and room if the step were the next one.
-  Milliseconds expectedWait{ 0 };
 };
 
 /// @return the sort key of a class and a latest start
@@ -39,17 +35,8 @@
          aLatestStart.time_since_epoch().count();
 }
 
-/// @return the latest start that meets the objective
-[[nodiscard]] constexpr TimePoint
-LatestStartOf(std::int64_t aPriorityKey)
-{
-  return TimePoint{ Milliseconds(aPriorityKey % kPriorityClassSpan) };
-}
-
 /// @return the sort key of a step: its priority class and, within the class, the latest start that
-/// meets the objective. Lower keys are placed first. In a contended pool a step is late once it can
-/// no longer meet its objective after the expected wait, and without value once it cannot meet its
-/// deadline.
+/// meets the objective. Lower keys are placed first.
 [[nodiscard]] std::int64_t
 ComputePriorityKey(const PriorityInput& aInput);
 
--- a/Libraries/LibCell/PriorityClass.h
+++ b/Libraries/LibCell/PriorityClass.h
@@ -17,8 +17,6 @@
   OnTime,
   Late,
   BeyondWeight,
-  /// Only in a contended pool: the result will have no value to the caller any more.
-  WithoutValue,
 };
 
 inline constexpr std::int64_t kPriorityClassSpan = std::int64_t{ 1 } << 48;
--- a/Libraries/LibCell/WaitReason.h
+++ b/Libraries/LibCell/WaitReason.h
@@ -31,13 +31,6 @@
 
 inline constexpr auto kWaitReasonCount = static_cast<std::size_t>(WaitReason::Count);
 
-/// @return true if the step waits because its pool is full
-[[nodiscard]] constexpr bool
-IsForRoom(WaitReason aReason)
-{
-  return aReason == WaitReason::Room || aReason == WaitReason::Headroom;
-}
-
 /// @return the reason's name in the log
 [[nodiscard]] constexpr std::string_view
 ToString(WaitReason aReason)
--- a/Libraries/LibCell/Worker.h
+++ b/Libraries/LibCell/Worker.h
@@ -4,7 +4,6 @@
 /// The leader's state of a worker and of the runs allocated to it.
 
 #include <LibCell/Ports.h>
-#include <LibCell/RunNeighbours.h>
 #include <LibCell/WorkerSpeed.h>
 #include <LibCell/WorkspaceUsage.h>
 #include <deque>
@@ -110,7 +109,6 @@
   int dutyCyclePercent = 100;
   std::string checkpoint;
   Milliseconds estimate{ 0 };
-  RunNeighbours neighbours;
   /// Expected run time of the step; null if the run does not tell the speed of its worker.
   std::shared_ptr<StepTiming> timing;
 
--- a/Libraries/LibCell/WorkerRanking.cpp
+++ b/Libraries/LibCell/WorkerRanking.cpp
@@ -9,10 +9,10 @@
 
 }
 
-WorkerRank
+int
 SlownessRanking::RankOf(const Worker& aWorker) const
 {
-  return { .speed = static_cast<int>((aWorker.speed.smoothedRatio - 1.0) / kSlownessStep) };
+  return static_cast<int>((aWorker.speed.smoothedRatio - 1.0) / kSlownessStep);
 }
 
 }
--- a/Libraries/LibCell/WorkerRanking.h
+++ b/Libraries/LibCell/WorkerRanking.h
@@ -4,22 +4,10 @@
 /// Preferences among workers that have room for a task.
 
 #include <LibCell/Worker.h>
-#include <compare>
 #include <optional>
 
 namespace zinc::cell {
 
-/// Preference for a worker; lower ranks are chosen first.
-struct WorkerRank
-{
-  int speed = 0;
-  int interference = 0;
-
-  // clang-tidy takes the comparison with 0 that the compiler generates for a null pointer.
-  // NOLINTNEXTLINE(modernize-use-nullptr)
-  friend auto operator<=>(const WorkerRank&, const WorkerRank&) = default;
-};
-
 /// Ranks workers for the tasks of one step. Asked once for each worker with room.
 class WorkerRanking
 {
@@ -29,9 +17,10 @@
   WorkerRanking(const WorkerRanking&) = delete;
   WorkerRanking& operator=(const WorkerRanking&) = delete;
 
-  [[nodiscard]] virtual WorkerRank RankOf(const Worker& aWorker) const = 0;
-  /// @return the largest difference of @ref WorkerRank::speed within a gang, whose slowest member
-  /// determines its end; nothing if the members' speeds do not matter
+  /// @return the preference for a worker; lower ranks are chosen first
+  [[nodiscard]] virtual int RankOf(const Worker& aWorker) const = 0;
+  /// @return the largest difference of @ref RankOf within a gang, whose slowest member determines
+  /// its end; nothing if the members' speeds do not matter
   [[nodiscard]] virtual std::optional<int> GangSpeedRange() const { return {}; }
 };
 
@@ -40,7 +29,7 @@
 class SlownessRanking final : public WorkerRanking
 {
 public:
-  [[nodiscard]] WorkerRank RankOf(const Worker& aWorker) const override;
+  [[nodiscard]] int RankOf(const Worker& aWorker) const override;
 };
 
 }
--- a/Services/Entry/PlatformProgram.cpp
+++ b/Services/Entry/PlatformProgram.cpp
@@ -239,7 +239,6 @@
     instanceOptions.documentRereadInterval);
   instanceOptions.evacuation.limitsColdWorkers = this->boot.hasZoneContract;
   instanceOptions.scheduler.statusRetention = this->boot.statusRetention;
-  instanceOptions.scheduler.keepInterferingTasksApart = this->options.keepInterferingTasksApart;
   this->instance = std::make_unique<CellInstance>(
     CellInstance::Dependencies{
       .store = *this->store,
--- a/Services/Entry/PlatformProgram.h
+++ b/Services/Entry/PlatformProgram.h
@@ -17,8 +17,6 @@
   std::uint16_t metricsPort = 0;
   /// Threads for connections besides the control thread; 0 uses the control thread.
   std::uint32_t trafficThreads = 1;
-  /// Tasks that were seen to slow each other down are kept apart where there is room.
-  bool keepInterferingTasksApart = true;
 };
 
 /// Runs the instance until SIGTERM or SIGINT; SIGHUP reloads the settings file.
--- a/Services/Entry/main.cpp
+++ b/Services/Entry/main.cpp
@@ -97,10 +97,6 @@
   add("traffic-threads-on-platform",
       "threads for connections with --platform; 0 uses the control thread",
       cxxopts::value<std::uint32_t>()->default_value("1"));
-  add("keep-interfering-tasks-apart",
-      "with --platform, place tasks that slow each other down on different workers where there is "
-      "room; false turns it off",
-      cxxopts::value<bool>()->default_value("true"));
   add("check", "validate the settings and exit");
   add("help", "print this help");
   for (const auto& setting : EntrySettingDescriptions()) {
@@ -124,8 +120,7 @@
     return RunOnPlatform(
       { .settingsPath = path,
         .metricsPort = arguments["metrics-port"].as<std::uint16_t>(),
-        .trafficThreads = arguments["traffic-threads-on-platform"].as<std::uint32_t>(),
-        .keepInterferingTasksApart = arguments["keep-interfering-tasks-apart"].as<bool>() });
+        .trafficThreads = arguments["traffic-threads-on-platform"].as<std::uint32_t>() });
   }
   std::string yaml = "{}";
   if (arguments.count("settings") > 0) {
--- a/Tests/LibCell/TestAdmissionProperties.cpp
+++ b/Tests/LibCell/TestAdmissionProperties.cpp
@@ -159,15 +159,6 @@
 class WaitingQueue
 {
 public:
-  WaitingQueue()
-  {
-    CellPolicy policy;
-    policy.workspaces[{ "calm" }] = {};
-    policy.workspaces[{ "burst" }] = {};
-    this->contention.UpdateCapacity("pool", 1000);
-    this->contention.SetPolicy(policy);
-  }
-
   /// @return false if the gate refuses the job
   bool Submit(const std::string& aWorkspace, bool aIsBeyondWeight)
   {
@@ -222,9 +213,8 @@
   }
 
   ManualClock clock;
-  PoolContention contention;
   WorkspaceUsage usage;
-  CompletionForecast forecast{ this->contention, CellSchedulerOptions{}.limitHeadroom };
+  CompletionForecast forecast{ CellSchedulerOptions{}.limitHeadroom };
   std::vector<std::unique_ptr<Job>> jobs;
   std::vector<ExpectedWait> waits;
   std::size_t submitted = 0;
--- a/Tests/LibCell/TestGangAdvice.cpp
+++ b/Tests/LibCell/TestGangAdvice.cpp
@@ -117,7 +117,7 @@
   EXPECT_LE(this->CountRequests("second"), countBefore + 1);
 }
 
-// Load: more requests for gangs than a contended pool's instances can make. Guards against capacity
+// Load: more requests for gangs than the instances can make. Guards against capacity
 // that is reserved for a gang and idle while first requests of other gangs go before its tickets.
 TEST_F(GangAdvice, RequestsTicketsForReservedCapacityFirst)
 {
