LibCell: Stop batch tasks that can wait for gangs without room

Change: PlanGangPreemption finds the runs of less urgent queues whose stop makes room for a gang that is on time. Only tasks with checkpoints are stopped, at most twice, and only if their job still meets its objective when it starts two seconds later. The room is reserved; tickets that stay valid are not requested again. A reservation needs no tickets on a queue without advice. job_adopted tells the objective.

--- a/Libraries/LibCell/CellScheduler.h
+++ b/Libraries/LibCell/CellScheduler.h
@@ -473,6 +473,11 @@
   bool StartGang(const Candidate& aCandidate, std::span<Worker* const> aAssigned);
   /// Reserves room at the assigned workers and requests tickets for them.
   void ReserveForGang(const Candidate& aCandidate, std::span<Worker* const> aAssigned);
+  /// Stops runs that can wait, and reserves their room for the gang.
+  /// @return true if room is reserved
+  bool PreemptForGang(const Candidate& aCandidate, const Pool& aPool);
+  /// @return true if the run can be stopped for the gang and its job still meets its objective
+  [[nodiscard]] bool CanYieldTo(const Candidate& aGang, const Allocation& aAllocation);
   /// Starts a gang at its reserved workers once there is a valid ticket for each.
   void StartReservedGang(const Candidate& aCandidate);
   /// Earmarks the workers with the most free room: batch tasks stay off them until the gang fits.
--- a/Libraries/LibCell/CellSchedulerGangs.cpp
+++ b/Libraries/LibCell/CellSchedulerGangs.cpp
@@ -1,4 +1,5 @@
 #include <LibCell/CellScheduler.h>
+#include <LibCell/GangPreemption.h>
 #include <LibCell/Placement.h>
 #include <LibCell/PlacementOrder.h>
 
@@ -10,6 +11,13 @@
 
 /// A reservation expires if its tickets are this much later than expected.
 constexpr Milliseconds kReservationMargin{ 700 };
+/// A reservation uses tickets that are valid for this long. It covers the stop of preempted runs.
+constexpr Milliseconds kMinTicketValidity{ 600 };
+/// A run is stopped for a gang only if its job can start over this much later and still meet its
+/// objective: the time to stop, to get new tickets and to find room.
+constexpr Milliseconds kMinSlackOfPreemptedRun{ 2000 };
+/// A task that was stopped for gangs this often is not stopped again.
+constexpr std::uint32_t kMaxPreemptions = 2;
 /// Gangs for which workers are kept free of batch tasks at the same time.
 constexpr std::size_t kMaxGangsWithEarmarkedWorkers = 5;
 
@@ -38,6 +46,9 @@
   }
   const bool leavesHeadroom = this->LeavesHeadroom(aCandidate, total, aPool);
   if (!leavesHeadroom || !HasRoom(aPool, step)) {
+    if (this->PreemptForGang(aCandidate, aPool)) {
+      return WaitReason::Ticket;
+    }
     this->EarmarkWorkersForGang(aCandidate, aPool);
     return leavesHeadroom ? WaitReason::Room : WaitReason::Headroom;
   }
@@ -53,6 +64,9 @@
   }
   assigned = this->AssignGangTo(aCandidate, this->FindEligibleWorkers(aCandidate, aPool, false));
   if (!assigned) {
+    if (this->PreemptForGang(aCandidate, aPool)) {
+      return WaitReason::Ticket;
+    }
     this->RequestMoreAdvice(aCandidate, aPool);
     this->EarmarkWorkersForGang(aCandidate, aPool);
     return run.advice.requestsInFlight > 0 ? WaitReason::Advice : WaitReason::Room;
@@ -113,7 +127,11 @@
   for (auto* worker : aAssigned) {
     worker->reserved += demand;
     reservation.workers.push_back(worker->number);
-    if (std::ranges::find(requested, worker->number) == requested.end()) {
+    const auto* ticket = run.advice.FindTicket(worker->number);
+    const bool isValid =
+      !aCandidate.queue->needsAdvice ||
+      (ticket != nullptr && ticket->expires > this->roundBegin + kMinTicketValidity);
+    if (!isValid && std::ranges::find(requested, worker->number) == requested.end()) {
       requested.push_back(worker->number);
     }
   }
@@ -122,7 +140,56 @@
     advice.baseMs + advice.perWorkerMs * static_cast<double>(requested.size())));
   reservation.expires = this->roundBegin + expected + kReservationMargin;
   run.reservation = std::move(reservation);
-  this->RequestAdvice(aCandidate, requested);
+  if (!requested.empty()) {
+    this->RequestAdvice(aCandidate, requested);
+  }
+}
+
+bool
+CellScheduler::CanYieldTo(const Candidate& aGang, const Allocation& aAllocation)
+{
+  const auto* task = this->FindTask(aAllocation.task);
+  if (task == nullptr || aAllocation.phase != RunPhase::Running ||
+      task->preemptions >= kMaxPreemptions) {
+    return false;
+  }
+  const auto& job = *this->FindJob(aAllocation.task.job);
+  const auto& key = aAllocation.task.key;
+  const auto& step = job.spec.steps[key.step];
+  const bool isLessUrgent = this->CurrentQueuePolicy(job).priority > aGang.queue->priority;
+  if (!isLessUrgent || !step.hasCheckpoints || step.isGang || step.isService || step.isBestEffort) {
+    return false;
+  }
+  const auto latestStart =
+    job.occurrences.at(key.occurrence).objective - job.criticalPaths[key.step];
+  return latestStart >= this->roundBegin + kMinSlackOfPreemptedRun;
+}
+
+bool
+CellScheduler::PreemptForGang(const Candidate& aCandidate, const Pool& aPool)
+{
+  const auto& advice = aCandidate.run->advice;
+  const bool isOnTime = !IsAtOrAfter(aCandidate.priorityKey, PriorityClass::Late);
+  if (!isOnTime || aCandidate.job->isCrashSuspect || advice.requestsInFlight > 0 ||
+      advice.retryAt > this->roundBegin) {
+    return false;
+  }
+  const auto plan = PlanGangPreemption(*aCandidate.specification,
+                                       this->FindEligibleWorkers(aCandidate, aPool, false),
+                                       [this, &aCandidate](const Allocation& aAllocation) {
+                                         return this->CanYieldTo(aCandidate, aAllocation);
+                                       });
+  if (!plan) {
+    return false;
+  }
+  for (const auto& preempted : plan->preempted) {
+    ++this->FindTask(preempted.task)->preemptions;
+    this->StopRun(*preempted.worker,
+                  *preempted.worker->FindAllocation(preempted.task, preempted.run),
+                  "preempted");
+  }
+  this->ReserveForGang(aCandidate, plan->members);
+  return true;
 }
 
 void
@@ -133,11 +200,17 @@
   for (const auto number : run.reservation->workers) {
     auto* worker = this->workers.FindByNumber(number);
     const bool isUsable = worker != nullptr && this->IsUsable(*worker, this->roundBegin);
-    if (!isUsable || worker->IsOvercommitted()) {
+    const bool isStopping =
+      isUsable && std::ranges::find(worker->allocations, RunPhase::Stopping, &Allocation::phase) !=
+                    worker->allocations.end();
+    if (!isUsable || (worker->IsOvercommitted() && !isStopping)) {
       this->ReleaseReservation(run, *aCandidate.specification);
       return;
     }
-    if (!this->IsTicketValid(run.advice.FindTicket(number))) {
+    if (worker->IsOvercommitted()) {
+      return;
+    }
+    if (aCandidate.queue->needsAdvice && !this->IsTicketValid(run.advice.FindTicket(number))) {
       return;
     }
     assigned.push_back(worker);
--- a/Libraries/LibCell/CellSchedulerJobs.cpp
+++ b/Libraries/LibCell/CellSchedulerJobs.cpp
@@ -107,6 +107,8 @@
   if (job.spec.occurrences > 0) {
     this->timedJobs.insert(name->job);
   }
+  const auto objective =
+    ComputeObjective(this->CurrentQueuePolicy(job), std::ranges::max(job.criticalPaths));
   this->dependencies.log.Log(LogLevel::Info,
                              "job_adopted",
                              { { "job", name->job.value },
@@ -114,6 +116,7 @@
                                { "workspace", job.spec.workspace.value },
                                { "age_ms", (now - job.receivedAt).count() },
                                { "steps", job.spec.steps.size() },
+                               { "objective_ms", objective.count() },
                                { "beyond_weight", job.isBeyondWeight } });
   this->StartDueOccurrences(job);
   if (this->earlyCancellations.erase(name->job) > 0) {
--- a/Libraries/LibCell/Job.h
+++ b/Libraries/LibCell/Job.h
@@ -81,6 +81,8 @@
   TimePoint earliestStart{};
   /// Number of its runs that were stopped because they made no progress.
   std::uint32_t stalledRuns = 0;
+  /// Number of its runs that were stopped to make room for gangs.
+  std::uint32_t preemptions = 0;
   /// Starts in a row that workers rejected.
   std::uint32_t rejectedStarts = 0;
   /// Worker of the last failed run; the task runs elsewhere next if possible.
--- /dev/null
+++ b/Tests/LibCell/TestGangPreemption.cpp
@@ -0,0 +1,194 @@
+#include "CellSchedulerFixture.h"
+
+#include <LibCell/GangPreemption.h>
+#include <algorithm>
+#include <deque>
+
+namespace zinc::cell::test {
+
+namespace {
+
+/// Workers with runs, without a scheduler.
+class GangPreemptionTest : public testing::Test
+{
+protected:
+  Worker& AddWorker(std::int64_t aCores)
+  {
+    auto& worker = this->workers.emplace_back();
+    worker.entry.capacity = { .milliCores = aCores * 1000, .memoryMiB = 64'000 };
+    worker.number = static_cast<WorkerNumber>(this->workers.size());
+    return worker;
+  }
+
+  void AddRun(Worker& aWorker, std::int64_t aCores, RunPhase aPhase = RunPhase::Running)
+  {
+    const Resources demand{ .milliCores = aCores * 1000 };
+    aWorker.allocations.push_back(
+      { .task = { .job = { "batch" } }, .run = ++this->runs, .demand = demand, .phase = aPhase });
+    aWorker.used += demand;
+  }
+
+  [[nodiscard]] std::optional<PreemptionPlan> Plan(std::uint32_t aCount, std::int64_t aCores)
+  {
+    std::vector<Worker*> eligible;
+    for (auto& worker : this->workers) {
+      eligible.push_back(&worker);
+    }
+    const StepSpecification step{ .count = aCount,
+                                  .demand = { .milliCores = aCores * 1000 },
+                                  .isGang = true,
+                                  .prefersSameRack = this->prefersSameRack };
+    return PlanGangPreemption(step, eligible, this->mayStop);
+  }
+
+  std::deque<Worker> workers;
+  std::uint64_t runs = 0;
+  bool prefersSameRack = false;
+  PreemptionPredicate mayStop = [](const Allocation& aAllocation) {
+    return aAllocation.phase == RunPhase::Running;
+  };
+};
+
+}
+
+// Load: a pool full of small tasks. Guards against stops of more runs than the gang needs.
+TEST_F(GangPreemptionTest, StopsTheFewestProcessors)
+{
+  auto& full = this->AddWorker(10);
+  this->AddRun(full, 8);
+  this->AddRun(full, 2);
+  auto& nearlyFree = this->AddWorker(10);
+  this->AddRun(nearlyFree, 3);
+  const auto plan = this->Plan(1, 9);
+  ASSERT_TRUE(plan);
+  ASSERT_EQ(plan->preempted.size(), 1U);
+  EXPECT_EQ(plan->preempted.front().worker, &nearlyFree);
+  EXPECT_EQ(plan->members, std::vector<Worker*>{ &nearlyFree });
+}
+
+// Guards against further stops while earlier ones have not ended yet.
+TEST_F(GangPreemptionTest, CountsTheRoomOfRunsThatAreBeingStopped)
+{
+  auto& worker = this->AddWorker(10);
+  this->AddRun(worker, 6, RunPhase::Stopping);
+  this->AddRun(worker, 4);
+  const auto plan = this->Plan(1, 6);
+  ASSERT_TRUE(plan);
+  EXPECT_TRUE(plan->preempted.empty());
+}
+
+// Guards against stops that do not help: a gang starts with all its members or not at all.
+TEST_F(GangPreemptionTest, StopsNothingForAGangThatDoesNotFitEvenSo)
+{
+  auto& worker = this->AddWorker(10);
+  this->AddRun(worker, 10);
+  EXPECT_FALSE(this->Plan(2, 6));
+  this->mayStop = [](const Allocation&) { return false; };
+  EXPECT_FALSE(this->Plan(1, 6));
+}
+
+TEST_F(GangPreemptionTest, LeavesGangsOfOneRackAlone)
+{
+  this->AddRun(this->AddWorker(10), 10);
+  this->prefersSameRack = true;
+  EXPECT_FALSE(this->Plan(1, 6));
+}
+
+namespace {
+
+/// A cell whose workers are filled by batch tasks of a less urgent queue when a gang arrives.
+class FilledCellTest : public CellSchedulerFixture
+{
+protected:
+  FilledCellTest()
+  {
+    this->policy.routes.front().queue.priority = 1;
+    this->options.urgentHeadroom = 0.0;
+    for (int number = 0; number < 4; ++number) {
+      this->entries.push_back(this->workers.Add("w" + std::to_string(number), 9));
+    }
+  }
+
+  /// Starts a job that fills all workers.
+  void FillWorkers(bool aHasCheckpoints, double aStretch)
+  {
+    auto batch = MakeJob("batch", 12, 3, 4000);
+    batch.queue.name = { "less urgent" };
+    batch.queue.priority = 2;
+    batch.queue.stretch = aStretch;
+    batch.steps.front().hasCheckpoints = aHasCheckpoints;
+    this->AcceptJob(batch);
+    this->RunFor(Milliseconds{ 200 });
+    ASSERT_EQ(this->CountStarts("batch"), 12U);
+  }
+
+  void AcceptGang()
+  {
+    auto gang = MakeJob("gang", 4, 5, 4000);
+    gang.steps.front().isGang = true;
+    this->AcceptJob(gang);
+    this->RunFor(Milliseconds{ 500 });
+  }
+
+  [[nodiscard]] std::size_t CountStarts(const std::string& aJob) const
+  {
+    return static_cast<std::size_t>(std::ranges::count_if(
+      this->workers.starts, [&aJob](const auto& aStart) { return aStart.task.job.value == aJob; }));
+  }
+};
+
+}
+
+// Load: small batch tasks that can wait take each core as it becomes free. Guards against a gang
+// that misses its objective behind them.
+TEST_F(FilledCellTest, AGangGetsTheRoomOfTasksThatCanWait)
+{
+  this->BeginTerm();
+  this->FillWorkers(true, 10.0);
+  this->AcceptGang();
+  EXPECT_EQ(this->CountStarts("gang"), 4U);
+  this->workers.EndAll();
+  this->RunFor(Milliseconds{ 200 });
+  this->workers.EndAll();
+  this->RunFor(Milliseconds{ 200 });
+  EXPECT_EQ(this->StatusOf("gang").outcome, JobOutcome::Succeeded);
+  EXPECT_EQ(this->StatusOf("batch").outcome, JobOutcome::Succeeded);
+}
+
+// Guards against work that is thrown away.
+TEST_F(FilledCellTest, TasksWithoutCheckpointsAreNotStopped)
+{
+  this->BeginTerm();
+  this->FillWorkers(false, 10.0);
+  this->AcceptGang();
+  EXPECT_EQ(this->CountStarts("gang"), 0U);
+  EXPECT_EQ(this->CountStarts("batch"), 12U);
+}
+
+// Guards against tasks that miss their own objective for a gang.
+TEST_F(FilledCellTest, TasksWithLittleTimeLeftAreNotStopped)
+{
+  this->BeginTerm();
+  this->FillWorkers(true, 1.2);
+  this->AcceptGang();
+  EXPECT_EQ(this->CountStarts("gang"), 0U);
+}
+
+// Failure: the worker accepts the stops without effect. Guards against a start in room that is
+// still occupied, and against more stops each time the reservation expires.
+TEST_F(FilledCellTest, AGangDoesNotStartBeforeTheRoomIsFree)
+{
+  this->BeginTerm();
+  this->FillWorkers(true, 10.0);
+  this->workers.At("w0").ignoresStops = true;
+  this->AcceptGang();
+  this->RunFor(Milliseconds{ 1000 });
+  EXPECT_EQ(this->CountStarts("gang"), 0U);
+  std::int64_t used = 0;
+  for (const auto& [name, run] : this->workers.At("w0").running) {
+    used += 3;
+  }
+  EXPECT_LE(used, 9);
+}
+
+}
