--- a/Libraries/LibCell/CellSchedulerGangs.cpp
+++ b/Libraries/LibCell/CellSchedulerGangs.cpp
@@ -46,6 +46,7 @@
   }
   const bool leavesHeadroom = this->LeavesHeadroom(aCandidate, total, aPool);
   if (!leavesHeadroom || !HasRoom(aPool, step)) {
+    // A gang that is on time may use the headroom; batch tasks that can wait then leave it free.
     if (this->PreemptForGang(aCandidate, aPool)) {
       return WaitReason::Ticket;
     }
--- a/Libraries/LibCell/GangPreemption.cpp
+++ b/Libraries/LibCell/GangPreemption.cpp
@@ -2,7 +2,6 @@
 
 #include <LibCell/Placement.h>
 #include <algorithm>
-#include <limits>
 
 namespace zinc::cell {
 
--- a/Libraries/LibCell/GangPreemption.h
+++ b/Libraries/LibCell/GangPreemption.h
@@ -32,7 +32,9 @@
 using PreemptionPredicate = std::function<bool(const Allocation&)>;
 
 /// Finds room for a gang by stopping as few processors of other runs as possible at each worker.
+/// @param aStep the gang's step
 /// @param aWorkers the workers that may run the gang
+/// @param aMayStop tells which runs may be stopped
 /// @return nothing if the gang does not fit even so, or if it needs a single rack
 [[nodiscard]] std::optional<PreemptionPlan>
 PlanGangPreemption(const StepSpecification& aStep,
