LibCell: Send a renewal again whose response is overdue

Change: a renewal without a response is sent again after 400 ms. All copies have the same condition, so that one takes effect at most. KeepsItsTermWhenARenewalIsLost failed before.

--- a/Libraries/LibCell/LeaderElection.cpp
+++ b/Libraries/LibCell/LeaderElection.cpp
@@ -182,7 +182,10 @@
   const auto elapsed = this->lastTick == TimePoint{} ? Milliseconds{ 0 } : now - this->lastTick;
   this->lastTick = now;
   if (this->state == State::Leader) {
-    if (!this->isRenewing && now >= this->nextRenewalAt) {
+    // At most one of several renewals in flight takes effect, since they have the same condition.
+    const bool isOverdue =
+      this->isRenewing && now - this->renewalSentAt >= this->options.renewalResendDelay;
+    if ((!this->isRenewing || isOverdue) && now >= this->nextRenewalAt) {
       this->Renew();
     }
     return;
@@ -378,6 +381,7 @@
   transaction.conditions.push_back({ .key = key, .version = this->rowVersion });
   transaction.writes.push_back({ .key = key, .value = EncodeLeaderRecord(record) });
   this->isRenewing = true;
+  this->renewalSentAt = now;
   this->isRenewalOutdated = false;
   this->dependencies.store.Commit(
     std::move(transaction),
--- a/Libraries/LibCell/LeaderElection.h
+++ b/Libraries/LibCell/LeaderElection.h
@@ -18,6 +18,9 @@
 struct LeaderElectionOptions
 {
   Milliseconds renewalInterval{ 500 };
+  /// A renewal without a response is sent again after this long, so that one lost response does not
+  /// cost the term. Longer than a response takes while the store is slow.
+  Milliseconds renewalResendDelay{ 400 };
   /// Delay before a failed renewal is retried.
   Milliseconds renewalRetryDelay{ 150 };
   /// The leader is certain to be the only one until this long after it sent its last successful
@@ -243,6 +246,8 @@
   TimePoint nextRenewalAt{};
   std::uint64_t token = 0;
   bool isRenewing = false;
+  /// When the latest renewal was sent.
+  TimePoint renewalSentAt{};
   /// The report has changed since the renewal in flight was sent.
   bool isRenewalOutdated = false;
   bool isLeaving = false;
--- a/Tests/LibCell/MemoryStore.cpp
+++ b/Tests/LibCell/MemoryStore.cpp
@@ -50,6 +50,9 @@
 void
 MemoryStore::Commit(Transaction aTransaction, Handler<CommitResult> aHandler)
 {
+  if (this->mode == StoreMode::LosingRequests) {
+    return;
+  }
   if (this->mode == StoreMode::Unavailable) {
     aHandler(NotRun(ErrorCode::Unavailable, "refused"));
     return;
--- a/Tests/LibCell/MemoryStore.h
+++ b/Tests/LibCell/MemoryStore.h
@@ -20,6 +20,8 @@
   Unavailable,
   /// Applies transactions and reports a timeout; reads work.
   DroppingResponses,
+  /// Neither applies transactions nor responds to them; reads work.
+  LosingRequests,
   /// Applies transactions and holds back their responses until
   /// @ref MemoryStore::DeliverResponses; reads work.
   DelayingResponses,
--- a/Tests/LibCell/TestLeaderElection.cpp
+++ b/Tests/LibCell/TestLeaderElection.cpp
@@ -315,6 +315,21 @@
   EXPECT_GT(first.election.TermEnd(), this->clock.Now());
 }
 
+// Load: calls of the store are lost for a while. Guards against a leader that is replaced although
+// it is well, since it waits too long for the response to one renewal.
+TEST_F(LeaderElectionTest, KeepsItsTermWhenARenewalIsLost)
+{
+  Instance first(*this, "first");
+  Instance second(*this, "second");
+  this->Run({ &first }, Milliseconds{ 300 });
+  this->store.mode = StoreMode::LosingRequests;
+  this->Run({ &first, &second }, this->options.renewalInterval);
+  this->store.mode = StoreMode::Available;
+  this->Run({ &first, &second }, 2 * this->options.leaderTimeout);
+  EXPECT_TRUE(first.term.has_value());
+  EXPECT_EQ(second.termCount, 0);
+}
+
 TEST_F(LeaderElectionTest, BeginsATermWhoseResponseWasLost)
 {
   Instance first(*this, "first");
