LibCell: Let the next leader wait for workers with ends that are not stored

A draining or unlisted worker without runs was left out of what the leader record publishes, although only it knew of a failure that was not stored yet. The next leader did not wait for it and started the task again. Ruled out: preemption, since a build without it showed the same. Change: such workers are published, and the jobs of their ends with them. CountsAFailureThatOnlyADrainingWorkerKnows and PublishesAnUnlistedWorkerWithAnEndThatIsNotStored failed before.

--- a/Libraries/LibCell/CellScheduler.cpp
+++ b/Libraries/LibCell/CellScheduler.cpp
@@ -216,8 +216,9 @@
 bool
 CellScheduler::MayHaveRuns(const Worker& aWorker) const
 {
-  // Any listed worker may become reachable and get a run before the next record is written.
-  return aWorker.isListed ||
+  // Any listed worker may become reachable and get a run before the next record is written. Only
+  // the worker knows of ends that are not stored yet, and the next leader has to count them.
+  return aWorker.isListed || !aWorker.unacknowledgedEnds.empty() ||
          (!aWorker.allocations.empty() && aWorker.leaseExpiry > this->dependencies.clock.Now());
 }
 
@@ -243,6 +244,9 @@
     for (const auto& allocation : worker->allocations) {
       jobs.insert(allocation.task.job);
     }
+    for (const auto& end : worker->unacknowledgedEnds) {
+      jobs.insert(end.job);
+    }
   }
   return draining;
 }
--- a/Tests/LibCell/TestTakeover.cpp
+++ b/Tests/LibCell/TestTakeover.cpp
@@ -233,6 +233,50 @@
     << "a further leader must not start it either";
 }
 
+// Failure: the store is away when a task fails for the last time, and its leader is replaced.
+// Guards against a further attempt while only the draining worker knows of the failure.
+TEST_F(TakeoverTest, CountsAFailureThatOnlyADrainingWorkerKnows)
+{
+  this->policy.routes.front().queue.maxAttempts = 1;
+  this->entries = { this->workers.Add("w1", 4), this->workers.Add("w2", 4) };
+  this->BeginTerm();
+  this->RunFor(Milliseconds{ 50 });
+  this->AcceptJob(MakeJob("first", 1, 4));
+  this->RunFor(Milliseconds{ 50 });
+  ASSERT_EQ(this->workers.starts.back().worker.value, "w1");
+  this->entries.front().isDraining = true;
+  this->scheduler->OnWorkerEntry(this->entries.front());
+  this->store.mode = StoreMode::Unavailable;
+  this->workers.End("w1", this->workers.starts.back().task, RunOutcome::Failed);
+  this->RunFor(Milliseconds{ 100 });
+  this->drainingJobs = this->scheduler->DrainingJobsToPublish();
+
+  this->workers.At("w1").isReachable = false;
+  this->store.mode = StoreMode::Available;
+  this->BeginTerm(true);
+  this->RunFor(Milliseconds{ 400 });
+  EXPECT_EQ(this->CountStartsOf("first"), 1U);
+  this->workers.At("w1").isReachable = true;
+  this->RunFor(Milliseconds{ 1000 });
+  EXPECT_EQ(this->CountStartsOf("first"), 1U);
+  EXPECT_EQ(this->StatusOf("first").outcome, JobOutcome::Failed);
+}
+
+// The same for a worker whose row has lapsed: the next leader has to ask it for its ends.
+TEST_F(TakeoverTest, PublishesAnUnlistedWorkerWithAnEndThatIsNotStored)
+{
+  this->entries = { this->workers.Add("w1", 4) };
+  this->BeginTerm();
+  this->RunFor(Milliseconds{ 50 });
+  this->AcceptJob(MakeJob("first", 1, 4));
+  this->RunFor(Milliseconds{ 50 });
+  this->store.mode = StoreMode::Unavailable;
+  this->workers.End("w1", this->workers.starts.back().task, RunOutcome::Failed);
+  this->scheduler->OnWorkerUnlisted({ "w1" });
+  this->RunFor(Milliseconds{ 100 });
+  EXPECT_EQ(this->scheduler->WorkersToPublish(), std::vector<std::string>{ "w1" });
+}
+
 // A draining worker may start again under its id. Until the leader record says that it can have
 // runs of any job, it gets none.
 TEST_F(TakeoverTest, UsesAWorkerThatWasDrainingOnlyAfterItIsPublished)
