Meta: Reject logs without objectives in explain-losses

Cause: a log of an older build counted every job as never useful, since a missing objective became zero. Ruled out: a default, as there is no true one.

--- a/Meta/explain-losses.py
+++ b/Meta/explain-losses.py
@@ -1,10 +1,11 @@
 #!/usr/bin/env python3
 """Explains from an instance log which accepted jobs ended late, and what they waited for.
 
-Reads log lines of all instances on standard input (a prefix before "time=" is ignored). Prints a
-line for each queue with the jobs that were on time, late and never useful, and the mean time that
-the late ones spent in each phase: until the leader knew them, until the first advice, until the
-start, and until the end was stored. "refused" counts answers, not jobs.
+Reads log lines of all instances on standard input (a prefix before "time=" is ignored). Prints for
+each queue how many jobs ended on time, late or too late to be useful ("never"), and the mean time
+that each group spent until the leader knew them, until the first advice, until the first and the
+last start, and until the end. "refused" counts answers, not jobs. Logs of builds whose
+"job_adopted" lacks the objective are not supported.
 """
 
 import argparse
@@ -72,7 +73,7 @@
     return int(hours) * 3600 + int(minutes) * 60 + float(seconds)
 
 
-def read_jobs(lines) -> tuple[dict[str, Job], collections.Counter, float]:
+def read_jobs(lines) -> tuple[dict[str, Job], collections.Counter]:
     jobs: dict[str, Job] = {}
     refusals: collections.Counter = collections.Counter()
     begin = None
@@ -94,7 +95,7 @@
                 is_beyond_weight=fields["beyond_weight"] == "true",
                 arrived=now - age,
                 adopted=now,
-                objective=int(fields.get("objective_ms", 0)) / 1000,
+                objective=int(fields["objective_ms"]) / 1000,
             )
         elif event == "request_refused" and fields.get("call") == "submit":
             refusals[fields.get("reason", "")] += 1
@@ -111,7 +112,7 @@
         elif event == "job_ended" and job.ended is None:
             job.ended = now
             job.outcome = fields["outcome"]
-    return jobs, refusals, begin or 0.0
+    return jobs, refusals
 
 
 def print_queue(queue: str, jobs: list[Job]) -> None:
@@ -149,7 +150,7 @@
     parser.add_argument("--span", type=float, default=2.0, help="seconds a row of the table")
     parser.add_argument("--workspaces", action="store_true", help="also print each workspace")
     options = parser.parse_args()
-    jobs, refusals, _ = read_jobs(sys.stdin)
+    jobs, refusals = read_jobs(sys.stdin)
     for queue in sorted({job.queue for job in jobs.values()}):
         of_queue = [job for job in jobs.values() if job.queue == queue]
         print_queue(queue, of_queue)
