LibCell: Decide in GangPreemption which runs may be stopped

Cause: the conditions under which a run is stopped for a gang stood in CellScheduler, where no test reached them one by one. Four tests counted starts with a copy of the same function, and RankingFor only passed its call on. Change: IsPreemptible is a function of the step and of plain values, with a test of each condition; the scheduler gathers the values. CountStarts moves to the fixture; RankingFor leaves. No decision changes.

--- a/Libraries/LibCell/CellScheduler.h
+++ b/Libraries/LibCell/CellScheduler.h
@@ -414,8 +414,6 @@
   WaitReason PlaceGang(const Candidate& aCandidate, Pool& aPool);
   /// Logs the load of the cell if a line about it is due.
   void LogLoad();
-  /// @return the preference among workers for the tasks of a step
-  [[nodiscard]] const WorkerRanking& RankingFor(const Candidate& aCandidate);
   /// @param aNeedsTicket leaves out workers for which the step has no valid ticket
   [[nodiscard]] std::vector<Worker*> FindEligibleWorkers(const Candidate& aCandidate,
                                                          const Pool& aPool,
@@ -476,8 +474,7 @@
   /// Stops runs that can wait, and reserves their room for the gang.
   /// @return true if room is reserved
   bool PreemptForGang(const Candidate& aCandidate, const Pool& aPool);
-  /// @return true if the run can be stopped for the gang and its job still meets its objective
-  [[nodiscard]] bool CanYieldTo(const Candidate& aGang, const Allocation& aAllocation);
+  [[nodiscard]] bool IsPreemptibleFor(const Candidate& aGang, const Allocation& aAllocation);
   /// Starts a gang at its reserved workers once there is a valid ticket for each.
   void StartReservedGang(const Candidate& aCandidate);
   /// Earmarks the workers with the most free room: batch tasks stay off them until the gang fits.
--- a/Libraries/LibCell/CellSchedulerCrashes.cpp
+++ b/Libraries/LibCell/CellSchedulerCrashes.cpp
@@ -301,8 +301,10 @@
   }
   auto recorded = aEligible;
   std::erase_if(recorded, [&task](const Worker* aWorker) { return !IsRecordedAt(task, *aWorker); });
-  auto* worker =
-    ChooseWorker(recorded, *aCandidate.specification, aCount, this->RankingFor(aCandidate));
+  auto* worker = ChooseWorker(recorded,
+                              *aCandidate.specification,
+                              aCount,
+                              this->rankings.Select(aCandidate, this->roundBegin));
   if (worker == nullptr) {
     this->RecordStart(job, task, aChosen, this->NextRunNumber());
     return false;
--- a/Libraries/LibCell/CellSchedulerGangs.cpp
+++ b/Libraries/LibCell/CellSchedulerGangs.cpp
@@ -13,11 +13,6 @@
 constexpr Milliseconds kReservationMargin{ 700 };
 /// A reservation uses tickets that are valid for this long. It covers the stop of preempted runs.
 constexpr Milliseconds kMinTicketValidity{ 600 };
-/// A run is stopped for a gang only if its job can start over this much later and still meet its
-/// objective: the time to stop, to get new tickets and to find room.
-constexpr Milliseconds kMinSlackOfPreemptedRun{ 2000 };
-/// A task that was stopped for gangs this often is not stopped again.
-constexpr std::uint32_t kMaxPreemptions = 2;
 /// Gangs for which workers are kept free of batch tasks at the same time.
 constexpr std::size_t kMaxGangsWithEarmarkedWorkers = 5;
 
@@ -46,7 +41,7 @@
   }
   const bool leavesHeadroom = this->LeavesHeadroom(aCandidate, total, aPool);
   if (!leavesHeadroom || !HasRoom(aPool, step)) {
-    // A gang that is on time may use the headroom; batch tasks that can wait then leave it free.
+    // A gang for which tasks are stopped may use the headroom.
     if (this->PreemptForGang(aCandidate, aPool)) {
       return WaitReason::Ticket;
     }
@@ -81,7 +76,7 @@
 CellScheduler::AssignGangTo(const Candidate& aCandidate, const std::vector<Worker*>& aEligible)
 {
   const auto& step = *aCandidate.specification;
-  const auto& ranking = this->RankingFor(aCandidate);
+  const auto& ranking = this->rankings.Select(aCandidate, this->roundBegin);
   if (aCandidate.job->isCrashSuspect) {
     if (auto recorded = this->FindRecordedGang(aCandidate, aEligible)) {
       return recorded;
@@ -147,23 +142,22 @@
 }
 
 bool
-CellScheduler::CanYieldTo(const Candidate& aGang, const Allocation& aAllocation)
+CellScheduler::IsPreemptibleFor(const Candidate& aGang, const Allocation& aAllocation)
 {
   const auto* task = this->FindTask(aAllocation.task);
-  if (task == nullptr || aAllocation.phase != RunPhase::Running ||
-      task->preemptions >= kMaxPreemptions) {
+  if (task == nullptr) {
     return false;
   }
   const auto& job = *this->FindJob(aAllocation.task.job);
   const auto& key = aAllocation.task.key;
-  const auto& step = job.spec.steps[key.step];
-  const bool isLessUrgent = this->CurrentQueuePolicy(job).priority > aGang.queue->priority;
-  if (!isLessUrgent || !step.hasCheckpoints || step.isGang || step.isService || step.isBestEffort) {
-    return false;
-  }
-  const auto latestStart =
-    job.occurrences.at(key.occurrence).objective - job.criticalPaths[key.step];
-  return latestStart >= this->roundBegin + kMinSlackOfPreemptedRun;
+  const auto objective = job.occurrences.at(key.occurrence).objective;
+  return IsPreemptible(job.spec.steps[key.step],
+                       { .now = this->roundBegin,
+                         .gangPriority = aGang.queue->priority,
+                         .runPriority = this->CurrentQueuePolicy(job).priority,
+                         .phase = aAllocation.phase,
+                         .latestStart = objective - job.criticalPaths[key.step],
+                         .preemptions = task->preemptions });
 }
 
 bool
@@ -178,7 +172,7 @@
   const auto plan = PlanGangPreemption(*aCandidate.specification,
                                        this->FindEligibleWorkers(aCandidate, aPool, false),
                                        [this, &aCandidate](const Allocation& aAllocation) {
-                                         return this->CanYieldTo(aCandidate, aAllocation);
+                                         return this->IsPreemptibleFor(aCandidate, aAllocation);
                                        });
   if (!plan) {
     return false;
--- a/Libraries/LibCell/CellSchedulerPlacement.cpp
+++ b/Libraries/LibCell/CellSchedulerPlacement.cpp
@@ -375,12 +375,6 @@
   return unplaced > 0 ? WaitReason::Room : WaitReason::None;
 }
 
-const WorkerRanking&
-CellScheduler::RankingFor(const Candidate& aCandidate)
-{
-  return this->rankings.Select(aCandidate, this->roundBegin);
-}
-
 Worker*
 CellScheduler::ChooseWorkerFor(const Candidate& aCandidate,
                                const Task& aTask,
@@ -389,7 +383,7 @@
 {
   const auto& step = *aCandidate.specification;
   const auto& job = *aCandidate.job;
-  const auto& ranking = this->RankingFor(aCandidate);
+  const auto& ranking = this->rankings.Select(aCandidate, this->roundBegin);
   if (aTask.lastFailedWorker.IsEmpty() && !job.isCrashSuspect) {
     return ChooseWorker(aEligible, step, aCount, ranking);
   }
--- a/Libraries/LibCell/GangPreemption.cpp
+++ b/Libraries/LibCell/GangPreemption.cpp
@@ -7,6 +7,11 @@
 
 namespace {
 
+/// The time to stop a run, to get new tickets for its task and to find room elsewhere.
+constexpr Milliseconds kMinSlack{ 2000 };
+/// A task that was stopped this often is not stopped again.
+constexpr std::uint32_t kMaxPreemptions = 2;
+
 /// Room for one more member at a worker.
 struct MemberSlot
 {
@@ -61,7 +66,7 @@
     aStep.maxTasksPerWorker > 0 ? std::min(aStep.maxTasksPerWorker, aStep.count) : aStep.count;
   auto stoppable = FindStoppableRuns(aWorker, aMayStop);
   auto free = aWorker.FreeResources();
-  // What is being stopped for whatever reason becomes free without another stop.
+  // The room of runs that are being stopped already becomes free soon.
   for (const auto& allocation : aWorker.allocations) {
     if (allocation.phase == RunPhase::Stopping) {
       free += allocation.demand;
@@ -89,6 +94,15 @@
 
 }
 
+bool
+IsPreemptible(const StepSpecification& aStep, const PreemptionInput& aInput)
+{
+  const bool isOrdinaryTask = !aStep.isGang && !aStep.isService && !aStep.isBestEffort;
+  return isOrdinaryTask && aStep.hasCheckpoints && aInput.phase == RunPhase::Running &&
+         aInput.runPriority > aInput.gangPriority && aInput.preemptions < kMaxPreemptions &&
+         aInput.latestStart >= aInput.now + kMinSlack;
+}
+
 std::optional<PreemptionPlan>
 PlanGangPreemption(const StepSpecification& aStep,
                    std::span<Worker* const> aWorkers,
--- a/Libraries/LibCell/GangPreemption.h
+++ b/Libraries/LibCell/GangPreemption.h
@@ -12,6 +12,26 @@
 
 namespace zinc::cell {
 
+/// What decides whether a run may be stopped for a gang.
+struct PreemptionInput
+{
+  TimePoint now{};
+  /// Priorities of the queues of the gang and of the run; 0 is the most urgent.
+  std::uint32_t gangPriority = 0;
+  std::uint32_t runPriority = 0;
+  RunPhase phase = RunPhase::Running;
+  /// Start with which the run's job would still meet its objective if nothing of it had run.
+  TimePoint latestStart{};
+  /// How often the task was stopped for gangs before.
+  std::uint32_t preemptions = 0;
+};
+
+/// @param aStep the step of the run
+/// @return true if the run belongs to a less urgent queue, resumes from a checkpoint, and its job
+/// meets its objective even if it starts anew some time later
+[[nodiscard]] bool
+IsPreemptible(const StepSpecification& aStep, const PreemptionInput& aInput);
+
 /// A run that makes way for a gang.
 struct PreemptedRun
 {
@@ -31,7 +51,7 @@
 /// Tells whether a run may be stopped for the gang.
 using PreemptionPredicate = std::function<bool(const Allocation&)>;
 
-/// Finds room for a gang by stopping as few processors of other runs as possible at each worker.
+/// Finds room for a gang at the workers where the runs to stop occupy the fewest processors.
 /// @param aStep the gang's step
 /// @param aWorkers the workers that may run the gang
 /// @param aMayStop tells which runs may be stopped
--- a/Libraries/LibCell/LeaderElection.h
+++ b/Libraries/LibCell/LeaderElection.h
@@ -19,7 +19,7 @@
 {
   Milliseconds renewalInterval{ 500 };
   /// A renewal without a response is sent again after this long, so that one lost response does not
-  /// cost the term. Longer than a response takes while the store is slow.
+  /// cost the term.
   Milliseconds renewalResendDelay{ 400 };
   /// Delay before a failed renewal is retried.
   Milliseconds renewalRetryDelay{ 150 };
--- a/Tests/LibCell/CellSchedulerFixture.cpp
+++ b/Tests/LibCell/CellSchedulerFixture.cpp
@@ -1,5 +1,7 @@
 #include "CellSchedulerFixture.h"
 
+#include <algorithm>
+
 namespace zinc::cell::test {
 
 CellSchedulerFixture::CellSchedulerFixture()
@@ -100,6 +102,13 @@
   }
 }
 
+std::size_t
+CellSchedulerFixture::CountStarts(const std::string& aJob) const
+{
+  return static_cast<std::size_t>(std::ranges::count_if(
+    this->workers.starts, [&aJob](const auto& aStart) { return aStart.task.job.value == aJob; }));
+}
+
 void
 CellSchedulerFixture::RunFor(Milliseconds aDuration)
 {
--- a/Tests/LibCell/CellSchedulerFixture.h
+++ b/Tests/LibCell/CellSchedulerFixture.h
@@ -93,6 +93,9 @@
     return this->scheduler->StatusOf({ aId });
   }
 
+  /// @return how many starts of the job's tasks the workers have accepted
+  [[nodiscard]] std::size_t CountStarts(const std::string& aJob) const;
+
   ManualClock clock;
   SimulatedWorkers workers{ this->clock };
   MemoryStore store;
--- a/Tests/LibCell/TestGangAdvice.cpp
+++ b/Tests/LibCell/TestGangAdvice.cpp
@@ -41,12 +41,6 @@
         return aRequest.step.job.value == aJob;
       }));
   }
-
-  [[nodiscard]] std::size_t CountStarts(const std::string& aJob) const
-  {
-    return static_cast<std::size_t>(std::ranges::count_if(
-      this->workers.starts, [&aJob](const auto& aStart) { return aStart.task.job.value == aJob; }));
-  }
 };
 
 }
--- a/Tests/LibCell/TestGangEarmarks.cpp
+++ b/Tests/LibCell/TestGangEarmarks.cpp
@@ -29,12 +29,6 @@
     job.steps.front().isGang = aIsGang;
     this->AcceptJob(job);
   }
-
-  [[nodiscard]] bool HasStarted(const std::string& aJob) const
-  {
-    return std::ranges::any_of(
-      this->workers.starts, [&aJob](const auto& aStart) { return aStart.task.job.value == aJob; });
-  }
 };
 
 }
@@ -61,7 +55,7 @@
   }
   this->RunFor(Milliseconds{ 500 });
   for (const auto& label : labels) {
-    EXPECT_EQ(this->HasStarted("batch " + label), label == "f") << label;
+    EXPECT_EQ(this->CountStarts("batch " + label), label == "f" ? 1U : 0U) << label;
   }
 }
 
--- a/Tests/LibCell/TestGangPreemption.cpp
+++ b/Tests/LibCell/TestGangPreemption.cpp
@@ -52,6 +52,34 @@
 
 }
 
+// Guards against stops of tasks that lose work, that are as urgent as the gang, that end too late
+// for it, or that are stopped again and again.
+TEST(IsPreemptible, RequiresAllConditions)
+{
+  constexpr TimePoint kNow{ Milliseconds{ 100'000 } };
+  const StepSpecification step{ .hasCheckpoints = true };
+  const PreemptionInput input{ .now = kNow,
+                               .gangPriority = 1,
+                               .runPriority = 2,
+                               .latestStart = kNow + Milliseconds{ 2000 },
+                               .preemptions = 1 };
+  EXPECT_TRUE(IsPreemptible(step, input));
+  EXPECT_FALSE(IsPreemptible({}, input)) << "without checkpoints";
+  EXPECT_FALSE(IsPreemptible({ .hasCheckpoints = true, .isGang = true }, input));
+  auto changed = input;
+  changed.runPriority = 1;
+  EXPECT_FALSE(IsPreemptible(step, changed)) << "as urgent as the gang";
+  changed = input;
+  changed.latestStart -= Milliseconds{ 1 };
+  EXPECT_FALSE(IsPreemptible(step, changed)) << "too little time left";
+  changed = input;
+  changed.preemptions = 2;
+  EXPECT_FALSE(IsPreemptible(step, changed)) << "stopped twice";
+  changed = input;
+  changed.phase = RunPhase::Starting;
+  EXPECT_FALSE(IsPreemptible(step, changed)) << "not known to run";
+}
+
 // Load: a pool full of small tasks. Guards against stops of more runs than the gang needs.
 TEST_F(GangPreemptionTest, StopsTheFewestProcessors)
 {
@@ -131,12 +159,6 @@
     this->AcceptJob(gang);
     this->RunFor(Milliseconds{ 500 });
   }
-
-  [[nodiscard]] std::size_t CountStarts(const std::string& aJob) const
-  {
-    return static_cast<std::size_t>(std::ranges::count_if(
-      this->workers.starts, [&aJob](const auto& aStart) { return aStart.task.job.value == aJob; }));
-  }
 };
 
 }
--- a/Tests/LibCell/TestTakeover.cpp
+++ b/Tests/LibCell/TestTakeover.cpp
@@ -7,14 +7,7 @@
 namespace {
 
 class TakeoverTest : public CellSchedulerFixture
-{
-protected:
-  [[nodiscard]] std::size_t CountStartsOf(const std::string& aJob) const
-  {
-    return static_cast<std::size_t>(std::ranges::count_if(
-      this->workers.starts, [&aJob](const auto& aStart) { return aStart.task.job.value == aJob; }));
-  }
-};
+{};
 
 /// A clock that advances by 1 ms with each reading, as if work took time in between.
 class AdvancingClock final : public Clock
@@ -42,10 +35,10 @@
   this->AcceptJob(MakeJob("job", 4, 2));
   this->BeginTerm();
   this->RunFor(Milliseconds{ 200 });
-  ASSERT_EQ(this->CountStartsOf("job"), 4U);
+  ASSERT_EQ(this->CountStarts("job"), 4U);
   this->BeginTerm(true);
   this->RunFor(Milliseconds{ 300 });
-  EXPECT_EQ(this->CountStartsOf("job"), 4U);
+  EXPECT_EQ(this->CountStarts("job"), 4U);
   this->workers.EndAll();
   this->RunFor(Milliseconds{ 300 });
   EXPECT_EQ(this->StatusOf("job").outcome, JobOutcome::Succeeded);
@@ -57,14 +50,14 @@
   this->AcceptJob(MakeJob("job", 2, 4));
   this->BeginTerm();
   this->RunFor(Milliseconds{ 200 });
-  ASSERT_EQ(this->CountStartsOf("job"), 2U);
+  ASSERT_EQ(this->CountStarts("job"), 2U);
   this->workers.At("w2").isReachable = false;
   this->BeginTerm(true);
   this->workers.End("w1", this->workers.starts.front().task, RunOutcome::Succeeded);
   this->RunFor(Milliseconds{ 12'000 });
-  EXPECT_EQ(this->CountStartsOf("job"), 2U);
+  EXPECT_EQ(this->CountStarts("job"), 2U);
   this->RunFor(Milliseconds{ 1000 });
-  EXPECT_EQ(this->CountStartsOf("job"), 3U) << "the predecessor's leases have expired";
+  EXPECT_EQ(this->CountStarts("job"), 3U) << "the predecessor's leases have expired";
 }
 
 TEST_F(TakeoverTest, DoesNotRestartTasksIfReadingTheJobsTakesTime)
@@ -97,7 +90,7 @@
   this->RunFor(Milliseconds{ 1000 });
   this->AcceptJob(MakeJob("new", 1, 1));
   this->RunFor(Milliseconds{ 1500 });
-  EXPECT_EQ(this->CountStartsOf("new"), 1U);
+  EXPECT_EQ(this->CountStarts("new"), 1U);
 }
 
 TEST_F(TakeoverTest, StartsNewJobsAfterTheFirstFailedRequestToAnUnreachableWorker)
@@ -108,8 +101,8 @@
   this->BeginTerm(true);
   this->AcceptJob(MakeJob("new", 1, 1));
   this->RunFor(Milliseconds{ 200 });
-  EXPECT_EQ(this->CountStartsOf("new"), 1U);
-  EXPECT_EQ(this->CountStartsOf("old"), 0U);
+  EXPECT_EQ(this->CountStarts("new"), 1U);
+  EXPECT_EQ(this->CountStarts("old"), 0U);
 }
 
 TEST_F(TakeoverTest, CountsPossibleRunsOfUnreachableWorkersAgainstTheLimit)
@@ -124,12 +117,12 @@
   this->BeginTerm(true);
   this->AcceptJob(MakeJob("new", 1, 2));
   this->RunFor(Milliseconds{ 3000 });
-  EXPECT_EQ(this->CountStartsOf("new"), 0U);
+  EXPECT_EQ(this->CountStarts("new"), 0U);
   this->workers.At("w1").isReachable = true;
   this->RunFor(Milliseconds{ 600 });
   this->workers.EndAll();
   this->RunFor(Milliseconds{ 300 });
-  EXPECT_EQ(this->CountStartsOf("new"), 1U);
+  EXPECT_EQ(this->CountStarts("new"), 1U);
 }
 
 // Guards against new jobs that wait although their workspace is below its limit. The leader's zone
@@ -157,7 +150,7 @@
   this->workers.EndAll();
   this->AcceptJob(MakeJob("new", 1, 6));
   this->RunFor(Milliseconds{ 500 });
-  EXPECT_EQ(this->CountStartsOf("new"), 1U);
+  EXPECT_EQ(this->CountStarts("new"), 1U);
 }
 
 // Guards against exceeding a limit that was lowered shortly before the leader's zone was cut off:
@@ -181,7 +174,7 @@
   this->workers.EndAll();
   this->AcceptJob(MakeJob("new", 1, 4));
   this->RunFor(Milliseconds{ 500 });
-  EXPECT_EQ(this->CountStartsOf("new"), 0U) << "10 cores may be in use at the unreachable worker";
+  EXPECT_EQ(this->CountStarts("new"), 0U) << "10 cores may be in use at the unreachable worker";
 }
 
 TEST_F(TakeoverTest, CountsPossibleRunsOfAnUnlistedWorkerAgainstTheLimit)
@@ -191,13 +184,13 @@
   this->AcceptJob(MakeJob("old", 1, 4));
   this->BeginTerm();
   this->RunFor(Milliseconds{ 100 });
-  ASSERT_EQ(this->CountStartsOf("old"), 1U);
+  ASSERT_EQ(this->CountStarts("old"), 1U);
   this->workers.At("w1").isReachable = false;
   this->entries = { this->workers.Add("w2", 8) };
   this->BeginTerm(true, Milliseconds{ 12'400 }, { { "w1" } });
   this->AcceptJob(MakeJob("new", 1, 2));
   this->RunFor(Milliseconds{ 3000 });
-  EXPECT_EQ(this->CountStartsOf("new"), 0U);
+  EXPECT_EQ(this->CountStarts("new"), 0U);
 }
 
 // Guards against waiting for workers that no longer exist. They are removed, and all instances lose
@@ -227,8 +220,8 @@
   this->workers.End("w2", this->workers.starts.back().task, RunOutcome::Succeeded);
   this->BeginTerm(true);
   this->RunFor(Milliseconds{ 400 });
-  EXPECT_EQ(this->CountStartsOf("third"), 1U);
-  EXPECT_EQ(this->CountStartsOf("first"), 1U) << "its run may still exist";
+  EXPECT_EQ(this->CountStarts("third"), 1U);
+  EXPECT_EQ(this->CountStarts("first"), 1U) << "its run may still exist";
   EXPECT_EQ(this->scheduler->DrainingJobsToPublish(), this->drainingJobs)
     << "a further leader must not start it either";
 }
@@ -255,10 +248,10 @@
   this->store.mode = StoreMode::Available;
   this->BeginTerm(true);
   this->RunFor(Milliseconds{ 400 });
-  EXPECT_EQ(this->CountStartsOf("first"), 1U);
+  EXPECT_EQ(this->CountStarts("first"), 1U);
   this->workers.At("w1").isReachable = true;
   this->RunFor(Milliseconds{ 1000 });
-  EXPECT_EQ(this->CountStartsOf("first"), 1U);
+  EXPECT_EQ(this->CountStarts("first"), 1U);
   EXPECT_EQ(this->StatusOf("first").outcome, JobOutcome::Failed);
 }
 
@@ -296,10 +289,10 @@
   this->scheduler->OnWorkerEntry(entry);
   this->AcceptJob(MakeJob("second", 1, 4));
   this->RunFor(Milliseconds{ 300 });
-  EXPECT_EQ(this->CountStartsOf("second"), 0U);
+  EXPECT_EQ(this->CountStarts("second"), 0U);
   this->publishesWorkers = true;
   this->RunFor(Milliseconds{ 50 });
-  EXPECT_EQ(this->CountStartsOf("second"), 1U);
+  EXPECT_EQ(this->CountStarts("second"), 1U);
 }
 
 TEST_F(TakeoverTest, StopsWaitingForWorkersThatWereRemoved)
@@ -309,9 +302,9 @@
   this->AcceptJob(MakeJob("old", 1, 4));
   this->BeginTerm(true, Milliseconds{ 12'400 }, { { "w1" }, { "left" } });
   this->RunFor(Milliseconds{ 2400 });
-  EXPECT_EQ(this->CountStartsOf("old"), 0U) << "the worker's row may reappear";
+  EXPECT_EQ(this->CountStarts("old"), 0U) << "the worker's row may reappear";
   this->RunFor(Milliseconds{ 400 });
-  EXPECT_EQ(this->CountStartsOf("old"), 1U);
+  EXPECT_EQ(this->CountStarts("old"), 1U);
 }
 
 TEST_F(TakeoverTest, WaitsForAWorkerWhoseRowReappears)
@@ -325,9 +318,9 @@
   this->RunFor(Milliseconds{ 1500 });
   this->scheduler->OnWorkerEntry(expired);
   this->RunFor(Milliseconds{ 8000 });
-  EXPECT_EQ(this->CountStartsOf("old"), 0U);
+  EXPECT_EQ(this->CountStarts("old"), 0U);
   this->RunFor(Milliseconds{ 3500 });
-  EXPECT_EQ(this->CountStartsOf("old"), 1U);
+  EXPECT_EQ(this->CountStarts("old"), 1U);
 }
 
 // Guards against starting a task twice. The store is away again before the row of a worker that
@@ -343,9 +336,9 @@
     this->RunFor(Milliseconds{ 10 });
   }
   this->RunFor(Milliseconds{ 2400 });
-  EXPECT_EQ(this->CountStartsOf("old"), 0U) << "the worker's row may reappear";
+  EXPECT_EQ(this->CountStarts("old"), 0U) << "the worker's row may reappear";
   this->RunFor(Milliseconds{ 400 });
-  EXPECT_EQ(this->CountStartsOf("old"), 1U);
+  EXPECT_EQ(this->CountStarts("old"), 1U);
 }
 
 // Guards against starting a task twice. A leader and the workers of its zone are cut off together:
@@ -357,9 +350,9 @@
   this->AcceptJob(MakeJob("old", 1, 4));
   this->BeginTerm(true, Milliseconds{ 12'400 }, { { "w1" }, { "cut off" } });
   this->RunFor(Milliseconds{ 10'000 });
-  EXPECT_EQ(this->CountStartsOf("old"), 0U);
+  EXPECT_EQ(this->CountStarts("old"), 0U);
   this->RunFor(Milliseconds{ 3000 });
-  EXPECT_EQ(this->CountStartsOf("old"), 1U);
+  EXPECT_EQ(this->CountStarts("old"), 1U);
 }
 
 TEST_F(TakeoverTest, StepsDownWhenFencedByASuccessor)
@@ -381,7 +374,7 @@
   this->AcceptJob(MakeJob("job", 2, 2));
   this->BeginTerm();
   this->RunFor(Milliseconds{ 200 });
-  ASSERT_EQ(this->CountStartsOf("job"), 2U);
+  ASSERT_EQ(this->CountStarts("job"), 2U);
   this->WriteTermRows();
   this->workers.End("w1", { { "job" }, { 0, 0, 0 } }, RunOutcome::Succeeded);
   this->RunFor(Milliseconds{ 500 });
@@ -390,7 +383,7 @@
   EXPECT_TRUE(this->hasLostLeadership);
   this->BeginTerm(true);
   this->RunFor(Milliseconds{ 500 });
-  EXPECT_EQ(this->CountStartsOf("job"), 2U);
+  EXPECT_EQ(this->CountStarts("job"), 2U);
 }
 
 TEST_F(TakeoverTest, CountsFailuresReportedByTwoWorkersInAnyOrder)
@@ -439,7 +432,7 @@
   this->workers.At("w1").ignoresStops = false;
   this->workers.EndAll(RunOutcome::Stopped);
   this->RunFor(Milliseconds{ 300 });
-  EXPECT_EQ(this->CountStartsOf("new"), 1U);
+  EXPECT_EQ(this->CountStarts("new"), 1U);
 }
 
 TEST_F(TakeoverTest, UsesAWorkerOnlyAfterAllRunsOfUnknownDemandHaveEnded)
@@ -456,10 +449,10 @@
   this->RunFor(Milliseconds{ 300 });
   this->workers.End("w1", { { "ended" }, { 0, 0, 0 } }, RunOutcome::Stopped);
   this->RunFor(Milliseconds{ 300 });
-  EXPECT_EQ(this->CountStartsOf("new"), 0U);
+  EXPECT_EQ(this->CountStarts("new"), 0U);
   this->workers.End("w1", { { "ended" }, { 0, 0, 1 } }, RunOutcome::Stopped);
   this->RunFor(Milliseconds{ 300 });
-  EXPECT_EQ(this->CountStartsOf("new"), 1U);
+  EXPECT_EQ(this->CountStarts("new"), 1U);
 }
 
 TEST_F(TakeoverTest, CountsAFailureReportedInTwoTermsOnce)
@@ -474,11 +467,11 @@
   this->RunFor(Milliseconds{ 200 });
   this->BeginTerm(true);
   this->RunFor(Milliseconds{ 300 });
-  ASSERT_EQ(this->CountStartsOf("job"), 3U);
+  ASSERT_EQ(this->CountStarts("job"), 3U);
   this->workers.EndAll(RunOutcome::Failed);
   this->RunFor(Milliseconds{ 300 });
   EXPECT_EQ(this->StatusOf("job").outcome, JobOutcome::Failed);
-  EXPECT_EQ(this->CountStartsOf("job"), 3U);
+  EXPECT_EQ(this->CountStarts("job"), 3U);
 }
 
 // Guards against runs that the next leader does not find. A new worker is used before the leader
