LibCell: Log where the leader's time goes

Cause: the logs could not tell decisions from processor time. cell_load has the duration of placement rounds only, so that a full leader and a leader that decides badly look alike from outside.

Change: ActivityTimes adds up the time of each activity of the scheduler, and leader_time logs it once a second with the processor time of the process and the messages to workers.

--- a/Libraries/LibCell/CellScheduler.cpp
+++ b/Libraries/LibCell/CellScheduler.cpp
@@ -108,6 +108,7 @@
   if (this->hasLostLeadership) {
     return;
   }
+  const ActivityTimes::Scope activity(this->load.Activities(), Activity::DueChecks);
   const auto now = this->dependencies.clock.Now();
   this->load.CountTick(now);
   if (!this->unsyncedWorkers.empty() && now >= this->priorLeasesExpiry) {
@@ -210,6 +211,7 @@
 std::vector<ExpectedWait>
 CellScheduler::ExpectedWaits()
 {
+  const ActivityTimes::Scope activity(this->load.Activities(), Activity::LeaderRecord);
   return this->forecast.Update(this->CollectCandidates(), this->dependencies.clock.Now());
 }
 
@@ -254,6 +256,7 @@
 std::vector<std::string>
 CellScheduler::WorkersToPublish()
 {
+  const ActivityTimes::Scope activity(this->load.Activities(), Activity::LeaderRecord);
   std::vector<std::string> names;
   for (const auto& id : this->unsyncedWorkers) {
     names.push_back(id.value);
--- a/Libraries/LibCell/CellSchedulerAdvice.cpp
+++ b/Libraries/LibCell/CellSchedulerAdvice.cpp
@@ -160,6 +160,7 @@
                                 std::span<const WorkerNumber> aRequested,
                                 const Result<AdviceResponse>& aResponse)
 {
+  const ActivityTimes::Scope activity(this->load.Activities(), Activity::Advice);
   const auto now = this->dependencies.clock.Now();
   auto* job = this->FindJob(aStep.job);
   if (job == nullptr || job->outcome != JobOutcome::Active) {
--- a/Libraries/LibCell/CellSchedulerJobs.cpp
+++ b/Libraries/LibCell/CellSchedulerJobs.cpp
@@ -50,6 +50,7 @@
 void
 CellScheduler::OnJobRows(const std::vector<Row>& aRows)
 {
+  const ActivityTimes::Scope activity(this->load.Activities(), Activity::Jobs);
   // Specifications go first: rows arrive in key order, so that others about a job can precede it.
   for (const auto& row : aRows) {
     const auto name = ParseJobRowKey(row.key.key);
--- a/Libraries/LibCell/CellSchedulerPlacement.cpp
+++ b/Libraries/LibCell/CellSchedulerPlacement.cpp
@@ -120,6 +120,7 @@
 void
 CellScheduler::RunPlacementRound()
 {
+  const ActivityTimes::Scope activity(this->load.Activities(), Activity::Placement);
   const auto now = this->dependencies.clock.Now();
   this->lastPlacement = now;
   this->roundBegin = now;
--- a/Libraries/LibCell/CellSchedulerRecords.cpp
+++ b/Libraries/LibCell/CellSchedulerRecords.cpp
@@ -51,6 +51,7 @@
 void
 CellScheduler::FlushPartitions(std::span<const std::uint32_t> aPartitions)
 {
+  const ActivityTimes::Scope activity(this->load.Activities(), Activity::Progress);
   const auto now = this->dependencies.clock.Now();
   Transaction transaction;
   std::vector<std::pair<JobId, std::uint64_t>> written;
@@ -113,6 +114,7 @@
 void
 CellScheduler::CompactEndedJobs()
 {
+  const ActivityTimes::Scope activity(this->load.Activities(), Activity::Progress);
   const auto now = this->dependencies.clock.Now();
   // Waits for a full batch and for a fast store, since nothing depends on the compaction.
   const bool isWorthwhile = this->jobsToCompact.size() >= kJobsPerCompaction && !this->isStoreSlow;
@@ -158,6 +160,7 @@
                          const Transaction& aSent,
                          const Result<CommitResult>& aResult)
 {
+  const ActivityTimes::Scope activity(this->load.Activities(), Activity::Progress);
   const auto now = this->dependencies.clock.Now();
   this->nextFlush = now + this->options.minFlushInterval;
   if (IsError(aResult)) {
--- a/Libraries/LibCell/CellSchedulerStarts.cpp
+++ b/Libraries/LibCell/CellSchedulerStarts.cpp
@@ -70,6 +70,8 @@
                                { "run", aRunNumber },
                                { "worker", aWorker.entry.id.value },
                                { "age_ms", (now - job.receivedAt).count() } });
+  const ActivityTimes::Scope activity(this->load.Activities(), Activity::Orders);
+  this->load.CountOrder();
   this->dependencies.workers.Start(std::move(order),
                                    [this,
                                     guard = std::weak_ptr<bool>(this->livenessToken),
@@ -88,6 +90,7 @@
                              std::uint64_t aRun,
                              const Result<OrderResult>& aResult)
 {
+  const ActivityTimes::Scope activity(this->load.Activities(), Activity::Orders);
   const auto now = this->dependencies.clock.Now();
   auto* found = this->workers.Find(aWorker);
   auto* allocation = found != nullptr ? found->FindAllocation(aTask, aRun) : nullptr;
--- a/Libraries/LibCell/CellSchedulerWorkers.cpp
+++ b/Libraries/LibCell/CellSchedulerWorkers.cpp
@@ -158,6 +158,7 @@
 void
 CellScheduler::SendLeaseRenewal(Worker& aWorker)
 {
+  const ActivityTimes::Scope activity(this->load.Activities(), Activity::Renewals);
   const auto now = this->dependencies.clock.Now();
   LeaseRenewal order{ .target = this->MakeOrderTarget(aWorker),
                       .acknowledgedSequence = aWorker.acknowledgedSequence };
@@ -172,6 +173,7 @@
       aWorker.unacknowledgedEnds.empty()) {
     order.maxWait = this->RenewalWait();
   }
+  this->load.CountRenewal();
   aWorker.isRenewalInFlight = true;
   this->dependencies.workers.RenewLease(
     std::move(order),
@@ -193,6 +195,7 @@
   TimePoint aSent,
   const Result<std::variant<WorkerReport, OrderResult>>& aResponse)
 {
+  const ActivityTimes::Scope activity(this->load.Activities(), Activity::Reports);
   auto* found = this->workers.Find(aWorker);
   if (found == nullptr) {
     return;
@@ -786,6 +789,8 @@
 void
 CellScheduler::SendStop(Worker& aWorker, Allocation& aAllocation)
 {
+  const ActivityTimes::Scope activity(this->load.Activities(), Activity::Orders);
+  this->load.CountOrder();
   aAllocation.isStopInFlight = true;
   const RunOrder order{ .target = this->MakeOrderTarget(aWorker),
                         .task = aAllocation.task,
@@ -802,6 +807,7 @@
 void
 CellScheduler::OnStopResponse(const RunOrder& aOrder, const Result<OrderResult>& aResult)
 {
+  const ActivityTimes::Scope activity(this->load.Activities(), Activity::Orders);
   const auto now = this->dependencies.clock.Now();
   auto* worker = this->workers.Find(aOrder.target.worker);
   if (worker == nullptr) {
--- a/Libraries/LibCell/LoadReport.cpp
+++ b/Libraries/LibCell/LoadReport.cpp
@@ -1,7 +1,9 @@
 #include <LibCell/LoadReport.h>
 
 #include <LibCell/PriorityClass.h>
+#include <LibMetrics/ProcessUsage.h>
 #include <algorithm>
+#include <cmath>
 
 namespace zinc::cell {
 
@@ -21,6 +23,7 @@
     this->sample.maxTickGap = std::max(this->sample.maxTickGap, aNow - this->lastTick);
   }
   this->lastTick = aNow;
+  ++this->sample.ticks;
 }
 
 void
@@ -95,7 +98,36 @@
                   { "wait_members", countOf(WaitReason::Members) },
                   { "wait_record", countOf(WaitReason::Record) },
                   { "wait_evacuated", countOf(WaitReason::Evacuated) } });
+  this->LogActivities();
   this->sample = {};
 }
 
+void
+LoadReport::LogActivities()
+{
+  constexpr double kMsPerSecond = 1000.0;
+  const auto processorSeconds = CurrentProcessUsage().processorSeconds;
+  const auto milliseconds = [this](Activity aActivity) {
+    return std::chrono::duration_cast<Milliseconds>(this->activities.TimeOf(aActivity)).count();
+  };
+  this->log.Log(
+    LogLevel::Info,
+    "leader_time",
+    { { "processor_ms", std::llround((processorSeconds - this->processorSeconds) * kMsPerSecond) },
+      { "ticks", this->sample.ticks },
+      { "due_checks_ms", milliseconds(Activity::DueChecks) },
+      { "placement_ms", milliseconds(Activity::Placement) },
+      { "orders_ms", milliseconds(Activity::Orders) },
+      { "renewals_ms", milliseconds(Activity::Renewals) },
+      { "reports_ms", milliseconds(Activity::Reports) },
+      { "jobs_ms", milliseconds(Activity::Jobs) },
+      { "progress_ms", milliseconds(Activity::Progress) },
+      { "advice_ms", milliseconds(Activity::Advice) },
+      { "leader_record_ms", milliseconds(Activity::LeaderRecord) },
+      { "orders", this->sample.orders },
+      { "renewals", this->sample.renewals } });
+  this->processorSeconds = processorSeconds;
+  this->activities.Reset();
+}
+
 }
--- a/Libraries/LibCell/LoadReport.h
+++ b/Libraries/LibCell/LoadReport.h
@@ -1,10 +1,11 @@
 #pragma once
 
 /// @file
-/// Statistics of the leader's placement work, and the log lines about them.
+/// Statistics of the leader's work, and the log lines about them.
 
 #include <LibBase/Resources.h>
 #include <LibBase/Time.h>
+#include <LibCell/ActivityTimes.h>
 #include <LibCell/Candidate.h>
 #include <LibCell/WaitReason.h>
 #include <LibLog/Logger.h>
@@ -40,6 +41,12 @@
 
   /// Counts a tick of the scheduler.
   void CountTick(TimePoint aNow);
+  /// Measures the work of the scheduler.
+  [[nodiscard]] ActivityTimes& Activities() { return this->activities; }
+  /// Counts a start or stop order that is sent.
+  void CountOrder() { ++this->sample.orders; }
+  /// Counts a lease renewal that is sent.
+  void CountRenewal() { ++this->sample.renewals; }
   /// Counts a placement round.
   void CountPlacement(Milliseconds aDuration);
   /// Counts a placement round that ended before it had attempted all steps.
@@ -58,10 +65,16 @@
   void LogLoad(const CellLoad& aLoad, TimePoint aNow);
 
 private:
+  /// Logs the time that each activity took, and the messages to workers.
+  void LogActivities();
+
   /// Statistics since the last line about the load.
   struct Sample
   {
     std::array<std::uint32_t, kWaitReasonCount> waitCounts{};
+    std::uint32_t ticks = 0;
+    std::uint32_t orders = 0;
+    std::uint32_t renewals = 0;
     std::uint32_t placements = 0;
     std::uint32_t truncatedPlacements = 0;
     Milliseconds placementTime{ 0 };
@@ -70,6 +83,9 @@
 
   const Logger& log;
   Sample sample;
+  ActivityTimes activities;
+  /// Processor time of the process at the last line.
+  double processorSeconds = 0.0;
   TimePoint lastTick{};
   TimePoint nextLine{};
 };
