LibCell: Look only at workers that have something due

What callers saw: quick checks of the large site late, while the leader's half core was full.

Cause: each tick visited every worker for renewals, for stops to repeat and for lost workers, and a placement round built the pools of all workers before it found out whether any step could be placed. The cost followed the workers of the cell, not what had changed.

Change: RenewalQueue orders workers by the time of their next renewal; sets name the workers with open stops and those that do not respond; a round that has no step to attempt ends before it builds the pools.

--- a/Libraries/LibCell/CellScheduler.h
+++ b/Libraries/LibCell/CellScheduler.h
@@ -18,6 +18,7 @@
 #include <LibCell/Ports.h>
 #include <LibCell/RankingSelector.h>
 #include <LibCell/Records.h>
+#include <LibCell/RenewalQueue.h>
 #include <LibCell/TermSnapshot.h>
 #include <LibCell/WaitReason.h>
 #include <LibCell/Worker.h>
@@ -337,6 +338,8 @@
   void OnStopResponse(const RunOrder& aOrder, const Result<OrderResult>& aResult);
   /// Sends stop orders again that were not accepted.
   void SendDueStops();
+  /// @return true if the worker has stops that it has not accepted yet
+  bool SendDueStopsTo(Worker& aWorker, TimePoint aNow);
   /// Stops runs that have made no progress for too long, and avoids their worker.
   void StopStalledRuns(Worker& aWorker);
   /// @return true if the run belongs to a gang of which another member is not known to run
@@ -554,6 +557,11 @@
   WorkerTable workers;
   /// Losses of contact that may turn out to be crashes.
   LostWorkers lostWorkers;
+  RenewalQueue renewals;
+  /// Workers that may have stop orders to repeat.
+  std::set<WorkerNumber> workersWithStops;
+  /// Workers that are not reachable, or have not reported yet.
+  std::set<WorkerNumber> unresponsiveWorkers;
   /// Workers with ends that are not acknowledged yet.
   std::set<WorkerNumber> workersWithEnds;
   std::unordered_map<std::string, Pool> pools;
--- a/Libraries/LibCell/CellSchedulerPlacement.cpp
+++ b/Libraries/LibCell/CellSchedulerPlacement.cpp
@@ -142,6 +142,9 @@
     this->gangsWithEarmarkedWorkers = 0;
   }
   auto candidates = this->CollectCandidates();
+  std::erase_if(candidates, [this](const Candidate& aCandidate) {
+    return !this->NeedsPlacementAttempt(aCandidate);
+  });
   if (candidates.empty()) {
     return;
   }
@@ -159,9 +162,6 @@
 {
   std::uint32_t attempts = 0;
   for (const auto& candidate : aCandidates) {
-    if (!this->NeedsPlacementAttempt(candidate)) {
-      continue;
-    }
     // The remaining steps of a workspace at its limit would not fit either.
     auto& consecutive = candidate.job->workspaceUsage->attemptsBeyondLimit;
     if (consecutive >= kMaxAttemptsBeyondLimit) {
--- a/Libraries/LibCell/CellSchedulerRecords.cpp
+++ b/Libraries/LibCell/CellSchedulerRecords.cpp
@@ -272,7 +272,9 @@
   }
   if (aWorker.unacknowledgedEnds.empty()) {
     this->workersWithEnds.erase(aWorker.number);
-    aWorker.nextRenewal = hasAdvanced ? std::min(aWorker.nextRenewal, now) : aWorker.nextRenewal;
+    if (hasAdvanced) {
+      this->renewals.ScheduleAtLatest(aWorker, now);
+    }
   }
 }
 
--- a/Libraries/LibCell/CellSchedulerStarts.cpp
+++ b/Libraries/LibCell/CellSchedulerStarts.cpp
@@ -102,7 +102,7 @@
     if (allocation->phase == RunPhase::Starting) {
       allocation->phase = RunPhase::Uncertain;
       allocation->phaseSince = now;
-      worker.nextRenewal = std::min(worker.nextRenewal, now);
+      this->renewals.ScheduleAtLatest(worker, now);
       worker.avoidUntil = std::max(worker.avoidUntil, now + kUnansweredStartAvoidance);
     }
     return;
@@ -177,7 +177,7 @@
       }
     }
   }
-  aWorker.nextRenewal = std::min(aWorker.nextRenewal, now);
+  this->renewals.ScheduleAtLatest(aWorker, now);
   this->ReleaseAllocation(aWorker, aTask, aRun);
   this->RequeueRun(aTask, aRun);
   if (aResult == OrderResult::Rejected || aResult == OrderResult::InsufficientCapacity) {
--- a/Libraries/LibCell/CellSchedulerWorkers.cpp
+++ b/Libraries/LibCell/CellSchedulerWorkers.cpp
@@ -72,7 +72,8 @@
   auto* known = this->workers.Find(aEntry.id);
   if (known == nullptr) {
     auto& added = this->workers.Add(aEntry);
-    added.nextRenewal = now;
+    this->renewals.Schedule(added, now);
+    this->unresponsiveWorkers.insert(added.number);
     added.lastResponse = now;
     added.isPublished = this->publishedWorkers.contains(aEntry.id);
     UpdateColdTime(added, aEntry.coldLeft, now);
@@ -131,8 +132,11 @@
 CellScheduler::RenewDueLeases()
 {
   const auto now = this->dependencies.clock.Now();
-  for (auto* worker : this->workers.All()) {
-    if (!worker->isRenewalInFlight && worker->nextRenewal <= now) {
+  for (const auto number : this->renewals.TakeDue(now)) {
+    auto* worker = this->workers.FindByNumber(number);
+    const bool isDue =
+      worker != nullptr && !worker->isRenewalInFlight && worker->nextRenewal <= now;
+    if (isDue) {
       this->SendLeaseRenewal(*worker);
     }
   }
@@ -216,8 +220,9 @@
       this->OnWorkerRestarted(worker, WorkerLossReason::AddressReused);
       worker.isListed = false;
       worker.reachability = WorkerReachability::Unreachable;
+      this->unresponsiveWorkers.insert(worker.number);
       worker.leaseExpiry = {};
-      worker.nextRenewal = now + this->options.workerRemovalDelay;
+      this->renewals.Schedule(worker, now + this->options.workerRemovalDelay);
       return;
     }
     this->OnLeaseRenewalFailed(worker);
@@ -225,7 +230,7 @@
   }
   if (worker.incarnation != aIncarnation && aIncarnation != 0) {
     // The report may come from the previous incarnation; the next one does not.
-    worker.nextRenewal = now;
+    this->renewals.Schedule(worker, now);
     return;
   }
   this->OnReport(worker, aSent, std::get<WorkerReport>(ValueOf(aResponse)));
@@ -236,10 +241,11 @@
 {
   const auto now = this->dependencies.clock.Now();
   ++aWorker.failedRenewals;
-  aWorker.nextRenewal = now + this->options.renewalRetryDelay;
+  this->renewals.Schedule(aWorker, now + this->options.renewalRetryDelay);
   if (aWorker.reachability == WorkerReachability::Reachable &&
       now - aWorker.lastResponse > this->options.unreachableTimeout) {
     aWorker.reachability = WorkerReachability::Unreachable;
+    this->unresponsiveWorkers.insert(aWorker.number);
     this->dependencies.log.Log(LogLevel::Warning,
                                "worker_silent",
                                { { "worker", aWorker.entry.id.value },
@@ -255,7 +261,7 @@
   const auto now = this->dependencies.clock.Now();
   if (aReport.incarnation != 0 && aWorker.incarnation != 0 &&
       aReport.incarnation < aWorker.incarnation) {
-    aWorker.nextRenewal = now;
+    this->renewals.Schedule(aWorker, now);
     return;
   }
   if (aReport.incarnation != 0 && aWorker.incarnation != 0 &&
@@ -276,6 +282,7 @@
   const bool wasUsable =
     aWorker.reachability == WorkerReachability::Reachable && aWorker.isClockKnown;
   aWorker.reachability = WorkerReachability::Reachable;
+  this->unresponsiveWorkers.erase(aWorker.number);
   aWorker.failedRenewals = 0;
   aWorker.lastResponse = now;
   aWorker.clockOffset = aReport.clockMs - now.time_since_epoch().count();
@@ -298,9 +305,9 @@
   this->StopStalledRuns(aWorker);
   this->ThrottleBestEffortTasks(aWorker);
   if (!aWorker.unacknowledgedEnds.empty()) {
-    aWorker.nextRenewal = now + kUnacknowledgedRenewalInterval;
+    this->renewals.Schedule(aWorker, now + kUnacknowledgedRenewalInterval);
   } else {
-    aWorker.nextRenewal = !wasUsable ? now : now + this->options.minRenewalInterval;
+    this->renewals.Schedule(aWorker, !wasUsable ? now : now + this->options.minRenewalInterval);
   }
   this->isPlacementDue = this->isPlacementDue || hasEnds || !wasUsable;
   if (!wasUsable && !aWorker.isPublished && this->dependencies.onUnpublishedWorker) {
@@ -568,7 +575,7 @@
   this->workersWithEnds.erase(aWorker.number);
   aWorker.isClockKnown = false;
   aWorker.incarnation = 0;
-  aWorker.nextRenewal = this->dependencies.clock.Now();
+  this->renewals.Schedule(aWorker, this->dependencies.clock.Now());
   this->MarkWorkerSynced(aWorker.entry.id);
 }
 
@@ -614,6 +621,7 @@
 {
   const auto now = this->dependencies.clock.Now();
   aAllocation.phase = RunPhase::Stopping;
+  this->workersWithStops.insert(aWorker.number);
   aAllocation.phaseSince = now;
   aAllocation.isStopAccepted = false;
   aAllocation.nextStopAttempt = now;
@@ -647,12 +655,13 @@
   const auto now = this->dependencies.clock.Now();
   this->lostWorkers.RemoveOlderThan(now - kLossRetention);
   std::vector<WorkerId> forgottenWorkers;
-  for (auto* worker : this->workers.All()) {
-    const bool isUnreachable = worker->reachability != WorkerReachability::Reachable;
-    if (isUnreachable && now > worker->leaseExpiry && !worker->allocations.empty()) {
+  for (const auto number :
+       std::vector(this->unresponsiveWorkers.begin(), this->unresponsiveWorkers.end())) {
+    auto* worker = this->workers.FindByNumber(number);
+    if (now > worker->leaseExpiry && !worker->allocations.empty()) {
       this->RequeueLostRuns(*worker, WorkerLossReason::LeaseExpired);
     }
-    const bool isLost = !worker->isListed && isUnreachable && now > worker->leaseExpiry &&
+    const bool isLost = !worker->isListed && now > worker->leaseExpiry &&
                         now - worker->lastResponse > this->options.workerRemovalDelay &&
                         !worker->isRenewalInFlight;
     if (isLost) {
@@ -663,7 +672,9 @@
     this->dependencies.log.Log(LogLevel::Info, "worker_forgotten", { { "worker", id.value } });
     this->RecordWorkerLoss(*this->workers.Find(id));
     this->dependencies.workers.Disconnect(id);
-    this->workersWithEnds.erase(this->workers.Find(id)->number);
+    const auto number = this->workers.Find(id)->number;
+    this->workersWithEnds.erase(number);
+    this->unresponsiveWorkers.erase(number);
     this->workers.Remove(id);
   }
 }
@@ -773,6 +784,7 @@
   }
   const auto now = this->dependencies.clock.Now();
   aAllocation.phase = RunPhase::Stopping;
+  this->workersWithStops.insert(aWorker.number);
   aAllocation.phaseSince = now;
   aAllocation.nextStopAttempt = now;
   this->dependencies.log.Log(LogLevel::Info,
@@ -833,7 +845,7 @@
   if (ValueOf(aResult) == OrderResult::Accepted) {
     allocation->isStopAccepted = true;
     allocation->phaseSince = now;
-    worker->nextRenewal = std::min(worker->nextRenewal, now);
+    this->renewals.ScheduleAtLatest(*worker, now);
   }
 }
 
@@ -841,15 +853,26 @@
 CellScheduler::SendDueStops()
 {
   const auto now = this->dependencies.clock.Now();
-  for (auto* worker : this->workers.All()) {
-    for (auto& allocation : worker->allocations) {
-      const bool isDue = allocation.phase == RunPhase::Stopping && !allocation.isStopAccepted &&
-                         !allocation.isStopInFlight && allocation.nextStopAttempt <= now;
-      if (isDue) {
-        this->SendStop(*worker, allocation);
-      }
+  std::erase_if(this->workersWithStops, [this, now](WorkerNumber aNumber) {
+    auto* worker = this->workers.FindByNumber(aNumber);
+    return worker == nullptr || !this->SendDueStopsTo(*worker, now);
+  });
+}
+
+bool
+CellScheduler::SendDueStopsTo(Worker& aWorker, TimePoint aNow)
+{
+  bool hasOpenStops = false;
+  for (auto& allocation : aWorker.allocations) {
+    if (allocation.phase != RunPhase::Stopping || allocation.isStopAccepted) {
+      continue;
+    }
+    hasOpenStops = true;
+    if (!allocation.isStopInFlight && allocation.nextStopAttempt <= aNow) {
+      this->SendStop(aWorker, allocation);
     }
   }
+  return hasOpenStops;
 }
 
 void
