LibPlatform: Read and write frequent messages without an allocation a value

What callers saw: quick checks of the large site late, while the leader's half core was full of messages.

Cause: each report of a worker, order, progress row and transaction was built or parsed as a tree of jsoncpp values, each with allocations of its own and members in a map.

Change: JsonArena keeps the values of a message in one buffer (Boost.JSON). Reports, orders, rows of the store, progress rows and requests for advice use it; the text is the same.

--- a/Libraries/LibCell/Records.cpp
+++ b/Libraries/LibCell/Records.cpp
@@ -28,17 +28,6 @@
   }
 }
 
-Json::Value
-ToJson(const RecordedStart& aStart)
-{
-  Json::Value value(Json::arrayValue);
-  value.append(Json::UInt64(aStart.run));
-  value.append(aStart.worker.value);
-  value.append(aStart.machine);
-  value.append(Json::Int64(aStart.incarnation));
-  return value;
-}
-
 std::optional<RecordedStart>
 DecodeRecordedStart(const Json::Value& aValue)
 {
@@ -82,16 +71,6 @@
   return waits;
 }
 
-Json::Value
-EncodeRuns(const std::set<std::uint64_t>& aRuns)
-{
-  Json::Value runs(Json::arrayValue);
-  for (const auto run : aRuns) {
-    runs.append(Json::UInt64(run));
-  }
-  return runs;
-}
-
 std::set<std::uint64_t>
 DecodeRuns(const Json::Value& aValue)
 {
@@ -230,16 +209,6 @@
   return step;
 }
 
-Json::Value
-ToJson(const TaskKey& aKey)
-{
-  Json::Value value(Json::arrayValue);
-  value.append(aKey.occurrence);
-  value.append(aKey.step);
-  value.append(aKey.index);
-  return value;
-}
-
 TaskKey
 DecodeTaskKey(const Json::Value& aValue)
 {
@@ -474,34 +443,6 @@
   return record;
 }
 
-std::string
-EncodeProgress(const ProgressRecord& aRecord)
-{
-  Json::Value value(Json::objectValue);
-  value["outcome"] = static_cast<std::uint32_t>(aRecord.outcome);
-  value["started"] = aRecord.hasStarted;
-  value["occurrences"] = aRecord.occurrencesSucceeded;
-  for (const auto& step : aRecord.succeededSteps) {
-    value["steps"].append(ToJson(step));
-  }
-  for (const auto& task : aRecord.tasks) {
-    auto entry = ToJson(task.key);
-    entry.append(task.hasSucceeded);
-    entry.append(task.checkpoint);
-    entry.append(EncodeRuns(task.failedRuns));
-    if (!task.crashedRuns.empty() || !task.rackLossRuns.empty() || task.recordedStart) {
-      entry.append(EncodeRuns(task.crashedRuns));
-      entry.append(EncodeRuns(task.blamedRuns));
-      entry.append(EncodeRuns(task.rackLossRuns));
-    }
-    if (task.recordedStart) {
-      entry.append(ToJson(*task.recordedStart));
-    }
-    value["tasks"].append(std::move(entry));
-  }
-  return WriteJson(value);
-}
-
 Result<ProgressRecord>
 DecodeProgress(std::string_view aText)
 {
--- a/Libraries/LibInstanceCalls/InstanceCalls.cpp
+++ b/Libraries/LibInstanceCalls/InstanceCalls.cpp
@@ -2,6 +2,7 @@
 
 #include <LibPlatform/HttpExchange.h>
 #include <LibPlatform/Json.h>
+#include <LibPlatform/JsonArena.h>
 #include <fmt/format.h>
 #include <json/json.h>
 
@@ -28,16 +29,19 @@
 std::string
 EncodeAdviceRequest(const cell::AdviceRequest& aRequest)
 {
-  Json::Value value(Json::objectValue);
+  JsonArena arena;
+  boost::json::object value(arena.Storage());
   value["job"] = aRequest.step.job.value;
   value["occurrence"] = aRequest.step.occurrence;
   value["step"] = aRequest.step.step;
-  value["expected_ms"] = Json::Int64(aRequest.expectedDuration.count());
-  value["workers"] = Json::Value(Json::arrayValue);
+  value["expected_ms"] = aRequest.expectedDuration.count();
+  boost::json::array workers(arena.Storage());
+  workers.reserve(aRequest.workers.size());
   for (const auto& worker : aRequest.workers) {
-    value["workers"].append(worker.value);
+    workers.emplace_back(worker.value);
   }
-  return WriteJson(value);
+  value["workers"] = std::move(workers);
+  return WriteJson(boost::json::value(std::move(value)));
 }
 
 Result<cell::AdviceRequest>
@@ -77,17 +81,31 @@
 }
 
 Result<cell::AdviceResponse>
-DecodeAdviceResponse(const Json::Value& aValue)
+DecodeAdviceResponse(const HttpReply& aReply)
 {
-  JsonFields fields(aValue, "answer");
+  if (!detail::IsSuccess(aReply)) {
+    return detail::VerdictOf(aReply);
+  }
+  JsonArena arena;
+  const auto parsed = ParseJson(aReply.body, arena);
+  if (IsError(parsed)) {
+    return detail::MalformedReply(ErrorOf(parsed));
+  }
+  const auto* rows = FindMember(ValueOf(parsed), "good");
+  if (!ValueOf(parsed).is_object() || (rows != nullptr && !rows->is_array())) {
+    return MayHaveRun(ErrorCode::Internal, "The reply is malformed: it has no list of tickets.");
+  }
   cell::AdviceResponse response;
-  for (const auto& row : fields.Array("good")) {
-    if (row.isArray() && row.size() == 2 && row[0].isString() && row[1].isString()) {
-      response.tickets.push_back({ .worker = { row[0].asString() }, .text = row[1].asString() });
-    }
+  if (rows == nullptr) {
+    return response;
   }
-  if (fields.Fault()) {
-    return *fields.Fault();
+  for (const auto& row : rows->get_array()) {
+    const auto worker = TextOf(FindElement(row, 0));
+    const auto ticket = TextOf(FindElement(row, 1));
+    if (worker && ticket) {
+      response.tickets.push_back(
+        { .worker = { std::string(*worker) }, .text = std::string(*ticket) });
+    }
   }
   return response;
 }
@@ -389,9 +407,7 @@
                           .body = body };
     },
     aRequest.expectedDuration + kAdviceExtraTimeout,
-    [](HttpReply aReply) {
-      return DecodeReplyOrError<cell::AdviceResponse>(aReply, &DecodeAdviceResponse);
-    },
+    &DecodeAdviceResponse,
     std::move(aHandler));
 }
 
--- a/Tests/Platform/TestDecoders.cpp
+++ b/Tests/Platform/TestDecoders.cpp
@@ -5,6 +5,7 @@
 #include <platform/BootSettings.h>
 #include <platform/Decoders.h>
 #include <platform/StoreClient.h>
+#include <platform/WorkerMessages.h>
 
 namespace zinc::platform::test {
 
@@ -160,13 +161,13 @@
 
 TEST(Decoders, DecodesAWorkerReportAndCountsMalformedEntries)
 {
-  const auto parsed = ParseJson(
+  constexpr std::string_view kReport =
     R"({"ClockMs":500,"born":9,
         "Running":[["0123456789abcdef.0.1.17",2,"saved",41,12],["bad",1,"",0]],
         "Ended":[[8,"0123456789abcdef.0.1.9",1,"lapsed",""],[7,"0123456789abcdef.0.1.8",1,"done",""],
-                 [9,"0123456789abcdef.0.1.9",1,"odd",""]]})");
+                 [9,"0123456789abcdef.0.1.9",1,"odd",""]]})";
   std::size_t unreadable = 0;
-  const auto report = DecodeReport(ValueOf(parsed), unreadable);
+  const auto report = DecodeReport(kReport, unreadable);
   ASSERT_FALSE(IsError(report));
   EXPECT_EQ(unreadable, 2U);
   ASSERT_EQ(ValueOf(report).activeRuns.size(), 1U);
--- a/Tests/Platform/TestMutatedMessages.cpp
+++ b/Tests/Platform/TestMutatedMessages.cpp
@@ -9,6 +9,7 @@
 #include <pcg_random.hpp>
 #include <platform/BootSettings.h>
 #include <platform/Decoders.h>
+#include <platform/WorkerMessages.h>
 #include <string>
 #include <vector>
 
@@ -121,10 +122,10 @@
     { .name = "report",
       .text = R"({"ClockMs":482113,"born":17,"Running":[["5c0e7a21d94b36f8.0.1.17",2,"00b",41,500]],
 "Ended":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""]]})",
-      .read = ReadJson([](const Json::Value& aValue) {
+      .read = [](const std::string& aText) {
         std::size_t unreadable = 0;
-        (void)DecodeReport(aValue, unreadable);
-      }) });
+        (void)DecodeReport(aText, unreadable);
+      } });
   samples.push_back(
     { .name = "advice",
       .text = R"({"Good":[["i-1","ticket"],["i-2","ticket"]]})",
