LibPlatform: Keep the timer of a connection from request to request

Cause: each request set a timer and cancelled it, which ran two handlers through the strand for each of the leader's thousands of calls a second.

Change: a timer that fires before the new deadline goes on, and is set to the deadline when it fires.

Measured: TestPlatform 56, TestAdapter 33, TestCell 231: passed. The processor time was not measured by itself.

--- a/Libraries/LibPlatform/HttpClient.cpp
+++ b/Libraries/LibPlatform/HttpClient.cpp
@@ -112,7 +112,7 @@
 
   void Connect(const asio::ip::tcp::endpoint& aEndpoint)
   {
-    this->ArmTimer(Now() + this->pool->options.connectTimeout);
+    this->SetDeadline(Now() + this->pool->options.connectTimeout);
     this->socket.async_connect(aEndpoint, [self = this->shared_from_this()](ErrorStatus aStatus) {
       self->OnConnected(aStatus);
     });
@@ -135,7 +135,7 @@
     }
     this->message.body() = std::move(this->exchange->request.body);
     this->message.prepare_payload();
-    this->ArmTimer(this->exchange->deadline);
+    this->SetDeadline(this->exchange->deadline);
     http::async_write(this->socket,
                       this->message,
                       [self = this->shared_from_this()](ErrorStatus aStatus, std::size_t aBytes) {
@@ -150,6 +150,7 @@
       this->failure = std::move(aFailure);
     }
     ++this->timerGeneration;
+    this->timerAt.reset();
     this->timer.cancel();
     ErrorStatus ignored;
     this->socket.close(ignored);
@@ -179,22 +180,41 @@
   [[nodiscard]] bool IsConnecting() const { return this->isConnecting; }
 
 private:
-  void ArmTimer(SteadyTime aDeadline)
+  /// Closes the connection at this time unless the deadline is removed before. A timer that runs
+  /// already is kept if it fires before the deadline, since most requests end long before theirs.
+  void SetDeadline(SteadyTime aDeadline)
   {
+    this->deadline = aDeadline;
+    if (this->timerAt && *this->timerAt <= aDeadline) {
+      return;
+    }
+    this->timerAt = aDeadline;
     const std::uint64_t generation = ++this->timerGeneration;
     this->timer.expires_at(aDeadline);
     this->timer.async_wait([self = this->shared_from_this(), generation](ErrorStatus aStatus) {
       if (!aStatus && generation == self->timerGeneration) {
-        self->OnTimeout();
+        self->OnTimer();
       }
     });
   }
 
+  void OnTimer()
+  {
+    this->timerAt.reset();
+    if (!this->deadline) {
+      return;
+    }
+    if (Now() < *this->deadline) {
+      this->SetDeadline(*this->deadline);
+      return;
+    }
+    this->OnTimeout();
+  }
+
   void OnConnected(ErrorStatus aStatus)
   {
     this->isConnecting = false;
-    ++this->timerGeneration;
-    this->timer.cancel();
+    this->deadline.reset();
     if (aStatus || !this->socket.is_open()) {
       this->socket.close(aStatus);
       this->pool->OnConnectFailed(this);
@@ -263,8 +283,7 @@
 
   void Answer()
   {
-    ++this->timerGeneration;
-    this->timer.cancel();
+    this->deadline.reset();
     this->answeredAt = Now();
     HttpReply complete{ .status = this->reply->result_int(),
                         .body = std::move(this->reply->body()) };
@@ -304,6 +323,10 @@
   asio::ip::tcp::socket socket;
   asio::steady_timer timer;
   std::uint64_t timerGeneration = 0;
+  /// When the timer fires; empty while it does not run.
+  std::optional<SteadyTime> timerAt;
+  /// When the connection is closed; empty while nothing is outstanding.
+  std::optional<SteadyTime> deadline;
   bool isConnecting = true;
   bool isWritten = false;
   SteadyTime sentAt;
