LibCell: Stop no runs for a gang where stops take long

What callers saw: rebuilds and checks of the large site late although three tenths of the processors were free.

Cause: since a gang without room stops batch tasks, whatever a stop takes.

Change: runs are stopped only for a gang that runs ten times as long as a stop takes at most, which the platform's settings say.

Evidence: the test fails without the rule.

--- a/Libraries/LibCell/CellScheduler.h
+++ b/Libraries/LibCell/CellScheduler.h
@@ -108,6 +108,8 @@
   /// A worker is quarantined after this many failed runs in a row. They count if they belong to
   /// different jobs, or to different tasks of a job that fails at no other worker.
   std::uint32_t quarantineThreshold = 3;
+  /// Longest time that a worker takes to stop a run; set by the platform.
+  Milliseconds maxStopDuration{ 200 };
   /// How long a quarantined worker gets no tasks.
   Milliseconds quarantineDuration{ 6000 };
   /// How long the state of an ended job can be queried; set by the platform.
--- a/Libraries/LibCell/CellSchedulerGangs.cpp
+++ b/Libraries/LibCell/CellSchedulerGangs.cpp
@@ -165,7 +165,8 @@
 {
   const auto& advice = aCandidate.run->advice;
   const bool isOnTime = !IsAtOrAfter(aCandidate.priorityKey, PriorityClass::Late);
-  if (!isOnTime || aCandidate.job->isCrashSuspect || advice.requestsInFlight > 0 ||
+  const bool isWorthStops = IsWorthStops(*aCandidate.specification, this->options.maxStopDuration);
+  if (!isOnTime || !isWorthStops || aCandidate.job->isCrashSuspect || advice.requestsInFlight > 0 ||
       advice.retryAt > this->roundBegin) {
     return false;
   }
--- a/Libraries/LibCell/GangPreemption.cpp
+++ b/Libraries/LibCell/GangPreemption.cpp
@@ -9,6 +9,9 @@
 
 /// The time to stop a run, to get new tickets for its task and to find room elsewhere.
 constexpr Milliseconds kMinSlack{ 2000 };
+/// Run time of a gang over the time of a stop: at most a tenth of what the gang's room does is lost
+/// to the stops.
+constexpr int kMinRunTimePerStopTime = 10;
 /// A task that was stopped this often is not stopped again.
 constexpr std::uint32_t kMaxPreemptions = 2;
 
@@ -103,6 +106,12 @@
          aInput.latestStart >= aInput.now + kMinSlack;
 }
 
+bool
+IsWorthStops(const StepSpecification& aGang, Milliseconds aStopTime)
+{
+  return aStopTime * kMinRunTimePerStopTime <= aGang.estimate;
+}
+
 std::optional<PreemptionPlan>
 PlanGangPreemption(const StepSpecification& aStep,
                    std::span<Worker* const> aWorkers,
--- a/Libraries/LibCell/GangPreemption.h
+++ b/Libraries/LibCell/GangPreemption.h
@@ -32,6 +32,14 @@
 [[nodiscard]] bool
 IsPreemptible(const StepSpecification& aStep, const PreemptionInput& aInput);
 
+/// Whether a gang is worth stopping runs for: the room that it gets is idle until they have
+/// stopped.
+/// @param aGang the gang's step
+/// @param aStopTime longest time that a worker takes to stop a run
+/// @return true if that time is short against the gang's run time
+[[nodiscard]] bool
+IsWorthStops(const StepSpecification& aGang, Milliseconds aStopTime);
+
 /// A run that makes way for a gang.
 struct PreemptedRun
 {
--- a/Services/Entry/PlatformProgram.cpp
+++ b/Services/Entry/PlatformProgram.cpp
@@ -231,6 +231,7 @@
     .zone = this->boot.zone,
   };
   instanceOptions.scheduler.maxLease = std::min(this->boot.maxLease, kMaxLease);
+  instanceOptions.scheduler.maxStopDuration = this->boot.maxStopDuration;
   instanceOptions.scheduler.workerRowTimeout = this->boot.heartbeatInterval * kMaxMissedHeartbeats;
   instanceOptions.election.maxLeaseAfterTerm = instanceOptions.scheduler.LeaseExpiryBound();
   instanceOptions.documentRereadInterval = std::clamp(
--- a/Tests/LibCell/TestGangPreemption.cpp
+++ b/Tests/LibCell/TestGangPreemption.cpp
@@ -198,6 +198,21 @@
   EXPECT_EQ(this->CountStarts("gang"), 0U);
 }
 
+// Load: gangs that arrive steadily at workers that take long to stop a run, as in a large cell that
+// is seven tenths full. Guards against room that is idle for a fifth of the gang's run time, and
+// against thousands of stops that keep the leader busy.
+TEST_F(FilledCellTest, NothingIsStoppedIfStopsTakeLongAgainstTheGang)
+{
+  this->options.maxStopDuration = Milliseconds{ 900 };
+  this->BeginTerm();
+  this->FillWorkers(true, 10.0);
+  this->AcceptGang();
+  EXPECT_TRUE(this->workers.stops.empty());
+  this->workers.EndAll();
+  this->RunFor(Milliseconds{ 200 });
+  EXPECT_EQ(this->CountStarts("gang"), 4U);
+}
+
 // Failure: the worker accepts the stops without effect. Guards against a start in room that is
 // still occupied, and against more stops each time the reservation expires.
 TEST_F(FilledCellTest, AGangDoesNotStartBeforeTheRoomIsFree)
--- a/Tests/Platform/TestDecoders.cpp
+++ b/Tests/Platform/TestDecoders.cpp
@@ -27,7 +27,7 @@
   "Node": "n1", "Zone": "z1", "Ip": "10.0.0.1",
   "Listen": {"Front": "10.0.0.1:81", "Ready": "10.0.0.1:82"},
   "PortRange": [7400, 7410], "Limits": {"CpuShare": 0.25, "Cores": 1},
-  "Bounds": {"GraceS": 6, "HoldMaxMs": 9000, "status_s": 60},
+  "Bounds": {"GraceS": 6, "HoldMaxMs": 9000, "KillGraceMs": 900, "status_s": 60},
   "platform": {"Address": "10.0.0.9:80"}, "Advice": "10.0.0.8:80", "Unknown": [1]})";
 
 }
@@ -193,6 +193,7 @@
   ASSERT_FALSE(IsError(settings)) << ErrorOf(settings).message;
   EXPECT_EQ(ValueOf(settings).callers.port, 81);
   EXPECT_EQ(ValueOf(settings).maxLease, Milliseconds{ 9000 });
+  EXPECT_EQ(ValueOf(settings).maxStopDuration, Milliseconds{ 900 });
   EXPECT_EQ(ValueOf(settings).statusRetention, Milliseconds{ 60'000 });
   EXPECT_EQ(ValueOf(settings).milliCores, 250U);
   EXPECT_FALSE(ValueOf(settings).machines.has_value());
