LibCell: Read the rows around one that is odd, and no port out of range

What operators of similar systems saw: an odd entry among those of the workers ended the processes that read the list, or kept them from following it.

Cause, here: a response of the store was dropped as a whole for one row that could not be read, so that a watch failed again and again; a port of 70000 in the row of the leader or of an instance became another port. A worker's entry that was nested 10,000 deep, or had 1e400, 2^70 or a port out of range, named no worker before either; its line was logged at each full read.

A port out of range makes a row unreadable.

--- a/Libraries/LibCell/MonitoredStore.cpp
+++ b/Libraries/LibCell/MonitoredStore.cpp
@@ -19,6 +19,9 @@
   , reads(aMetrics, "read")
   , watches(aMetrics, "follow")
   , commits(aMetrics, "commit")
+  , unreadableRows(
+      aMetrics.FindCounter({ .name = "zinc_cell_unreadable_store_rows_total",
+                             .help = "Rows in responses of the store that cannot be read." }))
 {
 }
 
@@ -63,6 +66,9 @@
 MonitoredStore::UpdateClockOffset(Handler<RowBatch> aHandler)
 {
   return [this, handler = std::move(aHandler)](Result<RowBatch> aResult) {
+    if (!IsError(aResult) && ValueOf(aResult).unreadableRows > 0) {
+      this->OnUnreadableRows(ValueOf(aResult).unreadableRows);
+    }
     if (!IsError(aResult) && ValueOf(aResult).storeTime.count() > 0) {
       const auto offset = this->clock.Now().time_since_epoch() - ValueOf(aResult).storeTime;
       // The fastest response gives the most accurate offset.
@@ -89,6 +95,17 @@
   return this->IsAvailable() && !isSlow;
 }
 
+void
+MonitoredStore::OnUnreadableRows(std::size_t aCount)
+{
+  this->unreadableRows.Add(aCount);
+  const auto now = this->clock.Now();
+  if (now >= this->nextUnreadableLine) {
+    this->nextUnreadableLine = now + kUnreadableLineInterval;
+    this->log.Log(LogLevel::Error, "store_rows_unreadable", { { "rows", aCount } });
+  }
+}
+
 void
 MonitoredStore::OnResponse()
 {
--- a/Libraries/LibCell/MonitoredStore.h
+++ b/Libraries/LibCell/MonitoredStore.h
@@ -45,6 +45,8 @@
   static constexpr std::uint32_t kFailuresUntilUnavailable = 2;
   /// A slow store takes up to 250 ms for a call.
   static constexpr Milliseconds kSlowCallThreshold{ 500 };
+  /// A full read repeats rows that stay unreadable.
+  static constexpr Milliseconds kUnreadableLineInterval{ 1000 };
 
   /// Latency histograms of one kind of call. References, to avoid a lookup for each call.
   struct Latencies
@@ -64,6 +66,8 @@
   [[nodiscard]] Handler<T> MeasureInFlight(Latencies& aLatencies, Handler<T> aHandler);
   /// @return a handler that updates @ref clockOffset from the response before it calls @p aHandler.
   [[nodiscard]] Handler<RowBatch> UpdateClockOffset(Handler<RowBatch> aHandler);
+  /// Counts rows that the response could not be read of, and logs them at a bounded rate.
+  void OnUnreadableRows(std::size_t aCount);
   void OnResponse();
   void OnFailure(const Verdict& aVerdict);
 
@@ -73,6 +77,8 @@
   Latencies reads;
   Latencies watches;
   Latencies commits;
+  Counter& unreadableRows;
+  TimePoint nextUnreadableLine{};
   /// Consecutive failed calls.
   std::uint32_t failures = 0;
   /// This instance's clock minus the store's, the minimum of all responses.
--- a/Libraries/LibCell/Ports.h
+++ b/Libraries/LibCell/Ports.h
@@ -52,6 +52,8 @@
   std::vector<Row> rows;
   /// Version of the store up to which @ref rows are complete.
   std::uint64_t version = 0;
+  /// Rows of the response that could not be read and are left out.
+  std::size_t unreadableRows = 0;
   /// Rows of the requested range are missing; they follow the last one of @ref rows.
   bool hasMore = false;
   /// Monotonic clock of the store when it responded; 0 if the store did not report it.
--- a/Libraries/LibCell/Records.cpp
+++ b/Libraries/LibCell/Records.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <fmt/format.h>
 #include <json/json.h>
+#include <limits>
 
 namespace zinc::cell {
 
@@ -40,6 +41,21 @@
                         .incarnation = aValue[3].asInt64() };
 }
 
+/// @return 0 if the port is missing
+/// @throw Json::Exception if the value is not a port
+std::uint16_t
+DecodePort(const Json::Value& aValue)
+{
+  constexpr Json::UInt kMaxPort = std::numeric_limits<std::uint16_t>::max();
+  if (aValue.isNull()) {
+    return 0;
+  }
+  if (!aValue.isUInt() || aValue.asUInt() > kMaxPort) {
+    Json::throwRuntimeError("a port is a number up to 65535");
+  }
+  return static_cast<std::uint16_t>(aValue.asUInt());
+}
+
 Json::Value
 ToJson(const ExpectedWait& aWait)
 {
@@ -511,7 +527,7 @@
       LeaderRecord record{ .instance = aValue["instance"].asString(),
                            .incarnation = aValue["incarnation"].asString(),
                            .address = aValue["address"].asString(),
-                           .port = static_cast<std::uint16_t>(aValue["port"].asUInt()),
+                           .port = DecodePort(aValue["port"]),
                            .token = aValue["token"].asUInt64(),
                            .isResigning = aValue["leaving"].asBool(),
                            .isRecovering = aValue["recovering"].asBool(),
@@ -554,7 +570,7 @@
     aText, "instance", [](const Json::Value& aValue) -> Result<InstanceRecord> {
       return InstanceRecord{ .incarnation = aValue["incarnation"].asString(),
                              .address = aValue["address"].asString(),
-                             .port = static_cast<std::uint16_t>(aValue["port"].asUInt()),
+                             .port = DecodePort(aValue["port"]),
                              .zone = aValue["zone"].asString(),
                              .milliCores = aValue["milli_cores"].asUInt(),
                              .heartbeat = aValue["beat"].asUInt64() };
--- a/Libraries/LibCell/WorkerDirectory.cpp
+++ b/Libraries/LibCell/WorkerDirectory.cpp
@@ -1,12 +1,20 @@
 #include <LibCell/WorkerDirectory.h>
 
-#include <set>
-
 namespace zinc::cell {
 
-WorkerDirectory::WorkerDirectory(Decoder aDecode, const Logger& aLog)
+namespace {
+
+/// Unreadable rows that are remembered as logged; bounds the memory that foreign rows take.
+constexpr std::size_t kMaxLoggedRows = 64;
+
+}
+
+WorkerDirectory::WorkerDirectory(Decoder aDecode, const Logger& aLog, MetricRegistry& aMetrics)
   : decode(std::move(aDecode))
   , log(aLog)
+  , unreadableRows(
+      aMetrics.FindCounter({ .name = "zinc_cell_unreadable_worker_rows_total",
+                             .help = "Rows read in the workers' table that name no worker." }))
 {
 }
 
@@ -44,16 +52,28 @@
   }
   auto decoded = this->decode(id.value, aRow.value);
   if (IsError(decoded)) {
-    this->log.Log(LogLevel::Warning,
-                  "worker_row_unreadable",
-                  { { "worker", id.value }, { "reason", ErrorOf(decoded).message } });
+    this->OnUnreadableRow(id, ErrorOf(decoded));
     this->Unlist(id, aChanges);
     return;
   }
+  this->loggedRows.erase(id);
   aChanges.listed.push_back(ValueOf(decoded));
   this->entries.insert_or_assign(id, std::move(ValueOf(decoded)));
 }
 
+void
+WorkerDirectory::OnUnreadableRow(const WorkerId& aId, const Verdict& aReason)
+{
+  this->unreadableRows.Add();
+  const bool isNew =
+    this->loggedRows.size() < kMaxLoggedRows && this->loggedRows.insert(aId).second;
+  if (isNew) {
+    this->log.Log(LogLevel::Warning,
+                  "worker_row_unreadable",
+                  { { "worker", aId.value }, { "reason", aReason.message } });
+  }
+}
+
 void
 WorkerDirectory::Unlist(const WorkerId& aWorker, Changes& aChanges)
 {
--- a/Libraries/LibCell/WorkerDirectory.h
+++ b/Libraries/LibCell/WorkerDirectory.h
@@ -6,8 +6,10 @@
 #include <LibBase/Verdict.h>
 #include <LibCell/TableWatcher.h>
 #include <LibLog/Logger.h>
+#include <LibMetrics/MetricRegistry.h>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -29,7 +31,7 @@
     std::vector<WorkerId> unlisted;
   };
 
-  WorkerDirectory(Decoder aDecode, const Logger& aLog);
+  WorkerDirectory(Decoder aDecode, const Logger& aLog, MetricRegistry& aMetrics);
 
   /// Applies changed rows, or all rows of a snapshot.
   Changes Apply(const TableUpdate& aUpdate);
@@ -41,9 +43,14 @@
 private:
   void ApplyRow(const Row& aRow, Changes& aChanges);
   void Unlist(const WorkerId& aWorker, Changes& aChanges);
+  /// Counts a row that cannot be read, and logs it unless it was logged before.
+  void OnUnreadableRow(const WorkerId& aId, const Verdict& aReason);
 
   Decoder decode;
   const Logger& log;
+  Counter& unreadableRows;
+  /// Unreadable rows that are logged already.
+  std::set<WorkerId> loggedRows;
   std::map<WorkerId, WorkerEntry> entries;
 };
 
--- a/Libraries/LibInstance/CellInstance.cpp
+++ b/Libraries/LibInstance/CellInstance.cpp
@@ -73,7 +73,9 @@
                  } },
              this->options.identity,
              this->options.election)
-  , workerDirectory(this->dependencies.layout.decodeWorker, this->dependencies.log)
+  , workerDirectory(this->dependencies.layout.decodeWorker,
+                    this->dependencies.log,
+                    this->dependencies.metrics)
   , evacuationDirectory(this->dependencies.layout.decodeEvacuation,
                         this->options.evacuation,
                         this->dependencies.log)
--- a/Libraries/LibLedger/JsonArray.cpp
+++ b/Libraries/LibLedger/JsonArray.cpp
@@ -15,6 +15,15 @@
   return builder;
 }
 
+Json::CharReaderBuilder
+BoundedReader()
+{
+  constexpr int kMaxDepth = 32;
+  Json::CharReaderBuilder builder;
+  builder["stackLimit"] = kMaxDepth;
+  return builder;
+}
+
 }
 
 std::string
@@ -27,7 +36,7 @@
 std::optional<Json::Value>
 ReadJson(std::string_view aText)
 {
-  static const Json::CharReaderBuilder kBuilder;
+  static const Json::CharReaderBuilder kBuilder = BoundedReader();
   const std::unique_ptr<Json::CharReader> reader(kBuilder.newCharReader());
   Json::Value value;
   std::string faults;
--- a/Tests/LibCell/TestWorkerDirectory.cpp
+++ b/Tests/LibCell/TestWorkerDirectory.cpp
@@ -23,7 +23,8 @@
   }
 
   Logger log{ { .level = LogLevel::Error } };
-  WorkerDirectory directory{ &WorkerDirectoryTest::Decode, this->log };
+  MetricRegistry metrics;
+  WorkerDirectory directory{ &WorkerDirectoryTest::Decode, this->log, this->metrics };
 };
 
 }
