--- /dev/null
+++ b/Libraries/LibCell/CellSchedulerOptions.h
@@ -0,0 +1,96 @@
+#pragma once
+
+/// @file
+/// Limits of the platform and tuning values of the leader's scheduler.
+
+#include <LibBase/Time.h>
+#include <LibCell/RankingSelector.h>
+#include <cmath>
+#include <cstddef>
+#include <cstdint>
+
+namespace zinc::cell {
+
+/// Limits of the platform and tuning values of the scheduler.
+struct CellSchedulerOptions
+{
+  /// Longest lease that a worker grants; set by the platform.
+  Milliseconds maxLease{ 6000 };
+  /// Largest fraction by which a worker's clock runs slow; documented by the platform.
+  double maxClockDrift = 0.02;
+  /// Time that an order may spend in transit; added when the scheduler waits for a lease to expire.
+  Milliseconds orderTransitMargin{ 300 };
+  /// @return the time after which a lease granted now has expired by any worker's clock.
+  [[nodiscard]] Milliseconds LeaseExpiryBound() const
+  {
+    return Milliseconds(static_cast<std::int64_t>(std::ceil(
+             static_cast<double>(this->maxLease.count()) * (1.0 + this->maxClockDrift)))) +
+           this->orderTransitMargin;
+  }
+  /// How long a worker may wait for a run to end before it responds to a lease renewal. A shorter
+  /// wait leaves more of the lease when a connection breaks, a longer one needs fewer calls.
+  Milliseconds renewalWait{ 700 };
+  /// The wait in a cell so large that idle workers would need more than @ref idleRenewalsPerSecond
+  /// calls. Together with the time to notice a broken connection it leaves most of a lease.
+  Milliseconds maxRenewalWait{ 1400 };
+  /// Calls a second for the leases of idle workers above which their waits become longer.
+  std::uint32_t idleRenewalsPerSecond = 800;
+  /// Shortest time between two lease renewals of a worker that has ended runs to report.
+  Milliseconds minRenewalInterval{ 15 };
+  /// Delay before the next lease renewal of a worker that did not respond.
+  Milliseconds renewalRetryDelay{ 250 };
+  /// The store removes a worker's row after this long without a heartbeat: three heartbeat
+  /// intervals.
+  Milliseconds workerRowTimeout{ 4500 };
+  /// Rows that expired during an outage of the store reappear within this time after it recovers:
+  /// 2 s as the platform states, and a margin.
+  Milliseconds rowRestoreTimeout{ 2500 };
+  /// A worker whose row is gone is removed after this long without a response, once its lease has
+  /// expired.
+  Milliseconds workerRemovalDelay{ 2500 };
+  /// A worker that has not responded to a lease renewal for this long is unreachable and gets no
+  /// tasks.
+  Milliseconds unreachableTimeout{ 1200 };
+  /// Shortest time between two writes of progress.
+  Milliseconds minFlushInterval{ 25 };
+  /// Longest time between two placement rounds, since tickets expire and delays end without an
+  /// event.
+  Milliseconds maxPlacementInterval{ 50 };
+  /// Shortest time between two placement attempts of pending gangs: each scans all workers, while
+  /// a gang's objective is seconds away.
+  Milliseconds gangPlacementInterval{ 50 };
+  /// A placement round ends after this time even if steps are left.
+  Milliseconds maxPlacementDuration{ 60 };
+  /// After a placement round the scheduler does other work for this many times its duration.
+  int placementIdleFactor = 2;
+  UnevenPoolOptions unevenPools;
+  /// Fraction of a pool's processors that only tasks of the most urgent queue may use.
+  double urgentHeadroom = 0.05;
+  /// Fraction of a workspace's limit that its batch tasks leave to its urgent tasks.
+  double limitHeadroom = 0.06;
+  /// Workers per request to the policy service; a limit of the service.
+  std::size_t maxWorkersPerRequest = 100;
+  /// A request names workers with room for this many times the step's tasks, since other tasks take
+  /// room before the response arrives.
+  double adviceRoomFactor = 3.0;
+  /// Smallest number of workers in a request, if there are as many.
+  std::size_t minWorkersPerRequest = 10;
+  /// A worker is quarantined after this many failed runs in a row. They count if they belong to
+  /// different jobs, or to different tasks of a job that fails at no other worker.
+  std::uint32_t quarantineThreshold = 3;
+  /// Longest time that a worker takes to stop a run; set by the platform.
+  Milliseconds maxStopDuration{ 200 };
+  /// How long a quarantined worker gets no tasks.
+  Milliseconds quarantineDuration{ 6000 };
+  /// How long the state of an ended job can be queried; set by the platform.
+  Milliseconds statusRetention{ 125'000 };
+  /// How long before its due time an occurrence may start. The platform's tolerance covers clock
+  /// differences.
+  Milliseconds maxEarlyStart{ 0 };
+  /// A run that lasted this long before its worker crashed clears the earlier crashes of its task.
+  Milliseconds minRunToClearCrashes{ 600'000 };
+  /// A run hangs if it makes no progress for half its estimate, or for this long if that is less.
+  Milliseconds maxStallTimeout{ 2500 };
+};
+
+}
