--- a/Libraries/LibCell/CellScheduler.h
+++ b/Libraries/LibCell/CellScheduler.h
@@ -140,6 +140,8 @@
   void MarkTaskSucceeded(Job& aJob, const TaskKey& aKey);
   /// Marks a step and its tasks as succeeded; ends the job after its last step.
   void MarkStepSucceeded(Job& aJob, std::uint32_t aOccurrence, std::uint32_t aStep);
+  /// @return the task in which failures are counted: of a gang, the first one
+  [[nodiscard]] Task& FindCountedTask(Job& aJob, const TaskKey& aKey);
   /// Counts a failed run, and fails the job after too many.
   void RecordFailedRun(Job& aJob, const TaskKey& aKey, std::uint64_t aRun);
   /// Sets the outcome of an active job and stops its runs.
--- a/Libraries/LibCell/CellSchedulerJobs.cpp
+++ b/Libraries/LibCell/CellSchedulerJobs.cpp
@@ -396,26 +396,30 @@
   this->EndJob(aJob, JobOutcome::Succeeded, "all tasks succeeded");
 }
 
+Task&
+CellScheduler::FindCountedTask(Job& aJob, const TaskKey& aKey)
+{
+  auto key = aKey;
+  key.index = aJob.spec.steps[aKey.step].isGang ? 0 : aKey.index;
+  return *this->FindTask(aJob, key);
+}
+
 void
 CellScheduler::RecordFailedRun(Job& aJob, const TaskKey& aKey, std::uint64_t aRun)
 {
-  const auto& step = aJob.spec.steps[aKey.step];
-  // The failures of a gang are counted in its first task.
-  auto countedKey = aKey;
-  countedKey.index = step.isGang ? 0 : aKey.index;
-  auto* task = this->FindTask(aJob, countedKey);
-  if (!task->failedRuns.insert(aRun).second) {
+  auto& task = this->FindCountedTask(aJob, aKey);
+  if (!task.failedRuns.insert(aRun).second) {
     return;
   }
   this->MarkJobChanged(aJob);
-  if (task->failedRuns.size() >= std::max(1U, this->CurrentQueuePolicy(aJob).maxAttempts)) {
+  if (task.failedRuns.size() >= std::max(1U, this->CurrentQueuePolicy(aJob).maxAttempts)) {
     this->EndJob(aJob,
                  JobOutcome::Failed,
                  fmt::format("task {}.{}.{} failed {} times",
                              aKey.occurrence,
                              aKey.step,
                              aKey.index,
-                             task->failedRuns.size()));
+                             task.failedRuns.size()));
   }
 }
 
--- a/Libraries/LibCell/CellSchedulerRecords.cpp
+++ b/Libraries/LibCell/CellSchedulerRecords.cpp
@@ -258,6 +258,7 @@
 {
   const auto now = this->dependencies.clock.Now();
   bool hasAdvanced = false;
+  bool coversFailure = false;
   while (!aWorker.unacknowledgedEnds.empty()) {
     const auto& end = aWorker.unacknowledgedEnds.front();
     const auto* job = this->FindJob(end.job);
@@ -267,9 +268,16 @@
       break;
     }
     aWorker.acknowledgedSequence = end.sequence;
+    coversFailure = coversFailure || end.hasFailed;
     aWorker.unacknowledgedEnds.pop_front();
     hasAdvanced = true;
   }
+  if (coversFailure) {
+    this->dependencies.log.Log(
+      LogLevel::Info,
+      "ends_acknowledged",
+      { { "worker", aWorker.entry.id.value }, { "through", aWorker.acknowledgedSequence } });
+  }
   if (aWorker.unacknowledgedEnds.empty()) {
     this->workersWithEnds.erase(aWorker.number);
     if (hasAdvanced) {
--- a/Libraries/LibCell/CellSchedulerWorkers.cpp
+++ b/Libraries/LibCell/CellSchedulerWorkers.cpp
@@ -327,18 +327,25 @@
   } else if (job != nullptr && !job->isOutcomeDurable) {
     changeCount = job->changeCount;
   }
-  aWorker.unacknowledgedEnds.push_back(
-    { .sequence = aEnd.sequence, .job = aEnd.task.job, .changeCount = changeCount });
+  aWorker.unacknowledgedEnds.push_back({ .sequence = aEnd.sequence,
+                                         .job = aEnd.task.job,
+                                         .hasFailed = aEnd.outcome == RunOutcome::Failed,
+                                         .changeCount = changeCount });
   this->workersWithEnds.insert(aWorker.number);
   if (aEnd.outcome != RunOutcome::Succeeded) {
-    this->dependencies.log.Log(LogLevel::Info,
-                               "run_ended",
-                               { { "job", aEnd.task.job.value },
-                                 { "step", aEnd.task.key.step },
-                                 { "index", aEnd.task.key.index },
-                                 { "run", aEnd.run },
-                                 { "worker", aWorker.entry.id.value },
-                                 { "end", static_cast<int>(aEnd.outcome) } });
+    this->dependencies.log.Log(
+      LogLevel::Info,
+      "run_ended",
+      { { "job", aEnd.task.job.value },
+        { "occurrence", aEnd.task.key.occurrence },
+        { "step", aEnd.task.key.step },
+        { "index", aEnd.task.key.index },
+        { "run", aEnd.run },
+        { "worker", aWorker.entry.id.value },
+        { "end", static_cast<int>(aEnd.outcome) },
+        { "sequence", aEnd.sequence },
+        { "failures",
+          task != nullptr ? this->FindCountedTask(*job, aEnd.task.key).failedRuns.size() : 0 } });
   }
 }
 
--- a/Libraries/LibCell/Worker.h
+++ b/Libraries/LibCell/Worker.h
@@ -122,6 +122,8 @@
 {
   std::uint64_t sequence = 0;
   JobId job;
+  /// The run failed.
+  bool hasFailed = false;
   /// Change count of the job that must be stored first; 0 if nothing has to be stored.
   std::uint64_t changeCount = 0;
 };
