--- a/Tests/LibCell/CellSchedulerFixture.cpp
+++ b/Tests/LibCell/CellSchedulerFixture.cpp
@@ -72,7 +72,7 @@
                                  .clock = this->clockOverride ? *this->clockOverride : this->clock,
                                  .log = this->log,
                                  .metrics = this->metrics,
-                                 .wallClock = [] { return WallTime{}; },
+                                 .wallClock = [this] { return this->wallTime; },
                                  .onLeadershipLost = [this] { this->hasLostLeadership = true; } },
     this->options);
   this->scheduler->SetPolicy(std::make_shared<CellPolicy>(this->policy));
--- a/Tests/LibCell/CellSchedulerFixture.h
+++ b/Tests/LibCell/CellSchedulerFixture.h
@@ -112,6 +112,8 @@
   /// Whether the leader record is renewed in each step.
   bool publishesWorkers = true;
   std::uint64_t fencingToken = 0;
+  /// Unix time by the leader's clock.
+  WallTime wallTime{};
   /// Clock of the scheduler in place of @ref clock, if set.
   std::unique_ptr<Clock> clockOverride;
   std::unique_ptr<CellScheduler> scheduler;
--- a/Tests/LibCell/MemoryStore.cpp
+++ b/Tests/LibCell/MemoryStore.cpp
@@ -57,6 +57,11 @@
     aHandler(NotRun(ErrorCode::Unavailable, "refused"));
     return;
   }
+  if (this->mode == StoreMode::DelayingRequests) {
+    this->delayedRequests.push_back(std::move(aTransaction));
+    aHandler(MayHaveRun(ErrorCode::Timeout, "lost"));
+    return;
+  }
   CommitResult result{ .isCommitted = true };
   for (const auto& condition : aTransaction.conditions) {
     const auto found = this->rows.find(condition.key);
@@ -103,6 +108,14 @@
   }
 }
 
+void
+MemoryStore::ExecuteDelayedRequests()
+{
+  for (auto& transaction : std::exchange(this->delayedRequests, {})) {
+    this->Commit(std::move(transaction), [](Result<CommitResult>) {});
+  }
+}
+
 std::uint64_t
 MemoryStore::Put(const RowKey& aKey, const std::string& aValue)
 {
--- a/Tests/LibCell/MemoryStore.h
+++ b/Tests/LibCell/MemoryStore.h
@@ -25,6 +25,9 @@
   /// Applies transactions and holds back their responses until
   /// @ref MemoryStore::DeliverResponses; reads work.
   DelayingResponses,
+  /// Reports a timeout and holds the transaction back until
+  /// @ref MemoryStore::ExecuteDelayedRequests; reads work.
+  DelayingRequests,
 };
 
 class MemoryStore final : public StorePort
@@ -39,6 +42,8 @@
 
   /// Delivers the responses held back so far.
   void DeliverResponses();
+  /// Executes the transactions held back so far, whose callers are not told.
+  void ExecuteDelayedRequests();
   /// Writes a row on behalf of another client.
   /// @return the version of the row.
   std::uint64_t Put(const RowKey& aKey, const std::string& aValue);
@@ -51,6 +56,7 @@
   /// Partitions written by each transaction whose response is held back.
   std::vector<std::set<std::string>> inFlightPartitions;
   std::vector<std::function<void()>> pendingResponses;
+  std::vector<Transaction> delayedRequests;
   /// Watching from a lower version fails with @ref ErrorCode::StaleVersion.
   std::uint64_t minWatchVersion = 0;
 };
--- /dev/null
+++ b/Tests/LibCell/TestReportedEnds.cpp
@@ -0,0 +1,69 @@
+#include "CellSchedulerFixture.h"
+
+#include <algorithm>
+
+namespace zinc::cell::test {
+
+namespace {
+
+/// Ends of runs that workers report around changes of leader, lost responses and outages.
+class ReportedEndsTest : public CellSchedulerFixture
+{
+protected:
+  void AddWorker(const std::string& aId, std::int64_t aCores = 4)
+  {
+    this->entries.push_back(this->workers.Add(aId, aCores));
+    if (this->scheduler) {
+      this->scheduler->OnWorkerEntry(this->entries.back());
+    }
+  }
+
+  /// @return the number of ends that the worker keeps until they are acknowledged
+  [[nodiscard]] std::size_t CountKeptEnds(const std::string& aWorker)
+  {
+    return this->workers.At(aWorker).ended.size();
+  }
+
+  void FailLatestRun()
+  {
+    const auto start = this->workers.starts.back();
+    this->workers.End(start.worker.value, start.task, RunOutcome::Failed);
+  }
+};
+
+}
+
+// Guards against a start beyond the last attempt: a new leader finds a task running, and the run
+// ends while another worker that knows of a failure has not reported yet.
+TEST_F(ReportedEndsTest, AnAdoptedTaskWaitsForAllWorkersAfterItsRunHasEnded)
+{
+  this->AddWorker("b");
+  this->AcceptJob(MakeJob("job", 1, 1));
+  this->BeginTerm();
+  this->RunFor(Milliseconds{ 100 });
+  this->store.mode = StoreMode::Unavailable;
+  this->AddWorker("a");
+  this->RunFor(Milliseconds{ 100 });
+  this->FailLatestRun();
+  this->RunFor(Milliseconds{ 200 });
+  ASSERT_EQ(this->workers.starts.size(), 2U);
+  ASSERT_EQ(this->workers.starts.back().worker.value, "a");
+
+  this->store.mode = StoreMode::Available;
+  this->workers.At("b").isReachable = false;
+  this->BeginTerm(true);
+  this->RunFor(Milliseconds{ 200 });
+  for (int failure = 0; failure < 2; ++failure) {
+    this->FailLatestRun();
+    this->RunFor(Milliseconds{ 2000 });
+  }
+  EXPECT_LE(this->workers.starts.size(), 3U) << "b may know of a failure";
+  this->workers.At("b").isReachable = true;
+  this->RunFor(Milliseconds{ 1000 });
+  this->FailLatestRun();
+  this->RunFor(Milliseconds{ 1000 });
+  EXPECT_EQ(this->workers.starts.size(), 3U);
+  EXPECT_EQ(this->StatusOf("job").outcome, JobOutcome::Failed);
+}
+
+}
