LibCell: Hold adopted jobs until all workers have reported

Cause: a task of an adopted job was held back by its phase, Unresolved. A new leader that found a run of the task overwrote the phase; once that run ended, the task could start although another worker was unread, and a failure that only that worker knew of, since it was not stored, was not counted. Change: whether a task may start is a property of its job and of the unread workers (awaitsReports), looked at where candidates for a start are collected, so that no transition of a task undoes it. The phase Unresolved is gone. The test of StepRun's count used it as a phase other than Waiting and uses Placed instead.

--- a/Libraries/LibCell/CellScheduler.cpp
+++ b/Libraries/LibCell/CellScheduler.cpp
@@ -56,7 +56,7 @@
     this->ConfirmCrash(worker->entry.MachineOrId(), worker->entry.incarnation);
   }
   if (!this->HasUnrestrictedUnsyncedWorkers()) {
-    this->ResolveTasks();
+    this->ReleaseHeldJobs();
   }
   this->dependencies.log.Log(LogLevel::Info,
                              "term_begun",
@@ -115,7 +115,7 @@
     this->dependencies.log.Log(
       LogLevel::Info, "predecessor_waited_out", { { "unread", this->unsyncedWorkers.size() } });
     this->unsyncedWorkers.clear();
-    this->ResolveTasks();
+    this->ReleaseHeldJobs();
   }
   this->StopAwaitingUnlistedWorkers();
   this->RenewDueLeases();
--- a/Libraries/LibCell/CellScheduler.h
+++ b/Libraries/LibCell/CellScheduler.h
@@ -69,8 +69,8 @@
   CellScheduler(const CellScheduler&) = delete;
   CellScheduler& operator=(const CellScheduler&) = delete;
 
-  /// Begins the term: adopts the jobs of the store. A task that a predecessor may have started
-  /// stays unresolved until the workers have reported their runs.
+  /// Begins the term: adopts the jobs of the store. Their tasks are held back until the workers
+  /// have reported the predecessor's runs and their ends.
   void BeginTerm(TermSnapshot aSnapshot);
   /// Sets the time until which this instance is certainly the leader. It starts no run and renews
   /// no lease beyond it.
@@ -238,8 +238,8 @@
   void MarkWorkerSynced(const WorkerId& aWorker);
   /// @return true if a run may exist at the worker or may start there before the next leader record
   [[nodiscard]] bool MayHaveRuns(const Worker& aWorker) const;
-  /// Makes unresolved tasks waiting ones if no run of them can exist at an unsynced worker.
-  void ResolveTasks();
+  /// Lets the tasks of jobs start again that can have neither runs nor ends at an unsynced worker.
+  void ReleaseHeldJobs();
   /// @return true if any job may have runs at an unsynced worker
   [[nodiscard]] bool HasUnrestrictedUnsyncedWorkers() const;
   /// Extends the lease on the leader's side.
--- a/Libraries/LibCell/CellSchedulerJobs.cpp
+++ b/Libraries/LibCell/CellSchedulerJobs.cpp
@@ -101,7 +101,7 @@
   const auto age = this->dependencies.wallClock() - job.spec.received;
   const bool isPlausible = age >= Milliseconds{ 0 } && age <= kMaxPlausibleAge;
   job.receivedAt = isPlausible ? now - age : now;
-  job.mayHavePredecessorRuns = this->isAdoptingJobs && !this->unsyncedWorkers.empty();
+  job.awaitsReports = this->isAdoptingJobs && !this->unsyncedWorkers.empty();
   job.workspaceUsage = &this->UsageOf(job.spec.workspace);
   job.isBeyondWeight = !this->TakeWeightToken(job.spec.workspace);
   this->activeJobs.emplace(name->job, &job);
@@ -338,13 +338,6 @@
       const auto& dependency = occurrence.steps[aStep];
       return dependency.succeededTasks == dependency.tasks.size();
     });
-    const bool isUncertain =
-      run.isReady && aJob.mayHavePredecessorRuns && !this->unsyncedWorkers.empty();
-    for (auto& task : run.tasks) {
-      if (isUncertain && task.phase == TaskPhase::Waiting) {
-        run.SetPhase(task, TaskPhase::Unresolved);
-      }
-    }
   }
   this->isPlacementDue = true;
 }
--- a/Libraries/LibCell/CellSchedulerLimits.cpp
+++ b/Libraries/LibCell/CellSchedulerLimits.cpp
@@ -64,10 +64,13 @@
   }
   const auto totalCapacity = largest * static_cast<std::int64_t>(this->unsyncedWorkers.size());
   for (const auto& [id, job] : this->activeJobs) {
+    if (!job->awaitsReports) {
+      continue;
+    }
     for (const auto& [number, occurrence] : job->occurrences) {
       for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
-        const auto count =
-          std::ranges::count(occurrence.steps[step].tasks, TaskPhase::Unresolved, &Task::phase);
+        const auto& run = occurrence.steps[step];
+        const std::int64_t count = run.IsPending() ? run.waitingTasks : 0;
         job->workspaceUsage->unsynced += AllocatedDemand(job->spec.steps[step]) * count;
       }
     }
--- a/Libraries/LibCell/CellSchedulerPlacement.cpp
+++ b/Libraries/LibCell/CellSchedulerPlacement.cpp
@@ -82,6 +82,9 @@
 {
   std::vector<Candidate> candidates;
   for (const auto& [id, job] : this->activeJobs) {
+    if (job->awaitsReports) {
+      continue;
+    }
     const auto& queue = this->CurrentQueuePolicy(*job);
     for (auto& [number, occurrence] : job->occurrences) {
       for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
--- a/Libraries/LibCell/CellSchedulerWorkers.cpp
+++ b/Libraries/LibCell/CellSchedulerWorkers.cpp
@@ -395,22 +395,18 @@
   if (task == nullptr || job->outcome != JobOutcome::Active) {
     return;
   }
-  const bool isCurrent = task->phase == TaskPhase::Placed && task->run == aRun;
-  if (!isCurrent && task->phase != TaskPhase::Unresolved) {
-    return;
+  if (task->recordedStart && task->recordedStart->run == aRun) {
+    task->recordedStart.reset();
+    this->MarkJobChanged(*job);
   }
-  if (task->phase == TaskPhase::Unresolved && !this->unsyncedWorkers.empty()) {
-    // Another run of the task may exist at a worker that has not reported yet.
+  const bool isCurrent = task->phase == TaskPhase::Placed && task->run == aRun;
+  if (!isCurrent) {
     return;
   }
   job->occurrences.at(aTask.key.occurrence)
     .steps[aTask.key.step]
     .SetPhase(*task, TaskPhase::Waiting);
   task->worker = {};
-  if (task->recordedStart && task->recordedStart->run == aRun) {
-    task->recordedStart.reset();
-    this->MarkJobChanged(*job);
-  }
   if (job->spec.steps[aTask.key.step].isService) {
     task->earliestStart = this->dependencies.clock.Now() + kServiceRestartDelay;
   }
@@ -479,8 +475,8 @@
     allocation.workspaceUsage->adopted += allocation.demand;
   }
   aWorker.allocations.push_back(std::move(allocation));
-  const bool isWanted = task != nullptr && job->outcome == JobOutcome::Active &&
-                        (task->phase == TaskPhase::Waiting || task->phase == TaskPhase::Unresolved);
+  const bool isWanted =
+    task != nullptr && job->outcome == JobOutcome::Active && task->phase == TaskPhase::Waiting;
   this->dependencies.log.Log(LogLevel::Info,
                              "run_adopted",
                              { { "job", aActiveRun.task.job.value },
@@ -681,7 +677,7 @@
         { "last", aWorker.value },
         { "draining_unread", this->unsyncedWorkers.size() } });
   }
-  this->ResolveTasks();
+  this->ReleaseHeldJobs();
 }
 
 bool
@@ -693,7 +689,7 @@
 }
 
 void
-CellScheduler::ResolveTasks()
+CellScheduler::ReleaseHeldJobs()
 {
   std::set<JobId> uncertain;
   for (const auto& id : this->unsyncedWorkers) {
@@ -701,19 +697,7 @@
     uncertain.insert(jobs.begin(), jobs.end());
   }
   for (const auto& [id, job] : this->activeJobs) {
-    if (uncertain.contains(id)) {
-      continue;
-    }
-    job->mayHavePredecessorRuns = false;
-    for (auto& [number, occurrence] : job->occurrences) {
-      for (auto& run : occurrence.steps) {
-        for (auto& task : run.tasks) {
-          if (task.phase == TaskPhase::Unresolved) {
-            run.SetPhase(task, TaskPhase::Waiting);
-          }
-        }
-      }
-    }
+    job->awaitsReports = job->awaitsReports && uncertain.contains(id);
   }
   this->isPlacementDue = true;
 }
--- a/Libraries/LibCell/Job.h
+++ b/Libraries/LibCell/Job.h
@@ -30,8 +30,6 @@
 /// Scheduling state of a task.
 enum class TaskPhase : std::uint8_t
 {
-  /// A previous leader may have started it at a worker that has not reported yet.
-  Unresolved,
   Waiting,
   /// Running at a worker, or its start order was sent.
   Placed,
@@ -162,8 +160,9 @@
   bool isCrashSuspect = false;
   /// Workers at which a run of the job failed.
   std::set<WorkerId> failedWorkers;
-  /// Runs that a previous leader started may exist at workers that have not reported yet.
-  bool mayHavePredecessorRuns = false;
+  /// Runs of a previous leader, or ends that it did not store, may exist at workers that have not
+  /// reported yet. No task of the job starts meanwhile.
+  bool awaitsReports = false;
   /// When the request for the job arrived, or when the leader first saw its row if the recorded
   /// time is not plausible.
   TimePoint receivedAt{};
--- a/Tests/LibCell/TestStepAdvice.cpp
+++ b/Tests/LibCell/TestStepAdvice.cpp
@@ -44,7 +44,7 @@
   EXPECT_TRUE(run.IsPending());
   run.SetPhase(run.tasks[0], TaskPhase::Placed);
   run.SetPhase(run.tasks[0], TaskPhase::Succeeded);
-  run.SetPhase(run.tasks[1], TaskPhase::Unresolved);
+  run.SetPhase(run.tasks[1], TaskPhase::Placed);
   run.SetPhase(run.tasks[2], TaskPhase::Placed);
   EXPECT_EQ(run.waitingTasks, 0U);
   EXPECT_FALSE(run.IsPending());
