LibCell: Keep an adopted run until its predecessor's lease has expired

Cause: a new leader counted only the leases that it granted itself. A worker that was cut off after its first report, before the first lease, had its runs released after 1.2 s of silence, and was left out of the next leader record once it was unlisted, although the predecessor's lease goes on for seconds. Change: an adopted run keeps its worker's lease at least until all leases of the predecessors have expired. Evidence: ARunKeepsItsPlaceUntilThePredecessorsLeaseHasExpired failed before.

--- a/Libraries/LibCell/CellSchedulerWorkers.cpp
+++ b/Libraries/LibCell/CellSchedulerWorkers.cpp
@@ -475,6 +475,8 @@
     allocation.workspaceUsage->adopted += allocation.demand;
   }
   aWorker.allocations.push_back(std::move(allocation));
+  // A predecessor's lease lasts until then, even if this leader has not granted one yet.
+  aWorker.leaseExpiry = std::max(aWorker.leaseExpiry, this->priorLeasesExpiry);
   const bool isWanted =
     task != nullptr && job->outcome == JobOutcome::Active && task->phase == TaskPhase::Waiting;
   this->dependencies.log.Log(LogLevel::Info,
--- a/Tests/LibCell/TestReportedEnds.cpp
+++ b/Tests/LibCell/TestReportedEnds.cpp
@@ -66,4 +66,27 @@
   EXPECT_EQ(this->StatusOf("job").outcome, JobOutcome::Failed);
 }
 
+// Guards against a second run beside one that goes on: a new leader finds the run, and the worker
+// is cut off before that leader has granted it a lease. The predecessor's lease still holds.
+TEST_F(ReportedEndsTest, ARunKeepsItsPlaceUntilThePredecessorsLeaseHasExpired)
+{
+  this->AddWorker("w1");
+  this->AddWorker("w2");
+  this->AcceptJob(MakeJob("job", 1, 1));
+  this->BeginTerm();
+  this->RunFor(Milliseconds{ 500 });
+  ASSERT_EQ(this->workers.starts.size(), 1U);
+  auto& worker = this->workers.At(this->workers.starts.front().worker.value);
+  this->BeginTerm(true, this->options.LeaseExpiryBound());
+  // The first report: the run is adopted, and no lease is granted yet.
+  this->workers.Deliver();
+  worker.isReachable = false;
+  this->scheduler->OnWorkerUnlisted(worker.entry.id);
+  EXPECT_EQ(this->scheduler->WorkersToPublish().size(), 2U) << "a further leader has to read it";
+  this->RunFor(Milliseconds{ 4000 });
+  EXPECT_EQ(this->workers.starts.size(), 1U);
+  this->RunFor(Milliseconds{ 4000 });
+  EXPECT_EQ(this->workers.starts.size(), 2U) << "the lease has expired";
+}
+
 }
