LibCell: Acknowledge no end before what it repeats is stored

Cause: an end that changed nothing was acknowledged at once. It may change nothing because the same failure, or the success of its gang, is in memory and not stored yet. If the leader then goes, and with it the worker that reported first, nobody knows of the end. Change: every end waits until the state of its job as of that end is stored. Evidence: AFailureThatIsReportedAgainIsAcknowledgedOnlyOnceItIsStored and NoEndOfAGangIsAcknowledgedBeforeItsSuccessIsStored failed before; the latter ran a gang again that had succeeded. Measured: TestCell passes.

--- a/Libraries/LibCell/CellSchedulerRecords.cpp
+++ b/Libraries/LibCell/CellSchedulerRecords.cpp
@@ -262,8 +262,8 @@
   while (!aWorker.unacknowledgedEnds.empty()) {
     const auto& end = aWorker.unacknowledgedEnds.front();
     const auto* job = this->FindJob(end.job);
-    const bool isDurable = end.changeCount == 0 || job == nullptr ||
-                           job->durableChangeCount >= end.changeCount || job->isOutcomeDurable;
+    const bool isDurable =
+      job == nullptr || job->durableChangeCount >= end.changeCount || job->isOutcomeDurable;
     if (!isDurable) {
       break;
     }
--- a/Libraries/LibCell/CellSchedulerWorkers.cpp
+++ b/Libraries/LibCell/CellSchedulerWorkers.cpp
@@ -319,18 +319,13 @@
   }
   auto* job = this->FindJob(aEnd.task.job);
   auto* task = job != nullptr ? this->FindTask(*job, aEnd.task.key) : nullptr;
-  std::uint64_t changeCount = 0;
   if (task != nullptr && job->outcome == JobOutcome::Active) {
-    const auto previousCount = job->changeCount;
     this->ApplyRunEnd(aWorker, *job, *task, aEnd);
-    changeCount = job->changeCount > previousCount ? job->changeCount : 0;
-  } else if (job != nullptr && !job->isOutcomeDurable) {
-    changeCount = job->changeCount;
   }
   aWorker.unacknowledgedEnds.push_back({ .sequence = aEnd.sequence,
                                          .job = aEnd.task.job,
                                          .hasFailed = aEnd.outcome == RunOutcome::Failed,
-                                         .changeCount = changeCount });
+                                         .changeCount = job != nullptr ? job->changeCount : 0 });
   this->workersWithEnds.insert(aWorker.number);
   if (aEnd.outcome != RunOutcome::Succeeded) {
     this->dependencies.log.Log(
--- a/Libraries/LibCell/Worker.h
+++ b/Libraries/LibCell/Worker.h
@@ -124,7 +124,8 @@
   JobId job;
   /// The run failed.
   bool hasFailed = false;
-  /// Change count of the job that must be stored first; 0 if nothing has to be stored.
+  /// Change count of the job that must be stored first. An end that changes nothing may repeat one
+  /// that is not stored yet.
   std::uint64_t changeCount = 0;
 };
 
--- a/Tests/LibCell/TestReportedEnds.cpp
+++ b/Tests/LibCell/TestReportedEnds.cpp
@@ -89,4 +89,56 @@
   EXPECT_EQ(this->workers.starts.size(), 2U) << "the lease has expired";
 }
 
+// Guards against a lost failure: a worker reports it again after the leader has forgotten the
+// worker, while the store is away.
+TEST_F(ReportedEndsTest, AFailureThatIsReportedAgainIsAcknowledgedOnlyOnceItIsStored)
+{
+  this->AddWorker("w1");
+  this->AcceptJob(MakeJob("job", 1, 1));
+  this->BeginTerm();
+  this->RunFor(Milliseconds{ 100 });
+  ASSERT_EQ(this->workers.starts.size(), 1U);
+  this->store.mode = StoreMode::Unavailable;
+  this->scheduler->OnWorkerUnlisted({ "w1" });
+  this->FailLatestRun();
+  this->RunFor(Milliseconds{ 100 });
+  this->workers.At("w1").isReachable = false;
+  this->RunFor(this->options.LeaseExpiryBound() + this->options.workerRemovalDelay * 2);
+  ASSERT_TRUE(this->workers.disconnected.contains({ "w1" }));
+  this->workers.At("w1").isReachable = true;
+  this->scheduler->OnWorkerEntry(this->entries.front());
+  this->RunFor(Milliseconds{ 1000 });
+  EXPECT_EQ(this->CountKeptEnds("w1"), 1U) << "the failure is not stored";
+  this->store.mode = StoreMode::Available;
+  this->RunFor(Milliseconds{ 1000 });
+  EXPECT_EQ(this->CountKeptEnds("w1"), 0U);
+}
+
+// Guards against running a gang again that has succeeded: one end represents all members, and the
+// others were acknowledged before the success was stored.
+TEST_F(ReportedEndsTest, NoEndOfAGangIsAcknowledgedBeforeItsSuccessIsStored)
+{
+  this->AddWorker("w1");
+  this->AddWorker("w2");
+  auto gang = MakeJob("gang", 2, 4);
+  gang.steps.front().isGang = true;
+  gang.steps.push_back({ .count = 1, .demand = { .milliCores = 8000 }, .dependsOn = { 0 } });
+  this->AcceptJob(gang);
+  this->BeginTerm();
+  this->RunFor(Milliseconds{ 100 });
+  ASSERT_EQ(this->workers.starts.size(), 2U);
+  this->store.mode = StoreMode::Unavailable;
+  this->workers.EndAll();
+  this->RunFor(Milliseconds{ 1000 });
+  EXPECT_EQ(this->CountKeptEnds("w1"), 1U);
+  EXPECT_EQ(this->CountKeptEnds("w2"), 1U);
+
+  // The worker whose end was read first is gone when the next leader takes over.
+  this->workers.Crash("w1");
+  this->store.mode = StoreMode::Available;
+  this->BeginTerm(true);
+  this->RunFor(Milliseconds{ 10'000 });
+  EXPECT_EQ(this->CountStarts("gang"), 2U);
+}
+
 }
