LibCell: Create the occurrences before one that has progress

Cause: a new leader whose clock is behind creates the occurrence that a progress row names, and counts on from there. Those before it, which were not due yet by its clock and had no progress of their own, were never created. Change: creating an occurrence creates those before it. Evidence: RunsTheOccurrencesBeforeTheOneThatHasProgress failed before: of three occurrences only the last ran. Measured: TestCell passes.

--- a/Libraries/LibCell/CellScheduler.h
+++ b/Libraries/LibCell/CellScheduler.h
@@ -132,8 +132,10 @@
   void ApplyCancellation(const JobId& aJob);
   /// Creates the occurrences of a job whose due time has come.
   void StartDueOccurrences(Job& aJob);
-  /// @return the occurrence, which is created with all its tasks waiting if it does not exist yet.
+  /// @return the occurrence; creates it and those before it that do not exist yet
   OccurrenceRun& FindOrCreateOccurrence(Job& aJob, std::uint32_t aNumber);
+  /// Creates an occurrence with all its tasks waiting.
+  void CreateOccurrence(Job& aJob, std::uint32_t aNumber);
   /// Marks the steps whose dependencies have succeeded.
   void MarkReadySteps(Job& aJob, std::uint32_t aOccurrence);
   /// Marks a task as succeeded; of a gang, the whole step.
--- a/Libraries/LibCell/CellSchedulerJobs.cpp
+++ b/Libraries/LibCell/CellSchedulerJobs.cpp
@@ -283,12 +283,17 @@
 OccurrenceRun&
 CellScheduler::FindOrCreateOccurrence(Job& aJob, std::uint32_t aNumber)
 {
-  const auto [found, isNew] = aJob.occurrences.try_emplace(aNumber);
-  auto& occurrence = found->second;
-  if (!isNew) {
-    return occurrence;
+  // By a clock that is ahead an occurrence may have started before the ones up to it are due here.
+  while (aJob.occurrencesStarted <= aNumber) {
+    this->CreateOccurrence(aJob, aJob.occurrencesStarted++);
   }
-  aJob.occurrencesStarted = std::max(aJob.occurrencesStarted, aNumber + 1);
+  return aJob.occurrences.at(aNumber);
+}
+
+void
+CellScheduler::CreateOccurrence(Job& aJob, std::uint32_t aNumber)
+{
+  auto& occurrence = aJob.occurrences[aNumber];
   occurrence.steps.resize(aJob.spec.steps.size());
   for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
     occurrence.steps[step].CreateTasks(aJob.spec.steps[step].count);
@@ -298,7 +303,6 @@
     start + ComputeObjective(this->CurrentQueuePolicy(aJob), std::ranges::max(aJob.criticalPaths));
   occurrence.deadline = start + (occurrence.objective - start) * kDeadlineFactor;
   this->MarkReadySteps(aJob, aNumber);
-  return occurrence;
 }
 
 void
--- a/Tests/LibCell/TestReportedEnds.cpp
+++ b/Tests/LibCell/TestReportedEnds.cpp
@@ -1,6 +1,6 @@
 #include "CellSchedulerFixture.h"
 
-#include <algorithm>
+#include <set>
 
 namespace zinc::cell::test {
 
@@ -141,4 +141,28 @@
   EXPECT_EQ(this->CountStarts("gang"), 2U);
 }
 
+// Guards against an occurrence that is never run: only a later one has progress in the store, and
+// none is due yet by the new leader's clock.
+TEST_F(ReportedEndsTest, RunsTheOccurrencesBeforeTheOneThatHasProgress)
+{
+  this->AddWorker("w1");
+  auto timed = MakeJob("timed", 1, 1);
+  timed.occurrences = 3;
+  timed.interval = Milliseconds{ 10 };
+  timed.firstDue = WallTime{ Milliseconds{ 100 } };
+  this->wallTime = WallTime{ Milliseconds{ 50 } };
+  this->AcceptJob(timed);
+  this->store.Put(JobRowKey({ "timed" }, JobRowKind::Progress),
+                  EncodeProgress({ .hasStarted = true,
+                                   .tasks = { { .key = { 2, 0, 0 }, .failedRuns = { 1 } } } }));
+  this->BeginTerm();
+  this->wallTime = WallTime{ Milliseconds{ 200 } };
+  this->RunFor(Milliseconds{ 500 });
+  std::set<std::uint32_t> started;
+  for (const auto& start : this->workers.starts) {
+    started.insert(start.task.key.occurrence);
+  }
+  EXPECT_EQ(started, (std::set<std::uint32_t>{ 0, 1, 2 }));
+}
+
 }
