LibCell: Know the occurrences that workers report

Cause: a leader whose clock is behind its predecessor's does not have the occurrence of a reported run yet. It stopped the run as unwanted, and acknowledged an end at once without counting it, then ran the task again when the occurrence was due by its own clock. Change: a report of a run creates the occurrence, if the job has as many. Evidence: CountsTheEndOfAnOccurrenceThatIsNotDueByTheNextLeadersClock and AdoptsTheRunOfAnOccurrenceThatIsNotDueByTheNextLeadersClock failed before. Measured: TestCell passes.

--- a/Libraries/LibCell/CellSchedulerJobs.cpp
+++ b/Libraries/LibCell/CellSchedulerJobs.cpp
@@ -33,6 +33,17 @@
   return &occurrence->second.steps[aKey.step].tasks[aKey.index];
 }
 
+Task*
+CellScheduler::FindReportedTask(const TaskName& aTask)
+{
+  auto* job = this->FindJob(aTask.job);
+  if (job != nullptr && job->outcome == JobOutcome::Active &&
+      aTask.key.occurrence < job->TotalOccurrences()) {
+    this->FindOrCreateOccurrence(*job, aTask.key.occurrence);
+  }
+  return this->FindTask(aTask);
+}
+
 Task*
 CellScheduler::FindTask(const TaskName& aTask)
 {
--- a/Libraries/LibCell/CellSchedulerWorkers.cpp
+++ b/Libraries/LibCell/CellSchedulerWorkers.cpp
@@ -318,7 +318,7 @@
     this->ReleaseAllocation(aWorker, aEnd.task, aEnd.run);
   }
   auto* job = this->FindJob(aEnd.task.job);
-  auto* task = job != nullptr ? this->FindTask(*job, aEnd.task.key) : nullptr;
+  auto* task = this->FindReportedTask(aEnd.task);
   if (task != nullptr && job->outcome == JobOutcome::Active) {
     this->ApplyRunEnd(aWorker, *job, *task, aEnd);
   }
@@ -440,7 +440,7 @@
 {
   const auto now = this->dependencies.clock.Now();
   auto* job = this->FindJob(aActiveRun.task.job);
-  auto* task = job != nullptr ? this->FindTask(*job, aActiveRun.task.key) : nullptr;
+  auto* task = this->FindReportedTask(aActiveRun.task);
   Allocation allocation{ .task = aActiveRun.task,
                          .run = aActiveRun.run,
                          .phase = RunPhase::Running,
--- a/Tests/LibCell/TestReportedEnds.cpp
+++ b/Tests/LibCell/TestReportedEnds.cpp
@@ -24,6 +24,18 @@
     return this->workers.At(aWorker).ended.size();
   }
 
+  /// @return a job "timed" of one task, due for the first time at 100 ms
+  [[nodiscard]] static JobSpecification MakeTimedJob(std::uint32_t aOccurrences,
+                                                     Milliseconds aInterval = Milliseconds{
+                                                       60'000 })
+  {
+    auto timed = MakeJob("timed", 1, 1);
+    timed.occurrences = aOccurrences;
+    timed.interval = aInterval;
+    timed.firstDue = WallTime{ Milliseconds{ 100 } };
+    return timed;
+  }
+
   void FailLatestRun()
   {
     const auto start = this->workers.starts.back();
@@ -146,12 +158,8 @@
 TEST_F(ReportedEndsTest, RunsTheOccurrencesBeforeTheOneThatHasProgress)
 {
   this->AddWorker("w1");
-  auto timed = MakeJob("timed", 1, 1);
-  timed.occurrences = 3;
-  timed.interval = Milliseconds{ 10 };
-  timed.firstDue = WallTime{ Milliseconds{ 100 } };
   this->wallTime = WallTime{ Milliseconds{ 50 } };
-  this->AcceptJob(timed);
+  this->AcceptJob(MakeTimedJob(3, Milliseconds{ 10 }));
   this->store.Put(JobRowKey({ "timed" }, JobRowKind::Progress),
                   EncodeProgress({ .hasStarted = true,
                                    .tasks = { { .key = { 2, 0, 0 }, .failedRuns = { 1 } } } }));
@@ -165,4 +173,44 @@
   EXPECT_EQ(started, (std::set<std::uint32_t>{ 0, 1, 2 }));
 }
 
+// Guards against a second run of an occurrence: the next leader's clock is behind, so that the
+// occurrence is not due there yet when a worker reports its run.
+TEST_F(ReportedEndsTest, CountsTheEndOfAnOccurrenceThatIsNotDueByTheNextLeadersClock)
+{
+  this->AddWorker("w1");
+  this->wallTime = WallTime{ Milliseconds{ 200 } };
+  this->AcceptJob(MakeTimedJob(2));
+  this->BeginTerm();
+  this->RunFor(Milliseconds{ 100 });
+  ASSERT_EQ(this->CountStarts("timed"), 1U);
+  this->store.mode = StoreMode::Unavailable;
+  this->workers.EndAll();
+  this->RunFor(Milliseconds{ 100 });
+
+  this->store.mode = StoreMode::Available;
+  this->wallTime = WallTime{ Milliseconds{ 50 } };
+  this->BeginTerm(true);
+  this->RunFor(Milliseconds{ 500 });
+  this->wallTime = WallTime{ Milliseconds{ 200 } };
+  this->RunFor(Milliseconds{ 1000 });
+  EXPECT_EQ(this->CountStarts("timed"), 1U);
+}
+
+// The same while the run goes on: it is not to be stopped.
+TEST_F(ReportedEndsTest, AdoptsTheRunOfAnOccurrenceThatIsNotDueByTheNextLeadersClock)
+{
+  this->AddWorker("w1");
+  this->wallTime = WallTime{ Milliseconds{ 200 } };
+  this->AcceptJob(MakeTimedJob(2));
+  this->BeginTerm();
+  this->RunFor(Milliseconds{ 100 });
+  ASSERT_EQ(this->CountStarts("timed"), 1U);
+
+  this->wallTime = WallTime{ Milliseconds{ 50 } };
+  this->BeginTerm(true);
+  this->RunFor(Milliseconds{ 500 });
+  EXPECT_TRUE(this->workers.stops.empty());
+  EXPECT_EQ(this->workers.At("w1").running.size(), 1U);
+}
+
 }
