LibCell: Give up a task whose stored failures reach the limit

Cause: only a newly reported failure was compared with the limit. The merge of a progress row added failures and started the task again. Change: the merge compares, too. A task that has succeeded is left as it is. Evidence: EndsAJobWhoseStoredFailuresReachTheLimit failed before. Measured: TestCell passes.

--- a/Libraries/LibCell/CellScheduler.h
+++ b/Libraries/LibCell/CellScheduler.h
@@ -146,6 +146,8 @@
   [[nodiscard]] Task& FindCountedTask(Job& aJob, const TaskKey& aKey);
   /// Counts a failed run, and fails the job after too many.
   void RecordFailedRun(Job& aJob, const TaskKey& aKey, std::uint64_t aRun);
+  /// Fails the job if its task has failed too often.
+  void GiveUpFailingTask(Job& aJob, const TaskKey& aKey);
   /// Sets the outcome of an active job and stops its runs.
   void EndJob(Job& aJob, JobOutcome aOutcome, std::string_view aReason);
   void StopAllRuns(Job& aJob);
--- a/Libraries/LibCell/CellSchedulerJobs.cpp
+++ b/Libraries/LibCell/CellSchedulerJobs.cpp
@@ -275,6 +275,8 @@
     }
     if (record.hasSucceeded) {
       this->MarkTaskSucceeded(aJob, record.key);
+    }
+    if (task->phase == TaskPhase::Succeeded) {
       continue;
     }
     task->failedRuns.insert(record.failedRuns.begin(), record.failedRuns.end());
@@ -288,6 +290,9 @@
     if (task->checkpoint.empty()) {
       task->checkpoint = record.checkpoint;
     }
+    if (!aJob.spec.steps[record.key.step].isService) {
+      this->GiveUpFailingTask(aJob, record.key);
+    }
   }
 }
 
@@ -420,15 +425,20 @@
     return;
   }
   this->MarkJobChanged(aJob);
-  if (task.failedRuns.size() >= std::max(1U, this->CurrentQueuePolicy(aJob).maxAttempts)) {
-    this->EndJob(aJob,
-                 JobOutcome::Failed,
-                 fmt::format("task {}.{}.{} failed {} times",
-                             aKey.occurrence,
-                             aKey.step,
-                             aKey.index,
-                             task.failedRuns.size()));
+  this->GiveUpFailingTask(aJob, aKey);
+}
+
+void
+CellScheduler::GiveUpFailingTask(Job& aJob, const TaskKey& aKey)
+{
+  const auto failures = this->FindCountedTask(aJob, aKey).failedRuns.size();
+  if (failures < std::max(1U, this->CurrentQueuePolicy(aJob).maxAttempts)) {
+    return;
   }
+  this->EndJob(
+    aJob,
+    JobOutcome::Failed,
+    fmt::format("task {}.{}.{} failed {} times", aKey.occurrence, aKey.step, aKey.index, failures));
 }
 
 void
--- a/Tests/LibCell/TestReportedEnds.cpp
+++ b/Tests/LibCell/TestReportedEnds.cpp
@@ -213,4 +213,20 @@
   EXPECT_EQ(this->workers.At("w1").running.size(), 1U);
 }
 
+// Guards against a start beyond the last attempt: the failures come together by the merge of a
+// stored row, or the row holds as many as a lowered limit allows.
+TEST_F(ReportedEndsTest, EndsAJobWhoseStoredFailuresReachTheLimit)
+{
+  this->AddWorker("w1");
+  this->AcceptJob(MakeJob("job", 1, 1));
+  this->store.Put(
+    JobRowKey({ "job" }, JobRowKind::Progress),
+    EncodeProgress(
+      { .hasStarted = true, .tasks = { { .key = { 0, 0, 0 }, .failedRuns = { 1, 2, 3 } } } }));
+  this->BeginTerm();
+  this->RunFor(Milliseconds{ 500 });
+  EXPECT_EQ(this->CountStarts("job"), 0U);
+  EXPECT_EQ(this->StatusOf("job").outcome, JobOutcome::Failed);
+}
+
 }
