LibCell: Take no run for lost while its worker has more ends to list

Cause: a worker lists at most 500 ends, and the next ones once these are acknowledged. A run in neither list was taken for one that does not exist, and the worker for one that has reported everything. Change: a report says whether the worker may have more ends; until it has none, no run of it is absent, and a new leader still waits for it. Evidence: ARunWhoseEndIsNotListedYetIsNotStartedAgain failed before, with a worker that lists one end at a time.

--- a/Libraries/LibCell/CellSchedulerWorkers.cpp
+++ b/Libraries/LibCell/CellSchedulerWorkers.cpp
@@ -291,7 +291,9 @@
   }
   this->ReconcileAllocations(aWorker, aSent, aReport);
   this->rankings.OnReport(aWorker, now);
-  this->MarkWorkerSynced(aWorker.entry.id);
+  if (!aReport.hasMoreEnds) {
+    this->MarkWorkerSynced(aWorker.entry.id);
+  }
   this->AdvanceAcknowledgementsOf(aWorker);
   this->StopStalledRuns(aWorker);
   this->ThrottleBestEffortTasks(aWorker);
@@ -509,8 +511,9 @@
     if (allocation.phase == RunPhase::Uncertain) {
       // The start may still take effect; a stop prevents it.
       this->StopRun(aWorker, allocation, "start_unanswered");
-    } else if (allocation.phase == RunPhase::Running ||
-               (allocation.phase == RunPhase::Stopping && allocation.isStopAccepted)) {
+    } else if (!aReport.hasMoreEnds &&
+               (allocation.phase == RunPhase::Running ||
+                (allocation.phase == RunPhase::Stopping && allocation.isStopAccepted))) {
       absentRuns.emplace_back(allocation.task, allocation.run);
     }
   }
--- a/Libraries/LibCell/Ports.h
+++ b/Libraries/LibCell/Ports.h
@@ -202,6 +202,8 @@
   std::int64_t incarnation = 0;
   std::vector<ActiveRun> activeRuns;
   std::vector<EndedRun> endedRuns;
+  /// The worker has further ends, which it lists once these are acknowledged.
+  bool hasMoreEnds = false;
 };
 
 /// The worker that an order is sent to, and the sender's fencing token.
--- a/Tests/LibCell/SimulatedWorkers.cpp
+++ b/Tests/LibCell/SimulatedWorkers.cpp
@@ -85,7 +85,9 @@
 {
   WorkerReport report{ .clockMs = this->clock.Now().time_since_epoch().count() + kClockOffset,
                        .incarnation = aWorker.entry.incarnation,
-                       .endedRuns = aWorker.ended };
+                       .endedRuns = aWorker.ended,
+                       .hasMoreEnds = aWorker.ended.size() > this->maxReportedEnds };
+  report.endedRuns.resize(std::min(report.endedRuns.size(), this->maxReportedEnds));
   for (const auto& [key, entry] : aWorker.running) {
     report.activeRuns.push_back(entry);
     report.activeRuns.back().progressPercent = aWorker.stalledPercent;
--- a/Tests/LibCell/SimulatedWorkers.h
+++ b/Tests/LibCell/SimulatedWorkers.h
@@ -123,6 +123,8 @@
   int startsToLose = 0;
   /// Number of starts rejected by @ref rejectsTask.
   std::size_t rejections = 0;
+  /// Ends that a report lists at most.
+  std::size_t maxReportedEnds = 500;
   Milliseconds crashDelay{ 100 };
   Milliseconds restartDelay{ 2000 };
   /// Time from a restart until the new incarnation carries out start orders that were delayed.
--- a/Tests/LibCell/TestReportedEnds.cpp
+++ b/Tests/LibCell/TestReportedEnds.cpp
@@ -229,4 +229,30 @@
   EXPECT_EQ(this->StatusOf("job").outcome, JobOutcome::Failed);
 }
 
+// Guards against a start beyond the last attempt, and a second run: a report does not hold all ends
+// of its worker, and a run in neither list was taken for one that does not exist.
+TEST_F(ReportedEndsTest, ARunWhoseEndIsNotListedYetIsNotStartedAgain)
+{
+  this->policy.routes.front().queue.maxAttempts = 1;
+  this->workers.maxReportedEnds = 1;
+  this->AddWorker("w1");
+  this->AcceptJob(MakeJob("first", 1, 1));
+  this->AcceptJob(MakeJob("second", 1, 1));
+  this->BeginTerm();
+  this->RunFor(Milliseconds{ 100 });
+  ASSERT_EQ(this->workers.starts.size(), 2U);
+  this->store.mode = StoreMode::Unavailable;
+  this->workers.EndAll(RunOutcome::Failed);
+  this->RunFor(Milliseconds{ 1000 });
+  EXPECT_EQ(this->workers.starts.size(), 2U);
+  this->BeginTerm(true);
+  this->RunFor(Milliseconds{ 1000 });
+  EXPECT_EQ(this->workers.starts.size(), 2U) << "the next leader has read one of the ends";
+  this->store.mode = StoreMode::Available;
+  this->RunFor(Milliseconds{ 1000 });
+  EXPECT_EQ(this->workers.starts.size(), 2U);
+  EXPECT_EQ(this->StatusOf("first").outcome, JobOutcome::Failed);
+  EXPECT_EQ(this->StatusOf("second").outcome, JobOutcome::Failed);
+}
+
 }
--- a/Tests/Platform/TestDecoders.cpp
+++ b/Tests/Platform/TestDecoders.cpp
@@ -1,4 +1,5 @@
 #include <LibPlatform/Json.h>
+#include <fmt/format.h>
 #include <gtest/gtest.h>
 #include <json/json.h>
 #include <platform/Base64.h>
@@ -178,6 +179,23 @@
   EXPECT_EQ(ValueOf(report).endedRuns[1].outcome, cell::RunOutcome::LeaseExpired);
 }
 
+// Guards against taking a run for lost whose end is not listed yet.
+TEST(Decoders, AFullListOfEndsMayHaveMore)
+{
+  for (const std::size_t count : { 0, 499, 500 }) {
+    std::string rows;
+    for (std::size_t number = 1; number <= count; ++number) {
+      rows += fmt::format(
+        R"({}[{},"0123456789abcdef.0.0.{}",1,"done",""])", number > 1 ? "," : "", number, number);
+    }
+    std::size_t unreadable = 0;
+    const auto report = DecodeReport(R"({"ClockMs":5,"Ended":[)" + rows + "]}", unreadable);
+    ASSERT_FALSE(IsError(report));
+    EXPECT_EQ(ValueOf(report).endedRuns.size(), count);
+    EXPECT_EQ(ValueOf(report).hasMoreEnds, count == 500);
+  }
+}
+
 TEST(Decoders, TaskNamesRoundTrip)
 {
   const cell::TaskName name{ { "0123456789abcdef" }, { 3, 1, 42 } };
