--- a/Libraries/LibCell/CellScheduler.cpp
+++ b/Libraries/LibCell/CellScheduler.cpp
@@ -24,56 +24,6 @@
 
 CellScheduler::~CellScheduler() = default;
 
-void
-CellScheduler::BeginTerm(TermSnapshot aSnapshot)
-{
-  const auto now = this->dependencies.clock.Now();
-  this->termBegin = now;
-  this->fencingToken = aSnapshot.fencingToken;
-  this->inheritedDrainingJobs = std::move(aSnapshot.drainingJobs);
-  if (aSnapshot.hadPredecessor) {
-    this->unsyncedWorkers.insert(aSnapshot.previousWorkers.begin(),
-                                 aSnapshot.previousWorkers.end());
-  }
-  // A predecessor that renewed its record within the row timeout was connected to the store. It had
-  // no contact with workers from which the store received no heartbeat for that time.
-  if (aSnapshot.predecessorRecordAge &&
-      *aSnapshot.predecessorRecordAge < this->options.workerRowTimeout) {
-    this->presumedGoneWorkers = this->unsyncedWorkers;
-    this->olderLeasesExpiry = aSnapshot.olderLeasesExpiry;
-  }
-  for (const auto& entry : aSnapshot.workers) {
-    this->presumedGoneWorkers.erase(entry.id);
-    this->OnWorkerEntry(entry);
-    if (aSnapshot.hadPredecessor) {
-      this->unsyncedWorkers.insert(entry.id);
-    }
-  }
-  this->isAdoptingJobs = true;
-  this->OnJobRows(aSnapshot.jobRows);
-  this->isAdoptingJobs = false;
-  for (const auto* worker : this->workers.All()) {
-    this->ConfirmCrash(worker->entry.MachineOrId(), worker->entry.incarnation);
-  }
-  if (!this->HasUnrestrictedUnsyncedWorkers()) {
-    this->ReleaseHeldJobs();
-  }
-  this->dependencies.log.Log(LogLevel::Info,
-                             "term_begun",
-                             { { "token", this->fencingToken },
-                               { "jobs", this->jobs.size() },
-                               { "active", this->activeJobs.size() },
-                               { "workers", this->workers.Size() },
-                               { "to_read", this->unsyncedWorkers.size() } });
-  this->Tick();
-}
-
-void
-CellScheduler::SetPriorLeasesExpiry(TimePoint aExpiry)
-{
-  this->priorLeasesExpiry = aExpiry;
-}
-
 void
 CellScheduler::SetPolicy(std::shared_ptr<const CellPolicy> aPolicy)
 {
@@ -173,12 +123,6 @@
   this->dependencies.onLeadershipLost();
 }
 
-Milliseconds
-CellScheduler::RemainingRecoveryTime() const
-{
-  return std::max(Milliseconds{ 0 }, this->priorLeasesExpiry - this->dependencies.clock.Now());
-}
-
 JobStatus
 CellScheduler::StatusOf(const JobId& aJob) const
 {
