--- a/Libraries/LibCell/CellScheduler.h
+++ b/Libraries/LibCell/CellScheduler.h
@@ -159,8 +159,8 @@
   [[nodiscard]] Task* FindTask(Job& aJob, const TaskKey& aKey);
   /// @return the task, or null if its job is unknown or it does not exist
   [[nodiscard]] Task* FindTask(const TaskName& aTask);
-  /// The same for a task of which a worker reports a run: its occurrence has started, even if it is
-  /// not due yet by this leader's clock.
+  /// Does the same for a task of which a worker reports a run. Creates its occurrence, which has
+  /// started even if it is not due yet by this leader's clock.
   [[nodiscard]] Task* FindReportedTask(const TaskName& aTask);
   /// @return the job, or null if it is unknown.
   [[nodiscard]] Job* FindJob(const JobId& aJob);
--- a/Libraries/LibCell/CellSchedulerJobs.cpp
+++ b/Libraries/LibCell/CellSchedulerJobs.cpp
@@ -299,7 +299,7 @@
 OccurrenceRun&
 CellScheduler::FindOrCreateOccurrence(Job& aJob, std::uint32_t aNumber)
 {
-  // By a clock that is ahead an occurrence may have started before the ones up to it are due here.
+  // A predecessor whose clock was ahead may have started occurrences that are not due here yet.
   while (aJob.occurrencesStarted <= aNumber) {
     this->CreateOccurrence(aJob, aJob.occurrencesStarted++);
   }
