LibCell: Wait for unlisted workers that were in touch with the predecessor

Cause: the row of such a worker expires, while its leader goes on renewing its lease. The next leader finds no row, so that it cannot call the worker, and presumed it gone after the time that covers a worker which is cut off from everything. Tasks that ran or had succeeded there were started again. Change: the leader record names the workers without a row whose last lease is younger than the row timeout. A successor, and the one after it, waits for them until all leases of its predecessors have expired. Evidence: WaitsForAnUnlistedWorkerThatWasInTouchWithThePredecessor.

--- a/Libraries/LibCell/CellScheduler.cpp
+++ b/Libraries/LibCell/CellScheduler.cpp
@@ -197,6 +197,29 @@
   return draining;
 }
 
+std::vector<std::string>
+CellScheduler::UnlistedWorkersToPublish() const
+{
+  std::vector<std::string> names;
+  for (const auto& id : this->unsyncedWorkers) {
+    if (this->inheritedUnlistedWorkers.contains(id)) {
+      names.push_back(id.value);
+    }
+  }
+  // A worker that is cut off from everything got its last lease before its row expired.
+  const auto oldestLeaseExpiry = this->dependencies.clock.Now() + this->options.LeaseExpiryBound() -
+                                 this->options.workerRowTimeout;
+  for (const auto* worker : this->workers.All()) {
+    const bool isInTouch = worker->leaseExpiry > oldestLeaseExpiry;
+    if (!worker->isListed && isInTouch && this->MayHaveRuns(*worker)) {
+      names.push_back(worker->entry.id.value);
+    }
+  }
+  std::ranges::sort(names);
+  names.erase(std::unique(names.begin(), names.end()), names.end());
+  return names;
+}
+
 std::vector<std::string>
 CellScheduler::WorkersToPublish()
 {
--- a/Libraries/LibCell/CellScheduler.h
+++ b/Libraries/LibCell/CellScheduler.h
@@ -103,6 +103,9 @@
   /// @return the draining workers and the jobs that may have runs there, for the leader record. The
   /// next leader need not wait for them to place tasks of other jobs.
   [[nodiscard]] DrainingJobs DrainingJobsToPublish() const;
+  /// @return the workers without a row that are in touch with this leader or were in touch with its
+  /// predecessor, for the leader record. They may go on although nothing lists them.
+  [[nodiscard]] std::vector<std::string> UnlistedWorkersToPublish() const;
   /// @return the other workers at which a run may exist or may start, for the leader record.
   /// Workers that are left out get no tasks until they have been published again.
   [[nodiscard]] std::vector<std::string> WorkersToPublish();
@@ -459,6 +462,9 @@
   DrainingJobs inheritedDrainingJobs;
   /// Unsynced workers without a row since the term began. They count as ended after a timeout.
   std::set<WorkerId> presumedGoneWorkers;
+  /// Workers without a row that were in touch with the predecessor. Those that are unsynced may run
+  /// until all its leases have expired.
+  std::set<WorkerId> inheritedUnlistedWorkers;
   TimePoint olderLeasesExpiry{};
   /// Since then all changes of workers' rows have been read.
   TimePoint workerRowsCurrentSince{};
--- a/Libraries/LibCell/CellSchedulerTakeover.cpp
+++ b/Libraries/LibCell/CellSchedulerTakeover.cpp
@@ -16,11 +16,17 @@
     this->unsyncedWorkers.insert(aSnapshot.previousWorkers.begin(),
                                  aSnapshot.previousWorkers.end());
   }
+  this->inheritedUnlistedWorkers.insert(aSnapshot.unlistedWorkers.begin(),
+                                        aSnapshot.unlistedWorkers.end());
   // A predecessor that renewed its record within the row timeout was connected to the store. It had
-  // no contact with workers from which the store received no heartbeat for that time.
+  // no contact with workers from which the store received no heartbeat for that time, except those
+  // that its record names.
   if (aSnapshot.predecessorRecordAge &&
       *aSnapshot.predecessorRecordAge < this->options.workerRowTimeout) {
     this->presumedGoneWorkers = this->unsyncedWorkers;
+    std::erase_if(this->presumedGoneWorkers, [this](const WorkerId& aId) {
+      return this->inheritedUnlistedWorkers.contains(aId);
+    });
     this->olderLeasesExpiry = aSnapshot.olderLeasesExpiry;
   }
   for (const auto& entry : aSnapshot.workers) {
--- a/Libraries/LibCell/LeaderElection.cpp
+++ b/Libraries/LibCell/LeaderElection.cpp
@@ -280,6 +280,7 @@
   if (this->leader) {
     record.workers = this->predecessor->workers;
     record.drainingJobs = this->predecessor->drainingJobs;
+    record.unlistedWorkers = this->predecessor->unlistedWorkers;
     record.backlog = this->leader->backlog;
   }
   const auto key = this->LeaderRowKey();
@@ -349,6 +350,9 @@
     for (const auto& worker : this->predecessor->workers) {
       term.previousWorkers.push_back({ worker });
     }
+    for (const auto& worker : this->predecessor->unlistedWorkers) {
+      term.unlistedWorkers.push_back({ worker });
+    }
   }
   this->dependencies.onTermBegun(term);
 }
@@ -370,6 +374,7 @@
                          this->dependencies.store.StoreTime().value_or(Milliseconds{ 0 }),
                        .workers = report.workers,
                        .drainingJobs = report.drainingJobs,
+                       .unlistedWorkers = report.unlistedWorkers,
                        .backlog = report.pendingJobs,
                        .expectedWaits = report.expectedWaits };
   // A successor reads the draining workers, too.
--- a/Libraries/LibCell/TermSnapshot.h
+++ b/Libraries/LibCell/TermSnapshot.h
@@ -20,6 +20,8 @@
   std::vector<WorkerId> previousWorkers;
   /// Those of them that were draining, and the only jobs that may have runs there.
   DrainingJobs drainingJobs;
+  /// Those of them that had no row but were in touch with the previous leader.
+  std::vector<WorkerId> unlistedWorkers;
   bool hadPredecessor = false;
   /// Age of the predecessor's leader record; empty if unknown.
   std::optional<Milliseconds> predecessorRecordAge;
--- a/Libraries/LibInstance/CellInstance.cpp
+++ b/Libraries/LibInstance/CellInstance.cpp
@@ -413,6 +413,7 @@
   this->scheduler->BeginTerm({ .fencingToken = start.term.token,
                                .previousWorkers = start.term.previousWorkers,
                                .drainingJobs = start.term.drainingJobs,
+                               .unlistedWorkers = start.term.unlistedWorkers,
                                .hadPredecessor = start.term.hadPredecessor,
                                .predecessorRecordAge = start.term.predecessorRecordAge,
                                .olderLeasesExpiry = start.term.olderLeasesExpiry,
@@ -458,6 +459,7 @@
     if (leader) {
       report.workers = leader->workers;
       report.drainingJobs = leader->drainingJobs;
+      report.unlistedWorkers = leader->unlistedWorkers;
       std::erase_if(report.workers, [&report](const std::string& aWorker) {
         return report.drainingJobs.contains({ aWorker });
       });
@@ -470,6 +472,7 @@
   this->LogExpectedWaits();
   return { .workers = this->scheduler->WorkersToPublish(),
            .drainingJobs = this->scheduler->DrainingJobsToPublish(),
+           .unlistedWorkers = this->scheduler->UnlistedWorkersToPublish(),
            .pendingJobs = this->scheduler->PendingJobsByQueue(),
            .expectedWaits = this->expectedWaits,
            .isRecovering = this->scheduler->IsRecovering(),
--- a/Tests/LibCell/CellSchedulerFixture.h
+++ b/Tests/LibCell/CellSchedulerFixture.h
@@ -82,6 +82,8 @@
                  std::vector<WorkerId> aPreviousWorkers = {});
   /// Jobs at draining workers in the predecessor's leader record at the next @ref BeginTerm.
   DrainingJobs drainingJobs;
+  /// Workers without a row in the predecessor's leader record at the next @ref BeginTerm.
+  std::vector<WorkerId> unlistedWorkers;
   /// Age of the predecessor's leader record at the next @ref BeginTerm.
   std::optional<Milliseconds> predecessorRecordAge;
   /// Hands the rows of workers that have restarted to the scheduler.
--- a/Tests/LibCell/TestLeaderElection.cpp
+++ b/Tests/LibCell/TestLeaderElection.cpp
@@ -31,6 +31,7 @@
                    .makeReport =
                      [this] {
                        return LeaderReport{ .workers = this->workers,
+                                            .unlistedWorkers = this->unlistedWorkers,
                                             .expectedWaits = this->expectedWaits,
                                             .isRecovering = this->isRecovering,
                                             .recoveryLeft = this->recoveryLeft };
@@ -50,6 +51,7 @@
 
     MonitoredStore monitoredStore;
     std::vector<std::string> workers;
+    std::vector<std::string> unlistedWorkers;
     std::vector<std::string> publishedWorkers;
     std::vector<ExpectedWait> expectedWaits;
     bool isRecovering = false;
@@ -121,6 +123,24 @@
   EXPECT_FALSE(first.term);
 }
 
+// Guards against a successor that presumes a worker gone whose row has expired: it knows from the
+// record that the worker was in touch, and so does the one after it.
+TEST_F(LeaderElectionTest, HandsOnTheUnlistedWorkers)
+{
+  Instance first(*this, "first");
+  Instance second(*this, "second");
+  this->Run({ &first }, Milliseconds{ 300 });
+  first.workers = { "w1", "w2" };
+  first.unlistedWorkers = { "w2" };
+  this->Run({ &first, &second }, Milliseconds{ 1000 });
+  this->Run({ &second }, Milliseconds{ 2000 });
+  ASSERT_TRUE(second.term);
+  EXPECT_EQ(second.term->unlistedWorkers, std::vector<WorkerId>{ { "w2" } });
+  const auto record = DecodeLeaderRecord(EncodeLeaderRecord({ .unlistedWorkers = { "w2" } }));
+  ASSERT_FALSE(IsError(record));
+  EXPECT_EQ(ValueOf(record).unlistedWorkers, std::vector<std::string>{ "w2" });
+}
+
 // Failure: the leader is killed while its expected waits are in circulation. Guards against
 // refusals by the forecast of a dead leader: its age grows, and the successor's record, which is of
 // a recovering leader, does not repeat it.
--- a/Tests/LibCell/TestTakeover.cpp
+++ b/Tests/LibCell/TestTakeover.cpp
@@ -355,6 +355,47 @@
   EXPECT_EQ(this->CountStarts("old"), 1U);
 }
 
+// Guards against starting a task twice. A worker is cut off from the store only: its row expires,
+// although it is in touch with its leader until that is replaced.
+TEST_F(TakeoverTest, WaitsForAnUnlistedWorkerThatWasInTouchWithThePredecessor)
+{
+  this->entries = { this->workers.Add("w1", 4) };
+  this->BeginTerm();
+  this->RunFor(Milliseconds{ 50 });
+  this->AcceptJob(MakeJob("job", 1, 4));
+  this->RunFor(Milliseconds{ 50 });
+  ASSERT_EQ(this->CountStarts("job"), 1U);
+  this->scheduler->OnWorkerUnlisted({ "w1" });
+  this->RunFor(Milliseconds{ 1000 });
+  EXPECT_EQ(this->scheduler->UnlistedWorkersToPublish(), std::vector<std::string>{ "w1" });
+
+  this->unlistedWorkers = { { "w1" } };
+  this->predecessorRecordAge = Milliseconds{ 100 };
+  this->entries = { this->workers.Add("w2", 4) };
+  this->BeginTerm(true, this->options.LeaseExpiryBound(), { { "w1" } });
+  this->RunFor(Milliseconds{ 5000 });
+  EXPECT_EQ(this->CountStarts("job"), 1U) << "its lease goes on";
+  EXPECT_EQ(this->scheduler->UnlistedWorkersToPublish(), std::vector<std::string>{ "w1" })
+    << "a further leader must not start it either";
+  this->RunFor(Milliseconds{ 2000 });
+  EXPECT_EQ(this->CountStarts("job"), 2U);
+}
+
+// The row of a worker that is cut off from everything expires, too, but its leader has not reached
+// it for as long. The next leader may presume it gone.
+TEST_F(TakeoverTest, PublishesNoUnlistedWorkerThatIsOutOfTouch)
+{
+  this->entries = { this->workers.Add("w1", 4) };
+  this->BeginTerm();
+  this->RunFor(Milliseconds{ 50 });
+  this->AcceptJob(MakeJob("job", 1, 4));
+  this->RunFor(Milliseconds{ 50 });
+  this->workers.At("w1").isReachable = false;
+  this->RunFor(this->options.workerRowTimeout + Milliseconds{ 100 });
+  this->scheduler->OnWorkerUnlisted({ "w1" });
+  EXPECT_TRUE(this->scheduler->UnlistedWorkersToPublish().empty());
+}
+
 TEST_F(TakeoverTest, StepsDownWhenFencedByASuccessor)
 {
   this->entries = { this->workers.Add("w1", 4) };
