LibCell: Say in run_ended if the leader does not know the task

The line told failures=0 for a task that the leader does not know, which looks like a task that has never failed. It says unknown now. Seen in the second reading of the diff; no test, as no test reads log lines. Measured: TestCell passes.

--- a/Libraries/LibCell/CellSchedulerWorkers.cpp
+++ b/Libraries/LibCell/CellSchedulerWorkers.cpp
@@ -2,6 +2,7 @@
 #include <LibCell/Placement.h>
 
 #include <algorithm>
+#include <fmt/format.h>
 
 namespace zinc::cell {
 
@@ -330,19 +331,20 @@
                                          .changeCount = job != nullptr ? job->changeCount : 0 });
   this->workersWithEnds.insert(aWorker.number);
   if (aEnd.outcome != RunOutcome::Succeeded) {
-    this->dependencies.log.Log(
-      LogLevel::Info,
-      "run_ended",
-      { { "job", aEnd.task.job.value },
-        { "occurrence", aEnd.task.key.occurrence },
-        { "step", aEnd.task.key.step },
-        { "index", aEnd.task.key.index },
-        { "run", aEnd.run },
-        { "worker", aWorker.entry.id.value },
-        { "end", static_cast<int>(aEnd.outcome) },
-        { "sequence", aEnd.sequence },
-        { "failures",
-          task != nullptr ? job->FindCountedTask(aEnd.task.key).failedRuns.size() : 0 } });
+    const auto failures = task != nullptr
+                            ? fmt::to_string(job->FindCountedTask(aEnd.task.key).failedRuns.size())
+                            : std::string("unknown");
+    this->dependencies.log.Log(LogLevel::Info,
+                               "run_ended",
+                               { { "job", aEnd.task.job.value },
+                                 { "occurrence", aEnd.task.key.occurrence },
+                                 { "step", aEnd.task.key.step },
+                                 { "index", aEnd.task.key.index },
+                                 { "run", aEnd.run },
+                                 { "worker", aWorker.entry.id.value },
+                                 { "end", static_cast<int>(aEnd.outcome) },
+                                 { "sequence", aEnd.sequence },
+                                 { "failures", failures } });
   }
 }
 
