--- a/review/4/case.py
+++ b/review/4/case.py
@@ -51,10 +51,16 @@
             gone.append((job, tenant))
     record.add(f"{len(gone)} of {len(jobs)} accepted jobs are answered 410: "
                f"{[sum(1 for _, owner in gone if owner == tenant) for tenant in range(2)]}")
+    # The key of one tenant, the job of the other.
+    foreign = 0
+    for job, tenant in jobs:
+        if tenant == 1 and await deployment.state(job, 0) != "410":
+            foreign += 1
+    record.add(f"{foreign} jobs of {TENANTS[1]} are shown to {TENANTS[0]}")
     if gone:
         names = sorted({TENANTS[tenant] for _, tenant in gone})
         return (f"LOST: {len(gone)} of {len(jobs)} accepted jobs that nobody has cancelled are "
-                f"answered 410, all of {names}")
+                f"answered 410, all of {names}; {foreign} are shown to {TENANTS[0]}")
     return None
 
 
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -71,7 +71,7 @@
         self.handler = handler
         self.server = None
         self.writers = set()
-        # Connections that were open when this was set get no more answers.
+        # Requests on these connections are neither handled nor answered.
         self.silenced = set()
 
     async def start(self):
@@ -87,6 +87,13 @@
         for writer in list(self.writers):
             writer.transport.abort()
 
+    def stop_silently(self):
+        """Closes the port and leaves all connections open without a sign, as a loss of power does."""
+        if self.server is not None:
+            self.server.close()
+            self.server = None
+        self.silenced.update(self.writers)
+
     async def serve(self, reader, writer):
         self.writers.add(writer)
         try:
@@ -103,7 +110,9 @@
                 length = int(headers.get("content-length", "0"))
                 if length:
                     body = await reader.readexactly(length)
-                answer = await self.handler(method, target, headers, body)
+                answer = None
+                if writer not in self.silenced:
+                    answer = await self.handler(method, target, headers, body)
                 if answer is None or writer in self.silenced:
                     await asyncio.sleep(3600)
                 status, fields = answer
@@ -280,7 +289,7 @@
         self.is_up = False
         self.state = "ready"
         self.id = None
-        self.listed = None
+        self.silent_servers = []
 
     async def begin(self, keeps_id=False, register_after=0.0):
         self.lives += 1
@@ -305,13 +314,17 @@
         self.deployment.spawn(self.heartbeat(life, register_after))
         self.deployment.spawn(self.watch_runs(life))
 
-    def crash(self):
+    def crash(self, is_dark=False):
         """Ends the life at once. Nothing is said to anyone; the row stays until it expires."""
         self.record.add(f"minion {self.id} of {self.machine} crashes with "
                         f"{[task for task, _ in self.running]}")
         self.is_up = False
         self.running = {}
-        self.server.stop()
+        if is_dark:
+            self.server.stop_silently()
+            self.silent_servers.append(self.server)
+        else:
+            self.server.stop()
 
     def clock(self):
         return int((time.monotonic() - self.clock_begin) * 1000)
@@ -524,14 +537,15 @@
 
     HOST = "jobs.example"
 
-    def __init__(self, directory, instances=3, minions=8, cores=16, tenants=("tenant-a",)):
+    def __init__(self, directory, instances=3, minions=8, cores=16, rack_size=4,
+                 tenants=("tenant-a",)):
         self.record = Record(pathlib.Path(directory) / "record.txt")
         self.directory = pathlib.Path(tempfile.mkdtemp(prefix="zinc-review-"))
         self.network = f"127.{random.randint(16, 240)}.{random.randint(1, 250)}"
         self.tasks = set()
         self.store = Store(self.record)
         self.tenants = tenants
-        self.minions = [Minion(self, number, cores, f"r1-{1 + number // 4}")
+        self.minions = [Minion(self, number, cores, f"r1-{1 + number // rack_size}")
                         for number in range(minions)]
         self.instances = [Instance(self, number) for number in range(instances)]
         self.start_handlers = []
@@ -551,7 +565,6 @@
     def list_minion(self, minion):
         """Writes the minion's row; the store removes it after three heartbeats of silence."""
         self.store.put("servers", minion.id, minion.row())
-        minion.listed = time.monotonic()
         key, written = minion.id, self.store.version
 
         def expire():
@@ -598,9 +611,9 @@
             await instance.kill()
             instance.store_server.stop()
         for minion in self.minions:
-            if minion.is_up:
-                minion.is_up = False
-                minion.server.stop()
+            minion.is_up = False
+            for server in [minion.server, *minion.silent_servers]:
+                server.stop()
         for task in list(self.tasks):
             task.cancel()
         shutil.rmtree(self.directory, ignore_errors=True)
