--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -16,9 +16,13 @@
 import socket
 import tempfile
 import time
+import tomllib
 
 REPOSITORY = pathlib.Path(__file__).resolve().parents[2]
-PROGRAM = REPOSITORY / "target" / "bin" / "zinc-entry"
+
+with open(REPOSITORY / "deploy" / "system.toml", "rb") as deploy_file:
+    COMMAND = tomllib.load(deploy_file)["roles"]["entry"]["run"].split()
+PROGRAM = REPOSITORY / COMMAND[0]
 
 # Bounds of the deployment on which the scripts are modelled, wrekin-roster.
 BOUNDS = {
@@ -479,8 +483,7 @@
         path.write_text(json.dumps(self.settings()))
         log = open(self.deployment.directory / f"{self.name}.log", "ab")
         self.process = await asyncio.create_subprocess_exec(
-            str(PROGRAM), "--platform", "ZINCSHORE_BOOT", "--metrics-port", "9464",
-            "--traffic-threads-on-platform", "0", cwd=REPOSITORY, stdout=log, stderr=log,
+            str(PROGRAM), *COMMAND[1:], cwd=REPOSITORY, stdout=log, stderr=log,
             stdin=asyncio.subprocess.DEVNULL,
             env={"PATH": os.environ.get("PATH", ""), "ZINCSHORE_BOOT": str(path)})
         log.close()
@@ -707,13 +710,15 @@
 
     async def main():
         deployment = kind(directory, **options)
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM,
+                                                      asyncio.current_task().cancel)
         try:
             await deployment.start()
             broken = await asyncio.wait_for(scenario(deployment, has_trouble), 105)
             deployment.record.add(f"verdict: {broken or 'the rule held'}")
             print(broken or "the rule held")
             return 1 if broken else 0
-        except (CannotRun, asyncio.TimeoutError, OSError, StopIteration) as error:
+        except (Exception, asyncio.CancelledError) as error:  # Only a verdict may exit with 1.
             deployment.record.add(f"the case could not run: {error!r}")
             print(f"the case could not run: {error!r}")
             return 2
