--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,9 +1,10 @@
 """A gang waits for ever, since its tickets expire in turns.
 
-A queue needs advice, with the figures of the site. A gang of 46 tasks needs tickets for 46 minions;
-there are 40, and 12 more are added (TROUBLE=0: all 52 are there from the start). Ten short tasks of
-another queue take some of the room for a moment. Then nothing else happens: all minions are idle,
-and the rule LOST is checked `finish_s` after the last job was handed in.
+A queue needs advice, with the figures of the site. A gang of 50 tasks needs tickets for 50 minions;
+there are 40, and 12 more are added. Ten short tasks of another queue take some of the room for a
+moment. Then more minions are added, until there is room for the gang twice over (TROUBLE=0: all of
+them are there from the start). All minions are idle from then on, and the rule LOST is checked
+`finish_s` after the last of this.
 """
 
 import asyncio
@@ -20,9 +21,10 @@
 # Advice of formula-batch on the site.
 ADVICE = {"DecideMs": 702.0, "EachMs": 10.01, "ValidMs": 1500}
 FIRST_MINIONS = 40
-# The share of scale_out is 0.3.
+# Each scale_out adds a share of at most 0.3.
 ADDED_MINIONS = 12
-GANG = 46
+ADDED_LATER = (15, 20, 14)
+GANG = 50
 CPU = 10000
 SHORT_TASKS = 10
 # The short tasks are handed in this long after the system asks about the added minions, and end
@@ -107,8 +109,9 @@
 async def scenario(deployment, has_trouble):
     record = deployment.record
     added = [deployment.add_minion() for _ in range(ADDED_MINIONS)]
+    later = [[deployment.add_minion() for _ in range(count)] for count in ADDED_LATER]
     if not has_trouble:
-        for minion in added:
+        for minion in [*added, *(minion for group in later for minion in group)]:
             await minion.begin()
         await asyncio.sleep(2.0)
     gang, _ = await deployment.submit(
@@ -130,7 +133,14 @@
     await deployment.submit(
         [{"Count": SHORT_TASKS, "Cpu": CPU, "MemMb": 1000, "EstimateMs": short_ms}],
         [{"ms": short_ms}], prefix="/short/")
-    record.add("the traffic ends")
+    for group in later:
+        await asyncio.sleep(3.0)
+        if has_trouble:
+            record.add(f"{len(group)} minions are added")
+            for minion in group:
+                await minion.begin()
+    room = sum(minion.cores * 1000 // CPU for minion in deployment.minions if minion.is_up)
+    record.add(f"the last disturbance; room for {room} tasks, the gang has {GANG}")
     await asyncio.sleep(BOUNDS["finish_s"])
     state = await deployment.state(gang)
     if state == "done":
