--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -594,7 +594,7 @@
     def document(self, version=1):
         return {
             "Version": version,
-            "Routes": [{"Name": "work", "Host": self.HOST, "PathPrefix": "/work/",
+            "Routes": [{"Name": "work", "Host": self.HOST, "PathPrefix": "/jobs/",
                         "Kind": "non_idempotent", "TimeoutMs": 3000, "SloMs": 1000, "Priority": 1,
                         "Service": "pool", "Attempts": 3, "Stretch": 4.0, "Public": False}],
             "Services": [{"Name": "pool", "HealthPath": "/health", "MaxConns": 64,
@@ -680,7 +680,7 @@
             await asyncio.sleep(0.2)
         return status, answer
 
-    async def submit(self, phases, steps, tenant=0, prefix="/work/", **fields):
+    async def submit(self, phases, steps, tenant=0, prefix="/jobs/", **fields):
         """Hands a job in. @return its id and the status"""
         job = f"{random.getrandbits(64):016x}"
         spec = json.dumps({"id": job, "steps": steps}, separators=(",", ":"))
@@ -690,7 +690,7 @@
 
     async def state(self, job, tenant=0):
         """@return the state as a text, or the status if there is none"""
-        status, answer = await self.ask("GET", f"/work/{job}", tenant)
+        status, answer = await self.ask("GET", f"/jobs/{job}", tenant)
         return answer.get("State") if status == 200 else str(status)
 
     def runs_of(self, job):
