--- a/Libraries/LibCell/CellScheduler.cpp
+++ b/Libraries/LibCell/CellScheduler.cpp
@@ -8,6 +8,8 @@
 
 /// Bounds the size of the leader record. Further draining workers count as other workers.
 constexpr std::size_t kMaxDrainingWorkersPublished = 128;
+/// Bounds the size of the leader record. The next leader waits for the leases of further workers.
+constexpr std::size_t kMaxSuspendedLeasesPublished = 1024;
 
 }
 
@@ -191,25 +193,27 @@
   return draining;
 }
 
-std::vector<std::string>
-CellScheduler::UnlistedContactsToPublish() const
+SuspendedLeases
+CellScheduler::SuspendedLeasesToPublish() const
 {
-  std::vector<std::string> names;
-  for (const auto& id : this->unreadWorkers.UnlistedContacts()) {
-    names.push_back(id.value);
+  std::map<WorkerId, TimePoint> expiry;
+  for (const auto& id : this->unreadWorkers.All()) {
+    if (this->workers.Find(id) == nullptr) {
+      expiry.emplace(id, this->unreadWorkers.LeaseExpiryOf(id));
+    }
   }
-  // A worker that is cut off from everything got its last lease before its row expired.
-  const auto oldestLeaseExpiry = this->dependencies.clock.Now() + this->options.LeaseExpiryBound() -
-                                 this->options.workerRowTimeout;
   for (const auto* worker : this->workers.All()) {
-    const bool isInContact = worker->leaseExpiry > oldestLeaseExpiry;
-    if (!worker->isListed && isInContact && this->MayHaveRuns(*worker)) {
-      names.push_back(worker->entry.id.value);
+    const auto& id = worker->entry.id;
+    const bool isUnread = this->unreadWorkers.Contains(id);
+    const bool isSilent =
+      worker->reachability != WorkerReachability::Reachable && worker->failedRenewals > 0;
+    if (expiry.size() < kMaxSuspendedLeasesPublished && isSilent &&
+        (isUnread || this->MayHaveRuns(*worker))) {
+      const auto inherited = isUnread ? this->unreadWorkers.LeaseExpiryOf(id) : TimePoint{};
+      expiry.emplace(id, std::max(worker->leaseExpiry, inherited));
     }
   }
-  std::ranges::sort(names);
-  names.erase(std::unique(names.begin(), names.end()), names.end());
-  return names;
+  return RemainingLeases(expiry, this->dependencies.clock.Now());
 }
 
 std::vector<std::string>
@@ -241,10 +245,28 @@
   return names;
 }
 
+LeaderReport
+CellScheduler::MakeLeaderReport()
+{
+  LeaderReport report{ .workers = this->WorkersToPublish(),
+                       .drainingJobs = this->DrainingJobsToPublish(),
+                       .suspendedLeases = this->SuspendedLeasesToPublish(),
+                       .pendingJobs = this->PendingJobsByQueue(),
+                       .isRecovering = this->IsRecovering(),
+                       .recoveryLeft = this->RemainingRecoveryTime() };
+  report.number = this->leaseSuspensions.OnRecordMade(report.suspendedLeases);
+  for (const auto& [id, left] : report.suspendedLeases) {
+    if (auto* worker = this->workers.Find(id)) {
+      worker->isLeaseSuspended = true;
+    }
+  }
+  return report;
+}
+
 void
-CellScheduler::OnWorkersPublished(const std::vector<std::string>& aWorkers)
+CellScheduler::OnReportStored(const LeaderReport& aReport)
 {
-  for (const auto& name : aWorkers) {
+  for (const auto& name : aReport.workers) {
     if (!this->publishedWorkers.insert({ name }).second) {
       continue;
     }
@@ -253,6 +275,13 @@
       worker->isPublished = true;
     }
   }
+  for (const auto& id : this->leaseSuspensions.OnRecordStored(aReport.number)) {
+    if (auto* worker = this->workers.Find(id)) {
+      worker->isLeaseSuspended = false;
+      this->renewals.ScheduleAtLatest(*worker, this->dependencies.clock.Now());
+      this->isPlacementDue = true;
+    }
+  }
 }
 
 std::uint64_t
--- a/Libraries/LibCell/CellScheduler.h
+++ b/Libraries/LibCell/CellScheduler.h
@@ -11,6 +11,8 @@
 #include <LibCell/EvacuatedZones.h>
 #include <LibCell/EvacuationReport.h>
 #include <LibCell/Job.h>
+#include <LibCell/LeaderReport.h>
+#include <LibCell/LeaseSuspensions.h>
 #include <LibCell/LoadReport.h>
 #include <LibCell/LostWorkers.h>
 #include <LibCell/Placement.h>
@@ -61,7 +63,8 @@
     std::function<void()> onLeadershipLost;
     /// Called when a placement round is useful before the next tick; may be empty.
     std::function<void()> onPlacementDue;
-    /// Called when a reachable worker is missing from the leader record; may be empty.
+    /// Called when a reachable worker is missing from the leader record, or its lease is suspended
+    /// there; may be empty.
     std::function<void()> onUnpublishedWorker;
   };
 
@@ -107,15 +110,17 @@
   /// @return the draining workers and the jobs that may have runs there, for the leader record. The
   /// next leader need not wait for them to place tasks of other jobs.
   [[nodiscard]] DrainingJobs DrainingJobsToPublish() const;
-  /// @return the workers without a row that this leader is in contact with, and those unread ones
-  /// that its predecessor was in contact with, for the leader record. Their runs may go on.
-  [[nodiscard]] std::vector<std::string> UnlistedContactsToPublish() const;
+  /// @return the workers that this leader is not in contact with, for the leader record
+  [[nodiscard]] SuspendedLeases SuspendedLeasesToPublish() const;
   /// @return the other workers at which a run may exist or may start, for the leader record.
   /// Workers that are left out get no tasks until they have been published again.
   [[nodiscard]] std::vector<std::string> WorkersToPublish();
-  /// Called when the leader record names these workers. Only they may get tasks, since the next
-  /// leader asks each of them for its runs.
-  void OnWorkersPublished(const std::vector<std::string>& aWorkers);
+  /// @return what the next leader record says. From now on the leases that it calls suspended are
+  /// not renewed.
+  [[nodiscard]] LeaderReport MakeLeaderReport();
+  /// Called when the leader record says this. Only the workers that it names may get tasks, since
+  /// the next leader asks each of them for its runs.
+  void OnReportStored(const LeaderReport& aReport);
   /// @return true while a predecessor's runs may exist at unread workers.
   [[nodiscard]] bool IsRecovering() const { return !this->unreadWorkers.IsEmpty(); }
   /// @return how long such runs may still exist.
@@ -451,9 +456,8 @@
   std::uint64_t runCounter = 0;
   TimePoint termBegin{};
   TimePoint termEnd{};
-  UnreadWorkers unreadWorkers{ { .leaseExpiryBound = this->options.LeaseExpiryBound(),
-                                 .rowTimeout = this->options.workerRowTimeout,
-                                 .rowRestoreTimeout = this->options.rowRestoreTimeout } };
+  UnreadWorkers unreadWorkers{ { .rowRestoreTimeout = this->options.rowRestoreTimeout } };
+  LeaseSuspensions leaseSuspensions;
 
   std::unordered_map<JobId, Job> jobs;
   /// Active jobs in order of their ids, so that a replay visits them in the same order.
--- a/Libraries/LibCell/CellSchedulerOptions.h
+++ b/Libraries/LibCell/CellSchedulerOptions.h
@@ -39,9 +39,6 @@
   Milliseconds minRenewalInterval{ 15 };
   /// Delay before the next lease renewal of a worker that did not respond.
   Milliseconds renewalRetryDelay{ 250 };
-  /// The store removes a worker's row after this long without a heartbeat: three heartbeat
-  /// intervals.
-  Milliseconds workerRowTimeout{ 4500 };
   /// Rows that expired during an outage of the store reappear within this time after it recovers:
   /// 2 s as the platform states, and a margin.
   Milliseconds rowRestoreTimeout{ 2500 };
--- a/Libraries/LibCell/CellSchedulerTakeover.cpp
+++ b/Libraries/LibCell/CellSchedulerTakeover.cpp
@@ -12,6 +12,8 @@
   this->termBegin = now;
   this->fencingToken = aSnapshot.fencingToken;
   this->unreadWorkers.Begin(aSnapshot, now);
+  // The record of the takeover repeats the predecessor's.
+  (void)this->leaseSuspensions.OnRecordMade(RemainingLeases(aSnapshot.suspendedLeases, now));
   for (const auto& entry : aSnapshot.workers) {
     this->OnWorkerEntry(entry);
   }
--- a/Libraries/LibCell/CellSchedulerWorkers.cpp
+++ b/Libraries/LibCell/CellSchedulerWorkers.cpp
@@ -68,6 +68,7 @@
     this->unresponsiveWorkers.insert(added.number);
     added.lastResponse = now;
     added.isPublished = this->publishedWorkers.contains(aEntry.id);
+    added.isLeaseSuspended = this->leaseSuspensions.Contains(aEntry.id);
     UpdateColdTime(added, aEntry.coldLeft, now);
     this->dependencies.log.Log(LogLevel::Info,
                                "worker_listed",
@@ -160,8 +161,8 @@
                       .acknowledgedSequence = aWorker.acknowledgedSequence };
   // The lease of a worker that does not respond is not renewed, so that it expires; the request
   // only reads the worker's report.
-  const bool renewsLease =
-    aWorker.isClockKnown && aWorker.failedRenewals == 0 && now < this->termEnd;
+  const bool renewsLease = aWorker.isClockKnown && aWorker.failedRenewals == 0 &&
+                           !aWorker.isLeaseSuspended && now < this->termEnd;
   if (renewsLease) {
     order.leaseDeadline = this->ExtendLease(aWorker);
   }
@@ -300,11 +301,14 @@
   this->ThrottleBestEffortTasks(aWorker);
   if (!aWorker.unacknowledgedEnds.empty()) {
     this->renewals.Schedule(aWorker, now + kUnacknowledgedRenewalInterval);
+  } else if (aWorker.isLeaseSuspended) {
+    this->renewals.Schedule(aWorker, now + this->options.renewalRetryDelay);
   } else {
     this->renewals.Schedule(aWorker, !wasUsable ? now : now + this->options.minRenewalInterval);
   }
   this->isPlacementDue = this->isPlacementDue || hasEnds || !wasUsable;
-  if (!wasUsable && !aWorker.isPublished && this->dependencies.onUnpublishedWorker) {
+  const bool awaitsRecord = !aWorker.isPublished || aWorker.isLeaseSuspended;
+  if (!wasUsable && awaitsRecord && this->dependencies.onUnpublishedWorker) {
     this->dependencies.onUnpublishedWorker();
   }
 }
--- a/Libraries/LibCell/Forward.h
+++ b/Libraries/LibCell/Forward.h
@@ -13,6 +13,7 @@
 class CompletionForecast;
 class Intake;
 class LeaderElection;
+class LeaseSuspensions;
 class LoadReport;
 class LostWorkers;
 class RankingSelector;
@@ -28,6 +29,7 @@
 struct ExpectedWait;
 struct Job;
 struct JobSpecification;
+struct LeaderReport;
 struct Worker;
 struct WorkspaceUsage;
 
--- a/Libraries/LibCell/LeaderElection.cpp
+++ b/Libraries/LibCell/LeaderElection.cpp
@@ -143,10 +143,16 @@
   return lastGrant + this->options.maxLeaseAfterTerm;
 }
 
-TimePoint
-LeaderElection::OlderLeasesExpiry() const
+std::map<WorkerId, TimePoint>
+LeaderElection::SuspendedLeasesExpiry() const
 {
-  return this->leader->isRecovering ? this->rowSeenAt + this->leader->recoveryLeft : TimePoint{};
+  std::map<WorkerId, TimePoint> expiry;
+  if (this->leader) {
+    for (const auto& [worker, left] : this->leader->suspendedLeases) {
+      expiry.emplace(worker, this->rowSeenAt + left);
+    }
+  }
+  return expiry;
 }
 
 bool
@@ -257,10 +263,12 @@
   this->state = State::Candidate;
   this->predecessor = this->leader;
   this->hasPredecessorStopped = this->HasLeaderStopped();
-  this->olderLeasesExpiry = this->leader ? this->OlderLeasesExpiry() : TimePoint{};
-  this->priorLeasesExpiry =
-    this->leader ? std::max(this->LeaderLeasesExpiry(), this->olderLeasesExpiry) : now;
-  this->predecessorRecordAge = this->LeaderRecordAge();
+  this->suspendedLeasesExpiry = this->SuspendedLeasesExpiry();
+  this->priorLeasesExpiry = this->leader ? this->LeaderLeasesExpiry() : now;
+  if (this->leader && this->leader->isRecovering) {
+    this->priorLeasesExpiry =
+      std::max(this->priorLeasesExpiry, this->rowSeenAt + this->leader->recoveryLeft);
+  }
   if (this->HasLeaderResigned()) {
     auto& workers = this->predecessor->workers;
     for (const auto& worker : this->resignation->workers) {
@@ -280,7 +288,7 @@
   if (this->leader) {
     record.workers = this->predecessor->workers;
     record.drainingJobs = this->predecessor->drainingJobs;
-    record.unlistedContacts = this->predecessor->unlistedContacts;
+    record.suspendedLeases = RemainingLeases(this->suspendedLeasesExpiry, now);
     record.backlog = this->leader->backlog;
   }
   const auto key = this->LeaderRowKey();
@@ -344,15 +352,11 @@
     // If the predecessor was still recovering, runs of leaders before it may still exist.
     term.hasPredecessorStopped = this->hasPredecessorStopped && !this->predecessor->isRecovering;
     term.priorLeasesExpiry = this->priorLeasesExpiry;
-    term.olderLeasesExpiry = this->olderLeasesExpiry;
-    term.predecessorRecordAge = this->predecessorRecordAge;
+    term.suspendedLeases = this->suspendedLeasesExpiry;
     term.drainingJobs = this->predecessor->drainingJobs;
     for (const auto& worker : this->predecessor->workers) {
       term.previousWorkers.push_back({ worker });
     }
-    for (const auto& worker : this->predecessor->unlistedContacts) {
-      term.unlistedContacts.push_back({ worker });
-    }
   }
   this->dependencies.onTermBegun(term);
 }
@@ -361,7 +365,7 @@
 LeaderElection::Renew()
 {
   const auto now = this->dependencies.clock.Now();
-  const auto report = this->dependencies.makeReport();
+  auto report = this->dependencies.makeReport();
   LeaderRecord record{ .instance = this->identity.name,
                        .incarnation = this->identity.incarnation,
                        .address = this->identity.address,
@@ -374,7 +378,7 @@
                          this->dependencies.store.StoreTime().value_or(Milliseconds{ 0 }),
                        .workers = report.workers,
                        .drainingJobs = report.drainingJobs,
-                       .unlistedContacts = report.unlistedContacts,
+                       .suspendedLeases = report.suspendedLeases,
                        .backlog = report.pendingJobs,
                        .expectedWaits = report.expectedWaits };
   // A successor reads the draining workers, too.
@@ -390,13 +394,13 @@
   this->isRenewalOutdated = false;
   this->dependencies.store.Commit(
     std::move(transaction),
-    [this, now, workers = report.workers, isHandover = record.isResigning](
-      Result<CommitResult> aResult) { this->OnRenewalResult(now, workers, isHandover, aResult); });
+    [this, now, report = std::move(report), isHandover = record.isResigning](
+      Result<CommitResult> aResult) { this->OnRenewalResult(now, report, isHandover, aResult); });
 }
 
 void
 LeaderElection::OnRenewalResult(TimePoint aSent,
-                                const std::vector<std::string>& aWorkers,
+                                const LeaderReport& aReport,
                                 bool aIsHandover,
                                 const Result<CommitResult>& aResult)
 {
@@ -428,8 +432,8 @@
   this->termEnd = aSent + this->options.termDuration;
   this->nextRenewalAt = this->isRenewalOutdated ? this->dependencies.clock.Now()
                                                 : aSent + this->options.renewalInterval;
-  if (this->dependencies.onWorkersPublished) {
-    this->dependencies.onWorkersPublished(aWorkers);
+  if (this->dependencies.onReportStored) {
+    this->dependencies.onReportStored(aReport);
   }
   if (aIsHandover) {
     this->CompleteHandover();
--- a/Libraries/LibCell/LeaderElection.h
+++ b/Libraries/LibCell/LeaderElection.h
@@ -3,6 +3,7 @@
 /// @file
 /// Leader election of the cell by compare-and-set on one row of the store, the leader record.
 
+#include <LibCell/LeaderReport.h>
 #include <LibCell/MonitoredStore.h>
 #include <LibCell/Records.h>
 #include <LibLog/Logger.h>
@@ -51,25 +52,6 @@
   double minSuccessorCpuRatio = 0.75;
 };
 
-/// State of the leader that each renewal publishes; see @ref LeaderRecord.
-struct LeaderReport
-{
-  /// Workers at which runs may exist, except those in @ref drainingJobs.
-  std::vector<std::string> workers;
-  /// Draining workers, which get no more tasks, and the jobs that may have runs there.
-  DrainingJobs drainingJobs;
-  /// Those of them that have no row although the leader is in contact with them.
-  std::vector<std::string> unlistedContacts;
-  /// Accepted jobs of each queue that have not started.
-  std::map<std::string, std::uint64_t> pendingJobs;
-  /// Expected waits of jobs that arrive now.
-  std::vector<ExpectedWait> expectedWaits;
-  /// Runs of earlier leaders may still exist at workers that have not reported yet.
-  bool isRecovering = false;
-  /// Time until the leases of such runs have expired.
-  Milliseconds recoveryLeft{ 0 };
-};
-
 /// A term that has begun, and what it inherits.
 struct Term
 {
@@ -80,17 +62,14 @@
   bool hasPredecessorStopped = false;
   /// All leases granted by earlier leaders have expired by then.
   TimePoint priorLeasesExpiry{};
-  /// All leases granted by leaders before the predecessor have expired by then.
-  TimePoint olderLeasesExpiry{};
-  /// Age of the predecessor's leader record when the term was requested; empty if unknown.
-  std::optional<Milliseconds> predecessorRecordAge;
   /// Jobs that may have runs at workers that were draining. Earlier leaders started nothing else
   /// there.
   DrainingJobs drainingJobs;
   /// Workers at which runs of earlier leaders may exist.
   std::vector<WorkerId> previousWorkers;
-  /// Those of them that had no row although the predecessor was in contact with them.
-  std::vector<WorkerId> unlistedContacts;
+  /// Those of them that the predecessor was not in contact with, and when their leases have
+  /// expired.
+  std::map<WorkerId, TimePoint> suspendedLeases;
 };
 
 /// Sent to its successor by a leader that has lost the store.
@@ -119,8 +98,8 @@
     std::function<void(std::string_view)> onTermLost;
     /// Called before each renewal.
     std::function<LeaderReport()> makeReport;
-    /// Called with the workers that a successful renewal has written; may be empty.
-    std::function<void(const std::vector<std::string>&)> onWorkersPublished;
+    /// Called with the report that a successful renewal has written; may be empty.
+    std::function<void(const LeaderReport&)> onReportStored;
   };
 
   /// Identity of this instance.
@@ -195,8 +174,8 @@
   [[nodiscard]] bool HasLeaderResigned() const;
   /// @return when all leases granted by the current leader have expired.
   [[nodiscard]] TimePoint LeaderLeasesExpiry() const;
-  /// @return when all leases granted by leaders before the current one have expired.
-  [[nodiscard]] TimePoint OlderLeasesExpiry() const;
+  /// @return when the leases have expired that the current leader does not renew.
+  [[nodiscard]] std::map<WorkerId, TimePoint> SuspendedLeasesExpiry() const;
   void RequestLeadership();
   void OnLeadershipResult(TimePoint aSent, const Result<CommitResult>& aResult);
   void BeginTerm(std::uint64_t aToken, TimePoint aSent);
@@ -204,7 +183,7 @@
   /// @return true if another instance is large enough to hand over to.
   [[nodiscard]] bool HasSuccessor() const;
   void OnRenewalResult(TimePoint aSent,
-                       const std::vector<std::string>& aWorkers,
+                       const LeaderReport& aReport,
                        bool aIsHandover,
                        const Result<CommitResult>& aResult);
   void EndTerm(std::string_view aReason);
@@ -226,8 +205,7 @@
   std::optional<LeaderRecord> predecessor;
   bool hasPredecessorStopped = false;
   TimePoint priorLeasesExpiry{};
-  TimePoint olderLeasesExpiry{};
-  std::optional<Milliseconds> predecessorRecordAge;
+  std::map<WorkerId, TimePoint> suspendedLeasesExpiry;
   std::optional<Resignation> resignation;
   struct Instance
   {
--- a/Libraries/LibCell/Records.cpp
+++ b/Libraries/LibCell/Records.cpp
@@ -488,6 +488,16 @@
     });
 }
 
+SuspendedLeases
+RemainingLeases(const std::map<WorkerId, TimePoint>& aExpiry, TimePoint aNow)
+{
+  SuspendedLeases leases;
+  for (const auto& [worker, expiry] : aExpiry) {
+    leases.emplace(worker, std::max(Milliseconds{ 0 }, expiry - aNow));
+  }
+  return leases;
+}
+
 std::string
 EncodeLeaderRecord(const LeaderRecord& aRecord)
 {
@@ -510,8 +520,8 @@
       names.append(job.value);
     }
   }
-  for (const auto& worker : aRecord.unlistedContacts) {
-    value["unlisted_contacts"].append(worker);
+  for (const auto& [worker, left] : aRecord.suspendedLeases) {
+    value["suspended_leases_ms"][worker.value] = Json::Int64(left.count());
   }
   for (const auto& [queue, count] : aRecord.backlog) {
     value["waiting"][queue] = Json::UInt64(count);
@@ -545,8 +555,9 @@
           jobs.insert({ job.asString() });
         }
       }
-      for (const auto& worker : aValue["unlisted_contacts"]) {
-        record.unlistedContacts.push_back(worker.asString());
+      const auto& leases = aValue["suspended_leases_ms"];
+      for (const auto& worker : leases.getMemberNames()) {
+        record.suspendedLeases[{ worker }] = Milliseconds(leases[worker].asInt64());
       }
       for (const auto& queue : aValue["waiting"].getMemberNames()) {
         record.backlog[queue] = aValue["waiting"][queue].asUInt64();
--- a/Libraries/LibCell/Records.h
+++ b/Libraries/LibCell/Records.h
@@ -137,6 +137,14 @@
 /// Jobs that may have runs at a draining worker, by worker.
 using DrainingJobs = std::map<WorkerId, std::set<JobId>>;
 
+/// Workers whose leases the leader does not renew, each with the time until those granted before
+/// have expired.
+using SuspendedLeases = std::map<WorkerId, Milliseconds>;
+
+/// @return the time that is left of leases, by worker; 0 if they have expired.
+[[nodiscard]] SuspendedLeases
+RemainingLeases(const std::map<WorkerId, TimePoint>& aExpiry, TimePoint aNow);
+
 /// The leader record: which instance leads the cell, and what its successor needs to know.
 struct LeaderRecord
 {
@@ -161,8 +169,9 @@
   /// Those of @ref workers that get no more tasks since they are draining, each with the jobs that
   /// may have runs there.
   DrainingJobs drainingJobs;
-  /// Those of @ref workers that have no row although the leader is in contact with them.
-  std::vector<std::string> unlistedContacts;
+  /// Those of @ref workers that the leader is not in contact with. It renews none of these leases
+  /// while the record names them. Missing in the rows of older versions.
+  SuspendedLeases suspendedLeases;
   /// Number of accepted jobs that have not started, by queue.
   std::map<std::string, std::uint64_t> backlog;
   /// Expected waits of jobs that arrive now, at most @ref kMaxExpectedWaits; empty if nothing waits
--- a/Libraries/LibCell/TermSnapshot.h
+++ b/Libraries/LibCell/TermSnapshot.h
@@ -7,7 +7,7 @@
 #include <LibCell/Ports.h>
 #include <LibCell/Records.h>
 #include <cstdint>
-#include <optional>
+#include <map>
 #include <vector>
 
 namespace zinc::cell {
@@ -20,13 +20,10 @@
   std::vector<WorkerId> previousWorkers;
   /// Those of them that were draining, and the only jobs that may have runs there.
   DrainingJobs drainingJobs;
-  /// Those of them that had no row although the previous leader was in contact with them.
-  std::vector<WorkerId> unlistedContacts;
+  /// Those of them that the previous leader was not in contact with, and when their leases have
+  /// expired.
+  std::map<WorkerId, TimePoint> suspendedLeases;
   bool hadPredecessor = false;
-  /// Age of the predecessor's leader record; empty if unknown.
-  std::optional<Milliseconds> predecessorRecordAge;
-  /// When all leases granted by leaders before the predecessor have expired.
-  TimePoint olderLeasesExpiry{};
   std::vector<Row> jobRows;
   std::vector<WorkerEntry> workers;
 };
--- a/Libraries/LibCell/UnreadWorkers.cpp
+++ b/Libraries/LibCell/UnreadWorkers.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <iterator>
-#include <utility>
 
 namespace zinc::cell {
 
@@ -15,20 +14,10 @@
     return;
   }
   this->workers.insert(aSnapshot.previousWorkers.begin(), aSnapshot.previousWorkers.end());
-  this->unlistedContacts.insert(aSnapshot.unlistedContacts.begin(),
-                                aSnapshot.unlistedContacts.end());
-  // A predecessor that renewed its record within the row timeout was connected to the store. It had
-  // no contact with workers from which the store received no heartbeat for that time, except those
-  // that its record names.
-  if (aSnapshot.predecessorRecordAge &&
-      *aSnapshot.predecessorRecordAge < this->options.rowTimeout) {
-    std::ranges::set_difference(this->workers,
-                                this->unlistedContacts,
-                                std::inserter(this->presumedGone, this->presumedGone.end()));
-    this->olderLeasesExpiry = aSnapshot.olderLeasesExpiry;
-  }
+  this->unlisted = this->workers;
+  this->suspendedLeases = aSnapshot.suspendedLeases;
   for (const auto& entry : aSnapshot.workers) {
-    this->presumedGone.erase(entry.id);
+    this->unlisted.erase(entry.id);
     this->workers.insert(entry.id);
   }
 }
@@ -42,13 +31,24 @@
 std::vector<WorkerId>
 UnreadWorkers::TakePresumedGone(TimePoint aNow)
 {
-  const auto minSilence = std::max(this->options.rowRestoreTimeout,
-                                   this->options.leaseExpiryBound - this->options.rowTimeout);
-  if (aNow < std::max(this->rowsCurrentSince + minSilence, this->olderLeasesExpiry)) {
-    return {};
+  std::vector<WorkerId> gone;
+  if (aNow < this->rowsCurrentSince + this->options.rowRestoreTimeout) {
+    return gone;
+  }
+  for (const auto& [worker, expiry] : this->suspendedLeases) {
+    if (expiry <= aNow && this->unlisted.erase(worker) > 0) {
+      gone.push_back(worker);
+    }
   }
-  const auto gone = std::exchange(this->presumedGone, {});
-  return { gone.begin(), gone.end() };
+  return gone;
+}
+
+TimePoint
+UnreadWorkers::LeaseExpiryOf(const WorkerId& aWorker) const
+{
+  const auto found = this->suspendedLeases.find(aWorker);
+  return found == this->suspendedLeases.end() ? this->leasesExpiry
+                                              : std::min(found->second, this->leasesExpiry);
 }
 
 bool
@@ -77,12 +77,4 @@
   return draining;
 }
 
-std::vector<WorkerId>
-UnreadWorkers::UnlistedContacts() const
-{
-  std::vector<WorkerId> found;
-  std::ranges::set_intersection(this->workers, this->unlistedContacts, std::back_inserter(found));
-  return found;
-}
-
 }
--- a/Libraries/LibCell/UnreadWorkers.h
+++ b/Libraries/LibCell/UnreadWorkers.h
@@ -8,6 +8,7 @@
 #include <LibCell/Records.h>
 #include <LibCell/TermSnapshot.h>
 #include <cstddef>
+#include <map>
 #include <set>
 #include <vector>
 
@@ -16,10 +17,6 @@
 /// Times that the platform sets.
 struct UnreadWorkersOptions
 {
-  /// A lease that is granted now has expired after this time by any worker's clock.
-  Milliseconds leaseExpiryBound{ 0 };
-  /// The store removes a worker's row after this long without a heartbeat.
-  Milliseconds rowTimeout{ 0 };
   /// Rows that expired during an outage of the store reappear within this time after it recovers.
   Milliseconds rowRestoreTimeout{ 0 };
 };
@@ -43,14 +40,14 @@
   /// prove that its worker is gone.
   void OnRowsUnavailable(TimePoint aNow) { this->rowsCurrentSince = aNow; }
   /// Called when a worker's row appears.
-  void OnListed(const WorkerId& aWorker) { this->presumedGone.erase(aWorker); }
+  void OnListed(const WorkerId& aWorker) { this->unlisted.erase(aWorker); }
   /// Removes a worker that has reported, or whose runs have ended.
   /// @return true if the worker was unread, and only jobs at draining workers have to wait now
   [[nodiscard]] bool MarkRead(const WorkerId& aWorker);
   /// Removes all workers.
   void Clear() { this->workers.clear(); }
-  /// @return once the workers without a row since the term began whose runs must have ended by now;
-  /// the caller marks them as read
+  /// @return once each of the workers without a row since the term began whose leases were not
+  /// renewed by the predecessor and have expired; the caller marks them as read
   [[nodiscard]] std::vector<WorkerId> TakePresumedGone(TimePoint aNow);
 
   [[nodiscard]] bool IsEmpty() const { return this->workers.empty(); }
@@ -71,19 +68,19 @@
   [[nodiscard]] bool MayKnowOf(const JobId& aJob) const;
   /// @return those that were draining, with the jobs that they may know of
   [[nodiscard]] DrainingJobs Draining() const;
-  /// @return those that had no row, but were in contact with the predecessor
-  [[nodiscard]] std::vector<WorkerId> UnlistedContacts() const;
+  /// @return when the leases of an unread worker have expired
+  [[nodiscard]] TimePoint LeaseExpiryOf(const WorkerId& aWorker) const;
 
 private:
   UnreadWorkersOptions options;
   std::set<WorkerId> workers;
   DrainingJobs drainingJobs;
-  /// Workers without a row since the term began that the predecessor was not in contact with.
-  std::set<WorkerId> presumedGone;
-  std::set<WorkerId> unlistedContacts;
+  /// Workers without a row since the term began.
+  std::set<WorkerId> unlisted;
+  /// When the leases have expired that the predecessor did not renew. A missing row alone proves
+  /// nothing of a lease: the worker may be cut off from the store only.
+  std::map<WorkerId, TimePoint> suspendedLeases;
   TimePoint leasesExpiry{};
-  /// When the leases granted by leaders before the predecessor have expired.
-  TimePoint olderLeasesExpiry{};
   /// Since then all changes of workers' rows have been read.
   TimePoint rowsCurrentSince{};
 };
--- a/Libraries/LibCell/Worker.h
+++ b/Libraries/LibCell/Worker.h
@@ -154,6 +154,8 @@
   std::uint64_t acknowledgedSequence = 0;
   std::deque<UnacknowledgedEnd> unacknowledgedEnds;
   bool isRenewalInFlight = false;
+  /// The leader record may say that its lease is not renewed; see @ref LeaseSuspensions.
+  bool isLeaseSuspended = false;
   TimePoint nextRenewal{};
   TimePoint lastResponse{};
   /// Lease renewals in a row that failed.
--- a/Libraries/LibInstance/CellInstance.cpp
+++ b/Libraries/LibInstance/CellInstance.cpp
@@ -65,10 +65,10 @@
                .onTermBegun = [this](const cell::Term& aTerm) { this->OnTermBegun(aTerm); },
                .onTermLost = [this](std::string_view) { this->OnTermLost(); },
                .makeReport = [this] { return this->BuildLeaderReport(); },
-               .onWorkersPublished =
-                 [this](const std::vector<std::string>& aWorkers) {
+               .onReportStored =
+                 [this](const cell::LeaderReport& aReport) {
                    if (this->scheduler) {
-                     this->scheduler->OnWorkersPublished(aWorkers);
+                     this->scheduler->OnReportStored(aReport);
                    }
                  } },
              this->options.identity,
@@ -413,10 +413,8 @@
   this->scheduler->BeginTerm({ .fencingToken = start.term.token,
                                .previousWorkers = start.term.previousWorkers,
                                .drainingJobs = start.term.drainingJobs,
-                               .unlistedContacts = start.term.unlistedContacts,
+                               .suspendedLeases = start.term.suspendedLeases,
                                .hadPredecessor = start.term.hadPredecessor,
-                               .predecessorRecordAge = start.term.predecessorRecordAge,
-                               .olderLeasesExpiry = start.term.olderLeasesExpiry,
                                .jobRows = std::move(*start.jobRows),
                                .workers = this->workerDirectory.Entries() });
   this->election.RenewSoon();
@@ -453,13 +451,14 @@
     const auto& leader = this->election.CurrentLeader();
     cell::LeaderReport report{ .isRecovering = true };
     if (this->pendingTerm) {
-      report.recoveryLeft =
-        this->pendingTerm->term.priorLeasesExpiry - this->dependencies.clock.Now();
+      const auto now = this->dependencies.clock.Now();
+      const auto& term = this->pendingTerm->term;
+      report.recoveryLeft = term.priorLeasesExpiry - now;
+      report.suspendedLeases = cell::RemainingLeases(term.suspendedLeases, now);
     }
     if (leader) {
       report.workers = leader->workers;
       report.drainingJobs = leader->drainingJobs;
-      report.unlistedContacts = leader->unlistedContacts;
       std::erase_if(report.workers, [&report](const std::string& aWorker) {
         return report.drainingJobs.contains({ aWorker });
       });
@@ -470,13 +469,9 @@
   this->expectedWaits = this->scheduler->ExpectedWaits();
   this->expectedWaitsMadeAt = this->dependencies.clock.Now();
   this->LogExpectedWaits();
-  return { .workers = this->scheduler->WorkersToPublish(),
-           .drainingJobs = this->scheduler->DrainingJobsToPublish(),
-           .unlistedContacts = this->scheduler->UnlistedContactsToPublish(),
-           .pendingJobs = this->scheduler->PendingJobsByQueue(),
-           .expectedWaits = this->expectedWaits,
-           .isRecovering = this->scheduler->IsRecovering(),
-           .recoveryLeft = this->scheduler->RemainingRecoveryTime() };
+  auto report = this->scheduler->MakeLeaderReport();
+  report.expectedWaits = this->expectedWaits;
+  return report;
 }
 
 void
--- a/Services/Entry/PlatformProgram.cpp
+++ b/Services/Entry/PlatformProgram.cpp
@@ -55,8 +55,6 @@
 /// Caps the platform's limit. Longer leases would only delay the restart of tasks whose worker is
 /// gone: network partitions last at most 6 s, and a lease is renewed every 0.7 s.
 constexpr Milliseconds kMaxLease{ 7500 };
-/// A worker's row is removed after this many heartbeat intervals without a heartbeat.
-constexpr int kMaxMissedHeartbeats = 3;
 /// Part of the bound on starts in an evacuated zone after which the operators' table is read in
 /// full. The rest is for the read itself, in case the store dropped the change from the watch.
 constexpr double kRereadFraction = 0.8;
@@ -232,7 +230,6 @@
   };
   instanceOptions.scheduler.maxLease = std::min(this->boot.maxLease, kMaxLease);
   instanceOptions.scheduler.maxStopDuration = this->boot.maxStopDuration;
-  instanceOptions.scheduler.workerRowTimeout = this->boot.heartbeatInterval * kMaxMissedHeartbeats;
   instanceOptions.election.maxLeaseAfterTerm = instanceOptions.scheduler.LeaseExpiryBound();
   instanceOptions.documentRereadInterval = std::clamp(
     std::chrono::duration_cast<Milliseconds>(this->boot.evacuationBound * kRereadFraction),
--- a/Tests/Benchmarks/Scheduler/SimulatedCell.cpp
+++ b/Tests/Benchmarks/Scheduler/SimulatedCell.cpp
@@ -121,7 +121,7 @@
       run();
     }
     this->Measure([this] { this->scheduler->Tick(); });
-    this->scheduler->OnWorkersPublished(this->scheduler->WorkersToPublish());
+    this->scheduler->OnReportStored(this->scheduler->MakeLeaderReport());
     this->clock.Advance(kTickInterval);
   }
   return this->cost;
--- a/Tests/LibCell/CellSchedulerFixture.cpp
+++ b/Tests/LibCell/CellSchedulerFixture.cpp
@@ -85,9 +85,8 @@
   this->scheduler->BeginTerm({ .fencingToken = this->fencingToken = this->WriteTermRows(),
                                .previousWorkers = std::move(aPreviousWorkers),
                                .drainingJobs = this->drainingJobs,
-                               .unlistedContacts = this->unlistedContacts,
+                               .suspendedLeases = this->suspendedLeases,
                                .hadPredecessor = aHasPredecessor,
-                               .predecessorRecordAge = this->predecessorRecordAge,
                                .jobRows = this->store.RowsOf(std::string(kJobTable)),
                                .workers = this->entries });
 }
@@ -117,7 +116,7 @@
   for (auto elapsed = Milliseconds{ 0 }; elapsed < aDuration; elapsed += kStep) {
     this->scheduler->Tick();
     if (this->publishesWorkers) {
-      this->scheduler->OnWorkersPublished(this->scheduler->WorkersToPublish());
+      this->scheduler->OnReportStored(this->scheduler->MakeLeaderReport());
     }
     this->ListRestartedWorkers();
     this->workers.Deliver();
--- a/Tests/LibCell/CellSchedulerFixture.h
+++ b/Tests/LibCell/CellSchedulerFixture.h
@@ -82,10 +82,9 @@
                  std::vector<WorkerId> aPreviousWorkers = {});
   /// Jobs at draining workers in the predecessor's leader record at the next @ref BeginTerm.
   DrainingJobs drainingJobs;
-  /// Workers without a row in the predecessor's leader record at the next @ref BeginTerm.
-  std::vector<WorkerId> unlistedContacts;
-  /// Age of the predecessor's leader record at the next @ref BeginTerm.
-  std::optional<Milliseconds> predecessorRecordAge;
+  /// Workers whose leases the predecessor did not renew, in its leader record at the next
+  /// @ref BeginTerm, and when they have expired.
+  std::map<WorkerId, TimePoint> suspendedLeases;
   /// Hands the rows of workers that have restarted to the scheduler.
   void ListRestartedWorkers();
   /// Advances the clock in steps of 10 ms; each runs a tick and delivers responses.
--- a/Tests/LibCell/TestLeaderElection.cpp
+++ b/Tests/LibCell/TestLeaderElection.cpp
@@ -19,39 +19,38 @@
              const std::string& aIncarnation = "1",
              std::uint32_t aMilliCores = 120)
       : monitoredStore(aTest.store, aTest.clock, aTest.log, aTest.metrics)
-      , election({ .store = this->monitoredStore,
-                   .clock = aTest.clock,
-                   .log = aTest.log,
-                   .onTermBegun =
-                     [this](const Term& aTerm) {
-                       this->term = aTerm;
-                       ++this->termCount;
-                     },
-                   .onTermLost = [this](std::string_view) { this->term.reset(); },
-                   .makeReport =
-                     [this] {
-                       return LeaderReport{ .workers = this->workers,
-                                            .unlistedContacts = this->unlistedContacts,
-                                            .expectedWaits = this->expectedWaits,
-                                            .isRecovering = this->isRecovering,
-                                            .recoveryLeft = this->recoveryLeft };
-                     },
-                   .onWorkersPublished =
-                     [this](const std::vector<std::string>& aWorkers) {
-                       this->publishedWorkers = aWorkers;
-                     } },
-                 { .name = aName,
-                   .incarnation = aName + aIncarnation,
-                   .address = "10.0.0.1",
-                   .port = 1,
-                   .milliCores = aMilliCores },
-                 aTest.options)
+      , election(
+          { .store = this->monitoredStore,
+            .clock = aTest.clock,
+            .log = aTest.log,
+            .onTermBegun =
+              [this](const Term& aTerm) {
+                this->term = aTerm;
+                ++this->termCount;
+              },
+            .onTermLost = [this](std::string_view) { this->term.reset(); },
+            .makeReport =
+              [this] {
+                return LeaderReport{ .workers = this->workers,
+                                     .suspendedLeases = this->suspendedLeases,
+                                     .expectedWaits = this->expectedWaits,
+                                     .isRecovering = this->isRecovering,
+                                     .recoveryLeft = this->recoveryLeft };
+              },
+            .onReportStored =
+              [this](const LeaderReport& aReport) { this->publishedWorkers = aReport.workers; } },
+          { .name = aName,
+            .incarnation = aName + aIncarnation,
+            .address = "10.0.0.1",
+            .port = 1,
+            .milliCores = aMilliCores },
+          aTest.options)
     {
     }
 
     MonitoredStore monitoredStore;
     std::vector<std::string> workers;
-    std::vector<std::string> unlistedContacts;
+    SuspendedLeases suspendedLeases;
     std::vector<std::string> publishedWorkers;
     std::vector<ExpectedWait> expectedWaits;
     bool isRecovering = false;
@@ -123,22 +122,30 @@
   EXPECT_FALSE(first.term);
 }
 
-// Guards against a successor that presumes a worker gone whose row has expired: it knows from the
-// record that the worker was in touch, and so does the one after it.
-TEST_F(LeaderElectionTest, HandsOnTheUnlistedWorkers)
+// Guards against a successor, or the one after it, that waits for leases which nobody renews, and
+// against one that counts them as expired too early: their time runs from when the record was read.
+TEST_F(LeaderElectionTest, HandsOnTheSuspendedLeases)
 {
   Instance first(*this, "first");
   Instance second(*this, "second");
   this->Run({ &first }, Milliseconds{ 300 });
   first.workers = { "w1", "w2" };
-  first.unlistedContacts = { "w2" };
+  first.suspendedLeases = { { { "w2" }, Milliseconds{ 5000 } } };
   this->Run({ &first, &second }, Milliseconds{ 1000 });
+  const auto readAt = this->clock.Now();
   this->Run({ &second }, Milliseconds{ 2000 });
   ASSERT_TRUE(second.term);
-  EXPECT_EQ(second.term->unlistedContacts, std::vector<WorkerId>{ { "w2" } });
-  const auto record = DecodeLeaderRecord(EncodeLeaderRecord({ .unlistedContacts = { "w2" } }));
-  ASSERT_FALSE(IsError(record));
-  EXPECT_EQ(ValueOf(record).unlistedContacts, std::vector<std::string>{ "w2" });
+  ASSERT_EQ(second.term->suspendedLeases.size(), 1U);
+  const auto expiry = second.term->suspendedLeases.at({ "w2" });
+  EXPECT_LE(expiry, readAt + Milliseconds{ 5000 });
+  EXPECT_GT(expiry, readAt + Milliseconds{ 4400 }) << "the record is renewed each 500 ms";
+  const auto takeover = DecodeLeaderRecord(this->LeaderRow().value);
+  ASSERT_FALSE(IsError(takeover));
+  const auto& repeated = ValueOf(takeover).suspendedLeases;
+  if (ValueOf(takeover).token == 0) {
+    ASSERT_EQ(repeated.size(), 1U);
+    EXPECT_GE(this->clock.Now() + repeated.at({ "w2" }), expiry);
+  }
 }
 
 // Failure: the leader is killed while its expected waits are in circulation. Guards against
@@ -485,8 +492,7 @@
     "second", { .incarnation = "another incarnation" }, ++this->store.version);
   this->Run({ &third }, Milliseconds{ 200 });
   ASSERT_TRUE(third.term);
-  EXPECT_GE(third.term->olderLeasesExpiry, this->clock.Now() + Milliseconds{ 10'000 });
-  EXPECT_GE(third.term->priorLeasesExpiry, third.term->olderLeasesExpiry);
+  EXPECT_GE(third.term->priorLeasesExpiry, this->clock.Now() + Milliseconds{ 10'000 });
 }
 
 // The leader's machine runs at an eighth of its speed for some seconds.
--- a/Tests/LibCell/TestRunEndHistories.cpp
+++ b/Tests/LibCell/TestRunEndHistories.cpp
@@ -107,14 +107,14 @@
     if (this->store.mode != StoreMode::Available) {
       return;
     }
-    this->drainingJobs = this->scheduler->DrainingJobsToPublish();
-    this->unlistedContacts.clear();
-    for (const auto& name : this->scheduler->UnlistedContactsToPublish()) {
-      this->unlistedContacts.push_back({ name });
+    const auto report = this->scheduler->MakeLeaderReport();
+    this->drainingJobs = report.drainingJobs;
+    this->suspendedLeases.clear();
+    for (const auto& [id, left] : report.suspendedLeases) {
+      this->suspendedLeases.emplace(id, this->clock.Now() + left);
     }
-    this->publishedAt = this->clock.Now();
-    this->recordedWorkers = this->scheduler->WorkersToPublish();
-    this->scheduler->OnWorkersPublished(this->recordedWorkers);
+    this->recordedWorkers = report.workers;
+    this->scheduler->OnReportStored(report);
   }
 
   void ChangeLeader()
@@ -131,7 +131,6 @@
       previous.push_back(id);
     }
     this->hasLostLeadership = false;
-    this->predecessorRecordAge = this->clock.Now() - this->publishedAt;
     this->BeginTerm(true, this->options.LeaseExpiryBound(), std::move(previous));
     this->Publish();
   }
@@ -268,11 +267,11 @@
         this->CrashWorker(name);
         break;
       case Event::Unlist:
-        // The leader record is renewed soon after a row expires, if the store is there.
-        if (entry != this->entries.end() && this->store.mode == StoreMode::Available) {
+        if (entry != this->entries.end()) {
           this->entries.erase(entry);
-          this->scheduler->OnWorkerUnlisted({ name });
-          this->Publish();
+          if (this->store.mode == StoreMode::Available) {
+            this->scheduler->OnWorkerUnlisted({ name });
+          }
         }
         break;
       case Event::List:
@@ -344,7 +343,6 @@
 
   bool hasCrashes = false;
   std::vector<std::string> recordedWorkers;
-  TimePoint publishedAt{};
   std::map<std::string, std::uint64_t> lastTracked;
   std::vector<TrackedEnd> ends;
 };
--- a/Tests/LibCell/TestTakeover.cpp
+++ b/Tests/LibCell/TestTakeover.cpp
@@ -297,7 +297,7 @@
 
 TEST_F(TakeoverTest, StopsWaitingForWorkersThatWereRemoved)
 {
-  this->predecessorRecordAge = Milliseconds{ 1000 };
+  this->suspendedLeases = { { { "left" }, this->clock.Now() + Milliseconds{ 1000 } } };
   this->entries = { this->workers.Add("w1", 4) };
   this->AcceptJob(MakeJob("old", 1, 4));
   this->BeginTerm(true, Milliseconds{ 12'400 }, { { "w1" }, { "left" } });
@@ -309,7 +309,7 @@
 
 TEST_F(TakeoverTest, WaitsForAWorkerWhoseRowReappears)
 {
-  this->predecessorRecordAge = Milliseconds{ 1000 };
+  this->suspendedLeases = { { { "lapsed" }, this->clock.Now() + Milliseconds{ 1000 } } };
   this->entries = { this->workers.Add("w1", 4) };
   this->AcceptJob(MakeJob("old", 1, 4));
   auto expired = this->workers.Add("lapsed", 4);
@@ -327,7 +327,7 @@
 // runs on can reappear, so that its absence proves nothing.
 TEST_F(TakeoverTest, WaitsForUnlistedWorkersWhileTheStoreIsAway)
 {
-  this->predecessorRecordAge = Milliseconds{ 1000 };
+  this->suspendedLeases = { { { "left" }, this->clock.Now() + Milliseconds{ 1000 } } };
   this->entries = { this->workers.Add("w1", 4) };
   this->AcceptJob(MakeJob("old", 1, 4));
   this->BeginTerm(true, Milliseconds{ 12'400 }, { { "w1" }, { "left" } });
@@ -345,7 +345,6 @@
 // the workers' rows expire, although they still execute the leader's runs.
 TEST_F(TakeoverTest, WaitsForUnlistedWorkersOfAPredecessorThatWasCutOff)
 {
-  this->predecessorRecordAge = Milliseconds{ 5000 };
   this->entries = { this->workers.Add("w1", 4) };
   this->AcceptJob(MakeJob("old", 1, 4));
   this->BeginTerm(true, Milliseconds{ 12'400 }, { { "w1" }, { "cut off" } });
@@ -367,23 +366,42 @@
   ASSERT_EQ(this->CountStarts("job"), 1U);
   this->scheduler->OnWorkerUnlisted({ "w1" });
   this->RunFor(Milliseconds{ 1000 });
-  EXPECT_EQ(this->scheduler->UnlistedContactsToPublish(), std::vector<std::string>{ "w1" });
+  EXPECT_TRUE(this->scheduler->MakeLeaderReport().suspendedLeases.empty());
 
-  this->unlistedContacts = { { "w1" } };
-  this->predecessorRecordAge = Milliseconds{ 100 };
   this->entries = { this->workers.Add("w2", 4) };
   this->BeginTerm(true, this->options.LeaseExpiryBound(), { { "w1" } });
   this->RunFor(Milliseconds{ 5000 });
   EXPECT_EQ(this->CountStarts("job"), 1U) << "its lease goes on";
-  EXPECT_EQ(this->scheduler->UnlistedContactsToPublish(), std::vector<std::string>{ "w1" })
-    << "a further leader must not start it either";
+  const SuspendedLeases suspended{ { { "w1" }, this->scheduler->RemainingRecoveryTime() } };
+  EXPECT_EQ(this->scheduler->MakeLeaderReport().suspendedLeases, suspended)
+    << "a further leader must not start it earlier either";
   this->RunFor(Milliseconds{ 2000 });
   EXPECT_EQ(this->CountStarts("job"), 2U);
 }
 
-// The row of a worker that is cut off from everything expires, too, but its leader has not reached
-// it for as long. The next leader may presume it gone.
-TEST_F(TakeoverTest, PublishesNoUnlistedWorkerThatIsOutOfTouch)
+// Failure: a worker loses the store, and its row expires just after the leader has renewed its
+// record for the last time. Guards against starting its task a second time: a missing row says
+// nothing of a lease.
+TEST_F(TakeoverTest, WaitsForAWorkerWhoseRowExpiresAfterTheLastLeaderRecord)
+{
+  this->entries = { this->workers.Add("w1", 4) };
+  this->BeginTerm();
+  this->RunFor(Milliseconds{ 50 });
+  this->AcceptJob(MakeJob("job", 1, 4));
+  this->RunFor(Milliseconds{ 1000 });
+  ASSERT_EQ(this->CountStarts("job"), 1U);
+
+  this->entries = { this->workers.Add("w2", 4) };
+  this->BeginTerm(true, this->options.LeaseExpiryBound(), { { "w1" } });
+  this->RunFor(Milliseconds{ 6000 });
+  EXPECT_EQ(this->CountStarts("job"), 1U) << "its lease goes on";
+  this->RunFor(Milliseconds{ 1000 });
+  EXPECT_EQ(this->CountStarts("job"), 2U);
+}
+
+// The leader has not reached a worker for some time, so that the next one knows when its last lease
+// expires.
+TEST_F(TakeoverTest, SuspendsTheLeaseOfAWorkerThatDoesNotRespond)
 {
   this->entries = { this->workers.Add("w1", 4) };
   this->BeginTerm();
@@ -391,9 +409,65 @@
   this->AcceptJob(MakeJob("job", 1, 4));
   this->RunFor(Milliseconds{ 50 });
   this->workers.At("w1").isReachable = false;
-  this->RunFor(this->options.workerRowTimeout + Milliseconds{ 100 });
-  this->scheduler->OnWorkerUnlisted({ "w1" });
-  EXPECT_TRUE(this->scheduler->UnlistedContactsToPublish().empty());
+  this->RunFor(Milliseconds{ 4500 });
+  const auto expiry = this->workers.At("w1").leaseExpiry;
+  const auto suspended = this->scheduler->MakeLeaderReport().suspendedLeases;
+  ASSERT_EQ(suspended.size(), 1U);
+  EXPECT_GE(this->clock.Now() + suspended.at({ "w1" }), expiry);
+  EXPECT_LE(this->clock.Now() + suspended.at({ "w1" }), expiry + Milliseconds{ 500 });
+}
+
+// Guards against a lease that the next leader does not wait for: the stored record says that the
+// worker gets none, and the store is away when the worker responds again.
+TEST_F(TakeoverTest, RenewsASuspendedLeaseOnlyOnceTheRecordOmitsIt)
+{
+  this->entries = { this->workers.Add("w1", 4) };
+  this->BeginTerm();
+  this->RunFor(Milliseconds{ 50 });
+  this->workers.At("w1").isReachable = false;
+  this->RunFor(Milliseconds{ 4500 });
+  this->publishesWorkers = false;
+  const auto count = this->workers.leaseRenewals.size();
+  const auto renewsLease = [](const LeaseRenewal& aOrder) {
+    return aOrder.leaseDeadline.has_value();
+  };
+  const auto named = this->scheduler->MakeLeaderReport();
+  this->workers.At("w1").isReachable = true;
+  this->RunFor(Milliseconds{ 1000 });
+  ASSERT_GT(this->workers.leaseRenewals.size(), count);
+  const auto omitted = this->scheduler->MakeLeaderReport();
+  EXPECT_TRUE(omitted.suspendedLeases.empty());
+  this->scheduler->OnReportStored(named);
+  this->AcceptJob(MakeJob("job", 1, 4));
+  this->RunFor(Milliseconds{ 500 });
+  EXPECT_EQ(std::count_if(this->workers.leaseRenewals.begin() + static_cast<std::ptrdiff_t>(count),
+                          this->workers.leaseRenewals.end(),
+                          renewsLease),
+            0);
+  EXPECT_EQ(this->CountStarts("job"), 0U) << "a start grants a lease, too";
+  this->scheduler->OnReportStored(omitted);
+  this->RunFor(Milliseconds{ 100 });
+  EXPECT_TRUE(renewsLease(this->workers.leaseRenewals.back()));
+  EXPECT_EQ(this->CountStarts("job"), 1U);
+}
+
+// Guards against waiting for a whole lease after each of several leaders: nobody has renewed it.
+TEST_F(TakeoverTest, FurtherLeadersWaitNoLongerForASuspendedLease)
+{
+  this->entries = { this->workers.Add("w1", 4) };
+  this->AcceptJob(MakeJob("old", 1, 4));
+  const auto expiry = this->clock.Now() + Milliseconds{ 4000 };
+  this->suspendedLeases = { { { "left" }, expiry } };
+  this->BeginTerm(true, Milliseconds{ 12'400 }, { { "w1" }, { "left" } });
+  this->RunFor(Milliseconds{ 1000 });
+  const auto report = this->scheduler->MakeLeaderReport();
+  ASSERT_TRUE(report.suspendedLeases.contains({ "left" }));
+  EXPECT_EQ(this->clock.Now() + report.suspendedLeases.at({ "left" }), expiry);
+  this->BeginTerm(true, Milliseconds{ 12'400 }, { { "w1" }, { "left" } });
+  this->RunFor(Milliseconds{ 2900 });
+  EXPECT_EQ(this->CountStarts("old"), 0U);
+  this->RunFor(Milliseconds{ 300 });
+  EXPECT_EQ(this->CountStarts("old"), 1U);
 }
 
 TEST_F(TakeoverTest, StepsDownWhenFencedByASuccessor)
--- a/Tests/LibCell/TestUnreadWorkers.cpp
+++ b/Tests/LibCell/TestUnreadWorkers.cpp
@@ -6,18 +6,12 @@
 namespace {
 
 constexpr TimePoint kBegin{ Milliseconds{ 1000 } };
-constexpr UnreadWorkersOptions kOptions{ .leaseExpiryBound = Milliseconds{ 8000 },
-                                         .rowTimeout = Milliseconds{ 4500 },
-                                         .rowRestoreTimeout = Milliseconds{ 2500 } };
-/// Time after which a worker without a row is presumed gone.
-constexpr Milliseconds kMinSilence = kOptions.leaseExpiryBound - kOptions.rowTimeout;
+constexpr UnreadWorkersOptions kOptions{ .rowRestoreTimeout = Milliseconds{ 2500 } };
 
 [[nodiscard]] TermSnapshot
 MakeSnapshot(std::vector<WorkerId> aPreviousWorkers)
 {
-  return { .previousWorkers = std::move(aPreviousWorkers),
-           .hadPredecessor = true,
-           .predecessorRecordAge = Milliseconds{ 500 } };
+  return { .previousWorkers = std::move(aPreviousWorkers), .hadPredecessor = true };
 }
 
 }
@@ -52,51 +46,54 @@
 
 // Guards against waiting for workers that no longer exist, and against starting a task twice whose
 // worker has a row or may get it back.
-TEST(UnreadWorkers, PresumesWorkersWithoutARowGoneAfterATimeout)
+TEST(UnreadWorkers, PresumesWorkersWithoutARowGoneOnceTheirLeasesHaveExpired)
 {
   UnreadWorkers unread(kOptions);
-  auto snapshot = MakeSnapshot({ { "gone" }, { "reappears" }, { "listed" } });
+  auto snapshot = MakeSnapshot({ { "early" }, { "late" }, { "reappears" }, { "listed" } });
   snapshot.workers = { { .id = { "listed" } } };
+  const auto late = kBegin + Milliseconds{ 4000 };
+  snapshot.suspendedLeases = { { { "early" }, kBegin },
+                               { { "late" }, late },
+                               { { "reappears" }, kBegin },
+                               { { "listed" }, kBegin } };
   unread.Begin(snapshot, kBegin);
   unread.OnListed({ "reappears" });
-  EXPECT_TRUE(unread.TakePresumedGone(kBegin + kMinSilence - Milliseconds{ 1 }).empty());
-  EXPECT_EQ(unread.TakePresumedGone(kBegin + kMinSilence), std::vector<WorkerId>{ { "gone" } });
-  EXPECT_TRUE(unread.TakePresumedGone(kBegin + kMinSilence).empty()) << "once";
+  const auto restored = kBegin + kOptions.rowRestoreTimeout;
+  EXPECT_TRUE(unread.TakePresumedGone(restored - Milliseconds{ 1 }).empty());
+  EXPECT_EQ(unread.TakePresumedGone(restored), std::vector<WorkerId>{ { "early" } });
+  EXPECT_TRUE(unread.TakePresumedGone(late - Milliseconds{ 1 }).empty()) << "once";
+  EXPECT_EQ(unread.TakePresumedGone(late), std::vector<WorkerId>{ { "late" } });
+  EXPECT_TRUE(unread.TakePresumedGone(kBegin + Milliseconds{ 60'000 }).empty());
 }
 
-// Guards against starting a task twice: rows that cannot be read, and leases of leaders before the
-// predecessor, extend the timeout.
-TEST(UnreadWorkers, PresumesNoWorkerGoneWhileRowsAreUnknownOrOlderLeasesHold)
+// Guards against starting a task twice: rows that cannot be read extend the timeout.
+TEST(UnreadWorkers, PresumesNoWorkerGoneWhileRowsAreUnknown)
 {
   UnreadWorkers unread(kOptions);
   auto snapshot = MakeSnapshot({ { "gone" } });
-  snapshot.olderLeasesExpiry = kBegin + Milliseconds{ 6000 };
+  snapshot.suspendedLeases = { { { "gone" }, kBegin } };
   unread.Begin(snapshot, kBegin);
-  EXPECT_TRUE(unread.TakePresumedGone(kBegin + Milliseconds{ 5999 }).empty());
   unread.OnRowsUnavailable(kBegin + Milliseconds{ 4000 });
-  EXPECT_TRUE(unread.TakePresumedGone(kBegin + Milliseconds{ 6000 }).empty());
-  EXPECT_EQ(unread.TakePresumedGone(kBegin + Milliseconds{ 4000 } + kMinSilence).size(), 1U);
+  const auto restored = kBegin + Milliseconds{ 4000 } + kOptions.rowRestoreTimeout;
+  EXPECT_TRUE(unread.TakePresumedGone(restored - Milliseconds{ 1 }).empty());
+  EXPECT_EQ(unread.TakePresumedGone(restored).size(), 1U);
 }
 
-// Guards against starting a task twice: the predecessor was cut off from the store, or in contact
-// with a worker that was.
-TEST(UnreadWorkers, PresumesNoWorkerGoneThatThePredecessorMayHaveReached)
+// Guards against starting a task twice: the predecessor may have renewed the lease of any worker
+// that its record does not name as suspended, whether or not the worker has a row.
+TEST(UnreadWorkers, PresumesNoWorkerGoneWhoseLeaseMayHaveBeenRenewed)
 {
-  UnreadWorkers ofCutOffLeader(kOptions);
-  auto snapshot = MakeSnapshot({ { "w1" } });
-  snapshot.predecessorRecordAge = kOptions.rowTimeout;
-  ofCutOffLeader.Begin(snapshot, kBegin);
-  EXPECT_TRUE(ofCutOffLeader.TakePresumedGone(kBegin + Milliseconds{ 60'000 }).empty());
-
   UnreadWorkers unread(kOptions);
-  snapshot = MakeSnapshot({ { "w1" }, { "w2" } });
-  snapshot.unlistedContacts = { { "w2" } };
+  auto snapshot = MakeSnapshot({ { "w1" }, { "w2" } });
+  snapshot.suspendedLeases = { { { "w1" }, kBegin } };
   unread.Begin(snapshot, kBegin);
-  EXPECT_EQ(unread.TakePresumedGone(kBegin + kMinSilence), std::vector<WorkerId>{ { "w1" } });
-  EXPECT_EQ(unread.UnlistedContacts(), std::vector<WorkerId>{ { "w2" } });
+  unread.SetLeasesExpiry(kBegin + Milliseconds{ 12'000 });
+  EXPECT_EQ(unread.TakePresumedGone(kBegin + Milliseconds{ 60'000 }),
+            std::vector<WorkerId>{ { "w1" } });
+  EXPECT_EQ(unread.LeaseExpiryOf({ "w1" }), kBegin);
+  EXPECT_EQ(unread.LeaseExpiryOf({ "w2" }), kBegin + Milliseconds{ 12'000 });
   EXPECT_FALSE(unread.MarkRead({ "w1" }));
   EXPECT_TRUE(unread.MarkRead({ "w2" }));
-  EXPECT_TRUE(unread.UnlistedContacts().empty());
 }
 
 }
--- a/Tests/LibCell/TestWorkerCrashes.cpp
+++ b/Tests/LibCell/TestWorkerCrashes.cpp
@@ -305,7 +305,7 @@
   };
   while (countRecorded() == 0) {
     this->scheduler->Tick();
-    this->scheduler->OnWorkersPublished(this->scheduler->WorkersToPublish());
+    this->scheduler->OnReportStored(this->scheduler->MakeLeaderReport());
     this->ListRestartedWorkers();
     this->workers.Deliver();
     this->clock.Advance(Milliseconds{ 10 });
