LibCell: Request a gang's tickets so that all are valid at one time

Cause: a reservation renewed only the tickets that were valid for less than 600 ms, while a response takes 0.8 s and more. The tickets of one part of the gang expired while those of the other were renewed, and then the other way round. The reservation waited on for 0.7 s although no request was in flight.

Ruled out: the number of admitted workers, their room and the limit (the case has idle workers only and no limit).

Change: PlanGangTickets renews what expires before the response, together with what is missing, and in a second attempt all tickets, so that nothing depends on when a response comes. Requests are split at the service's limit of workers. A reservation for which no request is in flight is released at once. The ticket of a worker that is no longer admitted is removed.

StartAGangOnWorkersThatArriveInTwoGroups, StartAnyGangWithinAFewResponses and StartAGangElsewhereIfAWorkerIsNoLongerAdmitted failed before.

--- a/Libraries/LibCell/CellScheduler.h
+++ b/Libraries/LibCell/CellScheduler.h
@@ -408,13 +408,18 @@
   /// @return true if the gang was started
   bool StartGang(const Candidate& aCandidate, std::span<Worker* const> aAssigned);
   /// Reserves room at the assigned workers and requests tickets for them.
-  void ReserveForGang(const Candidate& aCandidate, std::span<Worker* const> aAssigned);
+  /// @param aStartDelay time until the workers have the room
+  void ReserveForGang(const Candidate& aCandidate,
+                      std::span<Worker* const> aAssigned,
+                      Milliseconds aStartDelay);
   /// Stops runs that can wait, and reserves their room for the gang.
   /// @return true if room is reserved
   bool PreemptForGang(const Candidate& aCandidate, const Pool& aPool);
   [[nodiscard]] bool IsPreemptibleFor(const Candidate& aGang, const Allocation& aAllocation);
-  /// Starts a gang at its reserved workers once there is a valid ticket for each.
-  void StartReservedGang(const Candidate& aCandidate);
+  /// Starts a gang at its reserved workers once there is a valid ticket for each. Releases a
+  /// reservation for which it would wait in vain.
+  /// @return true if the gang was started
+  bool StartReservedGang(const Candidate& aCandidate);
   /// Earmarks the workers with the most free room: batch tasks stay off them until the gang fits.
   void EarmarkWorkersForGang(const Candidate& aCandidate, const Pool& aPool);
   void ReleaseReservation(StepRun& aRun, const StepSpecification& aStep);
--- a/Libraries/LibCell/CellSchedulerAdvice.cpp
+++ b/Libraries/LibCell/CellSchedulerAdvice.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <set>
 
 namespace zinc::cell {
 
@@ -190,14 +191,22 @@
                                              static_cast<double>(aRequested.size()) -
                                            fraction);
   }
+  std::set<WorkerNumber> eligible;
   for (const auto& ticket : ValueOf(aResponse).tickets) {
     // The margin of a ticket covers the transit of the response from the instance that made the
     // call.
     if (const auto* worker = this->workers.Find(ticket.worker)) {
+      eligible.insert(worker->number);
       run.advice.AddTicket(
         { .worker = worker->number, .text = ticket.text, .expires = now + validity });
     }
   }
+  for (const auto worker : aRequested) {
+    // A gang would wait for the ticket of a worker for which the service gives none any more.
+    if (!eligible.contains(worker)) {
+      run.advice.RemoveTicket(worker);
+    }
+  }
   run.advice.hasResponse = true;
   run.advice.hasNewResponse = true;
   this->dependencies.log.Log(LogLevel::Info,
--- a/Libraries/LibCell/CellSchedulerGangs.cpp
+++ b/Libraries/LibCell/CellSchedulerGangs.cpp
@@ -1,5 +1,6 @@
 #include <LibCell/CellScheduler.h>
 #include <LibCell/GangPreemption.h>
+#include <LibCell/GangTickets.h>
 #include <LibCell/Placement.h>
 #include <LibCell/PlacementOrder.h>
 
@@ -11,8 +12,8 @@
 
 /// A reservation expires if its tickets are this much later than expected.
 constexpr Milliseconds kReservationMargin{ 700 };
-/// A reservation uses tickets that are valid for this long. It covers the stop of preempted runs.
-constexpr Milliseconds kMinTicketValidity{ 600 };
+/// Time from the end of a preempted run to the report that lists it.
+constexpr Milliseconds kStopReportDelay{ 250 };
 /// Gangs for which workers are kept free of batch tasks at the same time.
 constexpr std::size_t kMaxGangsWithEarmarkedWorkers = 5;
 
@@ -32,12 +33,16 @@
   }
   const auto demand = AllocatedDemand(step);
   const auto total = demand * step.count;
-  if (run.reservation && run.reservation->expires < now) {
-    this->ReleaseReservation(run, step);
-  }
   if (run.reservation) {
-    this->StartReservedGang(aCandidate);
-    return WaitReason::Ticket;
+    if (run.reservation->expires < now) {
+      this->ReleaseReservation(run, step);
+    } else if (this->StartReservedGang(aCandidate)) {
+      return WaitReason::None;
+    }
+    if (run.reservation) {
+      return WaitReason::Ticket;
+    }
+    aPool.free += total;
   }
   const bool leavesHeadroom = this->LeavesHeadroom(aCandidate, total, aPool);
   if (!leavesHeadroom || !HasRoom(aPool, step)) {
@@ -67,7 +72,7 @@
     this->EarmarkWorkersForGang(aCandidate, aPool);
     return run.advice.requestsInFlight > 0 ? WaitReason::Advice : WaitReason::Room;
   }
-  this->ReserveForGang(aCandidate, *assigned);
+  this->ReserveForGang(aCandidate, *assigned, Milliseconds{ 0 });
   aPool.free -= total;
   return WaitReason::Ticket;
 }
@@ -105,11 +110,14 @@
   for (std::uint32_t index = 0; index < aAssigned.size(); ++index) {
     this->StartTask(aCandidate, index, *aAssigned[index], run, checkpoint);
   }
+  aCandidate.run->hasTriedReservation = false;
   return true;
 }
 
 void
-CellScheduler::ReserveForGang(const Candidate& aCandidate, std::span<Worker* const> aAssigned)
+CellScheduler::ReserveForGang(const Candidate& aCandidate,
+                              std::span<Worker* const> aAssigned,
+                              Milliseconds aStartDelay)
 {
   auto& run = *aCandidate.run;
   // While the service is overloaded a reservation expires before its request is sent. Another
@@ -119,25 +127,28 @@
   }
   const auto demand = AllocatedDemand(*aCandidate.specification);
   GangReservation reservation;
-  std::vector<WorkerNumber> requested;
   for (auto* worker : aAssigned) {
     worker->reserved += demand;
     reservation.workers.push_back(worker->number);
-    const auto* ticket = run.advice.FindTicket(worker->number);
-    const bool isValid =
-      !aCandidate.queue->needsAdvice ||
-      (ticket != nullptr && ticket->expires > this->roundBegin + kMinTicketValidity);
-    if (!isValid && std::ranges::find(requested, worker->number) == requested.end()) {
-      requested.push_back(worker->number);
-    }
   }
-  const auto& advice = aCandidate.queue->advice;
-  const auto expected = Milliseconds(static_cast<std::int64_t>(
-    advice.baseMs + advice.perWorkerMs * static_cast<double>(requested.size())));
-  reservation.expires = this->roundBegin + expected + kReservationMargin;
+  if (!aCandidate.queue->needsAdvice) {
+    reservation.expires = this->roundBegin + aStartDelay + kReservationMargin;
+    run.reservation = std::move(reservation);
+    return;
+  }
+  const auto plan = PlanGangTickets(run.advice,
+                                    reservation.workers,
+                                    { .policy = aCandidate.queue->advice,
+                                      .maxWorkersPerRequest = this->options.maxWorkersPerRequest,
+                                      .startDelay = aStartDelay,
+                                      .renewsAll = run.hasTriedReservation },
+                                    this->roundBegin);
+  // Responses may be late; a second attempt must not depend on when.
+  run.hasTriedReservation = run.hasTriedReservation || !plan.requests.empty();
+  reservation.expires = this->roundBegin + plan.expectedStart + kReservationMargin;
   run.reservation = std::move(reservation);
-  if (!requested.empty()) {
-    this->RequestAdvice(aCandidate, requested);
+  for (const auto& workers : plan.requests) {
+    this->RequestAdvice(aCandidate, workers);
   }
 }
 
@@ -184,15 +195,16 @@
                   *preempted.worker->FindAllocation(preempted.task, preempted.run),
                   "preempted");
   }
-  this->ReserveForGang(aCandidate, plan->members);
+  this->ReserveForGang(aCandidate, plan->members, this->options.maxStopDuration + kStopReportDelay);
   return true;
 }
 
-void
+bool
 CellScheduler::StartReservedGang(const Candidate& aCandidate)
 {
   auto& run = *aCandidate.run;
   std::vector<Worker*> assigned;
+  bool hasInvalidTicket = false;
   for (const auto number : run.reservation->workers) {
     auto* worker = this->workers.FindByNumber(number);
     const bool isUsable = worker != nullptr && this->IsUsable(*worker, this->roundBegin);
@@ -201,19 +213,27 @@
                     worker->allocations.end();
     if (!isUsable || (worker->IsOvercommitted() && !isStopping)) {
       this->ReleaseReservation(run, *aCandidate.specification);
-      return;
+      return false;
     }
     if (worker->IsOvercommitted()) {
-      return;
-    }
-    if (aCandidate.queue->needsAdvice && !this->IsTicketValid(run.advice.FindTicket(number))) {
-      return;
+      return false;
     }
+    hasInvalidTicket = hasInvalidTicket || (aCandidate.queue->needsAdvice &&
+                                            !this->IsTicketValid(run.advice.FindTicket(number)));
     assigned.push_back(worker);
   }
-  if (this->StartGang(aCandidate, assigned)) {
-    this->ReleaseReservation(run, *aCandidate.specification);
+  if (hasInvalidTicket) {
+    // Without a request in flight no ticket will come.
+    if (run.advice.requestsInFlight == 0) {
+      this->ReleaseReservation(run, *aCandidate.specification);
+    }
+    return false;
   }
+  if (!this->StartGang(aCandidate, assigned)) {
+    return false;
+  }
+  this->ReleaseReservation(run, *aCandidate.specification);
+  return true;
 }
 
 void
--- a/Libraries/LibCell/Job.h
+++ b/Libraries/LibCell/Job.h
@@ -123,6 +123,9 @@
   /// Expected run time of its tasks; set once a placement attempt or a start needs it.
   std::shared_ptr<StepTiming> timing;
   std::optional<GangReservation> reservation;
+  /// Tickets were requested for a reservation with which the gang has not started: some may have
+  /// expired before the others came.
+  bool hasTriedReservation = false;
   /// When a placement attempt first left tasks waiting; reset once none is left.
   TimePoint waitingSince{};
   /// Earliest time of the next log line about the wait.
--- a/Libraries/LibCell/StepAdvice.cpp
+++ b/Libraries/LibCell/StepAdvice.cpp
@@ -16,6 +16,13 @@
   this->tickets.insert(position, std::move(aTicket));
 }
 
+void
+StepAdvice::RemoveTicket(WorkerNumber aWorker)
+{
+  std::erase_if(this->tickets,
+                [aWorker](const CachedTicket& aTicket) { return aTicket.worker == aWorker; });
+}
+
 const CachedTicket*
 StepAdvice::FindTicket(WorkerNumber aWorker) const
 {
--- a/Libraries/LibCell/StepAdvice.h
+++ b/Libraries/LibCell/StepAdvice.h
@@ -33,6 +33,8 @@
   /// @return the eligible workers known so far, each with its latest ticket, sorted by number
   [[nodiscard]] std::span<const CachedTicket> Tickets() const { return this->tickets; }
 
+  /// Removes the ticket of a worker that the service no longer calls eligible.
+  void RemoveTicket(WorkerNumber aWorker);
   /// Records that a request named the worker.
   void MarkRequested(WorkerNumber aWorker);
   /// Lets another request name the worker, unless it is known to be eligible.
--- a/Tests/LibCell/CellSchedulerFixture.cpp
+++ b/Tests/LibCell/CellSchedulerFixture.cpp
@@ -4,6 +4,54 @@
 
 namespace zinc::cell::test {
 
+void
+FakeAdvicePort::RequestAdvice(const std::string& aInstance,
+                              AdviceRequest aRequest,
+                              Handler<AdviceResponse> aHandler)
+{
+  auto& busyUntil = this->busyUntil[aInstance];
+  busyUntil = std::max(busyUntil, this->clock.Now()) +
+              (this->duration ? this->duration(aRequest) : Milliseconds{ 0 });
+  this->dueTimes.push_back(busyUntil);
+  this->instances.push_back(aInstance);
+  this->requests.push_back(aRequest);
+  this->pending.emplace_back(std::move(aRequest), std::move(aHandler));
+}
+
+void
+FakeAdvicePort::Deliver()
+{
+  if (this->isPaused) {
+    return;
+  }
+  auto batch = std::move(this->pending);
+  const auto due = std::move(this->dueTimes);
+  this->pending.clear();
+  this->dueTimes.clear();
+  for (std::size_t index = 0; index < batch.size(); ++index) {
+    auto& [request, handler] = batch[index];
+    if (due[index] > this->clock.Now()) {
+      this->dueTimes.push_back(due[index]);
+      this->pending.push_back(std::move(batch[index]));
+      continue;
+    }
+    if (this->failuresLeft > 0) {
+      --this->failuresLeft;
+      handler(NotRun(ErrorCode::Unavailable, "lost"));
+      continue;
+    }
+    AdviceResponse response;
+    for (const auto& worker : request.workers) {
+      if (this->isEligible(worker)) {
+        response.tickets.push_back(
+          { .worker = worker, .text = "t" + std::to_string(++this->ticketsIssued) });
+        this->issuedAt[response.tickets.back().text] = this->clock.Now();
+      }
+    }
+    handler(std::move(response));
+  }
+}
+
 CellSchedulerFixture::CellSchedulerFixture()
 {
   this->clock.Advance(Milliseconds{ 1'000'000 });
--- a/Tests/LibCell/CellSchedulerFixture.h
+++ b/Tests/LibCell/CellSchedulerFixture.h
@@ -7,7 +7,9 @@
 #include "MemoryStore.h"
 #include "SimulatedWorkers.h"
 #include <LibCell/CellScheduler.h>
+#include <functional>
 #include <gtest/gtest.h>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -17,48 +19,38 @@
 class FakeAdvicePort final : public AdvicePort
 {
 public:
-  void RequestAdvice(const std::string& aInstance,
-                     AdviceRequest aRequest,
-                     Handler<AdviceResponse> aHandler) override
+  explicit FakeAdvicePort(const ManualClock& aClock)
+    : clock(aClock)
   {
-    this->instances.push_back(aInstance);
-    this->requests.push_back(aRequest);
-    this->pending.emplace_back(std::move(aRequest), std::move(aHandler));
   }
 
-  void Deliver()
-  {
-    if (this->isPaused) {
-      return;
-    }
-    auto batch = std::move(this->pending);
-    this->pending.clear();
-    for (const auto& [request, handler] : batch) {
-      if (this->failuresLeft > 0) {
-        --this->failuresLeft;
-        handler(NotRun(ErrorCode::Unavailable, "lost"));
-        continue;
-      }
-      AdviceResponse response;
-      for (const auto& worker : request.workers) {
-        if (this->isEligible(worker)) {
-          response.tickets.push_back(
-            { .worker = worker, .text = "t" + std::to_string(++this->ticketsIssued) });
-        }
-      }
-      handler(std::move(response));
-    }
-  }
+  void RequestAdvice(const std::string& aInstance,
+                     AdviceRequest aRequest,
+                     Handler<AdviceResponse> aHandler) override;
+
+  /// Delivers the responses that are due.
+  void Deliver();
 
   std::function<bool(const WorkerId&)> isEligible = [](const WorkerId&) { return true; };
+  /// How long a call takes; calls of one instance are handled one after the other. By default all
+  /// responses are due at once.
+  std::function<Milliseconds(const AdviceRequest&)> duration;
   std::vector<std::string> instances;
   std::vector<AdviceRequest> requests;
   std::vector<std::pair<AdviceRequest, Handler<AdviceResponse>>> pending;
   int ticketsIssued = 0;
+  /// When the tickets were issued.
+  std::map<std::string, TimePoint> issuedAt;
   /// While true no response is delivered.
   bool isPaused = false;
   /// Number of next requests that fail.
   int failuresLeft = 0;
+
+private:
+  const ManualClock& clock;
+  /// When the responses to @ref pending are due.
+  std::vector<TimePoint> dueTimes;
+  std::map<std::string, TimePoint> busyUntil;
 };
 
 class CellSchedulerFixture : public testing::Test
@@ -100,7 +92,7 @@
   ManualClock clock;
   SimulatedWorkers workers{ this->clock };
   MemoryStore store;
-  FakeAdvicePort advice;
+  FakeAdvicePort advice{ this->clock };
   Logger log{ { .level = LogLevel::Error } };
   MetricRegistry metrics;
   CellSchedulerOptions options;
--- a/Tests/LibCell/TestGangAdvice.cpp
+++ b/Tests/LibCell/TestGangAdvice.cpp
@@ -1,6 +1,7 @@
 #include "CellSchedulerFixture.h"
 
 #include <algorithm>
+#include <rapidcheck/gtest.h>
 #include <set>
 
 namespace zinc::cell::test {
@@ -43,6 +44,152 @@
   }
 };
 
+/// A policy service whose calls take their time. While a gang waits, workers arrive, and short
+/// tasks of a queue that needs no advice take some of them for a moment.
+class GangTicketsInTurns : public GangAdvice
+{
+protected:
+  GangTicketsInTurns()
+  {
+    QueueRoute route{ .host = "host", .pathPrefix = "/short/" };
+    route.queue = { .name = { "short" }, .pool = "pool", .maxAttempts = 3, .stretch = 4.0 };
+    this->policy.AddRoute(route);
+  }
+
+  void ArriveWorkers(int aCount)
+  {
+    for (int number = 0; number < aCount; ++number) {
+      const auto entry = this->workers.Add("w" + std::to_string(this->entries.size()), 1);
+      this->entries.push_back(entry);
+      if (this->scheduler) {
+        this->scheduler->OnWorkerEntry(entry);
+      }
+    }
+  }
+
+  void StartShortTasks(std::uint32_t aCount)
+  {
+    auto job = MakeJob("short", aCount, 1);
+    job.queue = this->policy.routes.back().queue;
+    this->AcceptJob(job);
+  }
+
+  void EndShortTasks()
+  {
+    for (const auto& start : std::vector(this->workers.starts)) {
+      if (start.task.job.value == "short") {
+        this->workers.End(start.worker.value, start.task, RunOutcome::Succeeded);
+      }
+    }
+  }
+
+  [[nodiscard]] static Milliseconds UsualDuration(const AdvicePolicy& aPolicy,
+                                                  const AdviceRequest& aRequest)
+  {
+    return Milliseconds(static_cast<std::int64_t>(
+      aPolicy.baseMs + aPolicy.perWorkerMs * static_cast<double>(aRequest.workers.size())));
+  }
+
+  [[nodiscard]] AdvicePolicy& Policy() { return this->policy.routes.front().queue.advice; }
+
+  /// @return how many starts came with a ticket that was no longer valid
+  [[nodiscard]] std::ptrdiff_t CountStartsWithExpiredTickets()
+  {
+    return std::ranges::count_if(this->workers.starts, [this](const ObservedStart& aStart) {
+      return !aStart.ticket.empty() && aStart.acceptedAt > this->advice.issuedAt.at(aStart.ticket) +
+                                                             this->Policy().ticketValidity;
+    });
+  }
+};
+
+}
+
+// Failure: minutes of waiting on idle workers. A call takes 0.8 s or more and a ticket is valid for
+// 1.5 s, so that the tickets of one part of the gang expire while those of the other are renewed.
+TEST_F(GangTicketsInTurns, StartAGangOnWorkersThatArriveInTwoGroups)
+{
+  this->Policy() = { .baseMs = 702.0,
+                     .perWorkerMs = 10.01,
+                     .ticketValidity = Milliseconds{ 1500 } };
+  this->advice.duration = [this](const AdviceRequest& aRequest) {
+    return UsualDuration(this->Policy(), aRequest);
+  };
+  this->ArriveWorkers(40);
+  this->BeginTerm();
+  this->scheduler->SetInstances({ "i1", "i2", "i3" });
+  this->RunFor(Milliseconds{ 50 });
+  this->AcceptJob(MakeGang("gang", 50, 1));
+  this->RunFor(Milliseconds{ 3500 });
+  this->ArriveWorkers(12);
+  this->RunFor(Milliseconds{ 200 });
+  this->StartShortTasks(10);
+  this->RunFor(Milliseconds{ 1270 });
+  ASSERT_EQ(this->CountStarts("short"), 10U);
+  ASSERT_EQ(this->CountStarts("gang"), 0U);
+  this->EndShortTasks();
+  this->RunFor(Milliseconds{ 4000 });
+  EXPECT_EQ(this->CountStarts("gang"), 50U);
+  EXPECT_EQ(this->CountStartsWithExpiredTickets(), 0);
+}
+
+// Guards against a gang that asks for ever for the ticket of a worker that the service no longer
+// admits, although there are others.
+TEST_F(GangTicketsInTurns, StartAGangElsewhereIfAWorkerIsNoLongerAdmitted)
+{
+  this->advice.duration = [this](const AdviceRequest& aRequest) {
+    return UsualDuration(this->Policy(), aRequest);
+  };
+  this->ArriveWorkers(4);
+  this->BeginTerm();
+  this->RunFor(Milliseconds{ 50 });
+  this->AcceptJob(MakeGang("gang", 5, 1));
+  this->RunFor(Milliseconds{ 3000 });
+  this->advice.isEligible = [](const WorkerId& aWorker) { return aWorker.value != "w0"; };
+  this->ArriveWorkers(4);
+  this->RunFor(Milliseconds{ 6000 });
+  EXPECT_EQ(this->CountStarts("gang"), 5U);
+}
+
+// Guards against a step that waits for tickets that are never all valid at one time. Whatever the
+// service takes, with idle workers that it admits the gang starts within a few responses.
+RC_GTEST_FIXTURE_PROP(GangTicketsInTurns, StartAnyGangWithinAFewResponses, ())
+{
+  this->Policy() = { .baseMs = static_cast<double>(*rc::gen::inRange(0, 1500)),
+                     .perWorkerMs = static_cast<double>(*rc::gen::inRange(0, 15)),
+                     .ticketValidity = Milliseconds{ *rc::gen::inRange(300, 4000) } };
+  const auto delays = *rc::gen::container<std::vector<int>>(8, rc::gen::inRange(0, 1000));
+  std::size_t calls = 0;
+  this->advice.duration = [&](const AdviceRequest& aRequest) {
+    return UsualDuration(this->Policy(), aRequest) + Milliseconds(delays[calls++ % delays.size()]);
+  };
+  const auto width = *rc::gen::inRange(1, 101);
+  this->ArriveWorkers(*rc::gen::inRange(1, width + 1));
+  this->BeginTerm();
+  std::vector<std::string> instances;
+  const auto instanceCount = *rc::gen::inRange(1, 7);
+  for (int number = 0; number < instanceCount; ++number) {
+    instances.push_back("i" + std::to_string(number));
+  }
+  this->scheduler->SetInstances(instances);
+  this->RunFor(Milliseconds{ 50 });
+  this->AcceptJob(MakeGang("gang", static_cast<std::uint32_t>(width), 1));
+  this->RunFor(Milliseconds{ *rc::gen::inRange(0, 4000) });
+  const auto spare = *rc::gen::inRange(0, 5);
+  this->ArriveWorkers(std::max(0, width + spare - static_cast<int>(this->entries.size())));
+  this->StartShortTasks(*rc::gen::inRange(1U, 16U));
+  this->RunFor(Milliseconds{ *rc::gen::inRange(0, 4000) });
+  this->EndShortTasks();
+  constexpr std::size_t kMaxCalls = 8;
+  constexpr Milliseconds kLongestCall{ 1500 + 15 * 100 + 1000 };
+  const auto callsBefore = this->advice.requests.size();
+  for (Milliseconds waited{ 0 }; this->CountStarts("gang") == 0; waited += Milliseconds{ 100 }) {
+    RC_ASSERT(waited < kLongestCall * kMaxCalls);
+    this->EndShortTasks();
+    this->RunFor(Milliseconds{ 100 });
+  }
+  RC_ASSERT(this->CountStarts("gang") == static_cast<std::size_t>(width));
+  RC_ASSERT(this->advice.requests.size() - callsBefore <= kMaxCalls);
+  RC_ASSERT(this->CountStartsWithExpiredTickets() == 0);
 }
 
 // A quarter of the workers is eligible for a gang, while a request names at most a hundred workers
