LibInstance: Write expected waits to the log as JSON

Queue and workspace were joined by a slash and a space, which free text may contain, so that a line could be read as that of another workspace. The encoding is that of the leader record, whose round trip RecordsTest.NamesInTheLeaderRecordRoundTrip covers.

--- a/Libraries/LibCell/Records.cpp
+++ b/Libraries/LibCell/Records.cpp
@@ -571,6 +571,16 @@
   return leases;
 }
 
+std::string
+EncodeExpectedWaits(std::span<const ExpectedWait> aWaits)
+{
+  Json::Value values(Json::arrayValue);
+  for (const auto& wait : aWaits) {
+    values.append(ToJson(wait));
+  }
+  return WriteJson(values);
+}
+
 std::string
 EncodeLeaderRecord(const LeaderRecord& aRecord)
 {
--- a/Libraries/LibCell/Records.h
+++ b/Libraries/LibCell/Records.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -185,6 +186,10 @@
   std::vector<ExpectedWait> expectedWaits;
 };
 
+/// @return expected waits as JSON, as in the leader record.
+[[nodiscard]] std::string
+EncodeExpectedWaits(std::span<const ExpectedWait> aWaits);
+
 /// @return the key of an instance record.
 [[nodiscard]] RowKey
 InstanceRowKey(std::string_view aInstance);
--- a/Libraries/LibInstance/CellInstance.cpp
+++ b/Libraries/LibInstance/CellInstance.cpp
@@ -483,19 +483,12 @@
     return;
   }
   this->nextExpectedWaitsLine = this->expectedWaitsMadeAt + kLineInterval;
-  std::string text;
-  for (const auto& wait : std::span(this->expectedWaits)
-                            .first(std::min(this->expectedWaits.size(), kMaxWaitsPerLine))) {
-    text += fmt::format("{}{}{}{}={}",
-                        text.empty() ? "" : " ",
-                        wait.queue.value,
-                        wait.workspace.IsEmpty() ? "" : "/",
-                        wait.workspace.value,
-                        wait.wait.count());
-  }
-  this->dependencies.log.Log(LogLevel::Info,
-                             "expected_waits",
-                             { { "count", this->expectedWaits.size() }, { "wait_ms", text } });
+  const auto waits =
+    std::span(this->expectedWaits).first(std::min(this->expectedWaits.size(), kMaxWaitsPerLine));
+  this->dependencies.log.Log(
+    LogLevel::Info,
+    "expected_waits",
+    { { "count", this->expectedWaits.size() }, { "wait_ms", cell::EncodeExpectedWaits(waits) } });
 }
 
 cell::ForecastView
