LibCell: Log what a waiting step has waited for

Now the line has the time by reason, the number of reservations that failed and how the last one ended.

--- a/Libraries/LibCell/CellScheduler.h
+++ b/Libraries/LibCell/CellScheduler.h
@@ -422,7 +422,7 @@
   bool StartReservedGang(const Candidate& aCandidate);
   /// Earmarks the workers with the most free room: batch tasks stay off them until the gang fits.
   void EarmarkWorkersForGang(const Candidate& aCandidate, const Pool& aPool);
-  void ReleaseReservation(StepRun& aRun, const StepSpecification& aStep);
+  void ReleaseReservation(StepRun& aRun, const StepSpecification& aStep, ReservationEnd aEnd);
   [[nodiscard]] bool IsTicketValid(const CachedTicket* aTicket) const;
   void StartTask(const Candidate& aCandidate,
                  std::uint32_t aIndex,
--- a/Libraries/LibCell/CellSchedulerAdvice.cpp
+++ b/Libraries/LibCell/CellSchedulerAdvice.cpp
@@ -174,7 +174,7 @@
     for (const auto worker : aRequested) {
       run.advice.ForgetRequest(worker);
     }
-    this->ReleaseReservation(run, job->spec.steps[aStep.step]);
+    this->ReleaseReservation(run, job->spec.steps[aStep.step], ReservationEnd::AdviceFailed);
     this->dependencies.log.Log(LogLevel::Info,
                                "advice_failed",
                                { { "job", aStep.job.value },
--- a/Libraries/LibCell/CellSchedulerEvacuation.cpp
+++ b/Libraries/LibCell/CellSchedulerEvacuation.cpp
@@ -28,7 +28,7 @@
             return isEvacuated(this->workers.FindByNumber(aNumber));
           });
         if (isReservedThere) {
-          this->ReleaseReservation(run, job->spec.steps[step]);
+          this->ReleaseReservation(run, job->spec.steps[step], ReservationEnd::Evacuated);
         }
       }
     }
--- a/Libraries/LibCell/CellSchedulerGangs.cpp
+++ b/Libraries/LibCell/CellSchedulerGangs.cpp
@@ -35,7 +35,7 @@
   const auto total = demand * step.count;
   if (run.reservation) {
     if (run.reservation->expires < now) {
-      this->ReleaseReservation(run, step);
+      this->ReleaseReservation(run, step, ReservationEnd::Expired);
     } else if (this->StartReservedGang(aCandidate)) {
       return WaitReason::None;
     }
@@ -212,7 +212,7 @@
       isUsable && std::ranges::find(worker->allocations, RunPhase::Stopping, &Allocation::phase) !=
                     worker->allocations.end();
     if (!isUsable || (worker->IsOvercommitted() && !isStopping)) {
-      this->ReleaseReservation(run, *aCandidate.specification);
+      this->ReleaseReservation(run, *aCandidate.specification, ReservationEnd::WorkerLost);
       return false;
     }
     if (worker->IsOvercommitted()) {
@@ -225,23 +225,27 @@
   if (hasInvalidTicket) {
     // Without a request in flight no ticket will come.
     if (run.advice.requestsInFlight == 0) {
-      this->ReleaseReservation(run, *aCandidate.specification);
+      this->ReleaseReservation(run, *aCandidate.specification, ReservationEnd::TicketMissing);
     }
     return false;
   }
   if (!this->StartGang(aCandidate, assigned)) {
     return false;
   }
-  this->ReleaseReservation(run, *aCandidate.specification);
+  this->ReleaseReservation(run, *aCandidate.specification, ReservationEnd::Done);
   return true;
 }
 
 void
-CellScheduler::ReleaseReservation(StepRun& aRun, const StepSpecification& aStep)
+CellScheduler::ReleaseReservation(StepRun& aRun,
+                                  const StepSpecification& aStep,
+                                  ReservationEnd aEnd)
 {
   if (!aRun.reservation) {
     return;
   }
+  aRun.lastReservationEnd = aEnd;
+  aRun.failedReservations += aEnd == ReservationEnd::Done ? 0 : 1;
   const auto demand = AllocatedDemand(aStep);
   for (const auto number : aRun.reservation->workers) {
     if (auto* worker = this->workers.FindByNumber(number)) {
--- a/Libraries/LibCell/CellSchedulerJobs.cpp
+++ b/Libraries/LibCell/CellSchedulerJobs.cpp
@@ -385,7 +385,7 @@
     task.checkpoint.clear();
   }
   run.succeededTasks = static_cast<std::uint32_t>(run.tasks.size());
-  this->ReleaseReservation(run, aJob.spec.steps[aStep]);
+  this->ReleaseReservation(run, aJob.spec.steps[aStep], ReservationEnd::Done);
   ++occurrence.succeededSteps;
   this->MarkReadySteps(aJob, aOccurrence);
   while (aJob.occurrencesSucceeded < aJob.TotalOccurrences()) {
@@ -459,7 +459,7 @@
   for (auto& [number, occurrence] : aJob.occurrences) {
     for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
       auto& run = occurrence.steps[step];
-      this->ReleaseReservation(run, aJob.spec.steps[step]);
+      this->ReleaseReservation(run, aJob.spec.steps[step], ReservationEnd::Done);
       for (std::uint32_t index = 0; index < run.tasks.size(); ++index) {
         auto& task = run.tasks[index];
         auto* worker = task.phase == TaskPhase::Placed ? this->workers.Find(task.worker) : nullptr;
--- a/Libraries/LibCell/CellSchedulerLimits.cpp
+++ b/Libraries/LibCell/CellSchedulerLimits.cpp
@@ -107,7 +107,7 @@
   if (!step.isGang) {
     return;
   }
-  this->ReleaseReservation(*aCandidate.run, step);
+  this->ReleaseReservation(*aCandidate.run, step, ReservationEnd::Limit);
   auto& usage = *aCandidate.job->workspaceUsage;
   const auto total = step.demand * step.count;
   const bool isOnTime = !IsAtOrAfter(aCandidate.priorityKey, PriorityClass::Late);
--- a/Libraries/LibCell/CellSchedulerPlacement.cpp
+++ b/Libraries/LibCell/CellSchedulerPlacement.cpp
@@ -231,7 +231,7 @@
   }
   run.advice.hasNewResponse = false;
   if (NeedsEvacuatedWorkers(aCandidate, pool->workers, pool->evacuated)) {
-    this->ReleaseReservation(run, step);
+    this->ReleaseReservation(run, step, ReservationEnd::Evacuated);
     return WaitReason::Evacuated;
   }
   if (pool->workers.empty()) {
--- a/Libraries/LibCell/Forward.h
+++ b/Libraries/LibCell/Forward.h
@@ -18,6 +18,7 @@
 class LostWorkers;
 class RankingSelector;
 class StepAdvice;
+class StepWait;
 class TableWatcher;
 class UnreadWorkers;
 class WorkerDirectory;
--- a/Libraries/LibCell/Job.h
+++ b/Libraries/LibCell/Job.h
@@ -6,7 +6,10 @@
 #include <LibCell/Ports.h>
 #include <LibCell/Specification.h>
 #include <LibCell/StepAdvice.h>
+#include <LibCell/StepWait.h>
 #include <LibCell/WorkspaceUsage.h>
+#include <array>
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <optional>
@@ -87,6 +90,36 @@
   WorkerId lastFailedWorker;
 };
 
+/// Why a reservation for a gang has ended.
+enum class ReservationEnd : std::uint8_t
+{
+  None,
+  /// The gang was started, or its job has ended.
+  Done,
+  /// Its tickets, or the room at its workers, came too late.
+  Expired,
+  /// A reserved worker became unusable, or lost the room.
+  WorkerLost,
+  /// A ticket expired before the others came, or the policy service gave none.
+  TicketMissing,
+  /// The request for its tickets failed.
+  AdviceFailed,
+  /// The workspace's limit no longer allows the gang.
+  Limit,
+  Evacuated,
+  Count,
+};
+
+/// @return the name in the log
+[[nodiscard]] constexpr std::string_view
+ToString(ReservationEnd aEnd)
+{
+  constexpr std::array<std::string_view, static_cast<std::size_t>(ReservationEnd::Count)> kNames = {
+    "none", "done", "expired", "worker", "ticket", "advice", "limit", "evacuated"
+  };
+  return kNames.at(static_cast<std::size_t>(aEnd));
+}
+
 /// Resources set aside for a gang until its tickets arrive.
 struct GangReservation
 {
@@ -123,13 +156,16 @@
   /// Expected run time of its tasks; set once a placement attempt or a start needs it.
   std::shared_ptr<StepTiming> timing;
   std::optional<GangReservation> reservation;
+  /// Reservations with which the gang did not start, and how the last of them ended.
+  std::uint32_t failedReservations = 0;
+  ReservationEnd lastReservationEnd = ReservationEnd::None;
   /// Tickets were requested for a reservation with which the gang has not started: some may have
   /// expired before the others came.
   bool hasTriedReservation = false;
-  /// When a placement attempt first left tasks waiting; reset once none is left.
-  TimePoint waitingSince{};
-  /// Earliest time of the next log line about the wait.
-  TimePoint nextWaitLog{};
+  /// Since a placement attempt first left tasks waiting; reset once none is left.
+  StepWait wait;
+  /// Length of the wait at which it is logged next.
+  Milliseconds nextWaitLog{ 0 };
 };
 
 /// The state of one occurrence of a job.
--- a/Libraries/LibCell/LoadReport.cpp
+++ b/Libraries/LibCell/LoadReport.cpp
@@ -37,25 +37,30 @@
 LoadReport::LogLongWait(const Candidate& aCandidate, WaitReason aReason, TimePoint aNow) const
 {
   auto& run = *aCandidate.run;
-  if (aReason == WaitReason::None) {
-    run.waitingSince = {};
-    return;
-  }
-  if (run.waitingSince == TimePoint{}) {
-    run.waitingSince = aNow;
-    run.nextWaitLog = aNow + kWaitLogInterval;
+  run.wait.RecordAttempt(aReason, aNow);
+  const auto total = run.wait.Total();
+  if (total == Milliseconds{ 0 }) {
+    run.nextWaitLog = kWaitLogInterval;
   }
-  if (aNow < run.nextWaitLog) {
+  if (aReason == WaitReason::None || total < run.nextWaitLog) {
     return;
   }
-  run.nextWaitLog = aNow + kWaitLogInterval;
+  run.nextWaitLog = total + kWaitLogInterval;
   const auto& step = *aCandidate.specification;
+  const auto timeOf = [&run](WaitReason aWaitReason) {
+    return run.wait.TimeOf(aWaitReason).count();
+  };
   this->log.Log(LogLevel::Info,
                 "step_waits",
                 { { "job", aCandidate.job->spec.id.value },
                   { "step", aCandidate.step },
                   { "for", ToString(aReason) },
-                  { "waited_ms", (aNow - run.waitingSince).count() },
+                  { "waited_ms", total.count() },
+                  { "advice_ms", timeOf(WaitReason::Advice) },
+                  { "limit_ms", timeOf(WaitReason::Limit) },
+                  { "room_ms", timeOf(WaitReason::Room) + timeOf(WaitReason::Headroom) },
+                  { "ticket_ms", timeOf(WaitReason::Ticket) },
+                  { "record_ms", timeOf(WaitReason::Record) },
                   { "tasks", step.count },
                   { "millicores", step.demand.milliCores },
                   { "mib", step.demand.memoryMiB },
@@ -63,6 +68,8 @@
                   { "rank", aCandidate.priorityKey / kPriorityClassSpan },
                   { "asked", run.advice.RequestedCount() },
                   { "good", run.advice.Tickets().size() },
+                  { "reservations_failed", run.failedReservations },
+                  { "last_reservation", ToString(run.lastReservationEnd) },
                   { "workspace", aCandidate.job->spec.workspace.value } });
 }
 
