--- a/Tests/LibCell/TestGangAdvice.cpp
+++ b/Tests/LibCell/TestGangAdvice.cpp
@@ -132,6 +132,33 @@
   EXPECT_EQ(this->CountStartsWithExpiredTickets(), 0);
 }
 
+// Load: more requests than the instances can send, so that responses come two seconds late, while a
+// ticket is valid for 2.5 s. Guards against a gang that waits for tickets on idle workers, since
+// each request renews what has expired and the rest expires meanwhile.
+TEST_F(GangTicketsInTurns, StartAGangWhileResponsesAreLate)
+{
+  this->Policy() = { .baseMs = 340.0, .perWorkerMs = 4.9, .ticketValidity = Milliseconds{ 2500 } };
+  this->advice.duration = [this](const AdviceRequest& aRequest) {
+    return UsualDuration(this->Policy(), aRequest) + Milliseconds{ 2200 };
+  };
+  this->ArriveWorkers(40);
+  this->BeginTerm();
+  this->scheduler->SetInstances({ "i1", "i2", "i3" });
+  this->RunFor(Milliseconds{ 50 });
+  this->AcceptJob(MakeGang("gang", 50, 1));
+  this->RunFor(Milliseconds{ 6000 });
+  this->ArriveWorkers(12);
+  this->RunFor(Milliseconds{ 200 });
+  this->StartShortTasks(10);
+  this->RunFor(Milliseconds{ 3500 });
+  ASSERT_EQ(this->CountStarts("short"), 10U);
+  ASSERT_EQ(this->CountStarts("gang"), 0U);
+  this->EndShortTasks();
+  this->RunFor(Milliseconds{ 7000 });
+  EXPECT_EQ(this->CountStarts("gang"), 50U);
+  EXPECT_EQ(this->CountStartsWithExpiredTickets(), 0);
+}
+
 // Guards against a gang that asks for ever for the ticket of a worker that the service no longer
 // admits, although there are others.
 TEST_F(GangTicketsInTurns, StartAGangElsewhereIfAWorkerIsNoLongerAdmitted)
