--- a/Libraries/LibCell/GangTickets.cpp
+++ b/Libraries/LibCell/GangTickets.cpp
@@ -40,8 +40,7 @@
     tickets.emplace_back(ticket == nullptr ? TimePoint{} : ticket->expires, worker);
   }
   std::ranges::sort(tickets);
-  const auto repeated = std::ranges::unique(tickets);
-  tickets.erase(repeated.begin(), repeated.end());
+  tickets.erase(std::unique(tickets.begin(), tickets.end()), tickets.end());
   return tickets;
 }
 
