--- a/Libraries/LibCell/CellSchedulerLimits.cpp
+++ b/Libraries/LibCell/CellSchedulerLimits.cpp
@@ -126,13 +126,9 @@
   if (!usage.limit) {
     return aMax;
   }
-  // A workspace's batch tasks leave a fraction of its limit to its urgent tasks. A wide gang might
-  // wait for ever for that fraction beside other batch tasks, so a late one may use it.
+  // A workspace's batch tasks leave a fraction of its limit to its urgent tasks.
   const bool isNonUrgent = this->IsNonUrgent(aCandidate);
-  const bool isLateGang =
-    aCandidate.specification->isGang && IsAtOrAfter(aCandidate.priorityKey, PriorityClass::Late);
-  const double usableFraction =
-    isNonUrgent && !isLateGang ? 1.0 - this->options.limitHeadroom : 1.0;
+  const double usableFraction = isNonUrgent ? 1.0 - this->options.limitHeadroom : 1.0;
   const auto& limit = *usage.limit;
   auto amount = usage.running;
   amount += usage.unread;
--- a/Tests/LibCell/TestGangAdvice.cpp
+++ b/Tests/LibCell/TestGangAdvice.cpp
@@ -367,25 +367,6 @@
   EXPECT_EQ(this->CountStarts("gang"), 2U);
 }
 
-// Guards against a gang that never starts although the cell is idle, its workspace uses less than
-// half of its limit and the gang fits into the rest: only the part for urgent tasks is missing.
-TEST_F(GangAdvice, ALateGangMayUseTheWholeLimit)
-{
-  this->options.limitHeadroom = 0.06;
-  this->policy.routes.front().queue.needsAdvice = false;
-  this->policy.workspaces[{ "team" }].quota = { .milliCores = 20'000 };
-  this->AddWorkers(8, 9);
-  this->BeginTerm();
-  this->RunFor(Milliseconds{ 50 });
-  this->AcceptJob(MakeJob("other", 1, 9, 60'000));
-  this->RunFor(Milliseconds{ 50 });
-  this->AcceptJob(MakeGang("gang", 2, 5));
-  this->RunFor(Milliseconds{ 1000 });
-  EXPECT_EQ(this->CountStarts("gang"), 0U) << "an urgent task may come";
-  this->RunFor(Milliseconds{ 30'000 });
-  EXPECT_EQ(this->CountStarts("gang"), 2U);
-}
-
 TEST_F(GangAdvice, ReservesNoLimitForAGangThatExceedsIt)
 {
   this->policy.routes.front().queue.needsAdvice = false;
