LibCell: Log steps that stand still

step_stands_still tells of stretches in which none of a step's tasks runs although the step fits into its workspace's limit of which less than half is in use, and room is not what it lacks, with the time by reason. step_waits gets the use and the limit, and headroom apart from room.

The arithmetic of limits moves out of CellScheduler into WorkspaceLimit.

--- a/Libraries/LibCell/CellSchedulerLimits.cpp
+++ b/Libraries/LibCell/CellSchedulerLimits.cpp
@@ -1,9 +1,8 @@
 #include <LibCell/CellScheduler.h>
 #include <LibCell/Placement.h>
 #include <LibCell/PlacementOrder.h>
-
+#include <LibCell/WorkspaceLimit.h>
 #include <algorithm>
-#include <limits>
 
 namespace zinc::cell {
 
@@ -17,31 +16,6 @@
            .accelerators = std::min(aLeft.accelerators, aRight.accelerators) };
 }
 
-/// @return what remains of a limit, in which an amount of 0 means no limit.
-Resources
-RemainingLimit(const Resources& aLimit, const Resources& aUsed)
-{
-  constexpr auto kNoLimit = std::numeric_limits<std::int64_t>::max();
-  const auto remaining = [](std::int64_t aMax, std::int64_t aUsedAmount) {
-    return aMax == 0 ? kNoLimit : std::max<std::int64_t>(0, aMax - aUsedAmount);
-  };
-  return { .milliCores = remaining(aLimit.milliCores, aUsed.milliCores),
-           .memoryMiB = remaining(aLimit.memoryMiB, aUsed.memoryMiB),
-           .accelerators = remaining(aLimit.accelerators, aUsed.accelerators) };
-}
-
-/// @return true if the amount is within the limit, in which an amount of 0 means no limit.
-bool
-IsWithinLimit(const Resources& aAmount, const Resources& aLimit)
-{
-  const auto isWithin = [](std::int64_t aUsed, std::int64_t aMax) {
-    return aMax == 0 || aUsed <= aMax;
-  };
-  return isWithin(aAmount.milliCores, aLimit.milliCores) &&
-         isWithin(aAmount.memoryMiB, aLimit.memoryMiB) &&
-         isWithin(aAmount.accelerators, aLimit.accelerators);
-}
-
 }
 
 void
--- a/Libraries/LibCell/CellSchedulerPlacement.cpp
+++ b/Libraries/LibCell/CellSchedulerPlacement.cpp
@@ -175,6 +175,7 @@
     consecutive = reason == WaitReason::Limit ? consecutive + 1 : 0;
     this->load.CountAttempt(reason);
     this->load.LogLongWait(candidate, reason, this->roundBegin);
+    this->load.LogStandstill(candidate, reason, this->roundBegin);
     // The rest is left to the next round, so that a long round does not delay other work.
     const bool isLong =
       ++attempts % kAttemptsPerTimeCheck == 0 &&
--- a/Libraries/LibCell/Job.h
+++ b/Libraries/LibCell/Job.h
@@ -166,6 +166,10 @@
   StepWait wait;
   /// Length of the wait at which it is logged next.
   Milliseconds nextWaitLog{ 0 };
+  /// While the step stands still; see @ref StandsStill.
+  StepWait standstill;
+  /// Length of the standstill at which it is logged next.
+  Milliseconds nextStandstillLog{ 0 };
 };
 
 /// The state of one occurrence of a job.
--- a/Libraries/LibCell/LoadReport.cpp
+++ b/Libraries/LibCell/LoadReport.cpp
@@ -1,6 +1,7 @@
 #include <LibCell/LoadReport.h>
 
 #include <LibCell/PriorityClass.h>
+#include <LibCell/Standstill.h>
 #include <LibMetrics/ProcessUsage.h>
 #include <algorithm>
 #include <cmath>
@@ -13,6 +14,26 @@
 constexpr Milliseconds kLoadLogInterval{ 1000 };
 /// Interval at which a step that stays pending is logged.
 constexpr Milliseconds kWaitLogInterval{ 2000 };
+/// Standstills shorter than this are not logged: tickets alone take a few hundred milliseconds.
+constexpr Milliseconds kMinLoggedStandstill{ 500 };
+/// Interval at which a standstill that goes on is logged.
+constexpr Milliseconds kStandstillLogInterval{ 1000 };
+
+/// @return what the step's workspace uses, and may use at unread workers, in thousandths of a core
+std::int64_t
+UsedMilliCores(const Candidate& aCandidate)
+{
+  const auto& usage = *aCandidate.job->workspaceUsage;
+  return usage.running.milliCores + usage.unread.milliCores;
+}
+
+/// @return the limit of the step's workspace in thousandths of a core; 0 if it has none
+std::int64_t
+LimitMilliCores(const Candidate& aCandidate)
+{
+  const auto& limit = aCandidate.job->workspaceUsage->limit;
+  return limit ? limit->milliCores : 0;
+}
 
 }
 
@@ -58,7 +79,8 @@
                   { "waited_ms", total.count() },
                   { "advice_ms", timeOf(WaitReason::Advice) },
                   { "limit_ms", timeOf(WaitReason::Limit) },
-                  { "room_ms", timeOf(WaitReason::Room) + timeOf(WaitReason::Headroom) },
+                  { "headroom_ms", timeOf(WaitReason::Headroom) },
+                  { "room_ms", timeOf(WaitReason::Room) },
                   { "ticket_ms", timeOf(WaitReason::Ticket) },
                   { "record_ms", timeOf(WaitReason::Record) },
                   { "tasks", step.count },
@@ -70,7 +92,65 @@
                   { "good", run.advice.Tickets().size() },
                   { "reservations_failed", run.failedReservations },
                   { "last_reservation", ToString(run.lastReservationEnd) },
-                  { "workspace", aCandidate.job->spec.workspace.value } });
+                  { "workspace", aCandidate.job->spec.workspace.value },
+                  { "workspace_millicores", UsedMilliCores(aCandidate) },
+                  { "limit_millicores", LimitMilliCores(aCandidate) } });
+}
+
+void
+LoadReport::LogStandstill(const Candidate& aCandidate, WaitReason aReason, TimePoint aNow) const
+{
+  auto& run = *aCandidate.run;
+  const bool wasStandingStill = run.standstill.LastReason() != WaitReason::None;
+  const bool standsStill = StandsStill(aCandidate, aReason);
+  if (!standsStill && !wasStandingStill) {
+    return;
+  }
+  if (!wasStandingStill) {
+    run.nextStandstillLog = kStandstillLogInterval;
+  }
+  // The time since the last attempt belongs to the standstill, also if this attempt ends it.
+  run.standstill.RecordAttempt(standsStill ? aReason : run.standstill.LastReason(), aNow);
+  const auto total = run.standstill.Total();
+  if (!standsStill && total >= kMinLoggedStandstill) {
+    this->WriteStandstill(aCandidate, true);
+  } else if (total >= run.nextStandstillLog) {
+    run.nextStandstillLog = total + kStandstillLogInterval;
+    this->WriteStandstill(aCandidate, false);
+  }
+  if (!standsStill) {
+    run.standstill = {};
+  }
+}
+
+void
+LoadReport::WriteStandstill(const Candidate& aCandidate, bool aHasEnded) const
+{
+  const auto& run = *aCandidate.run;
+  const auto& step = *aCandidate.specification;
+  const auto timeOf = [&run](WaitReason aReason) { return run.standstill.TimeOf(aReason).count(); };
+  this->log.Log(LogLevel::Info,
+                "step_stands_still",
+                { { "job", aCandidate.job->spec.id.value },
+                  { "occurrence", aCandidate.occurrence },
+                  { "step", aCandidate.step },
+                  { "ended", aHasEnded },
+                  { "for", ToString(run.standstill.LastReason()) },
+                  { "still_ms", run.standstill.Total().count() },
+                  { "advice_ms", timeOf(WaitReason::Advice) },
+                  { "limit_ms", timeOf(WaitReason::Limit) },
+                  { "headroom_ms", timeOf(WaitReason::Headroom) },
+                  { "ticket_ms", timeOf(WaitReason::Ticket) },
+                  { "record_ms", timeOf(WaitReason::Record) },
+                  { "tasks", step.count },
+                  { "millicores", step.demand.milliCores },
+                  { "gang", step.isGang },
+                  { "rank", aCandidate.priorityKey / kPriorityClassSpan },
+                  { "reservations_failed", run.failedReservations },
+                  { "last_reservation", ToString(run.lastReservationEnd) },
+                  { "workspace", aCandidate.job->spec.workspace.value },
+                  { "workspace_millicores", UsedMilliCores(aCandidate) },
+                  { "limit_millicores", LimitMilliCores(aCandidate) } });
 }
 
 void
--- a/Libraries/LibCell/LoadReport.h
+++ b/Libraries/LibCell/LoadReport.h
@@ -59,6 +59,9 @@
   /// Logs a step that has been pending for long.
   /// @param aNow start of the placement round
   void LogLongWait(const Candidate& aCandidate, WaitReason aReason, TimePoint aNow) const;
+  /// Logs a step that stands still, and how long it did once it goes on.
+  /// @param aNow start of the placement round
+  void LogStandstill(const Candidate& aCandidate, WaitReason aReason, TimePoint aNow) const;
   /// @return true if a line about the load is due
   [[nodiscard]] bool IsLineDue(TimePoint aNow) const { return aNow >= this->nextLine; }
   /// Logs the load and begins a new sample.
@@ -67,6 +70,7 @@
 private:
   /// Logs the time that each activity took, and the messages to workers.
   void LogActivities();
+  void WriteStandstill(const Candidate& aCandidate, bool aHasEnded) const;
 
   /// Statistics since the last line about the load.
   struct Sample
--- /dev/null
+++ b/Libraries/LibCell/Standstill.cpp
@@ -0,0 +1,39 @@
+#include <LibCell/Standstill.h>
+
+#include <LibCell/WorkspaceLimit.h>
+
+namespace zinc::cell {
+
+namespace {
+
+/// @return true if the step waits for something that it gets from the scheduler or the policy
+/// service, rather than for workers or for its own tasks
+bool
+IsKeptWaiting(WaitReason aReason)
+{
+  switch (aReason) {
+    case WaitReason::Advice:
+    case WaitReason::Limit:
+    case WaitReason::Headroom:
+    case WaitReason::Ticket:
+    case WaitReason::Record:
+      return true;
+    default:
+      return false;
+  }
+}
+
+}
+
+bool
+StandsStill(const Candidate& aCandidate, WaitReason aReason)
+{
+  const auto& run = *aCandidate.run;
+  const auto& step = *aCandidate.specification;
+  const auto& usage = *aCandidate.job->workspaceUsage;
+  const bool runsNothing = run.waitingTasks == run.tasks.size();
+  return runsNothing && IsKeptWaiting(aReason) && UsesLessThanHalfOfLimit(usage) &&
+         AllowsWithinLimit(usage, step.demand * (step.isGang ? step.count : 1));
+}
+
+}
--- a/Libraries/LibCell/StepWait.h
+++ b/Libraries/LibCell/StepWait.h
@@ -24,6 +24,8 @@
   }
   /// @return the time that the step has waited up to the last attempt
   [[nodiscard]] Milliseconds Total() const;
+  /// @return what the last attempt waited for; @ref WaitReason::None if the step does not wait
+  [[nodiscard]] WaitReason LastReason() const { return this->lastReason; }
 
 private:
   std::array<Milliseconds, kWaitReasonCount> times{};
