--- a/Libraries/LibCell/LoadReport.cpp
+++ b/Libraries/LibCell/LoadReport.cpp
@@ -19,20 +19,19 @@
 /// Interval at which a standstill that goes on is logged.
 constexpr Milliseconds kStandstillLogInterval{ 1000 };
 
-/// @return what the step's workspace uses, and may use at unread workers, in thousandths of a core
-std::int64_t
-UsedMilliCores(const Candidate& aCandidate)
+/// @return what the step's workspace uses, and may use at unread workers
+Resources
+UsedBy(const Candidate& aCandidate)
 {
   const auto& usage = *aCandidate.job->workspaceUsage;
-  return usage.running.milliCores + usage.unread.milliCores;
+  return usage.running + usage.unread;
 }
 
-/// @return the limit of the step's workspace in thousandths of a core; 0 if it has none
-std::int64_t
-LimitMilliCores(const Candidate& aCandidate)
+/// @return the limit of the step's workspace, in which an amount of 0 means no limit
+Resources
+LimitOf(const Candidate& aCandidate)
 {
-  const auto& limit = aCandidate.job->workspaceUsage->limit;
-  return limit ? limit->milliCores : 0;
+  return aCandidate.job->workspaceUsage->limit.value_or(Resources{});
 }
 
 }
@@ -68,6 +67,8 @@
   }
   run.nextWaitLog = total + kWaitLogInterval;
   const auto& step = *aCandidate.specification;
+  const auto used = UsedBy(aCandidate);
+  const auto limit = LimitOf(aCandidate);
   const auto timeOf = [&run](WaitReason aWaitReason) {
     return run.wait.TimeOf(aWaitReason).count();
   };
@@ -93,8 +94,10 @@
                   { "reservations_failed", run.failedReservations },
                   { "last_reservation", ToString(run.lastReservationEnd) },
                   { "workspace", aCandidate.job->spec.workspace.value },
-                  { "workspace_millicores", UsedMilliCores(aCandidate) },
-                  { "limit_millicores", LimitMilliCores(aCandidate) } });
+                  { "workspace_millicores", used.milliCores },
+                  { "limit_millicores", limit.milliCores },
+                  { "workspace_mib", used.memoryMiB },
+                  { "limit_mib", limit.memoryMiB } });
 }
 
 void
@@ -128,6 +131,8 @@
 {
   const auto& run = *aCandidate.run;
   const auto& step = *aCandidate.specification;
+  const auto used = UsedBy(aCandidate);
+  const auto limit = LimitOf(aCandidate);
   const auto timeOf = [&run](WaitReason aReason) { return run.standstill.TimeOf(aReason).count(); };
   this->log.Log(LogLevel::Info,
                 "step_stands_still",
@@ -144,13 +149,16 @@
                   { "record_ms", timeOf(WaitReason::Record) },
                   { "tasks", step.count },
                   { "millicores", step.demand.milliCores },
+                  { "mib", step.demand.memoryMiB },
                   { "gang", step.isGang },
                   { "rank", aCandidate.priorityKey / kPriorityClassSpan },
                   { "reservations_failed", run.failedReservations },
                   { "last_reservation", ToString(run.lastReservationEnd) },
                   { "workspace", aCandidate.job->spec.workspace.value },
-                  { "workspace_millicores", UsedMilliCores(aCandidate) },
-                  { "limit_millicores", LimitMilliCores(aCandidate) } });
+                  { "workspace_millicores", used.milliCores },
+                  { "limit_millicores", limit.milliCores },
+                  { "workspace_mib", used.memoryMiB },
+                  { "limit_mib", limit.memoryMiB } });
 }
 
 void
--- a/Meta/longest-standstills.py
+++ b/Meta/longest-standstills.py
@@ -34,17 +34,18 @@
 
     def describe(self) -> str:
         times = " ".join(f"{r} {self.time_of(r)}" for r in REASONS if self.time_of(r) > 0)
-        limit = int(self.fields["limit_millicores"])
         tasks = int(self.fields["tasks"]) if self.fields["gang"] == "true" else 1
-        need = int(self.fields["millicores"]) * tasks
-        shares = "no limit"
-        if limit > 0:
-            used = int(self.fields["workspace_millicores"])
-            shares = f"need {need / limit:.2f} and used {used / limit:.2f} of the limit"
+        shares = []
+        for unit in ("millicores", "mib"):
+            limit = int(self.fields[f"limit_{unit}"])
+            if limit > 0:
+                need = int(self.fields[unit]) * tasks / limit
+                used = int(self.fields[f"workspace_{unit}"]) / limit
+                shares.append(f"{need:.2f} of the limit ({used:.2f} in use) of {unit}")
         kind = "gang" if self.fields["gang"] == "true" else "tasks"
         return (f"{self.still:6d} ms from {self.begin / 1000:7.2f} s  job {self.fields['job']}"
                 f" step {self.fields['step']} ({kind}, rank {self.fields['rank']}): {times};"
-                f" {shares}; reservations failed {self.fields['reservations_failed']}")
+                f" needs {', '.join(shares) or 'no limit'}; reservations failed {self.fields['reservations_failed']}")
 
 
 def parse_time(text: str) -> float:
