LibCell: Decide on a workspace's limit in a module of its own

CountTasksWithinLimit becomes a function of what a workspace uses and what a step asks for, without the scheduler. No decision changes.

--- a/Libraries/LibCell/CellSchedulerLimits.cpp
+++ b/Libraries/LibCell/CellSchedulerLimits.cpp
@@ -96,34 +96,12 @@
                                      const Resources& aDemand,
                                      std::uint32_t aMax) const
 {
-  const auto& usage = *aCandidate.job->workspaceUsage;
-  if (!usage.limit) {
-    return aMax;
-  }
-  // A workspace's batch tasks leave a fraction of its limit to its urgent tasks.
-  const bool isNonUrgent = this->IsNonUrgent(aCandidate);
-  const double usableFraction = isNonUrgent ? 1.0 - this->options.limitHeadroom : 1.0;
-  const auto& limit = *usage.limit;
-  auto amount = usage.running;
-  amount += usage.unread;
-  // Another gang that fits may go first, but single tasks would take each core as it is freed.
-  if (usage.reservedForGang && isNonUrgent && !aCandidate.specification->isGang) {
-    amount += *usage.reservedForGang;
-  }
-  auto room = static_cast<std::int64_t>(aMax);
-  const auto bound = [&room, usableFraction, aMax](
-                       std::int64_t aLimit, std::int64_t aUsed, std::int64_t aNeed) {
-    if (aLimit > 0 && aNeed > 0) {
-      // A demand above that fraction may use the whole limit, since it could never start otherwise.
-      const auto reduced = static_cast<std::int64_t>(static_cast<double>(aLimit) * usableFraction);
-      const auto usable = aNeed * aMax > reduced ? aLimit : reduced;
-      room = std::min(room, std::max<std::int64_t>(0, usable - aUsed) / aNeed);
-    }
-  };
-  bound(limit.milliCores, amount.milliCores, aDemand.milliCores);
-  bound(limit.memoryMiB, amount.memoryMiB, aDemand.memoryMiB);
-  bound(limit.accelerators, amount.accelerators, aDemand.accelerators);
-  return static_cast<std::uint32_t>(room);
+  return cell::CountTasksWithinLimit(*aCandidate.job->workspaceUsage,
+                                     { .demand = aDemand,
+                                       .maxTasks = aMax,
+                                       .isUrgent = !this->IsNonUrgent(aCandidate),
+                                       .isGang = aCandidate.specification->isGang },
+                                     this->options.limitHeadroom);
 }
 
 }
--- a/Libraries/LibCell/WorkspaceLimit.cpp
+++ b/Libraries/LibCell/WorkspaceLimit.cpp
@@ -49,4 +49,32 @@
   return !aUsage.limit || IsWithinLimit(aUsage.running + aUsage.unread + aDemand, *aUsage.limit);
 }
 
+std::uint32_t
+CountTasksWithinLimit(const WorkspaceUsage& aUsage, const LimitRequest& aRequest, double aHeadroom)
+{
+  if (!aUsage.limit) {
+    return aRequest.maxTasks;
+  }
+  const double usableFraction = aRequest.isUrgent ? 1.0 : 1.0 - aHeadroom;
+  auto used = aUsage.running + aUsage.unread;
+  // Another gang that fits may go first, but single tasks would take each core as it is freed.
+  if (aUsage.reservedForGang && !aRequest.isUrgent && !aRequest.isGang) {
+    used += *aUsage.reservedForGang;
+  }
+  auto room = static_cast<std::int64_t>(aRequest.maxTasks);
+  const auto bound = [&](std::int64_t aLimit, std::int64_t aUsed, std::int64_t aNeed) {
+    if (aLimit > 0 && aNeed > 0) {
+      // A demand above that fraction may use the whole limit, since it could never start otherwise.
+      const auto reduced = static_cast<std::int64_t>(static_cast<double>(aLimit) * usableFraction);
+      const auto usable = aNeed * aRequest.maxTasks > reduced ? aLimit : reduced;
+      room = std::min(room, std::max<std::int64_t>(0, usable - aUsed) / aNeed);
+    }
+  };
+  const auto& limit = *aUsage.limit;
+  bound(limit.milliCores, used.milliCores, aRequest.demand.milliCores);
+  bound(limit.memoryMiB, used.memoryMiB, aRequest.demand.memoryMiB);
+  bound(limit.accelerators, used.accelerators, aRequest.demand.accelerators);
+  return static_cast<std::uint32_t>(room);
+}
+
 }
--- a/Libraries/LibCell/WorkspaceLimit.h
+++ b/Libraries/LibCell/WorkspaceLimit.h
@@ -1,10 +1,12 @@
 #pragma once
 
 /// @file
-/// Arithmetic of a workspace's limit, in which an amount of 0 means no limit.
+/// How much of its workspace's limit a step may use. In a limit an amount of 0 means no limit.
+/// Load: wide gangs of one workspace beside its urgent tasks.
 
 #include <LibBase/Resources.h>
 #include <LibCell/WorkspaceUsage.h>
+#include <cstdint>
 
 namespace zinc::cell {
 
@@ -24,4 +26,19 @@
 [[nodiscard]] bool
 AllowsWithinLimit(const WorkspaceUsage& aUsage, const Resources& aDemand);
 
+/// The tasks that a step has to place.
+struct LimitRequest
+{
+  /// Resources of one task.
+  Resources demand;
+  std::uint32_t maxTasks = 1;
+  bool isUrgent = false;
+  bool isGang = false;
+};
+
+/// @return how many more of the tasks the limit allows, at most all
+/// @param aHeadroom fraction of the limit that batch tasks leave to urgent tasks
+[[nodiscard]] std::uint32_t
+CountTasksWithinLimit(const WorkspaceUsage& aUsage, const LimitRequest& aRequest, double aHeadroom);
+
 }
