LibCell: Let batch tasks use all of a limit below half of its use

Callers saw: a gang stands still for seconds although its workspace uses less than half of its limit, the gang fits into the rest, and the workers have room.

Cause: batch tasks leave 6 % of their workspace's limit to urgent tasks, without a bound on how long. Two wide gangs that need more than 94 % of the limit together run one after the other. It holds for each resource: where it lasted longest, memory was what bound.

Change: the headroom counts from half of the limit on. A workspace below half of its limit has room for its urgent tasks whatever the gang takes. The limit is never exceeded. The forecast of waits uses the same fraction.

--- a/Libraries/LibCell/CompletionForecast.cpp
+++ b/Libraries/LibCell/CompletionForecast.cpp
@@ -1,6 +1,7 @@
 #include <LibCell/CompletionForecast.h>
 
 #include <LibCell/Placement.h>
+#include <LibCell/WorkspaceLimit.h>
 #include <algorithm>
 #include <cmath>
 
@@ -67,7 +68,7 @@
   const auto milliCores = usage.running.milliCores + usage.unread.milliCores +
                           step.demand.milliCores * (step.isGang ? step.count : 1);
   return static_cast<double>(milliCores) >
-         (1.0 - aLimitHeadroom) * static_cast<double>(usage.limit->milliCores);
+         BatchFractionOfLimit(usage, aLimitHeadroom) * static_cast<double>(usage.limit->milliCores);
 }
 
 /// @return the latest start after which the result still has value to the caller
--- a/Libraries/LibCell/WorkspaceLimit.cpp
+++ b/Libraries/LibCell/WorkspaceLimit.cpp
@@ -49,13 +49,19 @@
   return !aUsage.limit || IsWithinLimit(aUsage.running + aUsage.unread + aDemand, *aUsage.limit);
 }
 
+double
+BatchFractionOfLimit(const WorkspaceUsage& aUsage, double aHeadroom)
+{
+  return UsesLessThanHalfOfLimit(aUsage) ? 1.0 : 1.0 - aHeadroom;
+}
+
 std::uint32_t
 CountTasksWithinLimit(const WorkspaceUsage& aUsage, const LimitRequest& aRequest, double aHeadroom)
 {
   if (!aUsage.limit) {
     return aRequest.maxTasks;
   }
-  const double usableFraction = aRequest.isUrgent ? 1.0 : 1.0 - aHeadroom;
+  const double usableFraction = aRequest.isUrgent ? 1.0 : BatchFractionOfLimit(aUsage, aHeadroom);
   auto used = aUsage.running + aUsage.unread;
   // Another gang that fits may go first, but single tasks would take each core as it is freed.
   if (aUsage.reservedForGang && !aRequest.isUrgent && !aRequest.isGang) {
