LibCell: Bound how long a step waits for what a pool keeps free

Callers saw: a step stands still for seconds although its workspace uses less than half of its limit and the workers have room for it.

Cause: batch tasks leave 5 % of a pool's processors to urgent tasks, without a bound on how long. In a pool that is full but for this part a step waits until other work ends, however little it needs.

TestCell passes, 286 of 286.

--- a/Libraries/LibCell/CellSchedulerPlacement.cpp
+++ b/Libraries/LibCell/CellSchedulerPlacement.cpp
@@ -304,7 +304,8 @@
                               const Resources& aDemand,
                               const Pool& aPool) const
 {
-  if (!this->IsNonUrgent(aCandidate)) {
+  const auto waited = aCandidate.run->standstill.TimeOf(WaitReason::Headroom);
+  if (!this->IsNonUrgent(aCandidate) || waited >= this->options.maxHeadroomWait) {
     return true;
   }
   const auto headroom = static_cast<std::int64_t>(static_cast<double>(aPool.capacity.milliCores) *
--- a/Tests/LibCell/TestHeadroom.cpp
+++ b/Tests/LibCell/TestHeadroom.cpp
@@ -1,5 +1,7 @@
 #include "CellSchedulerFixture.h"
 
+#include <rapidcheck/gtest.h>
+
 namespace zinc::cell::test {
 
 namespace {
@@ -84,4 +86,66 @@
   EXPECT_LT(this->MeasureStandstill(second), kMaxStandstill);
 }
 
+// Load: a pool that is full but for the room that a step needs. Guards against a step that stands
+// still because of what the pool keeps for urgent tasks.
+TEST_F(Headroom, AStepStartsInAPoolThatIsFullButForIt)
+{
+  this->SetLimit(100);
+  this->AddWorkers("busy", 98);
+  this->AddWorkers("free", 2);
+  this->BeginTerm();
+  this->RunFor(Milliseconds{ 50 });
+  this->policy.routes.front().queue.priority = 0;
+  this->scheduler->SetPolicy(std::make_shared<CellPolicy>(this->policy));
+  this->Fill("filling", "other", 98, kCoresPerWorker);
+  this->RunFor(Milliseconds{ 300 });
+  ASSERT_EQ(this->CountStarts("filling"), 98U);
+  this->policy.routes.front().queue.priority = 1;
+  this->scheduler->SetPolicy(std::make_shared<CellPolicy>(this->policy));
+  auto job = MakeJob("waiting", 2, 5, 4000);
+  job.steps.front().requiredLabel = "free";
+  job.steps.front().isGang = true;
+  EXPECT_LT(this->MeasureStandstill(job), kMaxStandstill);
+}
+
+// Guards against any step that could run and stands still, whatever the limit, the width of the
+// step and what runs beside it.
+RC_GTEST_FIXTURE_PROP(Headroom, AnyStepStartsThatCouldRun, ())
+{
+  const auto cores = *rc::gen::inRange<std::int64_t>(1, kCoresPerWorker + 1);
+  const auto count = *rc::gen::inRange<std::int64_t>(1, 41);
+  const bool isGang = *rc::gen::arbitrary<bool>();
+  const auto need = cores * (isGang ? count : 1);
+  const auto used = *rc::gen::inRange<std::int64_t>(0, 150);
+  // The limit is more than twice what is in use, and allows the step.
+  const auto limit = std::max(2 * used + 1, used + need) + *rc::gen::inRange<std::int64_t>(0, 100);
+  const auto tasksPerWorker = kCoresPerWorker / cores;
+  const auto freeWorkers = (2 * count + tasksPerWorker - 1) / tasksPerWorker;
+  const auto usedTasks = used / kCoresPerWorker;
+  const auto otherTasks = *rc::gen::inRange<std::int64_t>(0, 150);
+  this->SetLimit(limit);
+  this->AddWorkers("busy", usedTasks + otherTasks);
+  this->AddWorkers("free", freeWorkers);
+  this->BeginTerm();
+  this->RunFor(Milliseconds{ 50 });
+  // Tasks of urgent jobs may use the headroom, so that the pool is as full as it can be.
+  this->policy.routes.front().queue.priority = 0;
+  this->scheduler->SetPolicy(std::make_shared<CellPolicy>(this->policy));
+  this->Fill("running", "team", usedTasks, kCoresPerWorker, *rc::gen::arbitrary<bool>());
+  this->RunFor(Milliseconds{ 100 });
+  this->Fill("filling", "other", otherTasks, kCoresPerWorker);
+  this->RunFor(Milliseconds{ 300 });
+  RC_ASSERT(this->CountStarts("running") == static_cast<std::size_t>(usedTasks));
+  RC_ASSERT(this->CountStarts("filling") == static_cast<std::size_t>(otherTasks));
+  this->policy.routes.front().queue.priority = 1;
+  this->scheduler->SetPolicy(std::make_shared<CellPolicy>(this->policy));
+  auto job = MakeJob("waiting",
+                     static_cast<std::uint32_t>(count),
+                     cores,
+                     *rc::gen::element<std::int64_t>(1, 500, 10'000));
+  job.steps.front().requiredLabel = "free";
+  job.steps.front().isGang = isGang;
+  RC_ASSERT(this->MeasureStandstill(job) < kMaxStandstill);
+}
+
 }
