--- a/Tests/Soak/SoakCell.cpp
+++ b/Tests/Soak/SoakCell.cpp
@@ -110,6 +110,25 @@
   return this->instances[aInstance].callers;
 }
 
+Endpoint
+SoakCell::Readiness(std::size_t aInstance) const
+{
+  return this->instances[aInstance].readiness;
+}
+
+Endpoint
+SoakCell::Peers(std::size_t aInstance) const
+{
+  return { this->instances[aInstance].address, this->peerPort };
+}
+
+ChildProcess*
+SoakCell::ProcessOf(std::size_t aInstance)
+{
+  auto& process = this->instances[aInstance].process;
+  return process ? &*process : nullptr;
+}
+
 const std::string&
 SoakCell::NameOf(std::size_t aInstance) const
 {
@@ -242,6 +261,8 @@
   settings["platform"]["Address"] = text(aInstance.store->Address());
   settings["Limits"]["CpuShare"] = 0.25;
   settings["Limits"]["Cores"] = 1;
+  settings["Limits"]["MemoryMb"] = Json::Int64(this->options.limits.memoryMiB);
+  settings["Limits"]["MaxFds"] = Json::Int64(this->options.limits.descriptors);
   settings["Bounds"]["GraceS"] = 6;
   settings["Bounds"]["HoldMaxMs"] = 6000;
   settings["Bounds"]["status_s"] = 120;
--- a/Tests/Soak/SoakCell.h
+++ b/Tests/Soak/SoakCell.h
@@ -20,6 +20,13 @@
 /// Thousandths of a core that the second workspace may have running.
 inline constexpr std::int64_t kSecondMaximum = 6000;
 
+/// What an instance may use of its machine, as its settings say.
+struct InstanceLimits
+{
+  std::int64_t memoryMiB = 260;
+  std::int64_t descriptors = 4200;
+};
+
 /// Where and with what a cell runs.
 struct SoakCellOptions
 {
@@ -30,6 +37,7 @@
   std::uint64_t seed = 1;
   std::size_t instances = 4;
   FleetSize fleet{ .zones = { "east", "west" } };
+  InstanceLimits limits;
 };
 
 /// Keys that the document in force and the one before it hold, by workspace.
@@ -55,6 +63,11 @@
 
   [[nodiscard]] std::size_t Instances() const { return this->instances.size(); }
   [[nodiscard]] Endpoint Callers(std::size_t aInstance) const;
+  [[nodiscard]] Endpoint Readiness(std::size_t aInstance) const;
+  /// @return where the instance listens for calls of the others
+  [[nodiscard]] Endpoint Peers(std::size_t aInstance) const;
+  /// @return the instance's process, or null while it does not run
+  [[nodiscard]] ChildProcess* ProcessOf(std::size_t aInstance);
   [[nodiscard]] const std::string& NameOf(std::size_t aInstance) const;
   [[nodiscard]] KeyRing Keys() const;
 
--- a/Tests/System/ChildProcess.h
+++ b/Tests/System/ChildProcess.h
@@ -42,6 +42,9 @@
   /// @return the exit code, or 128 and the signal's number; empty if it runs on.
   [[nodiscard]] std::optional<int> WaitFor(Milliseconds aTime);
 
+  /// @return the process's number at the system
+  [[nodiscard]] pid_t Id() const { return this->process; }
+
   [[nodiscard]] bool IsRunning() { return !this->WaitFor(Milliseconds{ 0 }); }
 
 private:
