LibTraffic: Bound what a connection keeps of trailers and chunk extensions

Callers saw: an instance ended, out of memory, under clients that send trailers or a chunk's extension without end.

Cause: the parser consumes nothing of a trailer or an extension before its end has come, and the bounds of header and body cover neither. The connection's buffer grew without bound, on every listener.

Change: the buffer holds at most what the header may have, and one read. Beyond that the request is refused with 413, "not run". A refused request's rest is read for a second and a MiB at most, so that the client sees the refusal instead of a reset connection; its buffers are released at once.

Evidence: RefusesTrailersAndChunkExtensionsBeyondTheBoundOfAHeader failed before (408 after the time limit).

--- a/Libraries/LibTraffic/HttpServer.cpp
+++ b/Libraries/LibTraffic/HttpServer.cpp
@@ -29,6 +29,11 @@
 constexpr std::string_view kBearerPrefix = "Bearer ";
 constexpr std::size_t kMaxHexDigits = 2;
 constexpr std::size_t kFirstReadBytes = 4096;
+/// How much of a refused request is read after its response, in time and bytes. Closing a
+/// connection with unread bytes resets it, and the client may then not see the response.
+constexpr Milliseconds kDiscardTimeout{ 1000 };
+constexpr std::size_t kMaxDiscardedBytes = std::size_t{ 1 } << 20U;
+constexpr std::size_t kDiscardBufferBytes = 1024;
 
 std::optional<RequestMethod>
 MethodOf(http::verb aVerb)
@@ -148,6 +153,9 @@
     this->parser.emplace();
     this->parser->body_limit(this->server->options.maxBodyBytes);
     this->parser->header_limit(static_cast<std::uint32_t>(this->server->options.maxHeaderBytes));
+    // The parser consumes nothing of a trailer or a chunk's extension before its end has come, so
+    // this bounds them too.
+    this->buffer.max_size(this->server->options.maxHeaderBytes + kFirstReadBytes);
     if (this->buffer.size() > 0) {
       this->ReadRequest();
       return;
@@ -226,8 +234,9 @@
         fmt::format("The body is larger than {} bytes.", this->server->options.maxBodyBytes)));
       return;
     }
-    if (aError == http::error::header_limit) {
-      this->Refuse(NotRun(ErrorCode::PayloadTooLarge, "The request's header is too large."));
+    if (aError == http::error::header_limit || aError == http::error::buffer_overflow) {
+      this->Refuse(NotRun(ErrorCode::PayloadTooLarge,
+                          "The request's header, trailer or chunk extension is too large."));
       return;
     }
     const bool malformed =
@@ -242,7 +251,12 @@
   void Refuse(const Verdict& aVerdict)
   {
     this->closeAfterWrite = true;
+    this->isRefused = true;
     ++this->server->openRequests;
+    // Nothing more of the request is used.
+    this->parser.reset();
+    this->buffer.clear();
+    this->buffer.shrink_to_fit();
     this->Write(ErrorResponse(aVerdict));
   }
 
@@ -320,6 +334,13 @@
   {
     this->timer.cancel();
     --this->server->openRequests;
+    if (!aError && this->isRefused) {
+      beast::error_code ignored;
+      this->socket.shutdown(Tcp::socket::shutdown_send, ignored);
+      this->StartTimer(kDiscardTimeout);
+      this->DiscardRest();
+      return;
+    }
     if (aError || this->closeAfterWrite) {
       this->Close();
       return;
@@ -327,6 +348,22 @@
     this->ReadNext();
   }
 
+  /// Reads what the client still sends of a refused request, and closes the connection.
+  void DiscardRest()
+  {
+    this->socket.async_read_some(
+      this->buffer.prepare(kDiscardBufferBytes),
+      [self = this->shared_from_this()](beast::error_code aError, std::size_t aCount) {
+        self->discardedBytes += aCount;
+        if (aError || self->discardedBytes > kMaxDiscardedBytes) {
+          self->timer.cancel();
+          self->Close();
+          return;
+        }
+        self->DiscardRest();
+      });
+  }
+
   void Close()
   {
     beast::error_code ignored;
@@ -341,8 +378,11 @@
   std::optional<http::request_parser<http::string_body>> parser;
   http::response<http::string_body> response;
   std::shared_ptr<std::atomic<bool>> answered;
+  std::size_t discardedBytes = 0;
   bool timedOut = false;
   bool closeAfterWrite = false;
+  /// The request was refused before it was read completely.
+  bool isRefused = false;
 };
 
 /// The server behind @ref HttpServer::Create.
--- a/Tests/LibTraffic/TestHttpServer.cpp
+++ b/Tests/LibTraffic/TestHttpServer.cpp
@@ -104,6 +104,22 @@
   }
 }
 
+// Guards against a parser that keeps trailers and chunk extensions without bound until they end.
+TEST_F(HttpServerTest, RefusesTrailersAndChunkExtensionsBeyondTheBoundOfAHeader)
+{
+  const std::string header = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string filler(40'000, 'a');
+  for (const auto& begin : { header + "0\r\nX-Field: ", header + "1;a=" }) {
+    const auto answer = this->Exchange(begin + filler);
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 413 ")) << begin;
+    EXPECT_NE(answer.find("not run"), std::string::npos) << begin;
+  }
+  const auto answer = this->Exchange("POST /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+                                     "Transfer-Encoding: chunked\r\n\r\n2;a=b\r\nhi\r\n0\r\n"
+                                     "X-Field: c\r\n\r\n");
+  EXPECT_NE(answer.find("/a||-|hi"), std::string::npos) << answer;
+}
+
 TEST_F(HttpServerTest, DrainClosesTheConnectionAfterItsAnswer)
 {
   this->server->Drain();
