Entry: Read no more of a request than the document allows

Callers saw: an instance ended, out of memory, under bodies far over the limit.

Cause: the servers' bounds were their own defaults, 1 MiB a body, while the document in force may allow less (BodyBytes, 262,144 by default); the excess was read and refused only then. A document that allows more was not obeyed either.

Change: the callers' server reads what the document in force allows of body and header, and what comes over is refused with 413, "not run", at its announcement or where it exceeds the bound. Other instances' calls may be as long as a forwarded request needs; the probe's and metrics' bodies are 4 KiB at most.

--- a/Libraries/LibCell/Policy.h
+++ b/Libraries/LibCell/Policy.h
@@ -54,8 +54,9 @@
   std::map<WorkspaceId, WorkspacePolicy> workspaces;
   std::unordered_map<std::string, WorkspaceId> workspaceByApiKey;
   std::unordered_map<QueueId, std::size_t> routeIndexByQueue;
-  /// Limit of a request's body.
+  /// Limits of a request's body and header.
   std::size_t maxBodyBytes = 262'144;
+  std::size_t maxHeaderBytes = 16'384;
 
   /// @return the route with the longest prefix of the path, or null.
   [[nodiscard]] const QueueRoute* FindRoute(std::string_view aHost, std::string_view aPath) const
--- a/Libraries/LibTraffic/HttpServer.cpp
+++ b/Libraries/LibTraffic/HttpServer.cpp
@@ -122,6 +122,8 @@
 {
   HttpServerOptions options;
   HttpHandler handler;
+  std::atomic<std::size_t> maxBodyBytes = 0;
+  std::atomic<std::size_t> maxHeaderBytes = 0;
   std::atomic<bool> draining = false;
   std::atomic<std::size_t> openRequests = 0;
   std::atomic<std::size_t> connections = 0;
@@ -150,12 +152,13 @@
 private:
   void ReadNext()
   {
+    const auto maxHeaderBytes = this->server->maxHeaderBytes.load();
     this->parser.emplace();
-    this->parser->body_limit(this->server->options.maxBodyBytes);
-    this->parser->header_limit(static_cast<std::uint32_t>(this->server->options.maxHeaderBytes));
+    this->parser->body_limit(this->server->maxBodyBytes.load());
+    this->parser->header_limit(static_cast<std::uint32_t>(maxHeaderBytes));
     // The parser consumes nothing of a trailer or a chunk's extension before its end has come, so
     // this bounds them too.
-    this->buffer.max_size(this->server->options.maxHeaderBytes + kFirstReadBytes);
+    this->buffer.max_size(maxHeaderBytes + kFirstReadBytes);
     if (this->buffer.size() > 0) {
       this->ReadRequest();
       return;
@@ -231,7 +234,7 @@
     if (aError == http::error::body_limit) {
       this->Refuse(NotRun(
         ErrorCode::PayloadTooLarge,
-        fmt::format("The body is larger than {} bytes.", this->server->options.maxBodyBytes)));
+        fmt::format("The body is larger than {} bytes.", this->server->maxBodyBytes.load())));
       return;
     }
     if (aError == http::error::header_limit || aError == http::error::buffer_overflow) {
@@ -398,6 +401,7 @@
   {
     this->state->options = std::move(aOptions);
     this->state->handler = std::move(aHandler);
+    this->SetRequestLimits(this->state->options.maxBodyBytes, this->state->options.maxHeaderBytes);
   }
 
   Result<Done> Open()
@@ -428,6 +432,12 @@
     });
   }
 
+  void SetRequestLimits(std::size_t aMaxBodyBytes, std::size_t aMaxHeaderBytes) final
+  {
+    this->state->maxBodyBytes = aMaxBodyBytes;
+    this->state->maxHeaderBytes = aMaxHeaderBytes;
+  }
+
   std::size_t OpenRequests() const override { return this->state->openRequests; }
 
   std::uint16_t Port() const override { return this->port; }
--- a/Libraries/LibTraffic/HttpServer.h
+++ b/Libraries/LibTraffic/HttpServer.h
@@ -48,6 +48,10 @@
   /// Stops accepting connections and closes each after its current request.
   virtual void Drain() = 0;
 
+  /// Changes the longest body and header that are read, in bytes, for requests that begin later.
+  /// May be called from any thread.
+  virtual void SetRequestLimits(std::size_t aMaxBodyBytes, std::size_t aMaxHeaderBytes) = 0;
+
   /// @return requests that have been read and not yet answered completely.
   [[nodiscard]] virtual std::size_t OpenRequests() const = 0;
 
--- a/Services/Entry/PlatformProgram.cpp
+++ b/Services/Entry/PlatformProgram.cpp
@@ -50,8 +50,14 @@
 /// The process exits at the latest this long before its grace period ends.
 constexpr Milliseconds kExitMargin{ 800 };
 constexpr Milliseconds kShutdownTickInterval{ 50 };
-/// Maximum delay of a log line.
-constexpr Milliseconds kLogFlushInterval{ 200 };
+/// Maximum delay of a log line, and of a change of the document's limits for requests.
+constexpr Milliseconds kHousekeepingInterval{ 200 };
+constexpr std::size_t kProbeBodyBytes = 4096;
+/// Longest body of a call between instances, unless the document allows callers' requests that need
+/// more: a forwarded request escapes its body and adds its header.
+constexpr std::size_t kPeerBodyBytes = std::size_t{ 1 } << 20U;
+constexpr std::size_t kForwardedBodyFactor = 2;
+constexpr std::size_t kForwardedExtraBytes = std::size_t{ 64 } << 10U;
 /// Caps the platform's limit. Longer leases would only delay the restart of tasks whose worker is
 /// gone: network partitions last at most 6 s, and a lease is renewed every 0.7 s.
 constexpr Milliseconds kMaxLease{ 7500 };
@@ -139,8 +145,12 @@
   [[nodiscard]] Result<Done> OpenServers();
   /// Opens a port whose requests are handled on the control thread.
   [[nodiscard]] Result<std::shared_ptr<HttpServer>> OpenServer(
-    const Endpoint& aEndpoint,
+    HttpServerOptions aOptions,
     std::function<void(const IncomingRequest&, Respond)> aHandler);
+  /// Lets the servers read what the document in force allows.
+  void ApplyRequestLimits();
+  /// Flushes the log and applies the document's limits, again and again.
+  void RunHousekeeping();
   /// Waits for SIGTERM, SIGINT and SIGHUP.
   void AwaitSignals();
   void OnSignal(int aSignal);
@@ -149,7 +159,6 @@
   void BeginShutdown();
   /// Closes connections late in the grace period and ends the process once requests are answered.
   void TickShutdown();
-  void FlushLog();
 
   PlatformProgramOptions options;
   platform::BootSettings boot;
@@ -170,6 +179,9 @@
   std::unique_ptr<InstanceCallServer> instanceCallServer;
   std::unique_ptr<RequestForwarder> requestForwarder;
   std::vector<std::shared_ptr<HttpServer>> servers;
+  /// Servers whose requests the document limits.
+  std::shared_ptr<HttpServer> callerServer;
+  std::shared_ptr<HttpServer> peerServer;
   std::unique_ptr<boost::asio::signal_set> signals;
   std::optional<TimePoint> shutdownStartedAt;
   /// True once the servers close idle connections.
@@ -327,12 +339,12 @@
 }
 
 Result<std::shared_ptr<HttpServer>>
-PlatformProgram::OpenServer(const Endpoint& aEndpoint,
+PlatformProgram::OpenServer(HttpServerOptions aOptions,
                             std::function<void(const IncomingRequest&, Respond)> aHandler)
 {
   return HttpServer::Create(
     this->Traffic(),
-    { .listen = aEndpoint },
+    std::move(aOptions),
     [this, handler = std::move(aHandler)](IncomingRequest aRequest, Respond aRespond) {
       boost::asio::post(
         this->control,
@@ -345,38 +357,61 @@
 Result<Done>
 PlatformProgram::OpenServers()
 {
-  std::vector<std::pair<Endpoint, std::function<void(const IncomingRequest&, Respond)>>>
-    listeners = {
-      { this->boot.readiness,
-        [this](const IncomingRequest& aRequest, Respond aRespond) {
+  struct Listener
+  {
+    HttpServerOptions options;
+    std::function<void(const IncomingRequest&, Respond)> handler;
+  };
+  std::vector<Listener> listeners = {
+    { .options = { .listen = this->boot.readiness, .maxBodyBytes = kProbeBodyBytes },
+      .handler =
+        [this](const IncomingRequest& aRequest, const Respond& aRespond) {
           this->callerInterface->HandleReadiness(aRequest, aRespond);
         } },
-      { { .address = this->boot.address, .port = this->boot.peerPort },
+    { .options = { .listen = { .address = this->boot.address, .port = this->boot.peerPort } },
+      .handler =
         [this](const IncomingRequest& aRequest, Respond aRespond) {
           this->instanceCallServer->Handle(aRequest, std::move(aRespond));
         } },
-      { this->boot.callers,
+    { .options = { .listen = this->boot.callers },
+      .handler =
         [this](const IncomingRequest& aRequest, Respond aRespond) {
           this->requestForwarder->Handle(aRequest, std::move(aRespond));
         } },
-    };
+  };
   if (this->options.metricsPort != 0) {
     listeners.push_back(
-      { { .address = this->boot.address, .port = this->options.metricsPort },
-        [this](const IncomingRequest&, const Respond& aRespond) {
+      { .options = { .listen = { .address = this->boot.address, .port = this->options.metricsPort },
+                     .maxBodyBytes = kProbeBodyBytes },
+        .handler = [this](const IncomingRequest&, const Respond& aRespond) {
           aRespond({ .contentType = "text/plain; version=0.0.4", .body = this->metrics.Render() });
         } });
   }
-  for (const auto& [endpoint, handler] : listeners) {
-    auto opened = this->OpenServer(endpoint, handler);
+  for (auto& listener : listeners) {
+    auto opened = this->OpenServer(std::move(listener.options), std::move(listener.handler));
     if (IsError(opened)) {
       return ErrorOf(opened);
     }
     this->servers.push_back(ValueOf(opened));
   }
+  this->peerServer = this->servers[1];
+  this->callerServer = this->servers[2];
+  this->ApplyRequestLimits();
   return Done{};
 }
 
+void
+PlatformProgram::ApplyRequestLimits()
+{
+  const auto policy = this->instance->Policy();
+  const cell::CellPolicy defaults;
+  const auto& limits = policy ? *policy : defaults;
+  this->callerServer->SetRequestLimits(limits.maxBodyBytes, limits.maxHeaderBytes);
+  const auto forwardedBytes = limits.maxBodyBytes * kForwardedBodyFactor + kForwardedExtraBytes;
+  this->peerServer->SetRequestLimits(std::max(kPeerBodyBytes, forwardedBytes),
+                                     limits.maxHeaderBytes);
+}
+
 void
 PlatformProgram::AwaitSignals()
 {
@@ -454,10 +489,11 @@
 }
 
 void
-PlatformProgram::FlushLog()
+PlatformProgram::RunHousekeeping()
 {
   this->logWriter.Flush();
-  this->timer.RunAfter(kLogFlushInterval, [this] { this->FlushLog(); });
+  this->ApplyRequestLimits();
+  this->timer.RunAfter(kHousekeepingInterval, [this] { this->RunHousekeeping(); });
 }
 
 int
@@ -484,7 +520,7 @@
   const TrafficThreads threads(this->traffic, this->options.trafficThreads);
   this->instance->Start();
   this->requestForwarder->Start();
-  this->FlushLog();
+  this->RunHousekeeping();
   this->control.run();
   return kExitOk;
 }
--- a/Tests/LibTraffic/TestHttpServer.cpp
+++ b/Tests/LibTraffic/TestHttpServer.cpp
@@ -120,6 +120,16 @@
   EXPECT_NE(answer.find("/a||-|hi"), std::string::npos) << answer;
 }
 
+TEST_F(HttpServerTest, AppliesChangedLimitsToTheNextRequest)
+{
+  const auto request = "POST /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: 65"
+                       "\r\n\r\n" +
+                       std::string(65, 'a');
+  EXPECT_TRUE(this->Exchange(request).starts_with("HTTP/1.1 413 "));
+  this->server->SetRequestLimits(65, 1000);
+  EXPECT_TRUE(this->Exchange(request).starts_with("HTTP/1.1 200 "));
+}
+
 TEST_F(HttpServerTest, DrainClosesTheConnectionAfterItsAnswer)
 {
   this->server->Drain();
--- a/Tests/Platform/TestDecoders.cpp
+++ b/Tests/Platform/TestDecoders.cpp
@@ -20,7 +20,7 @@
      "Advice": {"DecideMs": 5.5, "EachMs": 0.25, "ValidMs": 1500}},
     {"Name": "q2", "Host": "h1", "PathPrefix": "/a/b/", "Service": "svc", "Public": true}],
   "Services": [{"Name": "svc", "HealthPath": "/health", "EnforcesCapacity": false}],
-  "Limits": {"BodyBytes": 1000},
+  "Limits": {"BodyBytes": 1000, "HeaderBytes": 2000},
   "Tenants": [{"Name": "t1", "ApiKeys": ["k1", "k2"], "Weight": 38,
                "Maximum": {"Cpu": 5000, "MemMb": 6000}}]})";
 
@@ -40,6 +40,7 @@
   const auto& policy = ValueOf(decoded);
   EXPECT_EQ(policy.version, 12U);
   EXPECT_EQ(policy.maxBodyBytes, 1000U);
+  EXPECT_EQ(policy.maxHeaderBytes, 2000U);
   const auto* longestMatch = policy.FindRoute("h1", "/a/b/0123");
   ASSERT_NE(longestMatch, nullptr);
   EXPECT_EQ(longestMatch->queue.name.value, "q2");
