LibTraffic: Bound what all connections of a process hold together

Callers saw: an instance ended, out of memory or of descriptors, although each client kept to the bounds of one request: bodies within the limit that do not end, connections without a request.

Cause: the bounds are those of one connection and one listener; nothing bounds their sum, nor knows what the machine has.

Change: ConnectionBudget decides, without network or clock, which connections give way: beyond a quarter of the machine's memory the incomplete requests that hold most, with 503, "not run"; beyond a listener's share of the descriptors a connection without a request, then the one whose request has taken longest to arrive. Complete requests are always answered. All listeners share the bytes; each has its own connections, so that a crowd of callers keeps neither the probe nor other instances out. ConnectionRegistry applies the decisions. Memory and descriptors come from the machine's settings.

--- a/Libraries/LibTraffic/HttpServer.cpp
+++ b/Libraries/LibTraffic/HttpServer.cpp
@@ -34,6 +34,8 @@
 constexpr Milliseconds kDiscardTimeout{ 1000 };
 constexpr std::size_t kMaxDiscardedBytes = std::size_t{ 1 } << 20U;
 constexpr std::size_t kDiscardBufferBytes = 1024;
+/// Budget of a listener that shares none.
+constexpr std::size_t kDefaultMaxHeldBytes = std::size_t{ 256 } << 20U;
 
 std::optional<RequestMethod>
 MethodOf(http::verb aVerb)
@@ -122,11 +124,11 @@
 {
   HttpServerOptions options;
   HttpHandler handler;
+  std::size_t listener = 0;
   std::atomic<std::size_t> maxBodyBytes = 0;
   std::atomic<std::size_t> maxHeaderBytes = 0;
   std::atomic<bool> draining = false;
   std::atomic<std::size_t> openRequests = 0;
-  std::atomic<std::size_t> connections = 0;
 };
 
 /// One client connection; all members are used on its strand.
@@ -138,31 +140,72 @@
     , timer(this->socket.get_executor())
     , server(std::move(aServer))
   {
-    ++this->server->connections;
   }
 
-  ~Connection() { --this->server->connections; }
+  ~Connection()
+  {
+    if (this->number) {
+      this->server->options.registry->Remove(*this->number);
+    }
+  }
 
+  /// Serves the client if the process has room for the connection, and closes it otherwise.
   void Start()
   {
-    asio::post(this->socket.get_executor(),
-               [self = this->shared_from_this()] { self->ReadNext(); });
+    asio::post(this->socket.get_executor(), [self = this->shared_from_this()] {
+      self->number =
+        self->server->options.registry->Admit(self->server->listener,
+                                              self->server->options.maxConnections,
+                                              [weak = self->weak_from_this()] { Evict(weak); });
+      if (!self->number) {
+        self->Close();
+        return;
+      }
+      self->ReadNext();
+    });
   }
 
 private:
+  /// Makes a connection give way to others; may be called from any thread.
+  static void Evict(const std::weak_ptr<Connection>& aConnection)
+  {
+    if (const auto connection = aConnection.lock()) {
+      asio::post(connection->socket.get_executor(), [connection] { connection->OnEvicted(); });
+    }
+  }
+
+  void OnEvicted()
+  {
+    // A request that has become complete meanwhile is answered.
+    if (this->isAnswering) {
+      this->closeAfterWrite = true;
+      return;
+    }
+    this->isEvicted = true;
+    beast::error_code ignored;
+    this->socket.cancel(ignored);
+  }
+
   void ReadNext()
   {
+    this->isAnswering = false;
     const auto maxHeaderBytes = this->server->maxHeaderBytes.load();
     this->parser.emplace();
     this->parser->body_limit(this->server->maxBodyBytes.load());
     this->parser->header_limit(static_cast<std::uint32_t>(maxHeaderBytes));
+    this->parser->eager(true);
     // The parser consumes nothing of a trailer or a chunk's extension before its end has come, so
     // this bounds them too.
     this->buffer.max_size(maxHeaderBytes + kFirstReadBytes);
+    this->headerBytes = 0;
     if (this->buffer.size() > 0) {
       this->ReadRequest();
       return;
     }
+    this->buffer.shrink_to_fit();
+    if (this->hasServed) {
+      this->BecomeIdle();
+    }
     this->StartTimer(this->server->options.idleTimeout);
     this->socket.async_read_some(
       this->buffer.prepare(kFirstReadBytes),
@@ -173,7 +216,7 @@
 
   void OnFirstBytes(beast::error_code aError, std::size_t aCount)
   {
-    if (aError) {
+    if (aError || this->isEvicted) {
       this->timer.cancel();
       this->Close();
       return;
@@ -184,13 +227,41 @@
 
   void ReadRequest()
   {
+    this->server->options.registry->SetPhase(*this->number, ConnectionPhase::Receiving);
     this->StartTimer(this->server->options.readTimeout);
-    http::async_read(this->socket,
-                     this->buffer,
-                     *this->parser,
-                     [self = this->shared_from_this()](beast::error_code aError, std::size_t) {
-                       self->OnRead(aError);
-                     });
+    this->ReadSome();
+  }
+
+  void ReadSome()
+  {
+    http::async_read_some(
+      this->socket,
+      this->buffer,
+      *this->parser,
+      [self = this->shared_from_this()](beast::error_code aError, std::size_t aCount) {
+        self->OnReadSome(aError, aCount);
+      });
+  }
+
+  void OnReadSome(beast::error_code aError, std::size_t aCount)
+  {
+    if (!this->parser->is_header_done() || this->headerBytes == 0) {
+      this->headerBytes += aCount;
+    }
+    const bool isWithinBudget =
+      this->server->options.registry->Hold(*this->number, this->HeldBytes());
+    this->isEvicted = this->isEvicted || !isWithinBudget;
+    if (aError || this->isEvicted || this->parser->is_done()) {
+      this->OnRead(aError);
+      return;
+    }
+    this->ReadSome();
+  }
+
+  /// @return the memory that the connection holds for its request
+  [[nodiscard]] std::size_t HeldBytes() const
+  {
+    return this->buffer.capacity() + this->headerBytes + this->parser->get().body().capacity();
   }
 
   void StartTimer(Milliseconds aTimeout)
@@ -214,6 +285,11 @@
   void OnRead(beast::error_code aError)
   {
     this->timer.cancel();
+    if (this->isEvicted) {
+      this->Refuse(
+        NotRun(ErrorCode::Overloaded, "The process holds too many incomplete requests."));
+      return;
+    }
     if (this->timedOut) {
       this->Refuse(NotRun(ErrorCode::Timeout, "The request was not received completely in time."));
       return;
@@ -254,12 +330,15 @@
   void Refuse(const Verdict& aVerdict)
   {
     this->closeAfterWrite = true;
+    this->isAnswering = true;
     this->isRefused = true;
     ++this->server->openRequests;
     // Nothing more of the request is used.
     this->parser.reset();
     this->buffer.clear();
     this->buffer.shrink_to_fit();
+    this->server->options.registry->SetPhase(*this->number, ConnectionPhase::Answering);
+    this->server->options.registry->Release(*this->number);
     this->Write(ErrorResponse(aVerdict));
   }
 
@@ -273,6 +352,9 @@
       return;
     }
     ++this->server->openRequests;
+    this->isAnswering = true;
+    this->hasServed = true;
+    this->server->options.registry->SetPhase(*this->number, ConnectionPhase::Answering);
     this->answered = std::make_shared<std::atomic<bool>>(false);
     auto respond = [self = this->shared_from_this(),
                     once = this->answered](OutgoingResponse aResponse) mutable {
@@ -340,6 +422,8 @@
     if (!aError && this->isRefused) {
       beast::error_code ignored;
       this->socket.shutdown(Tcp::socket::shutdown_send, ignored);
+      this->isAnswering = false;
+      this->BecomeIdle();
       this->StartTimer(kDiscardTimeout);
       this->DiscardRest();
       return;
@@ -351,6 +435,13 @@
     this->ReadNext();
   }
 
+  /// Lets the connection give way to new ones.
+  void BecomeIdle()
+  {
+    this->server->options.registry->SetPhase(*this->number, ConnectionPhase::Idle);
+    this->server->options.registry->Release(*this->number);
+  }
+
   /// Reads what the client still sends of a refused request, and closes the connection.
   void DiscardRest()
   {
@@ -381,11 +472,21 @@
   std::optional<http::request_parser<http::string_body>> parser;
   http::response<http::string_body> response;
   std::shared_ptr<std::atomic<bool>> answered;
+  /// Its number in the registry; empty if there was no room for it.
+  std::optional<ConnectionNumber> number;
+  /// Bytes received of the current request's header.
+  std::size_t headerBytes = 0;
   std::size_t discardedBytes = 0;
   bool timedOut = false;
   bool closeAfterWrite = false;
   /// The request was refused before it was read completely.
   bool isRefused = false;
+  /// The current request is complete or refused, and its response not sent completely.
+  bool isAnswering = false;
+  /// At least one request was complete.
+  bool hasServed = false;
+  /// Has to give way to other connections.
+  bool isEvicted = false;
 };
 
 /// The server behind @ref HttpServer::Create.
@@ -399,9 +500,13 @@
     , acceptor(asio::make_strand(aTraffic))
     , state(std::make_shared<ServerState>())
   {
-    this->state->options = std::move(aOptions);
+    auto& options = this->state->options = std::move(aOptions);
+    if (!options.registry) {
+      options.registry = std::make_shared<ConnectionRegistry>(kDefaultMaxHeldBytes);
+    }
+    this->state->listener = options.registry->AddListener();
     this->state->handler = std::move(aHandler);
-    this->SetRequestLimits(this->state->options.maxBodyBytes, this->state->options.maxHeaderBytes);
+    this->SetRequestLimits(options.maxBodyBytes, options.maxHeaderBytes);
   }
 
   Result<Done> Open()
@@ -448,8 +553,7 @@
     if (aError == asio::error::operation_aborted || !this->acceptor.is_open()) {
       return;
     }
-    const bool full = this->state->connections >= this->state->options.maxConnections;
-    if (!aError && !full) {
+    if (!aError) {
       beast::error_code ignored;
       aSocket.set_option(Tcp::no_delay(true), ignored);
       std::make_shared<Connection>(std::move(aSocket), this->state)->Start();
--- a/Libraries/LibTraffic/HttpServer.h
+++ b/Libraries/LibTraffic/HttpServer.h
@@ -5,6 +5,7 @@
 
 #include <LibBase/Verdict.h>
 #include <LibPlatform/InstanceList.h>
+#include <LibTraffic/ConnectionRegistry.h>
 #include <LibTraffic/HttpMessage.h>
 #include <boost/asio/io_context.hpp>
 #include <cstddef>
@@ -29,7 +30,11 @@
   Milliseconds readTimeout{ 10'000 };
   /// Longest time between requests of one connection.
   Milliseconds idleTimeout{ 60'000 };
+  /// A further connection replaces one that has no request; see @ref ConnectionBudget.
   std::size_t maxConnections = 4096;
+  /// Connections of the process's other listeners, with which this one shares a budget. Without it
+  /// the listener has a budget of its own.
+  std::shared_ptr<ConnectionRegistry> registry;
 };
 
 /// Accepts connections and answers one request at a time on each. Bad requests are answered by the
--- a/Services/Entry/PlatformProgram.cpp
+++ b/Services/Entry/PlatformProgram.cpp
@@ -52,6 +52,17 @@
 constexpr Milliseconds kShutdownTickInterval{ 50 };
 /// Maximum delay of a log line, and of a change of the document's limits for requests.
 constexpr Milliseconds kHousekeepingInterval{ 200 };
+/// Part of the memory that requests may hold over all connections. The rest is for jobs and
+/// workers.
+constexpr std::int64_t kRequestMemoryDivisor = 4;
+/// Descriptors that the platform keeps for files.
+constexpr std::int64_t kFileDescriptors = 200;
+/// Parts of the other descriptors for connections of callers and of other instances. The rest is
+/// for connections to workers, to the store and to instances.
+constexpr std::int64_t kCallerDescriptorDivisor = 2;
+constexpr std::int64_t kPeerDescriptorDivisor = 8;
+/// Connections of the readiness probe, and of readers of metrics.
+constexpr std::size_t kProbeConnections = 16;
 constexpr std::size_t kProbeBodyBytes = 4096;
 /// Longest body of a call between instances, unless the document allows callers' requests that need
 /// more: a forwarded request escapes its body and adds its header.
@@ -147,6 +158,8 @@
   [[nodiscard]] Result<std::shared_ptr<HttpServer>> OpenServer(
     HttpServerOptions aOptions,
     std::function<void(const IncomingRequest&, Respond)> aHandler);
+  /// @return how many connections a listener may have that gets this part of the descriptors
+  [[nodiscard]] std::size_t ConnectionsFor(std::int64_t aDescriptorDivisor) const;
   /// Lets the servers read what the document in force allows.
   void ApplyRequestLimits();
   /// Flushes the log and applies the document's limits, again and again.
@@ -354,26 +367,43 @@
     });
 }
 
+std::size_t
+PlatformProgram::ConnectionsFor(std::int64_t aDescriptorDivisor) const
+{
+  const auto descriptors =
+    std::max<std::int64_t>(aDescriptorDivisor, this->boot.maxDescriptors - kFileDescriptors);
+  return static_cast<std::size_t>(descriptors / aDescriptorDivisor);
+}
+
 Result<Done>
 PlatformProgram::OpenServers()
 {
+  const auto registry = std::make_shared<ConnectionRegistry>(
+    static_cast<std::size_t>((this->boot.memoryMiB << 20U) / kRequestMemoryDivisor));
   struct Listener
   {
     HttpServerOptions options;
     std::function<void(const IncomingRequest&, Respond)> handler;
   };
   std::vector<Listener> listeners = {
-    { .options = { .listen = this->boot.readiness, .maxBodyBytes = kProbeBodyBytes },
+    { .options = { .listen = this->boot.readiness,
+                   .maxBodyBytes = kProbeBodyBytes,
+                   .maxConnections = kProbeConnections,
+                   .registry = registry },
       .handler =
         [this](const IncomingRequest& aRequest, const Respond& aRespond) {
           this->callerInterface->HandleReadiness(aRequest, aRespond);
         } },
-    { .options = { .listen = { .address = this->boot.address, .port = this->boot.peerPort } },
+    { .options = { .listen = { .address = this->boot.address, .port = this->boot.peerPort },
+                   .maxConnections = this->ConnectionsFor(kPeerDescriptorDivisor),
+                   .registry = registry },
       .handler =
         [this](const IncomingRequest& aRequest, Respond aRespond) {
           this->instanceCallServer->Handle(aRequest, std::move(aRespond));
         } },
-    { .options = { .listen = this->boot.callers },
+    { .options = { .listen = this->boot.callers,
+                   .maxConnections = this->ConnectionsFor(kCallerDescriptorDivisor),
+                   .registry = registry },
       .handler =
         [this](const IncomingRequest& aRequest, Respond aRespond) {
           this->requestForwarder->Handle(aRequest, std::move(aRespond));
@@ -382,7 +412,9 @@
   if (this->options.metricsPort != 0) {
     listeners.push_back(
       { .options = { .listen = { .address = this->boot.address, .port = this->options.metricsPort },
-                     .maxBodyBytes = kProbeBodyBytes },
+                     .maxBodyBytes = kProbeBodyBytes,
+                     .maxConnections = kProbeConnections,
+                     .registry = registry },
         .handler = [this](const IncomingRequest&, const Respond& aRespond) {
           aRespond({ .contentType = "text/plain; version=0.0.4", .body = this->metrics.Render() });
         } });
--- a/Tests/Platform/TestDecoders.cpp
+++ b/Tests/Platform/TestDecoders.cpp
@@ -27,7 +27,7 @@
 constexpr std::string_view kSettings = R"({
   "Node": "n1", "Zone": "z1", "Ip": "10.0.0.1",
   "Listen": {"Front": "10.0.0.1:81", "Ready": "10.0.0.1:82"},
-  "PortRange": [7400, 7410], "Limits": {"CpuShare": 0.25, "Cores": 1},
+  "PortRange": [7400, 7410], "Limits": {"CpuShare": 0.25, "Cores": 1, "MemoryMb": 160, "MaxFds": 4100},
   "Bounds": {"GraceS": 6, "HoldMaxMs": 9000, "KillGraceMs": 900, "status_s": 60},
   "platform": {"Address": "10.0.0.9:80"}, "Advice": "10.0.0.8:80", "Unknown": [1]})";
 
@@ -215,6 +215,8 @@
   EXPECT_EQ(ValueOf(settings).maxStopDuration, Milliseconds{ 900 });
   EXPECT_EQ(ValueOf(settings).statusRetention, Milliseconds{ 60'000 });
   EXPECT_EQ(ValueOf(settings).milliCores, 250U);
+  EXPECT_EQ(ValueOf(settings).memoryMiB, 160);
+  EXPECT_EQ(ValueOf(settings).maxDescriptors, 4100);
   EXPECT_FALSE(ValueOf(settings).machines.has_value());
   EXPECT_FALSE(ValueOf(settings).hasZoneContract);
   auto newer = std::string(kSettings);
