LibTraffic: Wait before accepting again after a failed accept

What callers would see: an instance that has no descriptor left answers nobody.

Cause: a failed accept was repeated at once. Without descriptors the next one fails at once too, so that the thread turns without end, which on the platform is the control thread.

Change: the next attempt follows 100 ms later.

Evidence: AcceptFailure.IsNotRetriedAtOnce failed before (100 of 100 handlers were failed attempts). TestTraffic passes, 14 of 14.

--- a/Libraries/LibTraffic/HttpServer.cpp
+++ b/Libraries/LibTraffic/HttpServer.cpp
@@ -29,6 +29,9 @@
 constexpr std::string_view kBearerPrefix = "Bearer ";
 constexpr std::size_t kMaxHexDigits = 2;
 constexpr std::size_t kFirstReadBytes = 4096;
+/// Time until the next attempt to accept a connection, after one has failed: without descriptors
+/// each further attempt would fail at once.
+constexpr Milliseconds kAcceptRetryDelay{ 100 };
 /// How much of a refused request is read after its response, in time and bytes. Closing a
 /// connection with unread bytes resets it, and the client may then not see the response.
 constexpr Milliseconds kDiscardTimeout{ 1000 };
@@ -498,6 +501,7 @@
   BeastServer(asio::io_context& aTraffic, HttpServerOptions aOptions, HttpHandler aHandler)
     : traffic(aTraffic)
     , acceptor(asio::make_strand(aTraffic))
+    , retryTimer(this->acceptor.get_executor())
     , state(std::make_shared<ServerState>())
   {
     auto& options = this->state->options = std::move(aOptions);
@@ -534,6 +538,7 @@
     asio::post(this->acceptor.get_executor(), [self = this->shared_from_this()] {
       beast::error_code ignored;
       self->acceptor.close(ignored);
+      self->retryTimer.cancel();
     });
   }
 
@@ -553,16 +558,24 @@
     if (aError == asio::error::operation_aborted || !this->acceptor.is_open()) {
       return;
     }
-    if (!aError) {
-      beast::error_code ignored;
-      aSocket.set_option(Tcp::no_delay(true), ignored);
-      std::make_shared<Connection>(std::move(aSocket), this->state)->Start();
+    if (aError) {
+      this->retryTimer.expires_after(kAcceptRetryDelay);
+      this->retryTimer.async_wait([self = this->shared_from_this()](beast::error_code aStatus) {
+        if (!aStatus && self->acceptor.is_open()) {
+          self->AcceptNext();
+        }
+      });
+      return;
     }
+    beast::error_code ignored;
+    aSocket.set_option(Tcp::no_delay(true), ignored);
+    std::make_shared<Connection>(std::move(aSocket), this->state)->Start();
     this->AcceptNext();
   }
 
   asio::io_context& traffic;
   asio::basic_socket_acceptor<Tcp, Strand> acceptor;
+  Timer retryTimer;
   std::shared_ptr<ServerState> state;
   std::uint16_t port = 0;
 };
