Entry: Report connections that had to give way

An operator could not see that an instance closes connections under load, nor how full its budgets are. connections_evicted is logged once a second at most, with a counter and two gauges.

--- a/Services/Entry/PlatformProgram.cpp
+++ b/Services/Entry/PlatformProgram.cpp
@@ -1,5 +1,6 @@
 #include "PlatformProgram.h"
 
+#include "ConnectionReport.h"
 #include "ReadFile.h"
 #include "TrafficThreads.h"
 #include <LibBase/BootClock.h>
@@ -162,7 +163,7 @@
   [[nodiscard]] std::size_t ConnectionsFor(std::int64_t aDescriptorDivisor) const;
   /// Lets the servers read what the document in force allows.
   void ApplyRequestLimits();
-  /// Flushes the log and applies the document's limits, again and again.
+  /// Flushes the log, applies the document's limits and reports on connections, again and again.
   void RunHousekeeping();
   /// Waits for SIGTERM, SIGINT and SIGHUP.
   void AwaitSignals();
@@ -192,6 +193,7 @@
   std::unique_ptr<InstanceCallServer> instanceCallServer;
   std::unique_ptr<RequestForwarder> requestForwarder;
   std::vector<std::shared_ptr<HttpServer>> servers;
+  std::unique_ptr<ConnectionReport> connectionReport;
   /// Servers whose requests the document limits.
   std::shared_ptr<HttpServer> callerServer;
   std::shared_ptr<HttpServer> peerServer;
@@ -380,6 +382,7 @@
 {
   const auto registry = std::make_shared<ConnectionRegistry>(
     static_cast<std::size_t>((this->boot.memoryMiB << 20U) / kRequestMemoryDivisor));
+  this->connectionReport = std::make_unique<ConnectionReport>(registry, this->metrics, this->log);
   struct Listener
   {
     HttpServerOptions options;
@@ -525,6 +528,7 @@
 {
   this->logWriter.Flush();
   this->ApplyRequestLimits();
+  this->connectionReport->Update(this->clock.Now());
   this->timer.RunAfter(kHousekeepingInterval, [this] { this->RunHousekeeping(); });
 }
 
