LibTraffic: Count connections whose request gave way

What a crowd could do: hold more descriptors than its listener's share. A request that gives way is refused, and its connection stays open for up to a second so that the client sees the refusal; the budget no longer counted it.

A replaced connection is closed at once, without a response.

--- a/Libraries/LibTraffic/ConnectionBudget.cpp
+++ b/Libraries/LibTraffic/ConnectionBudget.cpp
@@ -47,21 +47,31 @@
 ConnectionBudget::Hold(ConnectionNumber aNumber, std::size_t aBytes)
 {
   const auto found = this->connections.find(aNumber);
-  if (found == this->connections.end()) {
+  if (found == this->connections.end() || found->second.hasGivenWay) {
     return {};
   }
   this->heldBytes += aBytes - found->second.bytes;
   found->second.bytes = aBytes;
-  std::vector<ConnectionNumber> removed;
+  std::vector<ConnectionNumber> givingWay;
   while (this->heldBytes > this->maxBytes) {
     const auto largest = this->FindLargestIncomplete();
     if (!largest) {
       break;
     }
-    this->Remove(*largest);
-    removed.push_back(*largest);
+    auto& connection = this->connections.at(*largest);
+    this->heldBytes -= connection.bytes;
+    connection.bytes = 0;
+    connection.hasGivenWay = true;
+    givingWay.push_back(*largest);
   }
-  return removed;
+  return givingWay;
+}
+
+bool
+ConnectionBudget::HasGivenWay(ConnectionNumber aNumber) const
+{
+  const auto found = this->connections.find(aNumber);
+  return found == this->connections.end() || found->second.hasGivenWay;
 }
 
 std::optional<ConnectionNumber>
@@ -88,7 +98,7 @@
   std::optional<ConnectionNumber> best;
   const Connection* largest = nullptr;
   for (const auto& [number, connection] : this->connections) {
-    if (connection.phase != ConnectionPhase::Receiving) {
+    if (connection.phase != ConnectionPhase::Receiving || connection.hasGivenWay) {
       continue;
     }
     const bool isLarger = largest == nullptr || connection.bytes > largest->bytes;
--- a/Libraries/LibTraffic/ConnectionBudget.h
+++ b/Libraries/LibTraffic/ConnectionBudget.h
@@ -62,10 +62,14 @@
   void SetPhase(ConnectionNumber aNumber, ConnectionPhase aPhase, TimePoint aNow);
 
   /// Sets how many bytes a connection holds.
-  /// @return the connections that give way until the rest is within the budget: of those whose
-  /// request is not complete, the ones that hold most. They count as removed.
+  /// @return the connections whose requests give way until the rest is within the budget: of those
+  /// whose request is not complete, the ones that hold most. From now on they hold nothing, and
+  /// count as connections until they are removed.
   [[nodiscard]] std::vector<ConnectionNumber> Hold(ConnectionNumber aNumber, std::size_t aBytes);
 
+  /// @return true if the connection's request has given way, or the connection is unknown
+  [[nodiscard]] bool HasGivenWay(ConnectionNumber aNumber) const;
+
   /// @return the bytes that all connections hold
   [[nodiscard]] std::size_t HeldBytes() const { return this->heldBytes; }
   [[nodiscard]] std::size_t Size() const { return this->connections.size(); }
@@ -77,6 +81,7 @@
     ConnectionPhase phase = ConnectionPhase::New;
     TimePoint since{};
     std::size_t bytes = 0;
+    bool hasGivenWay = false;
   };
 
   /// @return the connection of the listener that gives way to a new one
--- a/Libraries/LibTraffic/ConnectionRegistry.cpp
+++ b/Libraries/LibTraffic/ConnectionRegistry.cpp
@@ -12,7 +12,7 @@
 std::optional<ConnectionNumber>
 ConnectionRegistry::Admit(std::size_t aListener,
                           std::size_t aMaxConnections,
-                          std::function<void()> aClose)
+                          std::function<void(Eviction)> aEvict)
 {
   const std::scoped_lock lock(this->mutex);
   const auto admission = this->budget.Admit(aListener, aMaxConnections, SteadyClock().Now());
@@ -20,9 +20,10 @@
     return {};
   }
   if (admission->replaced) {
-    this->Evict(*admission->replaced);
+    this->Evict(*admission->replaced, Eviction::Close);
+    this->evictors.erase(*admission->replaced);
   }
-  this->closers[admission->number] = std::move(aClose);
+  this->evictors[admission->number] = std::move(aEvict);
   return admission->number;
 }
 
@@ -31,7 +32,7 @@
 {
   const std::scoped_lock lock(this->mutex);
   this->budget.Remove(aNumber);
-  this->closers.erase(aNumber);
+  this->evictors.erase(aNumber);
 }
 
 void
@@ -46,9 +47,9 @@
 {
   const std::scoped_lock lock(this->mutex);
   for (const auto evicted : this->budget.Hold(aNumber, aBytes)) {
-    this->Evict(evicted);
+    this->Evict(evicted, Eviction::RefuseRequest);
   }
-  return this->closers.contains(aNumber);
+  return !this->budget.HasGivenWay(aNumber);
 }
 
 void
@@ -80,15 +81,13 @@
 }
 
 void
-ConnectionRegistry::Evict(ConnectionNumber aNumber)
+ConnectionRegistry::Evict(ConnectionNumber aNumber, Eviction aEviction)
 {
-  const auto found = this->closers.find(aNumber);
-  if (found == this->closers.end()) {
-    return;
+  const auto found = this->evictors.find(aNumber);
+  if (found != this->evictors.end()) {
+    ++this->evicted;
+    found->second(aEviction);
   }
-  ++this->evicted;
-  found->second();
-  this->closers.erase(found);
 }
 
 }
--- a/Libraries/LibTraffic/ConnectionRegistry.h
+++ b/Libraries/LibTraffic/ConnectionRegistry.h
@@ -11,6 +11,15 @@
 
 namespace zinc {
 
+/// What a connection has to do for others.
+enum class Eviction : std::uint8_t
+{
+  /// Refuse its incomplete request, whose memory others need.
+  RefuseRequest,
+  /// Close at once: a new connection takes its place.
+  Close,
+};
+
 /// Keeps the connections of all listeners within one @ref ConnectionBudget.
 class ConnectionRegistry
 {
@@ -25,18 +34,18 @@
   [[nodiscard]] std::size_t AddListener();
 
   /// Adds a connection, and closes the one that it replaces if its listener is full.
-  /// @param aClose asks the connection to close; runs on any thread and must not block
+  /// @param aEvict makes the connection give way; runs on any thread and must not block
   /// @return its number, or nothing if there is no room for it
   [[nodiscard]] std::optional<ConnectionNumber> Admit(std::size_t aListener,
                                                       std::size_t aMaxConnections,
-                                                      std::function<void()> aClose);
+                                                      std::function<void(Eviction)> aEvict);
 
   void Remove(ConnectionNumber aNumber);
 
   void SetPhase(ConnectionNumber aNumber, ConnectionPhase aPhase);
 
-  /// Sets how many bytes a connection holds, and closes those that give way.
-  /// @return false if the connection itself has given way, now or before
+  /// Sets how many bytes a connection holds, and refuses the requests that give way.
+  /// @return false if the connection's own request has given way, now or before
   [[nodiscard]] bool Hold(ConnectionNumber aNumber, std::size_t aBytes);
   /// Sets that a connection holds nothing for a request.
   void Release(ConnectionNumber aNumber);
@@ -47,12 +56,11 @@
   [[nodiscard]] std::size_t Size() const;
 
 private:
-  /// Asks a connection that the budget has removed to close.
-  void Evict(ConnectionNumber aNumber);
+  void Evict(ConnectionNumber aNumber, Eviction aEviction);
 
   mutable std::mutex mutex;
   ConnectionBudget budget;
-  std::unordered_map<ConnectionNumber, std::function<void()>> closers;
+  std::unordered_map<ConnectionNumber, std::function<void(Eviction)>> evictors;
   std::size_t listeners = 0;
   std::uint64_t evicted = 0;
 };
--- a/Libraries/LibTraffic/HttpServer.cpp
+++ b/Libraries/LibTraffic/HttpServer.cpp
@@ -156,10 +156,10 @@
   void Start()
   {
     asio::post(this->socket.get_executor(), [self = this->shared_from_this()] {
-      self->number =
-        self->server->options.registry->Admit(self->server->listener,
-                                              self->server->options.maxConnections,
-                                              [weak = self->weak_from_this()] { Evict(weak); });
+      self->number = self->server->options.registry->Admit(
+        self->server->listener,
+        self->server->options.maxConnections,
+        [weak = self->weak_from_this()](Eviction aEviction) { Evict(weak, aEviction); });
       if (!self->number) {
         self->Close();
         return;
@@ -170,20 +170,26 @@
 
 private:
   /// Makes a connection give way to others; may be called from any thread.
-  static void Evict(const std::weak_ptr<Connection>& aConnection)
+  static void Evict(const std::weak_ptr<Connection>& aConnection, Eviction aEviction)
   {
     if (const auto connection = aConnection.lock()) {
-      asio::post(connection->socket.get_executor(), [connection] { connection->OnEvicted(); });
+      asio::post(connection->socket.get_executor(),
+                 [connection, aEviction] { connection->OnEvicted(aEviction); });
     }
   }
 
-  void OnEvicted()
+  void OnEvicted(Eviction aEviction)
   {
     // A request that has become complete meanwhile is answered.
     if (this->isAnswering) {
       this->closeAfterWrite = true;
       return;
     }
+    if (aEviction == Eviction::Close) {
+      this->timer.cancel();
+      this->Close();
+      return;
+    }
     this->isEvicted = true;
     beast::error_code ignored;
     this->socket.cancel(ignored);
