TestCell: Show that tasks stand still beside a gang that waits for the limit

StepsThatCouldRun.ATaskStartsBesideAGangThatWaitsForTheLimit fails.

Cause: ReserveLimitForGang keeps the whole need of an on-time gang, and CountTasksWithinLimit counts it as used for single tasks until the gang starts or is late, also below half of the limit.

Seen on: 40 of 100 cores in use, a gang of 70 waits; a task of one core does not start in 6 s (bound 3 s). Without the gang it starts in 50 ms.

--- /dev/null
+++ b/Tests/LibCell/TestStepsThatCouldRun.cpp
@@ -0,0 +1,104 @@
+#include "CellSchedulerFixture.h"
+
+#include <algorithm>
+
+namespace zinc::cell::test {
+
+namespace {
+
+constexpr std::int64_t kCoresPerWorker = 10;
+/// Longest time that a step may stand still, by the platform's rules.
+constexpr Milliseconds kMaxStandstill{ 3000 };
+
+/// A cell with the headrooms of the product, in which one workspace has a limit. A step of it could
+/// run: its workers have room for it twice over, and less than half of the limit is in use.
+class StepsThatCouldRun : public CellSchedulerFixture
+{
+protected:
+  StepsThatCouldRun()
+  {
+    this->options.limitHeadroom = CellSchedulerOptions{}.limitHeadroom;
+    this->options.urgentHeadroom = CellSchedulerOptions{}.urgentHeadroom;
+    this->policy.workspaces[{ "other" }] = { .name = { "other" }, .weight = 1000.0 };
+  }
+
+  void AddWorkers(const std::string& aLabel, std::int64_t aCount)
+  {
+    for (std::int64_t number = 0; number < aCount; ++number) {
+      this->entries.push_back(this->workers.Add(aLabel + std::to_string(number), kCoresPerWorker));
+      this->entries.back().labels = { aLabel };
+    }
+  }
+
+  void Begin()
+  {
+    this->BeginTerm();
+    this->RunFor(Milliseconds{ 50 });
+  }
+
+  void SetLimit(std::int64_t aCores)
+  {
+    this->policy.workspaces[{ "team" }].quota = { .milliCores = aCores * 1000 };
+  }
+
+  /// Sets the priority of the queue; 0 is the most urgent.
+  void SetPriority(std::uint32_t aPriority)
+  {
+    this->policy.routes.front().queue.priority = aPriority;
+    this->scheduler->SetPolicy(std::make_shared<CellPolicy>(this->policy));
+  }
+
+  [[nodiscard]] static JobSpecification MakeLabelled(const std::string& aId,
+                                                     const std::string& aLabel,
+                                                     std::uint32_t aCount,
+                                                     std::int64_t aCores,
+                                                     std::int64_t aEstimateMs,
+                                                     bool aIsGang = false)
+  {
+    auto job = MakeJob(aId, aCount, aCores, aEstimateMs);
+    job.steps.front().requiredLabel = aLabel;
+    job.steps.front().isGang = aIsGang;
+    return job;
+  }
+
+  /// Lets tasks of a workspace run for long.
+  void Run(JobSpecification aSpec, const std::string& aWorkspace)
+  {
+    aSpec.workspace = { aWorkspace };
+    this->AcceptJob(aSpec);
+    this->RunFor(Milliseconds{ 300 });
+    ASSERT_EQ(this->CountStarts(aSpec.id.value), aSpec.steps.front().count);
+  }
+
+  /// Runs the cell until a job has started more than @p aStarts tasks.
+  /// @return how long that took, at most about twice @ref kMaxStandstill
+  [[nodiscard]] Milliseconds MeasureStandstill(const std::string& aJob, std::size_t aStarts = 0)
+  {
+    Milliseconds waited{ 0 };
+    while (this->CountStarts(aJob) <= aStarts && waited < 2 * kMaxStandstill) {
+      this->RunFor(Milliseconds{ 50 });
+      waited += Milliseconds{ 50 };
+    }
+    return waited;
+  }
+};
+
+}
+
+// Load: a gang too wide for what is left of its workspace's limit, and single tasks behind it.
+// Guards against a task that stands still below half of the limit because all of it is kept for the
+// gang for as long as the gang waits.
+TEST_F(StepsThatCouldRun, ATaskStartsBesideAGangThatWaitsForTheLimit)
+{
+  this->SetLimit(100);
+  this->AddWorkers("busy", 20);
+  this->AddWorkers("free", 20);
+  this->Begin();
+  this->Run(MakeLabelled("running", "busy", 4, kCoresPerWorker, 60'000), "team");
+  this->AcceptJob(MakeLabelled("wide", "busy", 7, kCoresPerWorker, 10'000, true));
+  this->RunFor(Milliseconds{ 100 });
+  this->AcceptJob(MakeLabelled("waiting", "free", 1, 1, 10'000));
+  EXPECT_LT(this->MeasureStandstill("waiting"), kMaxStandstill);
+}
+
+}
