TestCell: Show a gang that no round reaches behind tasks that leave it the limit

StepsThatCouldRun.AGangStartsBehindTasksThatLeaveTheLimitToAnotherGang fails.

Cause: while the limit is kept for one wide gang, each single task of the workspace counts as beyond the limit; after 64 in a row a round skips the rest of the workspace (kMaxAttemptsBeyondLimit). Rounds without gangs do not look at gangs, so that a gang that fits is never tried. It has no step_stands_still line either, since skipped steps are not reported.

Seen on: 40 of 100 cores in use; a gang of two cores does not start in 6 s behind one gang of 70 cores and 64 tasks.

--- a/Tests/LibCell/TestStepsThatCouldRun.cpp
+++ b/Tests/LibCell/TestStepsThatCouldRun.cpp
@@ -101,4 +101,24 @@
   EXPECT_LT(this->MeasureStandstill("waiting"), kMaxStandstill);
 }
 
+// Load: one gang too wide for what is left of its workspace's limit, and many small tasks that
+// leave the limit to it. Guards against a gang that fits and is never looked at behind these, since
+// a round skips the rest of a workspace after 64 steps beyond its limit.
+TEST_F(StepsThatCouldRun, AGangStartsBehindTasksThatLeaveTheLimitToAnotherGang)
+{
+  constexpr int kTasks = 64;
+  this->SetLimit(100);
+  this->AddWorkers("busy", 20);
+  this->AddWorkers("free", 20);
+  this->Begin();
+  this->Run(MakeLabelled("running", "busy", 4, kCoresPerWorker, 60'000), "team");
+  this->AcceptJob(MakeLabelled("wide", "busy", 7, kCoresPerWorker, 10'000, true));
+  this->RunFor(Milliseconds{ 100 });
+  for (int number = 0; number < kTasks; ++number) {
+    this->AcceptJob(MakeLabelled("narrow" + std::to_string(number), "busy", 1, 1, 15'000));
+  }
+  this->AcceptJob(MakeLabelled("waiting", "free", 2, 1, 20'000, true));
+  EXPECT_LT(this->MeasureStandstill("waiting"), kMaxStandstill);
+}
+
 }
