TestCell: Show a gang that no round reaches behind 64 wider ones

StepsThatCouldRun.AGangStartsBehindABacklogBeyondTheLimit fails.

Cause: kMaxAttemptsBeyondLimit supposes that what follows 64 steps beyond the limit does not fit either. The order is the same in each round.

--- a/Tests/LibCell/TestStepsThatCouldRun.cpp
+++ b/Tests/LibCell/TestStepsThatCouldRun.cpp
@@ -121,4 +121,24 @@
   EXPECT_LT(this->MeasureStandstill("waiting"), kMaxStandstill);
 }
 
+// Load: a backlog of gangs, each too wide for what is left of their workspace's limit. Guards
+// against a gang that fits and is never looked at, since a round skips the rest of a workspace
+// after 64 steps beyond its limit.
+TEST_F(StepsThatCouldRun, AGangStartsBehindABacklogBeyondTheLimit)
+{
+  constexpr int kBacklog = 64;
+  this->SetLimit(100);
+  this->AddWorkers("busy", 20);
+  this->AddWorkers("free", 20);
+  this->Begin();
+  this->Run(MakeLabelled("running", "busy", 4, kCoresPerWorker, 60'000), "team");
+  for (int number = 0; number < kBacklog; ++number) {
+    this->AcceptJob(
+      MakeLabelled("wide" + std::to_string(number), "busy", 7, kCoresPerWorker, 10'000, true));
+  }
+  this->RunFor(Milliseconds{ 100 });
+  this->AcceptJob(MakeLabelled("waiting", "free", 2, 1, 20'000, true));
+  EXPECT_LT(this->MeasureStandstill("waiting"), kMaxStandstill);
+}
+
 }
