TestCell: Show a job that stands still once a task of its step has ended

StepsThatCouldRun.TheRestOfAStepStartsInAPoolThatIsFullButForIt fails.

Cause: StandsStill asks whether all tasks of the step wait. A step of which a task has ended and none runs does not count, so that maxHeadroomWait never bounds its wait, and no line tells of it.

Seen on: two of four tasks have ended, urgent tasks fill the rest of the pool; the other two do not start in 6 s.

--- a/Tests/LibCell/TestStepsThatCouldRun.cpp
+++ b/Tests/LibCell/TestStepsThatCouldRun.cpp
@@ -141,4 +141,25 @@
   EXPECT_LT(this->MeasureStandstill("waiting"), kMaxStandstill);
 }
 
+// Load: urgent tasks fill the pool while part of a job runs. Guards against a job that stands still
+// for what a pool keeps free, without a bound since one of its tasks has ended before.
+TEST_F(StepsThatCouldRun, TheRestOfAStepStartsInAPoolThatIsFullButForIt)
+{
+  this->AddWorkers("busy", 98);
+  this->AddWorkers("free", 2);
+  this->Begin();
+  this->AcceptJob(MakeLabelled("waiting", "free", 4, kCoresPerWorker, 10'000));
+  this->RunFor(Milliseconds{ 300 });
+  ASSERT_EQ(this->CountStarts("waiting"), 2U);
+  this->SetPriority(0);
+  this->Run(MakeLabelled("filling", "busy", 98, kCoresPerWorker, 60'000), "other");
+  this->SetPriority(1);
+  for (const auto& start : std::vector(this->workers.starts)) {
+    if (start.task.job.value == "waiting") {
+      this->workers.End(start.worker.value, start.task, RunOutcome::Succeeded);
+    }
+  }
+  EXPECT_LT(this->MeasureStandstill("waiting", 2), kMaxStandstill);
+}
+
 }
