TestCell: Show a task that stands still on workers kept for a gang

StepsThatCouldRun.ATaskStartsOnWorkersThatAreKeptForAGang fails.

Cause: EarmarkWorkersForGang closes workers to batch tasks until the gang starts or is late, without a bound. The reason is Room, which StandsStill leaves out.

Seen on: four workers with nine of ten cores free; a task of one core does not start in 6 s.

--- a/Tests/LibCell/TestStepsThatCouldRun.cpp
+++ b/Tests/LibCell/TestStepsThatCouldRun.cpp
@@ -162,4 +162,20 @@
   EXPECT_LT(this->MeasureStandstill("waiting", 2), kMaxStandstill);
 }
 
+// Load: a gang that needs idle workers, on each of which a small task runs. Guards against a task
+// that stands still on workers with room because they are kept for the gang.
+TEST_F(StepsThatCouldRun, ATaskStartsOnWorkersThatAreKeptForAGang)
+{
+  this->AddWorkers("busy", 20);
+  this->AddWorkers("free", 4);
+  this->Begin();
+  auto small = MakeLabelled("small", "free", 4, 1, 60'000);
+  small.steps.front().maxTasksPerWorker = 1;
+  this->Run(small, "other");
+  this->AcceptJob(MakeLabelled("wide", "free", 4, kCoresPerWorker, 10'000, true));
+  this->RunFor(Milliseconds{ 100 });
+  this->AcceptJob(MakeLabelled("waiting", "free", 1, 1, 10'000));
+  EXPECT_LT(this->MeasureStandstill("waiting"), kMaxStandstill);
+}
+
 }
