TestCell: Show a task that asks for ten workers at a time

StepsWithSlowAdvice.ATaskStartsThoughTheFirstWorkersNamedAreNotAdmitted fails.

Cause: a request names minWorkersPerRequest workers once the expected room suffices; what is expected follows the responses only by a tenth of the first one of each step. Requests of a step follow each other.

Seen on: an idle cell, ten of 100 workers admitted; a task does not start in 6 s, ten calls of 0.62 s.

--- a/Tests/LibCell/TestStepsThatCouldRun.cpp
+++ b/Tests/LibCell/TestStepsThatCouldRun.cpp
@@ -178,4 +178,39 @@
   EXPECT_LT(this->MeasureStandstill("waiting"), kMaxStandstill);
 }
 
+namespace {
+
+/// Steps that need advice, of which each call takes half a second and more.
+class StepsWithSlowAdvice : public StepsThatCouldRun
+{
+protected:
+  StepsWithSlowAdvice()
+  {
+    auto& queue = this->policy.routes.front().queue;
+    queue.needsAdvice = true;
+    queue.advice = { .baseMs = 540.0, .perWorkerMs = 7.7, .ticketValidity = Milliseconds{ 1500 } };
+    this->advice.duration = [&queue](const AdviceRequest& aRequest) {
+      return Milliseconds(static_cast<std::int64_t>(
+        queue.advice.baseMs +
+        queue.advice.perWorkerMs * static_cast<double>(aRequest.workers.size())));
+    };
+  }
+};
+
+}
+
+// Load: a task that a tenth of the idle workers may run, those that the order of requests names
+// last. Guards against a task that asks for ten workers at a time until it finds one.
+TEST_F(StepsWithSlowAdvice, ATaskStartsThoughTheFirstWorkersNamedAreNotAdmitted)
+{
+  this->AddWorkers("closed", 90);
+  this->AddWorkers("open", 10);
+  this->advice.isEligible = [](const WorkerId& aWorker) {
+    return aWorker.value.starts_with("open");
+  };
+  this->Begin();
+  this->AcceptJob(MakeLabelled("waiting", "", 1, 1, 10'000));
+  EXPECT_LT(this->MeasureStandstill("waiting"), kMaxStandstill);
+}
+
 }
