TestCell: Show a wide gang that asks for a few workers at a time

StepsWithSlowAdvice.AWideGangWithOneTaskPerWorkerStartsInAnIdleCell fails.

Cause: ChooseWorkersForRequest counts room by resources only. With one task per worker, a worker that fits ten counts as room for ten, so that the first request names too few workers, each further one ten, and tickets expire meanwhile.

Seen on: 99 tasks, 350 idle workers, all admitted, six instances: start after 5.0 s.

--- a/Tests/LibCell/TestStepsThatCouldRun.cpp
+++ b/Tests/LibCell/TestStepsThatCouldRun.cpp
@@ -213,4 +213,17 @@
   EXPECT_LT(this->MeasureStandstill("waiting"), kMaxStandstill);
 }
 
+// Load: a wide gang of which each worker may run one task, in an idle cell. Guards against a gang
+// that asks for a few workers at a time, since a worker counts as room for as many tasks as fit.
+TEST_F(StepsWithSlowAdvice, AWideGangWithOneTaskPerWorkerStartsInAnIdleCell)
+{
+  this->AddWorkers("free", 350);
+  this->Begin();
+  this->scheduler->SetInstances({ "i1", "i2", "i3", "i4", "i5", "i6" });
+  auto gang = MakeLabelled("waiting", "free", 99, 1, 30'000, true);
+  gang.steps.front().maxTasksPerWorker = 1;
+  this->AcceptJob(gang);
+  EXPECT_LT(this->MeasureStandstill("waiting"), kMaxStandstill);
+}
+
 }
