TestCell: Show a short request that waits for a backlog of long ones

StepsThatCouldRun.AStepWithShortRequestsStartsBesideABacklogOfLongOnes fails.

Cause: IsSaturated counts long and short requests together, so that a step whose request is short sends none, while the instance kept for short calls is idle.

Seen on: three instances, 40 gangs that wait for their first advice; a gang with calls of 25 ms, last in the order, sends nothing and does not start in 6 s.

--- a/Tests/LibCell/TestStepsThatCouldRun.cpp
+++ b/Tests/LibCell/TestStepsThatCouldRun.cpp
@@ -226,4 +226,41 @@
   EXPECT_LT(this->MeasureStandstill("waiting"), kMaxStandstill);
 }
 
+// Load: requests for gangs, each longer than a second, beyond what the instances can send. Guards
+// against a step with short requests that stands still although the instance that is kept for them
+// is idle, since the long requests that wait count as a backlog of all.
+TEST_F(StepsThatCouldRun, AStepWithShortRequestsStartsBesideABacklogOfLongOnes)
+{
+  constexpr int kGangs = 40;
+  auto& queue = this->policy.routes.front().queue;
+  queue.needsAdvice = true;
+  queue.advice = { .baseMs = 540.0, .perWorkerMs = 7.7, .ticketValidity = Milliseconds{ 1500 } };
+  QueueRoute route{ .host = "host", .pathPrefix = "/short/" };
+  route.queue = queue;
+  route.queue.name = { "short" };
+  route.queue.advice = { .baseMs = 20.0,
+                         .perWorkerMs = 0.5,
+                         .ticketValidity = Milliseconds{ 1500 } };
+  this->policy.AddRoute(route);
+  this->advice.duration = [this](const AdviceRequest& aRequest) {
+    const auto& advice = aRequest.step.job.value == "waiting"
+                           ? this->policy.routes.back().queue.advice
+                           : this->policy.routes.front().queue.advice;
+    return Milliseconds(static_cast<std::int64_t>(
+      advice.baseMs + advice.perWorkerMs * static_cast<double>(aRequest.workers.size())));
+  };
+  this->AddWorkers("free", 100);
+  this->Begin();
+  for (int number = 0; number < kGangs; ++number) {
+    auto gang = MakeLabelled("gang" + std::to_string(number), "free", 5, 2, 10'000, true);
+    gang.workspace = { "other" };
+    this->AcceptJob(gang);
+  }
+  this->RunFor(Milliseconds{ 100 });
+  auto job = MakeLabelled("waiting", "free", 2, 1, 20'000, true);
+  job.queue = this->policy.routes.back().queue;
+  this->AcceptJob(job);
+  EXPECT_LT(this->MeasureStandstill("waiting"), kMaxStandstill);
+}
+
 }
