TestCell: Show a step that no round reaches

StepsThatCouldRun.AStepStartsBehindMoreStepsThanARoundGetsThrough fails.

Cause: a round that is cut short leaves the rest to the next one, which begins at the top.

Seen on: 1,000 tasks without room ahead, 2 ms per 16 attempts; a task with room does not start in 6 s.

--- a/Tests/LibCell/TestStepsThatCouldRun.cpp
+++ b/Tests/LibCell/TestStepsThatCouldRun.cpp
@@ -263,4 +263,56 @@
   EXPECT_LT(this->MeasureStandstill("waiting"), kMaxStandstill);
 }
 
+namespace {
+
+/// Lets time pass with each look at it, as on a machine that gives the leader a part of a core.
+class SlowClock final : public Clock
+{
+public:
+  SlowClock(ManualClock& aClock, const Milliseconds& aTimePerLook)
+    : clock(aClock)
+    , timePerLook(aTimePerLook)
+  {
+  }
+
+  [[nodiscard]] TimePoint Now() const override
+  {
+    this->clock.Advance(this->timePerLook);
+    return this->clock.Now();
+  }
+
+private:
+  ManualClock& clock;
+  const Milliseconds& timePerLook;
+};
+
+}
+
+// Load: a backlog of steps without room, of which a round gets through a part. Guards against a
+// step with room at the end of the order that no round ever reaches, since each begins at the top.
+TEST_F(StepsThatCouldRun, AStepStartsBehindMoreStepsThanARoundGetsThrough)
+{
+  constexpr int kBacklog = 1000;
+  /// Of 16 placement attempts.
+  Milliseconds timePerLook{ 0 };
+  this->clockOverride = std::make_unique<SlowClock>(this->clock, timePerLook);
+  this->AddWorkers("busy", 20);
+  this->AddWorkers("free", 20);
+  this->Begin();
+  this->Run(MakeLabelled("running", "busy", 20, kCoresPerWorker, 60'000), "other");
+  for (int number = 0; number < kBacklog; ++number) {
+    auto job = MakeLabelled("wide" + std::to_string(number), "busy", 1, 5, 10'000);
+    job.workspace = { "other" };
+    this->AcceptJob(job);
+  }
+  this->RunFor(Milliseconds{ 100 });
+  timePerLook = Milliseconds{ 2 };
+  const auto begin = this->clock.Now();
+  this->AcceptJob(MakeLabelled("waiting", "free", 1, 1, 20'000));
+  while (this->CountStarts("waiting") == 0 && this->clock.Now() - begin < 2 * kMaxStandstill) {
+    this->RunFor(Milliseconds{ 10 });
+  }
+  EXPECT_LT(this->clock.Now() - begin, kMaxStandstill);
+}
+
 }
