TestCell: Show a job whose workers are all in quarantine

StepsThatCouldRun.AJobStartsAfterOthersHaveFailedAtAllItsWorkers fails.

Cause: a worker is avoided for 6 s after three failures of different jobs, also if it is avoided that all workers of a step are.

Seen on: two workers with a label, three failed jobs at each; a sound job starts after 5.95 s.

--- a/Tests/LibCell/TestStepsThatCouldRun.cpp
+++ b/Tests/LibCell/TestStepsThatCouldRun.cpp
@@ -315,4 +315,24 @@
   EXPECT_LT(this->clock.Now() - begin, kMaxStandstill);
 }
 
+// Load: jobs that fail wherever they run, at the only workers that have their label. Guards against
+// a job that stands still because all its workers are in quarantine at the same time.
+TEST_F(StepsThatCouldRun, AJobStartsAfterOthersHaveFailedAtAllItsWorkers)
+{
+  constexpr int kFailingJobs = 6;
+  this->policy.routes.front().queue.maxAttempts = 1;
+  this->AddWorkers("busy", 20);
+  this->AddWorkers("free", 2);
+  this->Begin();
+  for (int number = 0; number < kFailingJobs; ++number) {
+    auto failing = MakeLabelled("failing" + std::to_string(number), "free", 1, 3, 10'000);
+    failing.queue.maxAttempts = 1;
+    this->Run(failing, "other");
+  }
+  this->workers.EndAll(RunOutcome::Failed);
+  this->RunFor(Milliseconds{ 100 });
+  this->AcceptJob(MakeLabelled("waiting", "free", 1, 1, 10'000));
+  EXPECT_LT(this->MeasureStandstill("waiting"), kMaxStandstill);
+}
+
 }
