TestCell: Show a gang whose long request waits for short ones

StepsThatCouldRun.AGangStartsBesideASteadyStreamOfShortRequests fails.

Cause: a long request needs an instance without a call, and short requests are dispatched first, whatever their priority, and two at a time to each instance.

The load is beyond what the instances carry.

--- a/Tests/LibCell/TestStepsThatCouldRun.cpp
+++ b/Tests/LibCell/TestStepsThatCouldRun.cpp
@@ -335,4 +335,48 @@
   EXPECT_LT(this->MeasureStandstill("waiting"), kMaxStandstill);
 }
 
+// Load: short requests of other steps that keep all instances busy. Guards against a gang that
+// stands still since no instance is ever without a call, as a long request needs.
+TEST_F(StepsThatCouldRun, AGangStartsBesideASteadyStreamOfShortRequests)
+{
+  auto& queue = this->policy.routes.front().queue;
+  queue.needsAdvice = true;
+  queue.advice = { .baseMs = 540.0, .perWorkerMs = 7.7, .ticketValidity = Milliseconds{ 1500 } };
+  QueueRoute route{ .host = "host", .pathPrefix = "/short/" };
+  route.queue = queue;
+  route.queue.name = { "short" };
+  route.queue.advice = { .baseMs = 100.0,
+                         .perWorkerMs = 0.4,
+                         .ticketValidity = Milliseconds{ 1500 } };
+  this->policy.AddRoute(route);
+  this->advice.duration = [this](const AdviceRequest& aRequest) {
+    const auto& advice = aRequest.step.job.value.starts_with("narrow")
+                           ? this->policy.routes.back().queue.advice
+                           : this->policy.routes.front().queue.advice;
+    return Milliseconds(static_cast<std::int64_t>(
+      advice.baseMs + advice.perWorkerMs * static_cast<double>(aRequest.workers.size())));
+  };
+  this->AddWorkers("free", 100);
+  this->Begin();
+  int narrow = 0;
+  const auto acceptNarrow = [&] {
+    auto job = MakeLabelled("narrow" + std::to_string(narrow++), "free", 1, 1, 20'000);
+    job.workspace = { "other" };
+    job.queue = this->policy.routes.back().queue;
+    this->AcceptJob(job);
+  };
+  const Milliseconds interval{ 30 };
+  for (Milliseconds elapsed{ 0 }; elapsed < Milliseconds{ 500 }; elapsed += interval) {
+    acceptNarrow();
+    this->RunFor(interval);
+  }
+  this->AcceptJob(MakeLabelled("waiting", "free", 5, 1, 10'000, true));
+  Milliseconds waited{ 0 };
+  for (; this->CountStarts("waiting") == 0 && waited < 2 * kMaxStandstill; waited += interval) {
+    acceptNarrow();
+    this->RunFor(interval);
+  }
+  EXPECT_LT(waited, kMaxStandstill);
+}
+
 }
