TestCell: Show urgent tasks that find no room in an overloaded pool

StepsThatCouldRun.LeaveRoomForAnUrgentTaskInAnOverloadedPool fails.

Cause: a full pool gives Headroom as the reason whether or not a worker has room, so that each batch step passes the bound of maxHeadroomWait in turn and takes what the pool keeps free, also if its workers have room only once.

Seen on: a backlog of batch tasks holds 200 of 200 slots; an urgent task does not start in 6 s.

--- a/Tests/LibCell/TestStepsThatCouldRun.cpp
+++ b/Tests/LibCell/TestStepsThatCouldRun.cpp
@@ -379,4 +379,27 @@
   EXPECT_LT(waited, kMaxStandstill);
 }
 
+// Load: more batch tasks than the pool can run at a time. Guards against an urgent task that finds
+// no room, since batch tasks whose workers have room only once take all that the pool keeps free.
+TEST_F(StepsThatCouldRun, LeaveRoomForAnUrgentTaskInAnOverloadedPool)
+{
+  constexpr int kBacklog = 300;
+  QueueRoute route{ .host = "host", .pathPrefix = "/urgent/" };
+  route.queue = this->policy.routes.front().queue;
+  route.queue.name = { "urgent" };
+  route.queue.priority = 0;
+  this->policy.AddRoute(route);
+  this->AddWorkers("busy", 100);
+  this->Begin();
+  for (int number = 0; number < kBacklog; ++number) {
+    this->AcceptJob(MakeLabelled("batch" + std::to_string(number), "busy", 1, 5, 20'000));
+    this->RunFor(Milliseconds{ 10 });
+  }
+  this->RunFor(Milliseconds{ 5000 });
+  auto job = MakeLabelled("urgent", "busy", 1, 5, 1000);
+  job.queue = this->policy.routes.back().queue;
+  this->AcceptJob(job);
+  EXPECT_LT(this->MeasureStandstill("urgent"), kMaxStandstill);
+}
+
 }
