TestCell: Show a task whose workers are all cold

StepsThatCouldRun.ATaskStartsIfAllWorkersThatMayRunItAreCold fails.

Cause: WithholdColdCapacity uses a pool in full if all its workers are cold, but not if all workers that may run a step are.

Seen on: a task of six of ten cores does not start in 6 s on idle workers that are cold for 30 s. Whether the promise holds there is not known.

--- a/Tests/LibCell/TestStepsThatCouldRun.cpp
+++ b/Tests/LibCell/TestStepsThatCouldRun.cpp
@@ -402,4 +402,19 @@
   EXPECT_LT(this->MeasureStandstill("urgent"), kMaxStandstill);
 }
 
+// Load: workers of one label that have just started, in a pool with others that are warm. Guards
+// against a task that needs more than the usable quarter of each worker that may run it.
+TEST_F(StepsThatCouldRun, ATaskStartsIfAllWorkersThatMayRunItAreCold)
+{
+  this->zones = EvacuatedZones({ .limitsColdWorkers = true });
+  this->AddWorkers("free", 4);
+  for (auto& entry : this->entries) {
+    entry.coldLeft = Milliseconds{ 30'000 };
+  }
+  this->AddWorkers("busy", 20);
+  this->Begin();
+  this->AcceptJob(MakeLabelled("waiting", "free", 1, 6, 10'000));
+  EXPECT_LT(this->MeasureStandstill("waiting"), kMaxStandstill);
+}
+
 }
