TestCell: Show a forecast that takes a limit of memory for an overload

CompletionForecastTest.SeparatesABacklogBehindALimitOfMemory fails.

Cause: IsAtLimit compares processors only. Work that waits for its workspace's limit of memory counts as waiting work of all workspaces.

Seen on: the queue's forecast is 28.3 s where 0 is right, and the workspace's own is 0. With the same limit in processors (SeparatesABacklogBehindALimit) both are right.

--- a/Tests/LibCell/TestCompletionForecast.cpp
+++ b/Tests/LibCell/TestCompletionForecast.cpp
@@ -157,6 +157,17 @@
   EXPECT_EQ(this->WaitOf(""), Milliseconds{ 0 });
 }
 
+// Load: a workspace that submits five times as much as its limit of memory allows. Guards against a
+// forecast for other workspaces that includes work which only waits for that limit.
+TEST_F(CompletionForecastTest, SeparatesABacklogBehindALimitOfMemory)
+{
+  this->policy.workspaces[{ "one" }].quota.memoryMiB = 200;
+  this->BeginTerm();
+  this->RunLoad(Milliseconds{ 8000 }, { "one" });
+  EXPECT_GT(this->WaitOf("one"), Milliseconds{ 10'000 });
+  EXPECT_EQ(this->WaitOf(""), Milliseconds{ 0 });
+}
+
 // Load: an overload that ends. Guards against a gate that stays closed after the backlog is gone.
 TEST_F(CompletionForecastTest, FallsWithTheBacklog)
 {
