LibCell: Take a step whose started tasks have ended for standing still

Callers saw, or could see: the rest of a step stands still in a pool that is full but for what it keeps for urgent tasks, without a bound.

Cause: a step counted as standing still only while none of its tasks had ever started.

--- a/Libraries/LibCell/Standstill.cpp
+++ b/Libraries/LibCell/Standstill.cpp
@@ -31,7 +31,7 @@
   const auto& run = *aCandidate.run;
   const auto& step = *aCandidate.specification;
   const auto& usage = *aCandidate.job->workspaceUsage;
-  const bool runsNothing = run.waitingTasks == run.tasks.size();
+  const bool runsNothing = run.waitingTasks + run.succeededTasks == run.tasks.size();
   return runsNothing && IsKeptWaiting(aReason) && UsesLessThanHalfOfLimit(usage) &&
          AllowsWithinLimit(usage, step.demand * (step.isGang ? step.count : 1));
 }
