LibCell: Give a pool's headroom only to a step with room for it twice

What callers would see: since an urgent task finds no room in an overloaded pool, until other work ends.

Cause: the headroom was looked at before the room, so that a full pool gave it as the reason although no worker had room; each batch task in turn passed the bound of 1 s and took what was freed.

Change: a step without room waits for room; a step that has stood still for the headroom for 1 s gets it if the workers that may run it have room twice over, which is what the users were promised.

The property AnyStepStartsThatCouldRun passes as before.

--- a/Libraries/LibCell/CellScheduler.h
+++ b/Libraries/LibCell/CellScheduler.h
@@ -376,10 +376,14 @@
   void EstimateUnreadUsage();
   /// @return true if one task of the step, or its whole gang, fits into the pool.
   [[nodiscard]] static bool HasRoom(Pool& aPool, const StepSpecification& aStep);
-  /// @return true if the pool keeps its headroom for urgent tasks after the demand is allocated.
+  /// @return true if the pool keeps its headroom for urgent tasks after the demand is allocated, or
+  /// if the step has stood still for the headroom for too long and there is room for it twice.
   [[nodiscard]] bool LeavesHeadroom(const Candidate& aCandidate,
                                     const Resources& aDemand,
                                     const Pool& aPool) const;
+  /// @return true if the workers that may run the step have room for two of its tasks, or for its
+  /// gang twice.
+  [[nodiscard]] bool HasRoomTwice(const Candidate& aCandidate, const Pool& aPool) const;
   /// Asks the policy service which of the workers may run the step.
   void RequestAdvice(const Candidate& aCandidate, std::span<const WorkerNumber> aWorkers);
   void OnAdviceResponse(const StepName& aStep,
--- a/Libraries/LibCell/CellSchedulerGangs.cpp
+++ b/Libraries/LibCell/CellSchedulerGangs.cpp
@@ -44,14 +44,14 @@
     }
     aPool.free += total;
   }
-  const bool leavesHeadroom = this->LeavesHeadroom(aCandidate, total, aPool);
-  if (!leavesHeadroom || !HasRoom(aPool, step)) {
+  const bool hasRoom = HasRoom(aPool, step);
+  if (!hasRoom || !this->LeavesHeadroom(aCandidate, total, aPool)) {
     // A gang for which tasks are stopped may use the headroom.
     if (this->PreemptForGang(aCandidate, aPool)) {
       return WaitReason::Ticket;
     }
     this->EarmarkWorkersForGang(aCandidate, aPool);
-    return leavesHeadroom ? WaitReason::Room : WaitReason::Headroom;
+    return hasRoom ? WaitReason::Headroom : WaitReason::Room;
   }
   auto assigned =
     this->AssignGangTo(aCandidate, this->FindEligibleWorkers(aCandidate, aPool, true));
--- a/Libraries/LibCell/CellSchedulerOptions.h
+++ b/Libraries/LibCell/CellSchedulerOptions.h
@@ -63,8 +63,8 @@
   UnevenPoolOptions unevenPools;
   /// Fraction of a pool's processors that only tasks of the most urgent queue may use.
   double urgentHeadroom = 0.05;
-  /// A step that stands still for that fraction for this long may use it. The platform's rules
-  /// allow no standstill of 3 s.
+  /// A step that stands still for that fraction for this long may use it if there is room for it
+  /// twice. The platform's rules allow no standstill of 3 s.
   Milliseconds maxHeadroomWait{ 1000 };
   /// Fraction of a workspace's limit that its batch tasks leave to its urgent tasks.
   double limitHeadroom = 0.06;
--- a/Libraries/LibCell/CellSchedulerPlacement.cpp
+++ b/Libraries/LibCell/CellSchedulerPlacement.cpp
@@ -304,13 +304,29 @@
                               const Resources& aDemand,
                               const Pool& aPool) const
 {
-  const auto waited = aCandidate.run->standstill.TimeOf(WaitReason::Headroom);
-  if (!this->IsNonUrgent(aCandidate) || waited >= this->options.maxHeadroomWait) {
+  if (!this->IsNonUrgent(aCandidate)) {
     return true;
   }
   const auto headroom = static_cast<std::int64_t>(static_cast<double>(aPool.capacity.milliCores) *
                                                   this->options.urgentHeadroom);
-  return aPool.free.milliCores - aDemand.milliCores >= headroom;
+  if (aPool.free.milliCores - aDemand.milliCores >= headroom) {
+    return true;
+  }
+  const auto waited = aCandidate.run->standstill.TimeOf(WaitReason::Headroom);
+  return waited >= this->options.maxHeadroomWait && this->HasRoomTwice(aCandidate, aPool);
+}
+
+bool
+CellScheduler::HasRoomTwice(const Candidate& aCandidate, const Pool& aPool) const
+{
+  const auto& step = *aCandidate.specification;
+  const auto demand = AllocatedDemand(step);
+  const std::uint32_t needed = 2 * (step.isGang ? step.count : 1);
+  std::uint32_t room = 0;
+  for (const auto* worker : this->FindEligibleWorkers(aCandidate, aPool, false)) {
+    room += CountFittingTasks(*worker, demand, needed);
+  }
+  return room >= needed;
 }
 
 WaitReason
@@ -320,12 +336,12 @@
   auto& run = *aCandidate.run;
   // Limits also count the processors of best-effort tasks, which do run.
   const auto allocated = AllocatedDemand(step);
-  if (!this->LeavesHeadroom(aCandidate, allocated, aPool)) {
-    return WaitReason::Headroom;
-  }
   if (!HasRoom(aPool, step)) {
     return WaitReason::Room;
   }
+  if (!this->LeavesHeadroom(aCandidate, allocated, aPool)) {
+    return WaitReason::Headroom;
+  }
   const auto eligible = this->FindEligibleWorkers(aCandidate, aPool, true);
   // Runs that are being stopped and superseded runs still occupy the worker, so they count too.
   const auto countTasksAt = [&aCandidate](const Worker& aWorker) {
--- a/Tests/LibCell/TestHeadroom.cpp
+++ b/Tests/LibCell/TestHeadroom.cpp
@@ -102,7 +102,7 @@
   ASSERT_EQ(this->CountStarts("filling"), 98U);
   this->policy.routes.front().queue.priority = 1;
   this->scheduler->SetPolicy(std::make_shared<CellPolicy>(this->policy));
-  auto job = MakeJob("waiting", 2, 5, 4000);
+  auto job = MakeJob("waiting", 2, 5, 1500);
   job.steps.front().requiredLabel = "free";
   job.steps.front().isGang = true;
   EXPECT_LT(this->MeasureStandstill(job), kMaxStandstill);
