LibCell: Try each step that its workspace's limit allows

Callers saw, or could see: a gang that fits is never tried behind a backlog of its workspace, and no line tells of it.

Cause: after 64 steps in a row beyond its limit a round skipped the rest of the workspace, to save time. With one wide gang for which the limit is kept, 64 small tasks suffice, though the next gang fits. It is what the users' record looks like (a gang; others of its workspace and queue stand too; a backlog of one workspace of 50 s), and not shown to be it.

Change: what such a step needs is compared with the limit, which is cheap; only what does not fit is left to the next round, and is logged if it stands still.

--- a/Libraries/LibCell/CellScheduler.h
+++ b/Libraries/LibCell/CellScheduler.h
@@ -359,6 +359,8 @@
                                                          bool aNeedsTicket) const;
   /// @return true if the worker may get tasks now.
   [[nodiscard]] bool IsUsable(const Worker& aWorker, TimePoint aNow) const;
+  /// @return true if the workspace's limit allows a task of the step, or its whole gang
+  [[nodiscard]] bool FitsIntoLimit(const Candidate& aCandidate) const;
   /// @return how many more tasks of this demand the workspace's limit allows, at most @p aMax.
   [[nodiscard]] std::uint32_t CountTasksWithinLimit(const Candidate& aCandidate,
                                                     const Resources& aDemand,
--- a/Libraries/LibCell/CellSchedulerLimits.cpp
+++ b/Libraries/LibCell/CellSchedulerLimits.cpp
@@ -91,6 +91,14 @@
   }
 }
 
+bool
+CellScheduler::FitsIntoLimit(const Candidate& aCandidate) const
+{
+  const auto& step = *aCandidate.specification;
+  const std::uint32_t needed = step.isGang ? step.count : 1;
+  return this->CountTasksWithinLimit(aCandidate, step.demand, needed) == needed;
+}
+
 std::uint32_t
 CellScheduler::CountTasksWithinLimit(const Candidate& aCandidate,
                                      const Resources& aDemand,
--- a/Libraries/LibCell/CellSchedulerPlacement.cpp
+++ b/Libraries/LibCell/CellSchedulerPlacement.cpp
@@ -11,8 +11,8 @@
 
 /// A ticket that expires sooner than this would not reach the worker in time.
 constexpr Milliseconds kTicketMargin{ 40 };
-/// After this many steps of a workspace in a row that exceed its limit, a round skips the rest of
-/// the workspace.
+/// After this many steps of a workspace in a row that exceed its limit, a round only looks at the
+/// limit for the rest of the workspace.
 constexpr std::uint32_t kMaxAttemptsBeyondLimit = 64;
 /// Placement attempts between two looks at the clock.
 constexpr std::uint32_t kAttemptsPerTimeCheck = 16;
@@ -165,10 +165,11 @@
 {
   std::uint32_t attempts = 0;
   for (const auto& candidate : aCandidates) {
-    // The remaining steps of a workspace at its limit would not fit either.
+    // Most of the remaining steps of a workspace at its limit would not fit either.
     auto& consecutive = candidate.job->workspaceUsage->attemptsBeyondLimit;
-    if (consecutive >= kMaxAttemptsBeyondLimit) {
+    if (consecutive >= kMaxAttemptsBeyondLimit && !this->FitsIntoLimit(candidate)) {
       this->load.CountAttempt(WaitReason::Limit);
+      this->load.LogStandstill(candidate, WaitReason::Limit, this->roundBegin);
       continue;
     }
     const auto reason = this->PlaceStep(candidate);
@@ -239,8 +240,7 @@
     return WaitReason::NoWorkers;
   }
   // Tickets expire soon, so none are requested for a step that cannot start for another reason.
-  const std::uint32_t needed = step.isGang ? step.count : 1;
-  if (this->CountTasksWithinLimit(aCandidate, step.demand, needed) < needed) {
+  if (!this->FitsIntoLimit(aCandidate)) {
     this->ReserveLimitForGang(aCandidate);
     return WaitReason::Limit;
   }
