LibCell: Bound how long a step waits for a limit that is kept for a gang

Callers saw, or could see: a task stands still below half of its workspace's limit while all of the limit is kept for a gang that waits for it.

Change: a step that has stood still for 1 s for a limit or a headroom may use what is kept for others, of its workspace's limit too. Once a task of it runs, it may not.

--- a/Libraries/LibCell/CellScheduler.h
+++ b/Libraries/LibCell/CellScheduler.h
@@ -383,6 +383,8 @@
   [[nodiscard]] bool LeavesHeadroom(const Candidate& aCandidate,
                                     const Resources& aDemand,
                                     const Pool& aPool) const;
+  /// @return true if the step has stood still for too long because of what is kept for others
+  [[nodiscard]] bool HasStoodStill(const Candidate& aCandidate) const;
   /// @return true if the workers that may run the step have room for two of its tasks, or for its
   /// gang twice.
   [[nodiscard]] bool HasRoomTwice(const Candidate& aCandidate, const Pool& aPool) const;
--- a/Libraries/LibCell/CellSchedulerLimits.cpp
+++ b/Libraries/LibCell/CellSchedulerLimits.cpp
@@ -104,12 +104,13 @@
                                      const Resources& aDemand,
                                      std::uint32_t aMax) const
 {
-  return cell::CountTasksWithinLimit(*aCandidate.job->workspaceUsage,
-                                     { .demand = aDemand,
-                                       .maxTasks = aMax,
-                                       .isUrgent = !this->IsNonUrgent(aCandidate),
-                                       .isGang = aCandidate.specification->isGang },
-                                     this->options.limitHeadroom);
+  return cell::CountTasksWithinLimit(
+    *aCandidate.job->workspaceUsage,
+    { .demand = aDemand,
+      .maxTasks = aMax,
+      .mayUseReserve = !this->IsNonUrgent(aCandidate) || this->HasStoodStill(aCandidate),
+      .isGang = aCandidate.specification->isGang },
+    this->options.limitHeadroom);
 }
 
 }
--- a/Libraries/LibCell/CellSchedulerOptions.h
+++ b/Libraries/LibCell/CellSchedulerOptions.h
@@ -63,11 +63,11 @@
   UnevenPoolOptions unevenPools;
   /// Fraction of a pool's processors that only tasks of the most urgent queue may use.
   double urgentHeadroom = 0.05;
-  /// A step that stands still for that fraction for this long may use it if there is room for it
-  /// twice. The platform's rules allow no standstill of 3 s.
-  Milliseconds maxHeadroomWait{ 1000 };
   /// Fraction of a workspace's limit that its batch tasks leave to its urgent tasks.
   double limitHeadroom = 0.06;
+  /// A step that stands still for this long because of what is kept for urgent tasks or for pending
+  /// gangs may use it. The platform's rules allow no standstill of 3 s.
+  Milliseconds maxReserveWait{ 1000 };
   /// Workers per request to the policy service; a limit of the service.
   std::size_t maxWorkersPerRequest = 100;
   /// A request names workers with room for this many times the step's tasks, since other tasks take
--- a/Libraries/LibCell/CellSchedulerPlacement.cpp
+++ b/Libraries/LibCell/CellSchedulerPlacement.cpp
@@ -1,6 +1,7 @@
 #include <LibCell/CellScheduler.h>
 #include <LibCell/Placement.h>
 #include <LibCell/PlacementOrder.h>
+#include <LibCell/Standstill.h>
 
 #include <algorithm>
 #include <functional>
@@ -312,8 +313,13 @@
   if (aPool.free.milliCores - aDemand.milliCores >= headroom) {
     return true;
   }
-  const auto waited = aCandidate.run->standstill.TimeOf(WaitReason::Headroom);
-  return waited >= this->options.maxHeadroomWait && this->HasRoomTwice(aCandidate, aPool);
+  return this->HasStoodStill(aCandidate) && this->HasRoomTwice(aCandidate, aPool);
+}
+
+bool
+CellScheduler::HasStoodStill(const Candidate& aCandidate) const
+{
+  return WaitForReserve(*aCandidate.run) >= this->options.maxReserveWait;
 }
 
 bool
--- a/Libraries/LibCell/Standstill.cpp
+++ b/Libraries/LibCell/Standstill.cpp
@@ -23,6 +23,12 @@
   }
 }
 
+bool
+RunsNothing(const StepRun& aRun)
+{
+  return aRun.waitingTasks + aRun.succeededTasks == aRun.tasks.size();
+}
+
 }
 
 bool
@@ -31,9 +37,17 @@
   const auto& run = *aCandidate.run;
   const auto& step = *aCandidate.specification;
   const auto& usage = *aCandidate.job->workspaceUsage;
-  const bool runsNothing = run.waitingTasks + run.succeededTasks == run.tasks.size();
-  return runsNothing && IsKeptWaiting(aReason) && UsesLessThanHalfOfLimit(usage) &&
+  return RunsNothing(run) && IsKeptWaiting(aReason) && UsesLessThanHalfOfLimit(usage) &&
          AllowsWithinLimit(usage, step.demand * (step.isGang ? step.count : 1));
 }
 
+Milliseconds
+WaitForReserve(const StepRun& aRun)
+{
+  if (!RunsNothing(aRun)) {
+    return Milliseconds{ 0 };
+  }
+  return aRun.standstill.TimeOf(WaitReason::Limit) + aRun.standstill.TimeOf(WaitReason::Headroom);
+}
+
 }
--- a/Libraries/LibCell/Standstill.h
+++ b/Libraries/LibCell/Standstill.h
@@ -14,4 +14,9 @@
 [[nodiscard]] bool
 StandsStill(const Candidate& aCandidate, WaitReason aReason);
 
+/// @return how long the step has stood still because of what is kept for other steps, rather than
+/// for the policy service; 0 if one of its tasks runs
+[[nodiscard]] Milliseconds
+WaitForReserve(const StepRun& aRun);
+
 }
--- a/Libraries/LibCell/WorkspaceLimit.cpp
+++ b/Libraries/LibCell/WorkspaceLimit.cpp
@@ -61,10 +61,11 @@
   if (!aUsage.limit) {
     return aRequest.maxTasks;
   }
-  const double usableFraction = aRequest.isUrgent ? 1.0 : BatchFractionOfLimit(aUsage, aHeadroom);
+  const double usableFraction =
+    aRequest.mayUseReserve ? 1.0 : BatchFractionOfLimit(aUsage, aHeadroom);
   auto used = aUsage.running + aUsage.unread;
   // Another gang that fits may go first, but single tasks would take each core as it is freed.
-  if (aUsage.reservedForGang && !aRequest.isUrgent && !aRequest.isGang) {
+  if (aUsage.reservedForGang && !aRequest.mayUseReserve && !aRequest.isGang) {
     used += *aUsage.reservedForGang;
   }
   auto room = static_cast<std::int64_t>(aRequest.maxTasks);
--- a/Libraries/LibCell/WorkspaceLimit.h
+++ b/Libraries/LibCell/WorkspaceLimit.h
@@ -38,7 +38,8 @@
   /// Resources of one task.
   Resources demand;
   std::uint32_t maxTasks = 1;
-  bool isUrgent = false;
+  /// The step may use what is kept for urgent tasks and for a pending gang.
+  bool mayUseReserve = false;
   bool isGang = false;
 };
 
--- a/Tests/LibCell/TestWorkspaceLimit.cpp
+++ b/Tests/LibCell/TestWorkspaceLimit.cpp
@@ -50,7 +50,7 @@
   const auto usage = MakeUsage({ .milliCores = 90'000 });
   LimitRequest request{ .demand = { .milliCores = 1000 }, .maxTasks = 10 };
   EXPECT_EQ(CountTasksWithinLimit(usage, request, kHeadroom), 4U);
-  request.isUrgent = true;
+  request.mayUseReserve = true;
   EXPECT_EQ(CountTasksWithinLimit(usage, request, kHeadroom), 10U);
 }
 
