LibCell: Bound how long a step waits for workers that are kept for a gang

Callers saw, or could see: a task stands still although workers that may run it have room, because they are earmarked for a gang; the lines said it lacks room.

Cause: the same class, a share that is kept for others without a bound on the wait.

Change: such a wait has a reason of its own, earmark, counts as standing still, and ends after 1 s like the others.

--- a/Libraries/LibCell/CellScheduler.h
+++ b/Libraries/LibCell/CellScheduler.h
@@ -383,6 +383,9 @@
   [[nodiscard]] bool LeavesHeadroom(const Candidate& aCandidate,
                                     const Resources& aDemand,
                                     const Pool& aPool) const;
+  /// @return true if workers that are kept for a gang have room for a task of the step, or for its
+  /// gang, and the step may not use them
+  [[nodiscard]] bool HasEarmarkedRoom(const Candidate& aCandidate) const;
   /// @return true if the step has stood still for too long because of what is kept for others
   [[nodiscard]] bool HasStoodStill(const Candidate& aCandidate) const;
   /// @return true if the workers that may run the step have room for two of its tasks, or for its
@@ -517,6 +520,8 @@
   std::map<QueueId, double> eligibleFractions;
   /// Number of the current gang round; workers that it earmarked get no batch tasks until the next.
   std::uint64_t gangRound = 1;
+  /// Workers that are earmarked in that round.
+  std::vector<WorkerNumber> earmarkedWorkers;
   /// Gangs for which workers are earmarked in that round.
   std::size_t gangsWithEarmarkedWorkers = 0;
   std::uint64_t placementRound = 0;
--- a/Libraries/LibCell/CellSchedulerGangs.cpp
+++ b/Libraries/LibCell/CellSchedulerGangs.cpp
@@ -282,6 +282,7 @@
     empty.entry.capacity = worker->entry.capacity;
     slots += CountFittingTasks(empty, demand, step.count);
     worker->earmarkedInGangRound = this->gangRound;
+    this->earmarkedWorkers.push_back(worker->number);
   }
 }
 
--- a/Libraries/LibCell/CellSchedulerPlacement.cpp
+++ b/Libraries/LibCell/CellSchedulerPlacement.cpp
@@ -144,6 +144,7 @@
     this->nextGangPlacement = now + this->options.gangPlacementInterval;
     ++this->gangRound;
     this->gangsWithEarmarkedWorkers = 0;
+    this->earmarkedWorkers.clear();
   }
   auto candidates = this->CollectCandidates();
   std::erase_if(candidates, [this](const Candidate& aCandidate) {
@@ -269,10 +270,10 @@
                                    bool aNeedsTicket) const
 {
   const auto& step = *aCandidate.specification;
-  const bool isNonUrgent = this->IsNonUrgent(aCandidate);
+  const bool leavesEarmarked = this->IsNonUrgent(aCandidate) && !this->HasStoodStill(aCandidate);
   std::vector<Worker*> eligible;
   const auto addIfEligible = [&](Worker* aWorker) {
-    const bool isEarmarked = isNonUrgent && aWorker->earmarkedInGangRound == this->gangRound;
+    const bool isEarmarked = leavesEarmarked && aWorker->earmarkedInGangRound == this->gangRound;
     const bool isAvoided = aWorker->avoidUntil > this->roundBegin;
     if (!isEarmarked && !isAvoided && HasRequiredLabel(*aWorker, step)) {
       eligible.push_back(aWorker);
@@ -316,6 +317,27 @@
   return this->HasStoodStill(aCandidate) && this->HasRoomTwice(aCandidate, aPool);
 }
 
+bool
+CellScheduler::HasEarmarkedRoom(const Candidate& aCandidate) const
+{
+  if (!this->IsNonUrgent(aCandidate) || this->HasStoodStill(aCandidate)) {
+    return false;
+  }
+  const auto& step = *aCandidate.specification;
+  const auto demand = AllocatedDemand(step);
+  const std::uint32_t needed = step.isGang ? step.count : 1;
+  std::uint32_t room = 0;
+  for (const auto number : this->earmarkedWorkers) {
+    const auto* worker = this->workers.FindByNumber(number);
+    const bool isAdmitted =
+      !aCandidate.queue->needsAdvice || aCandidate.run->advice.FindTicket(number) != nullptr;
+    if (worker != nullptr && isAdmitted && HasRequiredLabel(*worker, step)) {
+      room += CountFittingTasks(*worker, demand, needed);
+    }
+  }
+  return room >= needed;
+}
+
 bool
 CellScheduler::HasStoodStill(const Candidate& aCandidate) const
 {
@@ -396,6 +418,9 @@
   if (!recordedWorkers.empty()) {
     return WaitReason::Record;
   }
+  if (unplaced > 0 && this->HasEarmarkedRoom(aCandidate)) {
+    return WaitReason::Earmark;
+  }
   if (unplaced > 0 && aCandidate.queue->needsAdvice) {
     this->RenewTickets(aCandidate, aPool);
     return WaitReason::Ticket;
--- a/Libraries/LibCell/Standstill.cpp
+++ b/Libraries/LibCell/Standstill.cpp
@@ -15,6 +15,7 @@
     case WaitReason::Advice:
     case WaitReason::Limit:
     case WaitReason::Headroom:
+    case WaitReason::Earmark:
     case WaitReason::Ticket:
     case WaitReason::Record:
       return true;
@@ -47,7 +48,9 @@
   if (!RunsNothing(aRun)) {
     return Milliseconds{ 0 };
   }
-  return aRun.standstill.TimeOf(WaitReason::Limit) + aRun.standstill.TimeOf(WaitReason::Headroom);
+  const auto& standstill = aRun.standstill;
+  return standstill.TimeOf(WaitReason::Limit) + standstill.TimeOf(WaitReason::Headroom) +
+         standstill.TimeOf(WaitReason::Earmark);
 }
 
 }
--- a/Libraries/LibCell/WaitReason.h
+++ b/Libraries/LibCell/WaitReason.h
@@ -19,6 +19,8 @@
   Limit,
   Headroom,
   Room,
+  /// Workers with room are kept for a gang.
+  Earmark,
   Ticket,
   /// Not every member of the gang is ready to start.
   Members,
@@ -36,8 +38,8 @@
 ToString(WaitReason aReason)
 {
   constexpr std::array<std::string_view, kWaitReasonCount> kNames = {
-    "nothing", "workers", "advice",  "limit",  "headroom",
-    "room",    "ticket",  "members", "record", "evacuated"
+    "nothing", "workers", "advice",  "limit",  "headroom", "room",
+    "earmark", "ticket",  "members", "record", "evacuated"
   };
   return kNames.at(static_cast<std::size_t>(aReason));
 }
--- a/Meta/longest-standstills.py
+++ b/Meta/longest-standstills.py
@@ -15,7 +15,7 @@
 import sys
 
 FIELD = re.compile(r'(\w+)=("[^"]*"|\S+)')
-REASONS = ("advice", "limit", "headroom", "ticket", "record")
+REASONS = ("advice", "limit", "headroom", "earmark", "ticket", "record")
 
 
 @dataclasses.dataclass
