LibCell: Count the backlog of short and of long requests by themselves

Callers saw, or could see: a step stands still for its first advice while the instance that is kept for short requests is idle.

Cause: the requests that wait for an instance with time for a long call counted as a backlog of all, so that no batch step asked at all.

Change: a step is kept from asking only by a backlog of requests like its own.

DispatchesALongBacklogQuickly checks both backlogs where it checked one.

--- a/Libraries/LibCell/AdviceDispatcher.cpp
+++ b/Libraries/LibCell/AdviceDispatcher.cpp
@@ -28,7 +28,7 @@
                          TimePoint aNow,
                          ResponseHandler aHandler)
 {
-  auto& queue = this->IsLong(aRequest) ? this->longRequests : this->shortRequests;
+  auto& queue = this->IsLong(aRequest.expectedDuration) ? this->longRequests : this->shortRequests;
   queue.emplace(aPriorityKey,
                 PendingRequest{ .request = std::move(aRequest), .handler = std::move(aHandler) });
   this->DispatchPending(aNow);
@@ -167,7 +167,7 @@
                        TimePoint aNow)
 {
   auto& state = aInstance->second;
-  const bool isLong = this->IsLong(aPending.request);
+  const bool isLong = this->IsLong(aPending.request.expectedDuration);
   ++state.callsInFlight;
   state.longCallsInFlight += isLong ? 1 : 0;
   state.busyUntil = std::max(state.busyUntil, aNow) + aPending.request.expectedDuration;
--- a/Libraries/LibCell/AdviceDispatcher.h
+++ b/Libraries/LibCell/AdviceDispatcher.h
@@ -67,10 +67,12 @@
   /// @return how many more long requests would be sent at once.
   [[nodiscard]] std::size_t CountFreeLongSlots() const;
   /// @return true if the backlog is so long that requests which are not urgent should not be added.
-  [[nodiscard]] bool IsSaturated() const
+  /// Short and long requests have instances of their own, so that each count by themselves.
+  /// @param aExpectedDuration of the request to add
+  [[nodiscard]] bool IsSaturated(Milliseconds aExpectedDuration) const
   {
-    return this->PendingCount() >=
-           this->options.saturatedBacklogPerInstance * this->instances.size();
+    const auto& queue = this->IsLong(aExpectedDuration) ? this->longRequests : this->shortRequests;
+    return queue.size() >= this->options.saturatedBacklogPerInstance * this->instances.size();
   }
 
 private:
@@ -93,9 +95,9 @@
     ResponseHandler handler;
   };
 
-  [[nodiscard]] bool IsLong(const AdviceRequest& aRequest) const
+  [[nodiscard]] bool IsLong(Milliseconds aExpectedDuration) const
   {
-    return aRequest.expectedDuration > this->options.longCallThreshold;
+    return aExpectedDuration > this->options.longCallThreshold;
   }
   /// @return how many responsive instances may have a long call in flight at the same time.
   [[nodiscard]] std::size_t MaxInstancesWithLongCall() const;
--- a/Libraries/LibCell/CellSchedulerAdvice.cpp
+++ b/Libraries/LibCell/CellSchedulerAdvice.cpp
@@ -130,8 +130,7 @@
   const auto& policy = aCandidate.queue->advice;
   auto& advice = aCandidate.run->advice;
   const StepName name{ aCandidate.job->spec.id, aCandidate.occurrence, aCandidate.step };
-  const auto expected = Milliseconds(static_cast<std::int64_t>(
-    policy.baseMs + policy.perWorkerMs * static_cast<double>(aWorkers.size())));
+  const auto expected = ExpectedDuration(policy, aWorkers.size());
   ++advice.requestsInFlight;
   advice.expectedResponse = this->roundBegin + expected;
   std::vector<WorkerId> ids;
--- a/Libraries/LibCell/CellSchedulerPlacement.cpp
+++ b/Libraries/LibCell/CellSchedulerPlacement.cpp
@@ -249,7 +249,9 @@
   const bool needsAdvice = queue.needsAdvice && !run.advice.hasResponse;
   if (needsAdvice) {
     // Tickets expire soon, so none are requested for steps far back in the queue.
-    const bool isTooEarly = this->adviceDispatcher->IsSaturated() && this->IsNonUrgent(aCandidate);
+    const auto duration = ExpectedDuration(queue.advice, this->options.minWorkersPerRequest);
+    const bool isTooEarly =
+      this->adviceDispatcher->IsSaturated(duration) && this->IsNonUrgent(aCandidate);
     if (!isTooEarly) {
       this->RequestMoreAdvice(aCandidate, *pool);
     }
--- a/Libraries/LibCell/Specification.h
+++ b/Libraries/LibCell/Specification.h
@@ -6,6 +6,7 @@
 #include <LibBase/Identifier.h>
 #include <LibBase/Resources.h>
 #include <LibBase/Time.h>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -28,6 +29,14 @@
   friend bool operator==(const AdvicePolicy&, const AdvicePolicy&) = default;
 };
 
+/// @return the usual duration of a call that names this many workers
+[[nodiscard]] inline Milliseconds
+ExpectedDuration(const AdvicePolicy& aPolicy, std::size_t aWorkers)
+{
+  return Milliseconds(static_cast<std::int64_t>(aPolicy.baseMs + aPolicy.perWorkerMs *
+                                                                   static_cast<double>(aWorkers)));
+}
+
 /// Scheduling policy of a queue.
 struct QueuePolicy
 {
--- a/Tests/LibCell/TestAdviceDispatcher.cpp
+++ b/Tests/LibCell/TestAdviceDispatcher.cpp
@@ -83,7 +83,8 @@
     this->Submit("long", kLong, number);
     this->Submit("short", kShort, number);
   }
-  EXPECT_TRUE(this->dispatcher.IsSaturated());
+  EXPECT_TRUE(this->dispatcher.IsSaturated(kLong));
+  EXPECT_TRUE(this->dispatcher.IsSaturated(kShort));
   for (std::size_t call = 0; call < this->port.calls.size(); ++call) {
     this->port.calls[call].handler(AdviceResponse{});
     this->dispatcher.DispatchPending(this->now);
