LibCell: Name all workers once the first request for advice found none

Callers saw, or could see: a task stands still in an idle cell while it asks for ten workers at a time until it finds one that may run it.

Cause: a request named as many workers as were expected to suffice, and ten at least, also after several that named none.

Change: after a response without any worker, the next request names as many as the policy service takes.

--- a/Libraries/LibCell/CellSchedulerAdvice.cpp
+++ b/Libraries/LibCell/CellSchedulerAdvice.cpp
@@ -75,11 +75,13 @@
   const double eligibleFraction =
     known == this->eligibleFractions.end() ? kDefaultEligibleFraction : known->second;
   const double wantedRoom = static_cast<double>(step.count) * this->options.adviceRoomFactor;
+  // Few workers may run a step for which the first request found none.
+  const bool isHardToPlace = advice.hasResponse && advice.Tickets().empty();
+  const auto minWorkers = isHardToPlace ? aMax : this->options.minWorkersPerRequest;
   std::vector<WorkerNumber> named;
   for (const auto* worker :
        this->rankings.OrderPool(aCandidate, this->roundBegin, SortByFreeCores(aPool))) {
-    const bool isEnough =
-      expectedRoom >= wantedRoom && named.size() >= this->options.minWorkersPerRequest;
+    const bool isEnough = expectedRoom >= wantedRoom && named.size() >= minWorkers;
     if (isEnough || named.size() == aMax) {
       break;
     }
