LibCell: Count a worker's room for a step by how many of its tasks it may run

Callers saw, or could see: a wide gang of which each worker may run one task asks for a few workers at a time, in an idle cell.

Cause: an idle worker counted as room for as many tasks as fit, so that ten workers seemed enough for a hundred tasks.

Change: a worker counts for at most as many tasks as it may run of the step.

--- a/Libraries/LibCell/CellSchedulerAdvice.cpp
+++ b/Libraries/LibCell/CellSchedulerAdvice.cpp
@@ -36,7 +36,7 @@
   auto eligible = this->FindEligibleWorkers(aCandidate, aPool, false);
   this->rankings.SortForAdvice(aCandidate, this->roundBegin, eligible);
   for (const auto* worker : eligible) {
-    const auto fits = CountFittingTasks(*worker, demand, step.count);
+    const auto fits = CountFittingTasks(*worker, demand, MaxTasksPerWorker(step));
     if (fits == 0 || this->IsTicketValid(run.advice.FindTicket(worker->number))) {
       continue;
     }
@@ -68,7 +68,7 @@
   for (const auto& ticket : advice.Tickets()) {
     const auto* worker = this->workers.FindByNumber(ticket.worker);
     if (worker != nullptr && worker->pooledInRound == this->placementRound) {
-      expectedRoom += CountFittingTasks(*worker, demand, step.count);
+      expectedRoom += CountFittingTasks(*worker, demand, MaxTasksPerWorker(step));
     }
   }
   const auto known = this->eligibleFractions.find(aCandidate.queue->name);
@@ -88,7 +88,7 @@
     if (advice.WasRequested(worker->number) || !HasRequiredLabel(*worker, step)) {
       continue;
     }
-    const auto room = CountFittingTasks(*worker, demand, step.count);
+    const auto room = CountFittingTasks(*worker, demand, MaxTasksPerWorker(step));
     // A worker without room matters only to a gang, for which eligible workers are earmarked.
     if (room == 0 && !step.isGang) {
       continue;
--- a/Libraries/LibCell/Placement.cpp
+++ b/Libraries/LibCell/Placement.cpp
@@ -115,6 +115,13 @@
   return demand;
 }
 
+std::uint32_t
+MaxTasksPerWorker(const StepSpecification& aStep)
+{
+  return aStep.maxTasksPerWorker == 0 ? aStep.count
+                                      : std::min(aStep.count, aStep.maxTasksPerWorker);
+}
+
 std::uint32_t
 CountFittingTasks(const Worker& aWorker, const Resources& aDemand, std::uint32_t aMax)
 {
--- a/Libraries/LibCell/Placement.h
+++ b/Libraries/LibCell/Placement.h
@@ -17,6 +17,10 @@
 [[nodiscard]] Resources
 AllocatedDemand(const StepSpecification& aStep);
 
+/// @return how many tasks of the step a worker may run at a time, whatever its room
+[[nodiscard]] std::uint32_t
+MaxTasksPerWorker(const StepSpecification& aStep);
+
 /// @return how many more tasks of this demand fit at the worker, at most @p aMax.
 [[nodiscard]] std::uint32_t
 CountFittingTasks(const Worker& aWorker, const Resources& aDemand, std::uint32_t aMax);
