LibPlatform: Bound what a connection holds of a reply that has no end

A peer filled a client's memory with a chunk extension or a trailer without end: the HTTP parser consumes neither before its end has come, and the read buffer had no bound, so that each connection held whatever the peer sent until the request's deadline.

The buffer takes at most a head and one read buffer (8 + 2 KiB by default), and heads have a limit of their own in the options, which is the parser's default of 8 KiB. A reply that exceeds a bound closes the connection, and its request fails as "may have run" with a message that names the bound; it said "The connection was lost before the reply." before.

--- a/Libraries/LibPlatform/HttpClient.cpp
+++ b/Libraries/LibPlatform/HttpClient.cpp
@@ -107,6 +107,7 @@
     : pool(std::move(aPool))
     , socket(this->pool->strand)
     , timer(this->pool->strand)
+    , buffer(this->pool->options.headLimit + this->pool->options.readBufferBytes)
   {
   }
 
@@ -235,6 +236,7 @@
   void Read()
   {
     this->parser.emplace();
+    this->parser->header_limit(this->pool->options.headLimit);
     this->parser->body_limit(this->pool->options.replyLimit);
     http::async_read(this->socket,
                      this->buffer,
@@ -267,7 +269,7 @@
   void OnRead(ErrorStatus aStatus)
   {
     if (aStatus) {
-      this->Close("The connection was lost before the reply.");
+      this->Close(this->ReadFailure(aStatus));
       return;
     }
     if (!this->exchange) {
@@ -281,6 +283,24 @@
     }
   }
 
+  /// @return what to say of a reply that could not be read.
+  [[nodiscard]] std::string ReadFailure(ErrorStatus aStatus) const
+  {
+    if (aStatus == http::error::body_limit) {
+      return fmt::format("The reply's body is larger than {} bytes.",
+                         this->pool->options.replyLimit);
+    }
+    if (aStatus == http::error::header_limit) {
+      return fmt::format("The reply's head is larger than {} bytes.",
+                         this->pool->options.headLimit);
+    }
+    if (aStatus == http::error::buffer_overflow) {
+      return fmt::format("A chunk extension or trailer of the reply is larger than {} bytes.",
+                         this->buffer.max_size());
+    }
+    return "The connection was lost before the reply.";
+  }
+
   void Answer()
   {
     this->deadline.reset();
--- a/Libraries/LibPlatform/HttpOptions.h
+++ b/Libraries/LibPlatform/HttpOptions.h
@@ -26,8 +26,11 @@
   std::size_t queueLimit = 4096;
   /// Longest reply body accepted, in bytes.
   std::size_t replyLimit = std::size_t{ 64 } << 20;
+  /// Longest head of a reply accepted, in bytes.
+  std::uint32_t headLimit = std::uint32_t{ 8 } << 10;
   /// Room of a connection's read buffer, in bytes. A reply that does not fit takes several reads,
-  /// between which a busy process does other work.
+  /// between which a busy process does other work. What cannot be consumed before its end, as a
+  /// chunk extension or a trailer, may take this and @ref headLimit together.
   std::size_t readBufferBytes = 2048;
   Milliseconds connectTimeout{ 500 };
   /// Bounds a request from its call to its reply, beside the wait that it asks for itself.
