LibClient: Bound what a command holds of a reply that has no end

An instance, or whoever answers at its address, filled the memory of the command line with a chunk extension or a trailer without end: the parser consumes neither before its end has come, and the read buffer had no bound.

The buffer takes at most a head and one read of the body (8 + 64 KiB). A request whose reply exceeds it fails as "may have run" and says what was too long.

--- a/Libraries/LibClient/TcpTransport.cpp
+++ b/Libraries/LibClient/TcpTransport.cpp
@@ -25,6 +25,9 @@
 
 constexpr Milliseconds kConnectTimeout{ 2000 };
 constexpr std::uint64_t kMaxResponseBytes = 64U << 20U;
+constexpr std::uint32_t kMaxHeadBytes = 8U << 10U;
+/// Room for a head and a read of the body; a chunk extension or a trailer has to fit in it.
+constexpr std::size_t kReadBufferBytes = kMaxHeadBytes + (std::size_t{ 64 } << 10U);
 constexpr int kHttpVersion = 11;
 constexpr std::array kVerbs = { http::verb::get,
                                 http::verb::post,
@@ -78,7 +81,7 @@
   ErrorCodeOfSystem Read(http::response_parser<http::string_body>& aParser)
   {
     ErrorCodeOfSystem error;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer(kReadBufferBytes);
     http::async_read(
       this->stream,
       buffer,
@@ -119,9 +122,12 @@
 LostReply(const Endpoint& aServer, const ErrorCodeOfSystem& aError)
 {
   const auto code = aError == beast::error::timeout ? ErrorCode::Timeout : ErrorCode::Unavailable;
+  const auto reason =
+    aError == http::error::buffer_overflow
+      ? fmt::format("a chunk extension or trailer is larger than {} bytes", kReadBufferBytes)
+      : aError.message();
   return MayHaveRun(
-    code,
-    fmt::format("No answer came from {}:{}: {}.", aServer.address, aServer.port, aError.message()));
+    code, fmt::format("No answer came from {}:{}: {}.", aServer.address, aServer.port, reason));
 }
 
 }
@@ -139,6 +145,7 @@
     return LostReply(aServer, error);
   }
   http::response_parser<http::string_body> parser;
+  parser.header_limit(kMaxHeadBytes);
   parser.body_limit(kMaxResponseBytes);
   if (const auto error = exchange.Read(parser)) {
     return LostReply(aServer, error);
