Entry: Choose the longest reply by service on the platform

Every connection read up to 64 MiB of a reply, whatever the service has to say: with 24 connections to the store and up to five to each worker, a service that sends long bodies ended the process before a single reply was complete.

The clients of the platform's program read up to 4 MiB from the store, 2 MiB from a worker, 256 KiB from the policy service and 1 MiB from another instance. A longer reply fails its request as "may have run".

ServiceReplies checks that the longest replies that the services give (500 rows or 1 MB of values with names of 512 characters; 500 ended and 500 running tasks with checkpoints of 256 characters; 100 workers with tickets of 512) are read within these limits, and that a byte more than the limit fails. They pass with and without the change of CreateClients, which no test reaches: the program builds, and that is all that was run of it. TestAdapter passes, 42 of 42.

--- a/Services/Entry/PlatformProgram.cpp
+++ b/Services/Entry/PlatformProgram.cpp
@@ -19,6 +19,7 @@
 #include <platform/BootSettings.h>
 #include <platform/CallerInterface.h>
 #include <platform/Decoders.h>
+#include <platform/ReplyLimits.h>
 #include <platform/StoreClient.h>
 #include <platform/WorkerClient.h>
 #include <random>
@@ -221,14 +222,17 @@
 {
   auto storeOptions = this->HttpOptionsFor(this->boot.store, kStoreConnections, kStoreTimeout);
   storeOptions.readBufferBytes = kStoreReadBufferBytes;
+  storeOptions.replyLimit = platform::kStoreReplyLimit;
   auto storeHttp = HttpClient::Create(std::move(storeOptions));
   if (IsError(storeHttp)) {
     return ErrorOf(storeHttp);
   }
   this->store = std::make_unique<platform::StoreClient>(ValueOf(storeHttp));
   if (this->boot.advice) {
-    auto adviceHttp = HttpClient::Create(
-      this->HttpOptionsFor(*this->boot.advice, kAdviceConnections, kOrderTimeout));
+    auto adviceOptions =
+      this->HttpOptionsFor(*this->boot.advice, kAdviceConnections, kOrderTimeout);
+    adviceOptions.replyLimit = platform::kAdviceReplyLimit;
+    auto adviceHttp = HttpClient::Create(std::move(adviceOptions));
     if (IsError(adviceHttp)) {
       return ErrorOf(adviceHttp);
     }
@@ -236,10 +240,12 @@
   }
   auto workerHttp = this->HttpOptionsFor({}, 1, kOrderTimeout);
   workerHttp.connectTimeout = kWorkerConnectTimeout;
+  workerHttp.replyLimit = platform::kWorkerReplyLimit;
   this->workers = std::make_unique<platform::WorkerClient>(
     platform::WorkerClient::Options{ .http = std::move(workerHttp) }, this->log);
-  this->instanceCalls = std::make_unique<InstanceCallClient>(
-    this->HttpOptionsFor({}, kInstanceConnections, kInstanceCallTimeout));
+  auto instanceHttp = this->HttpOptionsFor({}, kInstanceConnections, kInstanceCallTimeout);
+  instanceHttp.replyLimit = platform::kInstanceReplyLimit;
+  this->instanceCalls = std::make_unique<InstanceCallClient>(std::move(instanceHttp));
   return Done{};
 }
 
