LibPeer: Let a message take memory as its bytes arrive

Four bytes from anyone who reaches the peer port cost the server 16 MiB: the room for a message was made when its header had come, for every connection.

Room is now made for 64 KiB and then for as much as has arrived, so that a sender has to send half of what it makes the server hold.

--- a/Libraries/LibPeer/FrameConnection.cpp
+++ b/Libraries/LibPeer/FrameConnection.cpp
@@ -1,5 +1,6 @@
 #include <LibPeer/FrameConnection.h>
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
@@ -11,6 +12,9 @@
 
 namespace {
 
+/// Room for the first part of a message; each further part is as long as what has arrived.
+constexpr std::size_t kFirstPieceBytes = std::size_t{ 64 } << 10;
+
 std::string
 Framed(std::string_view aMessage)
 {
@@ -80,31 +84,50 @@
                        self->End();
                        return;
                      }
-                     self->ReadBody();
+                     self->StartBody();
                    });
 }
 
 void
-FrameConnection::ReadBody()
+FrameConnection::StartBody()
 {
-  const auto size = SizeOf(this->header);
-  if (size > kPeerMessageBytesLimit) {
+  this->bodyBytes = SizeOf(this->header);
+  if (this->bodyBytes > kPeerMessageBytesLimit) {
     this->End();
     return;
   }
-  this->body.resize(size);
+  this->body.clear();
+  this->ReadBodyPiece();
+}
+
+void
+FrameConnection::ReadBodyPiece()
+{
+  const auto have = this->body.size();
+  const auto piece = std::min(this->bodyBytes - have, std::max(have, kFirstPieceBytes));
+  this->body.resize(have + piece);
   asio::async_read(this->socket,
-                   asio::buffer(this->body),
+                   asio::buffer(&this->body[have], piece),
                    [self = this->shared_from_this()](error_code aError, std::size_t) {
                      if (aError) {
                        self->End();
                        return;
                      }
-                     self->onMessage(std::move(self->body));
-                     self->ReadHeader();
+                     self->OnBodyPiece();
                    });
 }
 
+void
+FrameConnection::OnBodyPiece()
+{
+  if (this->body.size() < this->bodyBytes) {
+    this->ReadBodyPiece();
+    return;
+  }
+  this->onMessage(std::move(this->body));
+  this->ReadHeader();
+}
+
 void
 FrameConnection::WriteNext()
 {
--- a/Libraries/LibPeer/FrameConnection.h
+++ b/Libraries/LibPeer/FrameConnection.h
@@ -37,7 +37,11 @@
 
 private:
   void ReadHeader();
-  void ReadBody();
+  void StartBody();
+  /// Makes room for as much as has arrived and reads it, so that what a header announces takes no
+  /// memory by itself.
+  void ReadBodyPiece();
+  void OnBodyPiece();
   void WriteNext();
   void End();
 
@@ -45,6 +49,8 @@
   MessageHandler onMessage;
   CloseHandler onClose;
   std::array<unsigned char, 4> header{};
+  /// Size of the message that is being read, and what of it has arrived or is being read.
+  std::size_t bodyBytes = 0;
   std::string body;
   std::deque<std::string> outgoing;
 };
--- /dev/null
+++ b/Tests/LibPeer/TestPeerLimits.cpp
@@ -0,0 +1,193 @@
+#include <LibPeer/PeerClient.h>
+#include <LibPeer/PeerServer.h>
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <fstream>
+#include <gtest/gtest.h>
+#include <string_view>
+#include <sys/resource.h>
+#include <unistd.h>
+
+namespace zinc {
+
+namespace {
+
+namespace asio = boost::asio;
+using Tcp = asio::ip::tcp;
+
+constexpr std::size_t kMiB = std::size_t{ 1 } << 20;
+constexpr std::size_t kHeaderBytes = 4;
+/// Calls that one connection tries to have outstanding.
+constexpr std::size_t kCalls = 64;
+constexpr std::string_view kDocumentCall =
+  R"({"jsonrpc":"2.0","id":1,"method":"document","params":{"message":{}}})";
+
+/// Gives a document of 1 MiB and counts how often.
+class CountingHandler final : public PeerHandler
+{
+public:
+  PeerBeat OnBeat(const PeerBeat& aBeat) override { return aBeat; }
+  Result<Done> OnNotices(NoticeBatch) override { return Done{}; }
+
+  DocumentCopy OnDocumentAsked() override
+  {
+    ++this->documents;
+    return { .version = 1, .yaml = std::string(kMiB, 'y') };
+  }
+
+  std::size_t documents = 0;
+};
+
+std::string
+HeaderOf(std::uint32_t aBytes)
+{
+  std::string header;
+  for (int shift = 24; shift >= 0; shift -= 8) {
+    header += static_cast<char>((aBytes >> shift) & 0xff);
+  }
+  return header;
+}
+
+std::string
+FrameOf(std::string_view aMessage)
+{
+  return HeaderOf(static_cast<std::uint32_t>(aMessage.size())) + std::string(aMessage);
+}
+
+/// @return physical memory of this process, in bytes.
+std::size_t
+ResidentBytes()
+{
+  std::ifstream file("/proc/self/statm");
+  std::size_t total = 0;
+  std::size_t resident = 0;
+  file >> total >> resident;
+  return resident * static_cast<std::size_t>(::sysconf(_SC_PAGESIZE));
+}
+
+/// A server on the test's own thread, and peers that send raw bytes.
+class PeerLimits : public testing::Test
+{
+protected:
+  PeerLimits()
+    : server(ValueOf(PeerServer::Create({ .listen = { .address = "127.0.0.1", .port = 0 },
+                                          .traffic = this->traffic,
+                                          .control = this->control.get_executor() },
+                                        this->handler)))
+  {
+  }
+
+  ~PeerLimits() override
+  {
+    this->server->Stop();
+    this->Poll();
+  }
+
+  void Poll()
+  {
+    this->traffic.restart();
+    this->traffic.poll();
+    this->control.restart();
+    this->control.poll();
+    this->traffic.restart();
+    this->traffic.poll();
+  }
+
+  Tcp::socket Connect()
+  {
+    Tcp::socket socket(this->peers);
+    socket.connect({ asio::ip::make_address("127.0.0.1"), this->server->Port() });
+    socket.non_blocking(true);
+    return socket;
+  }
+
+  /// Writes while the server works. @return false if the server has closed the connection.
+  bool Write(Tcp::socket& aSocket, std::string_view aBytes)
+  {
+    boost::system::error_code error;
+    while (!aBytes.empty() && (!error || error == asio::error::would_block)) {
+      aBytes.remove_prefix(aSocket.write_some(asio::buffer(aBytes), error));
+      this->Poll();
+    }
+    return aBytes.empty();
+  }
+
+  /// Reads while the server works. @return what came until the server closed the connection.
+  std::string Read(Tcp::socket& aSocket, std::size_t aBytes)
+  {
+    std::string text(aBytes, '\0');
+    std::size_t count = 0;
+    boost::system::error_code error;
+    while (count < aBytes && (!error || error == asio::error::would_block)) {
+      count += aSocket.read_some(asio::buffer(&text[count], aBytes - count), error);
+      this->Poll();
+    }
+    text.resize(count);
+    return text;
+  }
+
+  /// @return the reply to a frame, empty if the server has closed the connection.
+  std::string Call(Tcp::socket& aSocket, std::string_view aMessage)
+  {
+    if (!this->Write(aSocket, FrameOf(aMessage))) {
+      return {};
+    }
+    return this->ReadReply(aSocket);
+  }
+
+  std::string ReadReply(Tcp::socket& aSocket)
+  {
+    const std::string header = this->Read(aSocket, kHeaderBytes);
+    if (header.size() < kHeaderBytes) {
+      return {};
+    }
+    std::size_t size = 0;
+    for (const char byte : header) {
+      size = (size << 8) | static_cast<unsigned char>(byte);
+    }
+    return this->Read(aSocket, size);
+  }
+
+  static bool IsClosed(Tcp::socket& aSocket)
+  {
+    char byte = 0;
+    boost::system::error_code error;
+    aSocket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
+    return error && error != asio::error::would_block;
+  }
+
+  asio::io_context peers;
+  asio::io_context traffic;
+  asio::io_context control;
+  CountingHandler handler;
+  std::shared_ptr<PeerServer> server;
+};
+
+}
+
+// The failure: eight headers of four bytes cost the server 128 MiB.
+TEST_F(PeerLimits, AnAnnouncedMessageTakesMemoryAsItsBytesArrive)
+{
+  constexpr std::size_t kPeers = 8;
+  constexpr std::size_t kMaxGrowth = 16 * kMiB;
+  auto witness = this->Connect();
+  ASSERT_FALSE(this->Call(witness, "{}").empty());
+  const auto before = ResidentBytes();
+  std::vector<Tcp::socket> sockets;
+  for (std::size_t index = 0; index < kPeers; ++index) {
+    sockets.push_back(this->Connect());
+    ASSERT_TRUE(this->Write(sockets.back(), HeaderOf(kPeerMessageBytesLimit)));
+  }
+  // What arrived before has been read once a later call is answered.
+  ASSERT_FALSE(this->Call(witness, "{}").empty());
+  EXPECT_LE(ResidentBytes(), before + kMaxGrowth);
+
+  ASSERT_TRUE(this->Write(sockets.front(), std::string(kPeerMessageBytesLimit, ' ')));
+  EXPECT_FALSE(this->ReadReply(sockets.front()).empty());
+  ASSERT_TRUE(this->Write(sockets.back(), std::string(kPeerMessageBytesLimit, ' ')));
+  EXPECT_FALSE(this->ReadReply(sockets.back()).empty());
+}
+
+}
