LibPeer: Wait before accepting again after a failure

A server without descriptors left kept a processor busy: accepting failed at once, and was tried again at once, for as long as somebody waited to connect.

The next attempt comes after 100 ms.

--- a/Libraries/LibPeer/PeerServer.cpp
+++ b/Libraries/LibPeer/PeerServer.cpp
@@ -4,6 +4,7 @@
 #include <LibPeer/FrameConnection.h>
 #include <LibPeer/PeerDispatcher.h>
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <fmt/format.h>
 #include <mutex>
 #include <vector>
@@ -17,6 +18,12 @@
 using Tcp = asio::ip::tcp;
 using detail::FrameConnection;
 using detail::PeerSocket;
+using Timer = asio::basic_waitable_timer<std::chrono::steady_clock,
+                                         asio::wait_traits<std::chrono::steady_clock>,
+                                         detail::PeerStrand>;
+
+/// Time until the next attempt to accept after one that failed, e.g. for want of descriptors.
+constexpr Milliseconds kAcceptRetryDelay{ 100 };
 
 /// The server behind @ref PeerServer::Create.
 class FramedPeerServer final
@@ -27,6 +34,7 @@
   FramedPeerServer(PeerServerOptions aOptions, PeerHandler& aHandler)
     : options(std::move(aOptions))
     , acceptor(asio::make_strand(this->options.traffic))
+    , retryTimer(this->acceptor.get_executor())
     , dispatcher(aHandler)
   {
   }
@@ -49,9 +57,11 @@
         if (!self->acceptor.is_open()) {
           return;
         }
-        if (!aError) {
-          self->Serve(std::move(aSocket));
+        if (aError) {
+          self->AcceptLater();
+          return;
         }
+        self->Serve(std::move(aSocket));
         self->AcceptNext();
       });
   }
@@ -61,6 +71,7 @@
     asio::post(this->acceptor.get_executor(), [self = this->shared_from_this()] {
       error_code ignored;
       self->acceptor.close(ignored);
+      self->retryTimer.cancel();
     });
     const std::scoped_lock lock(this->mutex);
     for (const auto& weak : this->connections) {
@@ -73,6 +84,16 @@
   std::uint16_t Port() const override { return this->port; }
 
 private:
+  void AcceptLater()
+  {
+    this->retryTimer.expires_after(kAcceptRetryDelay);
+    this->retryTimer.async_wait([self = this->shared_from_this()](error_code aError) {
+      if (!aError && self->acceptor.is_open()) {
+        self->AcceptNext();
+      }
+    });
+  }
+
   void Serve(PeerSocket aSocket)
   {
     const auto connection = std::make_shared<FrameConnection>(std::move(aSocket));
@@ -103,6 +124,7 @@
 
   PeerServerOptions options;
   asio::basic_socket_acceptor<Tcp, detail::PeerStrand> acceptor;
+  Timer retryTimer;
   /// Used on the control thread only.
   detail::PeerDispatcher dispatcher;
   std::uint16_t port = 0;
--- a/Tests/LibPeer/TestPeerLimits.cpp
+++ b/Tests/LibPeer/TestPeerLimits.cpp
@@ -190,4 +190,28 @@
   EXPECT_FALSE(this->ReadReply(sockets.back()).empty());
 }
 
+// The failure: without descriptors left the server tries to accept again and again, without end.
+TEST_F(PeerLimits, AFailedAcceptIsTriedAgainAfterAWhile)
+{
+  constexpr std::size_t kSteps = 1000;
+  constexpr std::size_t kMaxSteps = 20;
+  auto socket = this->Connect();
+  rlimit saved{};
+  ASSERT_EQ(::getrlimit(RLIMIT_NOFILE, &saved), 0);
+  const int next = ::dup(STDERR_FILENO);
+  ASSERT_EQ(::close(next), 0);
+  rlimit none = saved;
+  none.rlim_cur = static_cast<rlim_t>(next);
+  ASSERT_EQ(::setrlimit(RLIMIT_NOFILE, &none), 0);
+  this->traffic.restart();
+  std::size_t steps = 0;
+  while (steps < kSteps && this->traffic.poll_one() == 1) {
+    ++steps;
+  }
+  ASSERT_EQ(::setrlimit(RLIMIT_NOFILE, &saved), 0);
+  EXPECT_GE(steps, 1U);
+  EXPECT_LE(steps, kMaxSteps);
+  EXPECT_FALSE(this->Call(socket, "{}").empty());
+}
+
 }
