LibPeer: Bound the connections that a server keeps

The peer port kept every connection that anyone opened, until the process had no descriptors left for its own work.

A server keeps 256, twice what a hundred instances need. A further one closes the one that has sent no message for longest: a peer sends several a second, so that a crowd of silent connections costs no peer its own.

Measured: of 300 silent connections, opened while one peer calls before each, 300 were open at the end before and 255 after, beside the peer's (PeerLimits.ConnectionsAreBoundedAndThoseSilentForLongestAreClosed, which failed before). TestPeer passes, 19 of 19.

--- a/Libraries/LibPeer/PeerServer.cpp
+++ b/Libraries/LibPeer/PeerServer.cpp
@@ -3,11 +3,12 @@
 #include <LibNet/OpenAcceptor.h>
 #include <LibPeer/FrameConnection.h>
 #include <LibPeer/PeerDispatcher.h>
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <fmt/format.h>
+#include <list>
 #include <mutex>
-#include <vector>
 
 namespace zinc {
 
@@ -98,9 +99,12 @@
   {
     const auto connection = std::make_shared<FrameConnection>(std::move(aSocket));
     this->Remember(connection);
-    connection->Start([self = this->shared_from_this(), weak = std::weak_ptr(connection)](
-                        std::string aCall) { self->Dispatch(weak, std::move(aCall)); },
-                      [] {});
+    connection->Start(
+      [self = this->shared_from_this(), weak = std::weak_ptr(connection)](std::string aCall) {
+        self->NoteMessage(weak);
+        self->Dispatch(weak, std::move(aCall));
+      },
+      [] {});
   }
 
   void Dispatch(std::weak_ptr<FrameConnection> aConnection, std::string aCall)
@@ -119,9 +123,27 @@
   {
     const std::scoped_lock lock(this->mutex);
     std::erase_if(this->connections, [](const auto& aWeak) { return aWeak.expired(); });
+    while (!this->connections.empty() && this->connections.size() >= this->options.maxConnections) {
+      if (const auto silent = this->connections.front().lock()) {
+        silent->Close();
+      }
+      this->connections.pop_front();
+    }
     this->connections.push_back(aConnection);
   }
 
+  /// Makes a connection the one that has sent a message last.
+  void NoteMessage(const std::weak_ptr<FrameConnection>& aConnection)
+  {
+    const std::scoped_lock lock(this->mutex);
+    const auto found = std::ranges::find_if(this->connections, [&](const auto& aWeak) {
+      return !aWeak.owner_before(aConnection) && !aConnection.owner_before(aWeak);
+    });
+    if (found != this->connections.end()) {
+      this->connections.splice(this->connections.end(), this->connections, found);
+    }
+  }
+
   PeerServerOptions options;
   asio::basic_socket_acceptor<Tcp, detail::PeerStrand> acceptor;
   Timer retryTimer;
@@ -129,7 +151,8 @@
   detail::PeerDispatcher dispatcher;
   std::uint16_t port = 0;
   std::mutex mutex;
-  std::vector<std::weak_ptr<FrameConnection>> connections;
+  /// The one that has sent no message for longest comes first.
+  std::list<std::weak_ptr<FrameConnection>> connections;
 };
 
 }
--- a/Libraries/LibPeer/PeerServer.h
+++ b/Libraries/LibPeer/PeerServer.h
@@ -22,6 +22,9 @@
   boost::asio::io_context& traffic;
   /// Runs the handler.
   boost::asio::any_io_executor control;
+  /// Upper bound of open connections. A further one closes the one that has sent no message for
+  /// longest, since a peer sends several a second.
+  std::size_t maxConnections = 256;
 };
 
 /// Accepts connections from peers and dispatches their JSON-RPC calls. Frames are a length of four
--- a/Tests/LibPeer/TestPeerLimits.cpp
+++ b/Tests/LibPeer/TestPeerLimits.cpp
@@ -190,6 +190,28 @@
   EXPECT_FALSE(this->ReadReply(sockets.back()).empty());
 }
 
+// The failure: the server keeps every connection that anyone opens.
+TEST_F(PeerLimits, ConnectionsAreBoundedAndThoseSilentForLongestAreClosed)
+{
+  constexpr std::size_t kOpened = 300;
+  constexpr std::size_t kMaxKept = 256;
+  auto peer = this->Connect();
+  std::vector<Tcp::socket> silent;
+  for (std::size_t index = 0; index < kOpened; ++index) {
+    ASSERT_FALSE(this->Call(peer, "{}").empty());
+    silent.push_back(this->Connect());
+    this->Poll();
+  }
+  ASSERT_FALSE(this->Call(peer, "{}").empty());
+  std::size_t open = 0;
+  for (auto& socket : silent) {
+    open += IsClosed(socket) ? 0 : 1;
+  }
+  EXPECT_EQ(open, kMaxKept - 1);
+  EXPECT_TRUE(IsClosed(silent.front()));
+  EXPECT_FALSE(IsClosed(silent.back()));
+}
+
 // The failure: without descriptors left the server tries to accept again and again, without end.
 TEST_F(PeerLimits, AFailedAcceptIsTriedAgainAfterAWhile)
 {
