LibPeer: Read a peer's next call when the last reply is written

A peer filled the server's memory in two ways: with calls whose replies it does not read, and with calls that arrive faster than the control thread handles them. Replies and calls waited in queues without a bound.

A server reads a connection's next call once the reply to the last one has been written, so that a connection holds one call or one reply, and the rest waits at the peer. While neither is read or written, a wait for the socket's loss keeps the connection and notices a reset. Clients read as before.

--- a/Libraries/LibPeer/FrameConnection.cpp
+++ b/Libraries/LibPeer/FrameConnection.cpp
@@ -40,8 +40,9 @@
 
 }
 
-FrameConnection::FrameConnection(PeerSocket aSocket)
+FrameConnection::FrameConnection(PeerSocket aSocket, FrameOrder aOrder)
   : socket(std::move(aSocket))
+  , order(aOrder)
 {
   error_code ignored;
   this->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
@@ -52,8 +53,10 @@
 {
   this->onMessage = std::move(aOnMessage);
   this->onClose = std::move(aOnClose);
-  asio::post(this->socket.get_executor(),
-             [self = this->shared_from_this()] { self->ReadHeader(); });
+  asio::post(this->socket.get_executor(), [self = this->shared_from_this()] {
+    self->AwaitLoss();
+    self->ReadHeader();
+  });
 }
 
 void
@@ -125,7 +128,9 @@
     return;
   }
   this->onMessage(std::move(this->body));
-  this->ReadHeader();
+  if (this->order == FrameOrder::Independent) {
+    this->ReadHeader();
+  }
 }
 
 void
@@ -138,13 +143,33 @@
                         self->End();
                         return;
                       }
-                      self->outgoing.pop_front();
-                      if (!self->outgoing.empty()) {
-                        self->WriteNext();
-                      }
+                      self->OnWritten();
                     });
 }
 
+void
+FrameConnection::OnWritten()
+{
+  this->outgoing.pop_front();
+  if (!this->outgoing.empty()) {
+    this->WriteNext();
+    return;
+  }
+  if (this->order == FrameOrder::AfterReply) {
+    this->ReadHeader();
+  }
+}
+
+void
+FrameConnection::AwaitLoss()
+{
+  if (this->order == FrameOrder::Independent) {
+    return;
+  }
+  this->socket.async_wait(asio::socket_base::wait_error,
+                          [self = this->shared_from_this()](error_code) { self->End(); });
+}
+
 void
 FrameConnection::End()
 {
--- a/Libraries/LibPeer/FrameConnection.h
+++ b/Libraries/LibPeer/FrameConnection.h
@@ -17,6 +17,16 @@
 using PeerStrand = boost::asio::strand<boost::asio::io_context::executor_type>;
 using PeerSocket = boost::asio::basic_stream_socket<boost::asio::ip::tcp, PeerStrand>;
 
+/// When a connection reads the next message.
+enum class FrameOrder : std::uint8_t
+{
+  /// At once; messages in both directions are independent.
+  Independent,
+  /// When the one message that was sent after the last one read has been written. What the other
+  /// end sends meanwhile waits there, so that it cannot fill this end's memory.
+  AfterReply,
+};
+
 /// Reads and writes whole messages. Everything runs on the socket's strand.
 class FrameConnection : public std::enable_shared_from_this<FrameConnection>
 {
@@ -24,7 +34,7 @@
   using MessageHandler = std::function<void(std::string)>;
   using CloseHandler = std::function<void()>;
 
-  explicit FrameConnection(PeerSocket aSocket);
+  explicit FrameConnection(PeerSocket aSocket, FrameOrder aOrder = FrameOrder::Independent);
 
   /// Starts reading. @p aOnClose runs once, when the connection has ended.
   void Start(MessageHandler aOnMessage, CloseHandler aOnClose);
@@ -43,9 +53,13 @@
   void ReadBodyPiece();
   void OnBodyPiece();
   void WriteNext();
+  void OnWritten();
+  /// Keeps the connection while neither a read nor a write is outstanding.
+  void AwaitLoss();
   void End();
 
   PeerSocket socket;
+  FrameOrder order;
   MessageHandler onMessage;
   CloseHandler onClose;
   std::array<unsigned char, 4> header{};
--- a/Libraries/LibPeer/PeerServer.cpp
+++ b/Libraries/LibPeer/PeerServer.cpp
@@ -18,6 +18,7 @@
 using boost::system::error_code;
 using Tcp = asio::ip::tcp;
 using detail::FrameConnection;
+using detail::FrameOrder;
 using detail::PeerSocket;
 using Timer = asio::basic_waitable_timer<std::chrono::steady_clock,
                                          asio::wait_traits<std::chrono::steady_clock>,
@@ -97,7 +98,8 @@
 
   void Serve(PeerSocket aSocket)
   {
-    const auto connection = std::make_shared<FrameConnection>(std::move(aSocket));
+    const auto connection =
+      std::make_shared<FrameConnection>(std::move(aSocket), FrameOrder::AfterReply);
     this->Remember(connection);
     connection->Start(
       [self = this->shared_from_this(), weak = std::weak_ptr(connection)](std::string aCall) {
--- a/Tests/LibPeer/TestPeerLimits.cpp
+++ b/Tests/LibPeer/TestPeerLimits.cpp
@@ -19,6 +19,8 @@
 
 constexpr std::size_t kMiB = std::size_t{ 1 } << 20;
 constexpr std::size_t kHeaderBytes = 4;
+/// Room of the system at the peers.
+constexpr int kSocketBufferBytes = 64 << 10;
 /// Calls that one connection tries to have outstanding.
 constexpr std::size_t kCalls = 64;
 constexpr std::string_view kDocumentCall =
@@ -97,7 +99,9 @@
 
   Tcp::socket Connect()
   {
-    Tcp::socket socket(this->peers);
+    Tcp::socket socket(this->peers, Tcp::v4());
+    socket.set_option(asio::socket_base::send_buffer_size(kSocketBufferBytes));
+    socket.set_option(asio::socket_base::receive_buffer_size(kSocketBufferBytes));
     socket.connect({ asio::ip::make_address("127.0.0.1"), this->server->Port() });
     socket.non_blocking(true);
     return socket;
@@ -236,4 +240,44 @@
   EXPECT_FALSE(this->Call(socket, "{}").empty());
 }
 
+// The failure: the replies to a peer that does not read wait in memory, as many as it asks for.
+TEST_F(PeerLimits, APeerThatDoesNotReadIsNotReadFrom)
+{
+  constexpr std::size_t kMaxAnswered = 16;
+  auto socket = this->Connect();
+  std::string calls;
+  for (std::size_t index = 0; index < kCalls; ++index) {
+    calls += FrameOf(kDocumentCall);
+  }
+  ASSERT_TRUE(this->Write(socket, calls));
+  auto witness = this->Connect();
+  ASSERT_FALSE(this->Call(witness, "{}").empty());
+  EXPECT_LE(this->handler.documents, kMaxAnswered);
+  for (std::size_t index = 0; index < kCalls; ++index) {
+    ASSERT_GT(this->ReadReply(socket).size(), kMiB) << index;
+  }
+  EXPECT_EQ(this->handler.documents, kCalls);
+}
+
+// The failure: calls that the control thread has not come to wait in memory, however many.
+TEST_F(PeerLimits, CallsWaitAtThePeerWhileOneIsHandled)
+{
+  constexpr std::size_t kMaxTaken = 24 * kMiB;
+  auto socket = this->Connect();
+  const auto call = FrameOf(std::string(kMiB, ' '));
+  std::size_t taken = 0;
+  boost::system::error_code error;
+  std::size_t refusals = 0;
+  constexpr std::size_t kMaxRefusals = 100;
+  while (taken < kCalls * call.size() && refusals < kMaxRefusals) {
+    this->traffic.restart();
+    this->traffic.poll();
+    const auto offset = taken % call.size();
+    taken += socket.write_some(asio::buffer(call.data() + offset, call.size() - offset), error);
+    refusals = error ? refusals + 1 : 0;
+  }
+  EXPECT_EQ(error, asio::error::would_block);
+  EXPECT_LE(taken, kMaxTaken);
+}
+
 }
