LibPeer: Bound the calls that wait for a peer

Calls to a peer that accepts a connection and does not read waited in the client's memory, as many as were made within the timeout of the first.

A client refuses a call as overloaded and not run if more than 32 MiB of calls would be without a reply, unless no other waits. That is room for a batch of notices of the longest size with as much again; notices are offered again later.

--- a/Libraries/LibPeer/PeerClient.cpp
+++ b/Libraries/LibPeer/PeerClient.cpp
@@ -31,6 +31,8 @@
 struct Call
 {
   std::string text;
+  /// Size of the text, also after it was sent.
+  std::size_t bytes = 0;
   Completion completion;
   std::chrono::steady_clock::time_point deadline;
 };
@@ -111,9 +113,20 @@
   void Enqueue(const char* aMethod, Json::Value aMessage, Completion aCompletion)
   {
     const auto id = this->nextId++;
+    auto text = CallText(id, aMethod, std::move(aMessage));
+    const auto bytes = text.size();
+    if (!this->calls.empty() && this->waitingBytes + bytes > this->options.waitingBytesLimit) {
+      aCompletion(NotRun(ErrorCode::Overloaded,
+                         fmt::format("Too many calls wait for the peer at {}:{}.",
+                                     this->options.peer.address,
+                                     this->options.peer.port)));
+      return;
+    }
+    this->waitingBytes += bytes;
     const auto [call, inserted] = this->calls.emplace(
       id,
-      Call{ .text = CallText(id, aMethod, std::move(aMessage)),
+      Call{ .text = std::move(text),
+            .bytes = bytes,
             .completion = std::move(aCompletion),
             .deadline = std::chrono::steady_clock::now() + this->options.callTimeout });
     if (this->calls.size() == 1) {
@@ -182,6 +195,7 @@
       return;
     }
     auto completion = std::move(found->second.completion);
+    this->waitingBytes -= found->second.bytes;
     this->calls.erase(found);
     if (reply.isMember("result")) {
       completion(reply["result"]);
@@ -235,6 +249,7 @@
   void FailAll(const Verdict& aVerdict)
   {
     const auto failed = std::exchange(this->calls, {});
+    this->waitingBytes = 0;
     this->timer.cancel();
     for (const auto& [id, call] : failed) {
       call.completion(aVerdict);
@@ -249,6 +264,7 @@
   std::shared_ptr<FrameConnection> connection;
   /// Calls by id, hence also by deadline.
   std::map<std::uint64_t, Call> calls;
+  std::size_t waitingBytes = 0;
   std::uint64_t nextId = 1;
 };
 
--- a/Libraries/LibPeer/PeerClient.h
+++ b/Libraries/LibPeer/PeerClient.h
@@ -23,10 +23,14 @@
   /// A call without a reply for this long is given up and its connection closed, since a connection
   /// that brings no replies may stay silent for good.
   Milliseconds callTimeout{ 1000 };
+  /// Upper bound of the bytes of calls without a reply. A further call is refused as overloaded,
+  /// unless no other waits.
+  std::size_t waitingBytesLimit = std::size_t{ 32 } << 20;
 };
 
 /// Sends each call at most once. A call fails with @ref RunState::NotRun if no connection could be
-/// made, else with @ref RunState::MayHaveRun. The next call opens a new connection.
+/// made or too much waits, else with @ref RunState::MayHaveRun. The next call opens a new
+/// connection.
 class PeerClient
 {
 public:
--- a/Tests/LibPeer/TestPeerLimits.cpp
+++ b/Tests/LibPeer/TestPeerLimits.cpp
@@ -280,4 +280,35 @@
   EXPECT_LE(taken, kMaxTaken);
 }
 
+// The failure: calls to a peer that does not read wait in memory, however many.
+TEST(PeerClientLimits, CallsBeyondTheLimitAreRefusedAsNotRun)
+{
+  constexpr std::size_t kMaxWaiting = 32;
+  asio::io_context context;
+  Tcp::acceptor silent(context, { asio::ip::make_address("127.0.0.1"), 0 });
+  const auto client = ValueOf(
+    PeerClient::Create({ .peer = { .address = "127.0.0.1", .port = silent.local_endpoint().port() },
+                         .traffic = context,
+                         .control = context.get_executor(),
+                         .callTimeout = Milliseconds{ 60000 } }));
+  NoticeBatch batch{ .from = { "e" }, .to = { "f" }, .sequence = 1 };
+  batch.notices.emplace_back(TaskEnded{ .result = std::string(kMiB, 'r') });
+  std::vector<Verdict> refused;
+  for (std::size_t index = 0; index < kCalls; ++index) {
+    client->Deliver(batch, [&](const Result<Done>& aReply) { refused.push_back(ErrorOf(aReply)); });
+  }
+  context.poll();
+  EXPECT_GE(refused.size(), kCalls - kMaxWaiting);
+  EXPECT_LT(refused.size(), kCalls);
+  for (const Verdict& verdict : refused) {
+    EXPECT_EQ(verdict.code, ErrorCode::Overloaded);
+    EXPECT_EQ(verdict.run, RunState::NotRun);
+  }
+  const auto atOnce = refused.size();
+  client->Close();
+  context.poll();
+  ASSERT_EQ(refused.size(), kCalls);
+  EXPECT_EQ(refused.at(atOnce).run, RunState::MayHaveRun);
+}
+
 }
