--- a/Tests/LibPeer/TestOutbox.cpp
+++ b/Tests/LibPeer/TestOutbox.cpp
@@ -1,5 +1,11 @@
 #include <LibPeer/Outbox.h>
+#include <LibPeer/PeerCodec.h>
+#include <LibPeer/PeerServer.h>
+#include <LibPlatform/Codec.h>
+#include <LibPlatform/Json.h>
+#include <array>
 #include <gtest/gtest.h>
+#include <json/json.h>
 
 namespace zinc {
 namespace {
@@ -57,6 +63,46 @@
   EXPECT_TRUE(this->outbox.IsEmpty());
 }
 
+// The failure: a batch longer than a message is refused by its receiver and repeated for ever, and
+// nothing behind it arrives, once callers submit 16 jobs with the longest payload.
+TEST_F(OutboxTest, BatchesOfLongNoticesFitIntoAMessage)
+{
+  constexpr int kNotices = 12;
+  /// Alternatives of Notice in the order in which they are added.
+  constexpr std::array<std::size_t, 4> kKinds{ 0, 5, 8, 9 };
+  // Takes six bytes for each in JSON.
+  const std::string longest(kPayloadBytesLimit, '\x01');
+  for (int number = 0; number < kNotices; ++number) {
+    const TaskId task{ std::to_string(number) };
+    switch (number % 4) {
+      case 0:
+        this->outbox.Add(PlaceTask{ .task = { .id = task, .payload = longest } });
+        break;
+      case 1:
+        this->outbox.Add(TaskEnded{ .attempt = { task }, .result = longest, .progress = longest });
+        break;
+      case 2:
+        this->outbox.Add(Ask{ .submission = { .payload = longest } });
+        break;
+      default:
+        this->outbox.Add(Reply{ .answer = JobAnswer{ .result = longest } });
+        break;
+    }
+  }
+  std::size_t delivered = 0;
+  std::uint64_t sequence = 0;
+  while (const auto* batch = this->outbox.Next(this->now)) {
+    EXPECT_LE(WriteJson(ToJson(*batch)).size(), kPeerMessageBytesLimit);
+    for (const auto& notice : batch->notices) {
+      EXPECT_EQ(notice.index(), kKinds.at(delivered % kKinds.size()));
+      ++delivered;
+    }
+    this->outbox.Acknowledge(++sequence);
+  }
+  EXPECT_EQ(delivered, kNotices);
+  EXPECT_LT(sequence, kNotices);
+}
+
 TEST_F(OutboxTest, SequenceGoesOnAfterClear)
 {
   this->outbox.Add(Numbered(1));
