--- /dev/null
+++ b/Tests/Platform/AllocationCounter.h
@@ -0,0 +1,14 @@
+#pragma once
+
+/// @file
+/// Counts what the test program allocates.
+
+#include <cstddef>
+
+namespace zinc::platform::test {
+
+/// @return the bytes that this thread has allocated with `new`, freed ones included
+[[nodiscard]] std::size_t
+CountAllocatedBytes();
+
+}
