Platform: Refuse a job of too many values before it is parsed

Cause: a body of 262,144 bytes may hold 87,000 arrays or 131,000 numbers. The JSON tree of all of them was built and freed on the control thread before the job was refused, while other callers, the readiness probe and leases wait.

Change: LibPlatform counts values, containers, texts and fractions in one pass over the bytes (IsWithinBounds), without allocations and up to the first bound that is exceeded. A step has at most 18 fields, two of them lists and three texts, none a fraction. The most values in 262,144 bytes of a sound job have 1,000 steps that list earlier ones: 5 + 83.4 each, 88,400. The depth limit moves to the same header.

ReadingCost.AJobOfMoreValuesThanStepsNeedIsRefusedUnread failed before: DecodeJob allocated 7.3 to 12.2 MB for each of seven bodies, bound 4,096 bytes; it passes. TheLargestSoundJobsAreRead passes before and after.

--- a/Libraries/LibPlatform/Json.cpp
+++ b/Libraries/LibPlatform/Json.cpp
@@ -60,6 +60,15 @@
   return value;
 }
 
+Result<Json::Value>
+ParseJson(std::string_view aText, const JsonBounds& aBounds)
+{
+  if (!IsWithinBounds(aText, aBounds)) {
+    return NotRun(ErrorCode::BadRequest, "The JSON text holds too many values.");
+  }
+  return ParseJson(aText);
+}
+
 std::string
 WriteJson(const Json::Value& aValue)
 {
--- a/Libraries/LibPlatform/Json.h
+++ b/Libraries/LibPlatform/Json.h
@@ -4,6 +4,7 @@
 /// Strict reading of JSON that comes from outside.
 
 #include <LibBase/Verdict.h>
+#include <LibPlatform/JsonBounds.h>
 #include <cstdint>
 #include <json/forwards.h>
 #include <limits>
@@ -13,9 +14,6 @@
 
 namespace zinc {
 
-/// Deepest nesting of arrays and objects that @ref ParseJson accepts.
-inline constexpr int kJsonDepthLimit = 32;
-
 /// Largest integer that every JSON implementation represents exactly.
 inline constexpr std::int64_t kJsonIntegerLimit = (std::int64_t{ 1 } << 53) - 1;
 
@@ -24,6 +22,11 @@
 [[nodiscard]] Result<Json::Value>
 ParseJson(std::string_view aText);
 
+/// Parses one JSON object or array, unless it holds more than the bounds; no tree is built then.
+/// @return the value, or @ref ErrorCode::BadRequest.
+[[nodiscard]] Result<Json::Value>
+ParseJson(std::string_view aText, const JsonBounds& aBounds);
+
 /// @return compact JSON text; bytes of strings are kept as they are.
 [[nodiscard]] std::string
 WriteJson(const Json::Value& aValue);
--- a/Tests/Platform/TestReadingCost.cpp
+++ b/Tests/Platform/TestReadingCost.cpp
@@ -52,4 +52,57 @@
   }
 }
 
+// Guards against a control thread that builds and frees the tree of a small request for longer than
+// it takes to handle hundreds of others.
+TEST(ReadingCost, AJobOfMoreValuesThanStepsNeedIsRefusedUnread)
+{
+  constexpr std::size_t kMaxBytes = 4096;
+  for (const std::string_view element :
+       { "[]", "{}", "7", "1e1", "\"\"", "{\"a\":0}", "[0,0,0,0,0,0,0,0]" }) {
+    const auto job = JobOf(element);
+    const auto bytes = CountBytes([&job] {
+      const auto decoded = DecodeJob(job);
+      ASSERT_TRUE(IsError(decoded));
+      EXPECT_EQ(ErrorOf(decoded).code, ErrorCode::BadRequest);
+      EXPECT_EQ(ErrorOf(decoded).run, RunState::NotRun);
+    });
+    EXPECT_LT(bytes, kMaxBytes) << element;
+  }
+}
+
+// Guards against a sound job that is refused: with all fields in all steps, and with as many
+// earlier steps in `After` as fit into a body.
+TEST(ReadingCost, TheLargestSoundJobsAreRead)
+{
+  constexpr std::size_t kSteps = 1000;
+  const std::string allFields =
+    R"({"Count":1,"Cpu":1,"MemMb":1,"Gpus":1,"EstimateMs":1,"After":[],"Checkpointing":true,)"
+    R"("Gang":true,"SameRack":true,"Speculative":true,"Perpetual":true,"Fills":true,"Image":"a",)"
+    R"("Affinity":"b","Constraints":["c"],"AntiAffinity":1,"TargetMs":1,"MayMiss":1})";
+  std::string job = R"({"Spec":"s","Times":1,"InitialDelayMs":1,"IntervalMs":1,"Phases":[)";
+  for (std::size_t step = 0; step < kSteps; ++step) {
+    job += (step == 0 ? "" : ",") + allFields;
+  }
+  EXPECT_FALSE(IsError(DecodeJob(job + "]}")));
+
+  for (const std::size_t steps : { std::size_t{ 400 }, std::size_t{ 835 }, kSteps }) {
+    const auto stepBytes = kBodyBytes / steps;
+    job = R"({"Phases":[)";
+    for (std::size_t step = 0; step < steps; ++step) {
+      std::string after;
+      for (std::size_t earlier = 0; earlier < step; ++earlier) {
+        const auto number = (earlier == 0 ? "" : ",") + std::to_string(earlier);
+        if (after.size() + number.size() + 24 > stepBytes) {
+          break;
+        }
+        after += number;
+      }
+      job += (step == 0 ? "" : ",") + (R"({"Count":1,"After":[)" + after) + "]}";
+    }
+    job += "]}";
+    ASSERT_LE(job.size(), kBodyBytes);
+    EXPECT_FALSE(IsError(DecodeJob(job))) << steps;
+  }
+}
+
 }
