--- a/Libraries/LibPlatform/JsonBounds.cpp
+++ b/Libraries/LibPlatform/JsonBounds.cpp
@@ -60,6 +60,11 @@
 bool
 IsWithinBounds(std::string_view aText, const JsonBounds& aBounds)
 {
+  // Whatever is counted takes a byte.
+  if (aText.size() <=
+      std::min({ aBounds.values, aBounds.containers, aBounds.texts, aBounds.fractions })) {
+    return true;
+  }
   JsonBounds counted;
   std::size_t position = 0;
   while (position < aText.size()) {
--- a/Tests/LibPlatform/TestJsonBounds.cpp
+++ b/Tests/LibPlatform/TestJsonBounds.cpp
@@ -107,9 +107,12 @@
 RC_GTEST_PROP(JsonBounds, ArbitraryBytesAreReadToTheEndAtMost, ())
 {
   const auto text = *rc::gen::container<std::string>(rc::gen::arbitrary<char>());
-  RC_ASSERT(IsWithinBounds(
-    text,
-    { .values = text.size(), .containers = text.size(), .texts = text.size(), .fractions = 1000 }));
+  // A number with a fraction has two characters at least.
+  RC_ASSERT(IsWithinBounds(text,
+                           { .values = text.size(),
+                             .containers = text.size(),
+                             .texts = text.size(),
+                             .fractions = text.size() / 2 }));
 }
 
 // Guards against a fault in the text, or one behind an escape, that hides the values beside it.
--- a/Tests/Platform/TestReadingCost.cpp
+++ b/Tests/Platform/TestReadingCost.cpp
@@ -105,4 +105,21 @@
   }
 }
 
+// Guards against a worker whose row is read for long each time it changes, while it can't be one.
+TEST(ReadingCost, AWorkerRowOfManyValuesIsRefusedUnread)
+{
+  constexpr std::size_t kMaxBytes = 4096;
+  const std::string sound =
+    R"({"Service":"s","Address":"10.1.2.3:80","Zone":"z","State":"ready","Capacity":{"Cpu":1},)"
+    R"("Labels":["a","r")";
+  EXPECT_FALSE(IsError(DecodeWorkerEntry("i-1", sound + "]}")));
+  auto row = sound;
+  while (row.size() < kBodyBytes) {
+    row += R"(,"x")";
+  }
+  row += "]}";
+  const auto bytes = CountBytes([&row] { EXPECT_TRUE(IsError(DecodeWorkerEntry("i-1", row))); });
+  EXPECT_LT(bytes, kMaxBytes);
+}
+
 }
