LibPlatform: Read no error replies of many values

Cause: replies of up to 64 MiB are read. Of one that reports an error only a verdict or a reason is used, but its whole tree was built; a single worker or service could keep an instance busy with each order it rejects.

Change: the reply of a failed call and that of a rejected order hold at most 1,000 values. One beyond counts as a reply without a verdict or a reason.

--- a/Libraries/LibPlatform/HttpExchange.cpp
+++ b/Libraries/LibPlatform/HttpExchange.cpp
@@ -6,10 +6,20 @@
 
 namespace zinc::detail {
 
+namespace {
+
+/// What the reply of a failed call may hold; a verdict has a handful of fields.
+constexpr JsonBounds kErrorReplyBounds{ .values = 1000,
+                                        .containers = 1000,
+                                        .texts = 1000,
+                                        .fractions = 1000 };
+
+}
+
 Verdict
 VerdictOf(const HttpReply& aReply)
 {
-  const Result<Json::Value> value = ParseJson(aReply.body);
+  const Result<Json::Value> value = ParseJson(aReply.body, kErrorReplyBounds);
   if (!IsError(value)) {
     const Result<std::optional<Verdict>> verdict = VerdictFromJson(ValueOf(value));
     if (!IsError(verdict)) {
--- a/Tests/Platform/TestReadingCost.cpp
+++ b/Tests/Platform/TestReadingCost.cpp
@@ -1,9 +1,14 @@
 #include "AllocationCounter.h"
+#include "ScriptedPeer.h"
 
+#include <LibInstanceCalls/InstanceCalls.h>
+#include <LibPlatform/HttpExchange.h>
 #include <LibPlatform/Json.h>
 #include <gtest/gtest.h>
 #include <json/json.h>
 #include <platform/Decoders.h>
+#include <platform/WorkerClient.h>
+#include <platform/WorkerMessages.h>
 #include <string>
 #include <string_view>
 
@@ -11,6 +16,8 @@
 
 namespace {
 
+using RejectionCost = AdapterFixture;
+
 /// Bytes of a body that callers may send by default.
 constexpr std::size_t kBodyBytes = 262'144;
 
@@ -122,4 +129,39 @@
   EXPECT_LT(bytes, kMaxBytes);
 }
 
+// Guards against a worker or a service that answers errors and keeps an instance busy with them.
+TEST(ReadingCost, AnErrorReplyOfManyValuesIsNotRead)
+{
+  constexpr std::size_t kMaxBytes = 4096;
+  const HttpReply reply{ .status = 503, .body = JobOf("[]") };
+  const auto bytes =
+    CountBytes([&reply] { EXPECT_EQ(zinc::detail::VerdictOf(reply).run, RunState::MayHaveRun); });
+  EXPECT_LT(bytes, kMaxBytes);
+}
+
+// Guards against a worker that rejects orders and keeps the leader busy with its reasons.
+TEST_F(RejectionCost, ARejectionOfManyValuesIsNotRead)
+{
+  // The body is received in buffers that grow.
+  constexpr std::size_t kMaxBytes = 8 * kBodyBytes;
+  ScriptedPeer peer([](const ReceivedRequest&) {
+    return ScriptedPeer::Reply{ .status = 409, .body = JobOf("[]") };
+  });
+  const Logger log({ .level = LogLevel::Error });
+  WorkerClient workers({ .http = this->OptionsFor(peer) }, log);
+  const cell::RunOrder order{ .target = { .worker = { "i-7" },
+                                          .address = "127.0.0.1",
+                                          .port = peer.Port(),
+                                          .fencingToken = 5 },
+                              .task = { { "0123456789abcdef" }, { 0, 1, 2 } },
+                              .run = 3 };
+  const auto bytes = CountBytes([&] {
+    const auto result = this->Await<cell::OrderResult>(
+      [&](auto aHandler) { workers.Stop(order, std::move(aHandler)); });
+    ASSERT_FALSE(IsError(result));
+    EXPECT_EQ(ValueOf(result), cell::OrderResult::Rejected);
+  });
+  EXPECT_LT(bytes, kMaxBytes);
+}
+
 }
