Platform: Refuse a worker's report of millions of values unread

Cause: a report of up to 64 MiB is read, and its tree takes much more memory than its bytes. One worker could take the leader's memory.

--- a/Libraries/LibPlatform/JsonArena.cpp
+++ b/Libraries/LibPlatform/JsonArena.cpp
@@ -20,6 +20,15 @@
   return value;
 }
 
+Result<boost::json::value>
+ParseJson(std::string_view aText, JsonArena& aArena, const JsonBounds& aBounds)
+{
+  if (!IsWithinBounds(aText, aBounds)) {
+    return NotRun(ErrorCode::BadRequest, "The JSON text holds too many values.");
+  }
+  return ParseJson(aText, aArena);
+}
+
 std::string
 WriteJson(const boost::json::value& aValue)
 {
--- a/Libraries/LibPlatform/JsonArena.h
+++ b/Libraries/LibPlatform/JsonArena.h
@@ -5,6 +5,7 @@
 /// any allocations; @ref ParseJson of Json.h is for everything else.
 
 #include <LibBase/Verdict.h>
+#include <LibPlatform/JsonBounds.h>
 #include <array>
 #include <boost/json/array.hpp>
 #include <boost/json/monotonic_resource.hpp>
@@ -37,6 +38,11 @@
 [[nodiscard]] Result<boost::json::value>
 ParseJson(std::string_view aText, JsonArena& aArena);
 
+/// Parses one JSON value that fills the whole text, unless it holds more than the bounds.
+/// @return the value, or @ref ErrorCode::BadRequest
+[[nodiscard]] Result<boost::json::value>
+ParseJson(std::string_view aText, JsonArena& aArena, const JsonBounds& aBounds);
+
 /// @return compact JSON text
 [[nodiscard]] std::string
 WriteJson(const boost::json::value& aValue);
--- a/Tests/Platform/TestReadingCost.cpp
+++ b/Tests/Platform/TestReadingCost.cpp
@@ -164,4 +164,28 @@
   EXPECT_LT(bytes, kMaxBytes);
 }
 
+// Guards against a worker whose report takes the leader's memory and time.
+TEST(ReadingCost, AReportOfMillionsOfValuesIsRefusedUnread)
+{
+  constexpr std::size_t kMaxBytes = 4096;
+  constexpr std::size_t kRuns = 100'000;
+  std::size_t unreadable = 0;
+  std::string sound = R"({"ClockMs":5,"Running":[)";
+  for (std::size_t run = 0; run < kRuns; ++run) {
+    sound += (run == 0 ? "" : ",") + std::string(R"(["0123456789abcdef.0.1.17",2,"a",0.5,0.5])");
+  }
+  const auto report = DecodeReport(sound + "]}", unreadable);
+  ASSERT_FALSE(IsError(report));
+  EXPECT_EQ(ValueOf(report).activeRuns.size(), kRuns);
+
+  constexpr std::size_t kValues = 3'000'000;
+  std::string text = R"({"ClockMs":5,"Running":[0)";
+  for (std::size_t value = 0; value < kValues; ++value) {
+    text += ",0";
+  }
+  text += "]}";
+  const auto bytes = CountBytes([&] { EXPECT_TRUE(IsError(DecodeReport(text, unreadable))); });
+  EXPECT_LT(bytes, kMaxBytes);
+}
+
 }
