LibInstanceCalls: Refuse a call of too many values unread

Cause: the calls between instances share the control thread with everything else, and their trees were built before they were refused.

Change: a call that names workers holds at most 100,000 values, of which 1,000 arrays and objects; a forwarded request holds 1,000, since its body is one text.

ReadingCost.ACallOfManyValuesIsRefusedUnread failed before: 11.9 MB allocated for each of three paths with a body of 262,144 bytes, bound 8,192 bytes; it passes. TestAdapter passes, 46 of 46.

--- a/Libraries/LibInstanceCalls/InstanceCalls.cpp
+++ b/Libraries/LibInstanceCalls/InstanceCalls.cpp
@@ -25,6 +25,16 @@
 constexpr std::size_t kMaxCallerTextLength = 4096;
 constexpr std::size_t kMaxCallerBodyBytes = 4 << 20;
 constexpr std::int64_t kMaxHttpStatus = 599;
+/// What a call that names workers may hold: more than any cell has.
+constexpr JsonBounds kWorkerListBounds{ .values = 100'000,
+                                        .containers = 1000,
+                                        .texts = 100'000,
+                                        .fractions = 1000 };
+/// What a forwarded request may hold; its body is one text.
+constexpr JsonBounds kForwardedBounds{ .values = 1000,
+                                       .containers = 1000,
+                                       .texts = 1000,
+                                       .fractions = 1000 };
 
 std::string
 EncodeAdviceRequest(const cell::AdviceRequest& aRequest)
@@ -47,7 +57,7 @@
 Result<cell::AdviceRequest>
 DecodeAdviceRequest(std::string_view aText)
 {
-  const auto parsed = ParseJson(aText);
+  const auto parsed = ParseJson(aText, kWorkerListBounds);
   if (IsError(parsed)) {
     return ErrorOf(parsed);
   }
@@ -155,7 +165,7 @@
 Result<ForwardedRequest>
 DecodeForwardedRequest(const IncomingRequest& aRequest)
 {
-  const auto parsed = ParseJson(aRequest.body);
+  const auto parsed = ParseJson(aRequest.body, kForwardedBounds);
   if (IsError(parsed)) {
     return ErrorOf(parsed);
   }
@@ -221,7 +231,7 @@
 Result<cell::Resignation>
 DecodeResignation(std::string_view aText)
 {
-  const auto parsed = ParseJson(aText);
+  const auto parsed = ParseJson(aText, kWorkerListBounds);
   if (IsError(parsed)) {
     return ErrorOf(parsed);
   }
--- a/Tests/Platform/TestReadingCost.cpp
+++ b/Tests/Platform/TestReadingCost.cpp
@@ -188,4 +188,29 @@
   EXPECT_LT(bytes, kMaxBytes);
 }
 
+// Guards against a call from another instance that is refused after its tree was built.
+TEST(ReadingCost, ACallOfManyValuesIsRefusedUnread)
+{
+  constexpr std::size_t kMaxBytes = 8192;
+  InstanceCallServer server(
+    { .advise = [](const cell::AdviceRequest&,
+                   const cell::Handler<cell::AdviceResponse>& aHandler) { aHandler({}); },
+      .jobStatus = [](const JobId&) { return cell::JobStatus{}; },
+      .checkStore = [](const cell::Handler<bool>& aHandler) { aHandler(true); },
+      .onLeaderResigned = [](const cell::Resignation&) {},
+      .documentVersion = [] { return std::uint64_t{ 1 }; },
+      .handleForwarded = [](const IncomingRequest&,
+                            const Respond& aRespond) { aRespond({ .body = "{}" }); } });
+  for (const std::string_view path : { "/instance/advise", "/instance/resign", "/instance/call" }) {
+    const IncomingRequest request{ .path = std::string(path), .body = JobOf("[]") };
+    unsigned status = 0;
+    const auto bytes = CountBytes([&] {
+      server.Handle(request,
+                    [&status](const OutgoingResponse& aResponse) { status = aResponse.status; });
+    });
+    EXPECT_EQ(status, 400U) << path;
+    EXPECT_LT(bytes, kMaxBytes) << path;
+  }
+}
+
 }
