--- a/Libraries/LibClient/Json.cpp
+++ b/Libraries/LibClient/Json.cpp
@@ -1,5 +1,6 @@
 #include <LibClient/Json.h>
 
+#include <LibPlatform/JsonBounds.h>
 #include <algorithm>
 #include <json/reader.h>
 #include <json/value.h>
@@ -7,20 +8,13 @@
 
 namespace zinc {
 
-namespace {
-
-/// Deepest nesting that is read; the parser recurses.
-constexpr int kMaxDepth = 32;
-
-}
-
 std::unique_ptr<Json::Value>
 ParseJson(std::string_view aText)
 {
   Json::CharReaderBuilder builder;
   Json::CharReaderBuilder::strictMode(&builder.settings_);
   builder["strictRoot"] = false;
-  builder["stackLimit"] = kMaxDepth;
+  builder["stackLimit"] = kJsonDepthLimit;
   const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
   auto value = std::make_unique<Json::Value>();
   try {
--- a/Libraries/LibLedger/JsonArray.cpp
+++ b/Libraries/LibLedger/JsonArray.cpp
@@ -1,5 +1,6 @@
 #include <LibLedger/JsonArray.h>
 
+#include <LibPlatform/JsonBounds.h>
 #include <memory>
 
 namespace zinc::detail {
@@ -18,9 +19,8 @@
 Json::CharReaderBuilder
 BoundedReader()
 {
-  constexpr int kMaxDepth = 32;
   Json::CharReaderBuilder builder;
-  builder["stackLimit"] = kMaxDepth;
+  builder["stackLimit"] = kJsonDepthLimit;
   return builder;
 }
 
