LibCell: Store only the number of a timed job's succeeded occurrences

Cause: a job's progress row listed each step of every occurrence, although the row's number of succeeded occurrences covers all before it. A job of 100,000 occurrences wrote a row that grows with each of them, at every change, until the store refuses it.

Change: the row lists the steps and tasks from the first occurrence on that has not succeeded. Reading is unchanged: the number marks all before it as succeeded.

RecordsTest.TheProgressOfATimedJobDoesNotGrowWithItsOccurrences failed before: a record of 1,001 steps after 1,000 succeeded occurrences, 1 expected; it passes.

TestCell passes, 287 of 287.

--- a/Libraries/LibCell/Job.h
+++ b/Libraries/LibCell/Job.h
@@ -226,6 +226,15 @@
   [[nodiscard]] Task* FindTask(const TaskKey& aKey);
   /// @return the task in which the failures of an existing task are counted: of a gang, the first
   [[nodiscard]] Task& FindCountedTask(const TaskKey& aKey);
+  /// @return the first occurrence that has not succeeded, or the end
+  [[nodiscard]] auto FirstOpenOccurrence() const
+  {
+    return this->occurrences.lower_bound(this->occurrencesSucceeded);
+  }
+  [[nodiscard]] auto FirstOpenOccurrence()
+  {
+    return this->occurrences.lower_bound(this->occurrencesSucceeded);
+  }
   [[nodiscard]] std::uint32_t TotalOccurrences() const
   {
     return std::max<std::uint32_t>(1, this->spec.occurrences);
--- a/Libraries/LibCell/Records.cpp
+++ b/Libraries/LibCell/Records.cpp
@@ -504,7 +504,8 @@
   if (aJob.outcome != JobOutcome::Active) {
     return record;
   }
-  for (const auto& [number, occurrence] : aJob.occurrences) {
+  for (auto open = aJob.FirstOpenOccurrence(); open != aJob.occurrences.end(); ++open) {
+    const auto& [number, occurrence] = *open;
     for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
       const auto& run = occurrence.steps[step];
       if (run.succeededTasks == run.tasks.size()) {
--- a/Tests/LibCell/TestRecords.cpp
+++ b/Tests/LibCell/TestRecords.cpp
@@ -118,6 +118,26 @@
   EXPECT_FALSE(ValueOf(decoded).tasks.back().recordedStart.has_value());
 }
 
+// Guards against rows that grow with each occurrence of a job until the store refuses them: what
+// has succeeded is told by its number.
+TEST_F(RecordsTest, TheProgressOfATimedJobDoesNotGrowWithItsOccurrences)
+{
+  constexpr std::uint32_t kSucceeded = 1000;
+  Job job{ .spec = MakeJob("timed", 1, 1) };
+  job.spec.occurrences = kSucceeded + 1;
+  job.occurrencesSucceeded = kSucceeded;
+  for (std::uint32_t number = 0; number <= kSucceeded; ++number) {
+    auto& step = job.occurrences[number].steps.emplace_back();
+    step.CreateTasks(1);
+    step.SetPhase(step.tasks.front(), TaskPhase::Succeeded);
+    step.succeededTasks = 1;
+  }
+  const auto record = MakeProgressRecord(job);
+  EXPECT_EQ(record.occurrencesSucceeded, kSucceeded);
+  ASSERT_EQ(record.succeededSteps.size(), 1U);
+  EXPECT_EQ(record.succeededSteps.front().occurrence, kSucceeded);
+}
+
 // Failure: a job of workspace "Tamworth North" is lost to its owner after a change of leader, and
 // shown to workspace "Tamworth".
 TEST_F(RecordsTest, EndedJobsKeepNamesWithSpaces)
