LibCell: Keep objects only for tasks that run or left something behind

Cause: the leader created an object of some 400 bytes for each task of an accepted job at once. A job of 100,000 tasks is submitted with 120 bytes.

Change: StepTasks replaces the vector. A task that has not run has no object; one that has succeeded loses it, unless its failed, lost, stalled, preempted or rejected runs or its recorded start still count in the progress row or for other runs of it. Objects of gangs stay, since a member that is listed as running after the step's end is found by its worker. Reads look at a shared task, writes create one.

One line of TestStandstill.cpp says tasks[0] instead of tasks.front(), since the class has no front().

--- a/Libraries/LibCell/CellScheduler.h
+++ b/Libraries/LibCell/CellScheduler.h
@@ -167,10 +167,12 @@
   /// Schedules a write of the job's progress row.
   void MarkJobChanged(Job& aJob);
   /// @return the task, or null if its job is unknown or it does not exist
-  [[nodiscard]] Task* FindTask(const TaskName& aTask);
-  /// Does the same for a task of which a worker reports a run. Creates its occurrence, which has
-  /// started even if it is not due yet by this leader's clock.
-  [[nodiscard]] Task* FindOrCreateReportedTask(const TaskName& aTask);
+  [[nodiscard]] const Task* FindTask(const TaskName& aTask);
+  /// Does the same for a task that is to be changed.
+  [[nodiscard]] Task* FindOrCreateTask(const TaskName& aTask);
+  /// @return the task of which a worker reports a run. Creates its occurrence, which has started
+  /// even if it is not due yet by this leader's clock.
+  [[nodiscard]] const Task* FindReportedTask(const TaskName& aTask);
   /// @return the job, or null if it is unknown.
   [[nodiscard]] Job* FindJob(const JobId& aJob);
   /// Takes a token for a new job from the workspace's bucket, which refills at the rate of its
@@ -265,8 +267,8 @@
   void RequeueRun(const TaskName& aTask, std::uint64_t aRun);
   /// Copies the last reported checkpoint of a lost run to its task; of a gang, to its first task.
   void SaveCheckpoint(const Allocation& aAllocation);
-  /// Applies the end of a run to its task.
-  void ApplyRunEnd(Worker& aWorker, Job& aJob, Task& aTask, const EndedRun& aEnd);
+  /// Applies the end of a run to its task, which exists.
+  void ApplyRunEnd(Worker& aWorker, Job& aJob, const EndedRun& aEnd);
   /// Stops the remaining members of a gang after one of them was lost; no effect on other steps.
   void StopGang(Job& aJob, std::uint32_t aOccurrence, std::uint32_t aStep, std::uint64_t aRun);
   void StopRun(Worker& aWorker, Allocation& aAllocation, std::string_view aReason);
--- a/Libraries/LibCell/CellSchedulerCrashes.cpp
+++ b/Libraries/LibCell/CellSchedulerCrashes.cpp
@@ -187,10 +187,10 @@
 CellScheduler::FindOpenTask(const LostRun& aRun)
 {
   const auto* job = this->FindJob(aRun.task.job);
-  auto* task = this->FindTask(aRun.task);
+  const auto* task = this->FindTask(aRun.task);
   const bool isOpen =
     task != nullptr && job->outcome == JobOutcome::Active && task->phase != TaskPhase::Succeeded;
-  return isOpen ? task : nullptr;
+  return isOpen ? this->FindOrCreateTask(aRun.task) : nullptr;
 }
 
 void
@@ -265,7 +265,7 @@
 void
 CellScheduler::AdoptRecordedStart(const TaskName& aTask, const RecordedStart& aStart)
 {
-  this->FindTask(aTask)->recordedStart = aStart;
+  this->FindOrCreateTask(aTask)->recordedStart = aStart;
   this->lostWorkers.Add({ .worker = aStart.worker,
                           .machine = aStart.machine,
                           .incarnation = aStart.incarnation,
@@ -316,10 +316,17 @@
 bool
 CellScheduler::IsGangRecorded(const Candidate& aCandidate, std::span<Worker* const> aAssigned)
 {
-  return std::ranges::equal(
-    aCandidate.run->tasks, aAssigned, [&aCandidate](const Task& aTask, const Worker* aWorker) {
-      return IsStartRecorded(*aCandidate.job, aTask) && IsRecordedAt(aTask, *aWorker);
-    });
+  const auto& tasks = aCandidate.run->tasks;
+  if (tasks.size() != aAssigned.size()) {
+    return false;
+  }
+  for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+    const auto& task = tasks.Look(index);
+    if (!IsStartRecorded(*aCandidate.job, task) || !IsRecordedAt(task, *aAssigned[index])) {
+      return false;
+    }
+  }
+  return true;
 }
 
 void
@@ -328,7 +335,7 @@
                                std::uint64_t aRun)
 {
   auto& tasks = aCandidate.run->tasks;
-  const auto& first = tasks.front();
+  const auto& first = tasks.Look(0);
   if (first.recordedStartChange != 0 && !IsStartRecorded(*aCandidate.job, first)) {
     return;
   }
@@ -344,7 +351,9 @@
   const auto& step = *aCandidate.specification;
   std::vector<Worker*> workers;
   std::map<const Worker*, std::uint32_t> members;
-  for (const auto& task : aCandidate.run->tasks) {
+  const auto& tasks = aCandidate.run->tasks;
+  for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+    const auto& task = tasks.Look(index);
     if (!IsStartRecorded(*aCandidate.job, task)) {
       return {};
     }
--- a/Libraries/LibCell/CellSchedulerGangs.cpp
+++ b/Libraries/LibCell/CellSchedulerGangs.cpp
@@ -25,10 +25,7 @@
   const auto now = this->roundBegin;
   const auto& step = *aCandidate.specification;
   auto& run = *aCandidate.run;
-  const bool isComplete = std::ranges::all_of(run.tasks, [now](const Task& aTask) {
-    return aTask.phase == TaskPhase::Waiting && aTask.earliestStart <= now;
-  });
-  if (!isComplete) {
+  if (!run.tasks.AreDue(now)) {
     return WaitReason::Members;
   }
   const auto demand = AllocatedDemand(step);
@@ -103,10 +100,10 @@
       this->RecordGangStart(aCandidate, aAssigned, run);
       return false;
     }
-    run = aCandidate.run->tasks.front().recordedStart->run;
+    run = aCandidate.run->tasks.Look(0).recordedStart->run;
   }
   // All members must start from the same checkpoint.
-  const auto checkpoint = aCandidate.run->tasks.front().checkpoint;
+  const auto checkpoint = aCandidate.run->tasks.Look(0).checkpoint;
   for (std::uint32_t index = 0; index < aAssigned.size(); ++index) {
     this->StartTask(aCandidate, index, *aAssigned[index], run, checkpoint);
   }
@@ -190,7 +187,7 @@
     return false;
   }
   for (const auto& preempted : plan->preempted) {
-    ++this->FindTask(preempted.task)->preemptions;
+    ++this->FindOrCreateTask(preempted.task)->preemptions;
     this->StopRun(*preempted.worker,
                   *preempted.worker->FindAllocation(preempted.task, preempted.run),
                   "preempted");
--- a/Libraries/LibCell/CellSchedulerJobs.cpp
+++ b/Libraries/LibCell/CellSchedulerJobs.cpp
@@ -22,8 +22,8 @@
   return found == this->jobs.end() ? nullptr : &found->second;
 }
 
-Task*
-CellScheduler::FindOrCreateReportedTask(const TaskName& aTask)
+const Task*
+CellScheduler::FindReportedTask(const TaskName& aTask)
 {
   auto* job = this->FindJob(aTask.job);
   if (job != nullptr && job->outcome == JobOutcome::Active &&
@@ -33,13 +33,20 @@
   return this->FindTask(aTask);
 }
 
-Task*
+const Task*
 CellScheduler::FindTask(const TaskName& aTask)
 {
-  auto* job = this->FindJob(aTask.job);
+  const auto* job = this->FindJob(aTask.job);
   return job == nullptr ? nullptr : job->FindTask(aTask.key);
 }
 
+Task*
+CellScheduler::FindOrCreateTask(const TaskName& aTask)
+{
+  auto* job = this->FindJob(aTask.job);
+  return job == nullptr ? nullptr : job->FindOrCreateTask(aTask.key);
+}
+
 const QueuePolicy&
 CellScheduler::CurrentQueuePolicy(const Job& aJob) const
 {
@@ -258,16 +265,15 @@
       continue;
     }
     this->FindOrCreateOccurrence(aJob, record.key.occurrence);
-    auto* task = aJob.FindTask(record.key);
-    if (task == nullptr) {
+    const auto* known = aJob.FindTask(record.key);
+    if (known == nullptr || known->phase == TaskPhase::Succeeded) {
       continue;
     }
     if (record.hasSucceeded) {
       this->MarkTaskSucceeded(aJob, record.key);
-    }
-    if (task->phase == TaskPhase::Succeeded) {
       continue;
     }
+    auto* task = aJob.FindOrCreateTask(record.key);
     task->failedRuns.insert(record.failedRuns.begin(), record.failedRuns.end());
     task->crashedRuns.insert(record.crashedRuns.begin(), record.crashedRuns.end());
     task->blamedRuns.insert(record.blamedRuns.begin(), record.blamedRuns.end());
@@ -359,17 +365,14 @@
     this->MarkStepSucceeded(aJob, aKey.occurrence, aKey.step);
     return;
   }
-  auto& task = run.tasks[aKey.index];
-  if (task.phase == TaskPhase::Succeeded) {
+  if (run.tasks.Look(aKey.index).phase == TaskPhase::Succeeded) {
     return;
   }
   if (run.succeededTasks + 1 == run.tasks.size()) {
     this->MarkStepSucceeded(aJob, aKey.occurrence, aKey.step);
     return;
   }
-  run.SetPhase(task, TaskPhase::Succeeded);
-  task.checkpoint.clear();
-  ++run.succeededTasks;
+  run.MarkTaskSucceeded(aKey.index);
 }
 
 void
@@ -380,11 +383,10 @@
   if (run.succeededTasks == run.tasks.size()) {
     return;
   }
-  for (auto& task : run.tasks) {
-    run.SetPhase(task, TaskPhase::Succeeded);
-    task.checkpoint.clear();
+  run.MarkAllTasksSucceeded();
+  if (!aJob.spec.steps[aStep].isGang) {
+    run.tasks.ReleaseSucceeded();
   }
-  run.succeededTasks = static_cast<std::uint32_t>(run.tasks.size());
   this->ReleaseReservation(run, aJob.spec.steps[aStep], ReservationEnd::Done);
   ++occurrence.succeededSteps;
   this->MarkReadySteps(aJob, aOccurrence);
@@ -401,7 +403,7 @@
 void
 CellScheduler::RecordFailedRun(Job& aJob, const TaskKey& aKey, std::uint64_t aRun)
 {
-  auto& task = aJob.FindCountedTask(aKey);
+  auto& task = *aJob.FindOrCreateTask(aJob.CountedTask(aKey));
   if (!task.failedRuns.insert(aRun).second) {
     return;
   }
@@ -412,7 +414,7 @@
 void
 CellScheduler::GiveUpFailingTask(Job& aJob, const TaskKey& aKey)
 {
-  const auto failures = aJob.FindCountedTask(aKey).failedRuns.size();
+  const auto failures = aJob.CountFailures(aKey);
   if (failures < std::max(1U, this->CurrentQueuePolicy(aJob).maxAttempts)) {
     return;
   }
@@ -460,8 +462,7 @@
     for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
       auto& run = occurrence.steps[step];
       this->ReleaseReservation(run, aJob.spec.steps[step], ReservationEnd::Done);
-      for (std::uint32_t index = 0; index < run.tasks.size(); ++index) {
-        auto& task = run.tasks[index];
+      for (const auto& [index, task] : run.tasks.WithObject()) {
         auto* worker = task.phase == TaskPhase::Placed ? this->workers.Find(task.worker) : nullptr;
         if (worker == nullptr) {
           continue;
--- a/Libraries/LibCell/CellSchedulerPlacement.cpp
+++ b/Libraries/LibCell/CellSchedulerPlacement.cpp
@@ -384,9 +384,10 @@
   };
   std::uint32_t unplaced = 0;
   std::vector<WorkerId> recordedWorkers;
-  for (std::uint32_t index = 0; index < run.tasks.size(); ++index) {
-    auto& task = run.tasks[index];
-    if (task.phase != TaskPhase::Waiting || task.earliestStart > this->roundBegin) {
+  for (auto next = run.tasks.FindWaiting(0); next; next = run.tasks.FindWaiting(*next + 1)) {
+    const auto index = *next;
+    const auto& task = run.tasks.Look(index);
+    if (task.earliestStart > this->roundBegin) {
       continue;
     }
     if (this->CountTasksWithinLimit(aCandidate, step.demand, 1) == 0) {
@@ -412,7 +413,7 @@
       continue;
     }
     if (!this->StartRecordedTask(aCandidate, index, *worker, eligible, countTasksAt)) {
-      recordedWorkers.push_back(task.recordedStart->worker);
+      recordedWorkers.push_back(run.tasks.Look(index).recordedStart->worker);
       continue;
     }
     aPool.free -= allocated;
--- a/Libraries/LibCell/CellSchedulerStarts.cpp
+++ b/Libraries/LibCell/CellSchedulerStarts.cpp
@@ -70,7 +70,7 @@
                                { "index", aIndex },
                                { "run", aRunNumber },
                                { "worker", aWorker.entry.id.value },
-                               { "failures", job.FindCountedTask(name.key).failedRuns.size() },
+                               { "failures", job.CountFailures(name.key) },
                                { "age_ms", (now - job.receivedAt).count() } });
   const ActivityTimes::Scope activity(this->load.Activities(), Activity::Orders);
   this->load.CountOrder();
@@ -119,8 +119,9 @@
     if (auto* job = this->FindJob(aTask.job)) {
       this->MarkJobStarted(*job);
     }
-    if (auto* task = this->FindTask(aTask)) {
-      task->rejectedStarts = 0;
+    const auto* task = this->FindTask(aTask);
+    if (task != nullptr && task->rejectedStarts > 0) {
+      this->FindOrCreateTask(aTask)->rejectedStarts = 0;
     }
     return;
   }
@@ -132,7 +133,7 @@
 CellScheduler::BackOffRejectedTask(Worker& aWorker, const TaskName& aTask)
 {
   const auto now = this->dependencies.clock.Now();
-  auto* task = this->FindTask(aTask);
+  auto* task = this->FindOrCreateTask(aTask);
   const auto rejections = task != nullptr ? task->rejectedStarts++ : 0;
   if (rejections == 0) {
     aWorker.avoidUntil = std::max(aWorker.avoidUntil, now + kRejectionAvoidance);
--- a/Libraries/LibCell/CellSchedulerStops.cpp
+++ b/Libraries/LibCell/CellSchedulerStops.cpp
@@ -27,8 +27,7 @@
     return;
   }
   auto& run = aJob.occurrences.at(aOccurrence).steps[aStep];
-  for (std::uint32_t index = 0; index < run.tasks.size(); ++index) {
-    const auto& task = run.tasks[index];
+  for (const auto& [index, task] : run.tasks.WithObject()) {
     const bool isMember = task.phase == TaskPhase::Placed && task.run == aRun;
     auto* worker = isMember ? this->workers.Find(task.worker) : nullptr;
     if (worker == nullptr) {
@@ -178,7 +177,7 @@
     }
     this->RecordRunOutcome(aWorker, allocation.task, true);
     this->StopRun(aWorker, allocation, "stands_still");
-    auto* task = this->FindTask(allocation.task);
+    auto* task = this->FindOrCreateTask(allocation.task);
     // A task that has stalled before is no evidence against this worker.
     if (task == nullptr || task->stalledRuns == 0) {
       aWorker.avoidUntil = now + this->options.quarantineDuration;
@@ -193,7 +192,7 @@
 bool
 CellScheduler::AwaitsGangMembers(const Allocation& aAllocation)
 {
-  auto* job = this->FindJob(aAllocation.task.job);
+  const auto* job = this->FindJob(aAllocation.task.job);
   const auto& key = aAllocation.task.key;
   if (job == nullptr || job->FindTask(key) == nullptr || !job->spec.steps[key.step].isGang) {
     return false;
--- a/Libraries/LibCell/CellSchedulerTakeover.cpp
+++ b/Libraries/LibCell/CellSchedulerTakeover.cpp
@@ -48,7 +48,7 @@
 {
   const auto now = this->dependencies.clock.Now();
   auto* job = this->FindJob(aActiveRun.task.job);
-  auto* task = this->FindOrCreateReportedTask(aActiveRun.task);
+  const auto* reported = this->FindReportedTask(aActiveRun.task);
   Allocation allocation{ .task = aActiveRun.task,
                          .run = aActiveRun.run,
                          .phase = RunPhase::Running,
@@ -59,7 +59,7 @@
                          .lastProgress = now,
                          .load = aActiveRun.load,
                          .checkpoint = aActiveRun.checkpoint };
-  if (task != nullptr) {
+  if (reported != nullptr) {
     const auto& step = job->spec.steps[aActiveRun.task.key.step];
     allocation.demand = AllocatedDemand(step);
     allocation.workspaceUsage = job->workspaceUsage;
@@ -80,8 +80,8 @@
   aWorker.allocations.push_back(std::move(allocation));
   // A predecessor's lease lasts until then, even if this leader has not granted one yet.
   aWorker.leaseExpiry = std::max(aWorker.leaseExpiry, this->unreadWorkers.LeasesExpiry());
-  const bool isWanted =
-    task != nullptr && job->outcome == JobOutcome::Active && task->phase == TaskPhase::Waiting;
+  const bool isWanted = reported != nullptr && job->outcome == JobOutcome::Active &&
+                        reported->phase == TaskPhase::Waiting;
   this->dependencies.log.Log(LogLevel::Info,
                              "run_adopted",
                              { { "job", aActiveRun.task.job.value },
@@ -95,6 +95,7 @@
     return;
   }
   const auto& key = aActiveRun.task.key;
+  auto* task = job->FindOrCreateTask(key);
   job->occurrences.at(key.occurrence).steps[key.step].SetPhase(*task, TaskPhase::Placed);
   task->run = aActiveRun.run;
   task->worker = aWorker.entry.id;
--- a/Libraries/LibCell/CellSchedulerWorkers.cpp
+++ b/Libraries/LibCell/CellSchedulerWorkers.cpp
@@ -325,9 +325,9 @@
     this->ReleaseAllocation(aWorker, aEnd.task, aEnd.run);
   }
   auto* job = this->FindJob(aEnd.task.job);
-  auto* task = this->FindOrCreateReportedTask(aEnd.task);
-  if (task != nullptr && job->outcome == JobOutcome::Active) {
-    this->ApplyRunEnd(aWorker, *job, *task, aEnd);
+  const bool isKnown = this->FindReportedTask(aEnd.task) != nullptr;
+  if (isKnown && job->outcome == JobOutcome::Active) {
+    this->ApplyRunEnd(aWorker, *job, aEnd);
   }
   aWorker.unacknowledgedEnds.push_back({ .sequence = aEnd.sequence,
                                          .job = aEnd.task.job,
@@ -335,9 +335,8 @@
                                          .changeCount = job != nullptr ? job->changeCount : 0 });
   this->workersWithEnds.insert(aWorker.number);
   if (aEnd.outcome != RunOutcome::Succeeded) {
-    const auto failures = task != nullptr
-                            ? fmt::to_string(job->FindCountedTask(aEnd.task.key).failedRuns.size())
-                            : std::string("unknown");
+    const auto failures =
+      isKnown ? fmt::to_string(job->CountFailures(aEnd.task.key)) : std::string("unknown");
     this->dependencies.log.Log(LogLevel::Info,
                                "run_ended",
                                { { "job", aEnd.task.job.value },
@@ -353,35 +352,34 @@
 }
 
 void
-CellScheduler::ApplyRunEnd(Worker& aWorker, Job& aJob, Task& aTask, const EndedRun& aEnd)
+CellScheduler::ApplyRunEnd(Worker& aWorker, Job& aJob, const EndedRun& aEnd)
 {
+  const bool hadSucceeded = aJob.FindTask(aEnd.task.key)->phase == TaskPhase::Succeeded;
   const auto& step = aJob.spec.steps[aEnd.task.key.step];
   const bool isSuccess = aEnd.outcome == RunOutcome::Succeeded && !step.isService;
   this->MarkJobStarted(aJob);
   if (isSuccess) {
     this->RecordRunOutcome(aWorker, aEnd.task, false);
-    if (aTask.phase != TaskPhase::Succeeded) {
+    if (!hadSucceeded) {
       this->MarkJobChanged(aJob);
       this->MarkTaskSucceeded(aJob, aEnd.task.key);
     }
     return;
   }
-  if (aTask.phase == TaskPhase::Succeeded) {
+  if (hadSucceeded) {
     return;
   }
   if (!aEnd.checkpoint.empty()) {
     // A checkpoint of any member applies to its whole gang and is stored in the first task.
-    auto& checkpointTask =
-      step.isGang
-        ? *aJob.FindTask(
-            { .occurrence = aEnd.task.key.occurrence, .step = aEnd.task.key.step, .index = 0 })
-        : aTask;
-    checkpointTask.checkpoint = aEnd.checkpoint;
+    const TaskKey key{ .occurrence = aEnd.task.key.occurrence,
+                       .step = aEnd.task.key.step,
+                       .index = step.isGang ? 0 : aEnd.task.key.index };
+    aJob.FindOrCreateTask(key)->checkpoint = aEnd.checkpoint;
     this->MarkJobChanged(aJob);
   }
   if (aEnd.outcome == RunOutcome::Failed) {
     this->RecordRunOutcome(aWorker, aEnd.task, true);
-    aTask.lastFailedWorker = aWorker.entry.id;
+    aJob.FindOrCreateTask(aEnd.task.key)->lastFailedWorker = aWorker.entry.id;
     if (!step.isService) {
       this->RecordFailedRun(aJob, aEnd.task.key, aEnd.run);
     }
@@ -393,15 +391,20 @@
 CellScheduler::RequeueRun(const TaskName& aTask, std::uint64_t aRun)
 {
   auto* job = this->FindJob(aTask.job);
-  auto* task = job != nullptr ? job->FindTask(aTask.key) : nullptr;
-  if (task == nullptr || job->outcome != JobOutcome::Active) {
+  const auto* known = job != nullptr ? job->FindTask(aTask.key) : nullptr;
+  if (known == nullptr || job->outcome != JobOutcome::Active) {
     return;
   }
-  if (task->recordedStart && task->recordedStart->run == aRun) {
+  const bool isRecorded = known->recordedStart && known->recordedStart->run == aRun;
+  const bool isCurrent = known->phase == TaskPhase::Placed && known->run == aRun;
+  if (!isRecorded && !isCurrent) {
+    return;
+  }
+  auto* task = job->FindOrCreateTask(aTask.key);
+  if (isRecorded) {
     task->recordedStart.reset();
     this->MarkJobChanged(*job);
   }
-  const bool isCurrent = task->phase == TaskPhase::Placed && task->run == aRun;
   if (!isCurrent) {
     return;
   }
@@ -541,15 +544,14 @@
     return;
   }
   auto key = aAllocation.task.key;
-  auto* task = job->FindTask(key);
+  const auto* task = job->FindTask(key);
   if (task == nullptr || task->phase == TaskPhase::Succeeded) {
     return;
   }
   if (job->spec.steps[key.step].isGang) {
     key.index = 0;
-    task = job->FindTask(key);
   }
-  task->checkpoint = aAllocation.checkpoint;
+  job->FindOrCreateTask(key)->checkpoint = aAllocation.checkpoint;
 }
 
 void
--- a/Libraries/LibCell/Job.cpp
+++ b/Libraries/LibCell/Job.cpp
@@ -4,8 +4,8 @@
 
 namespace zinc::cell {
 
-Task*
-Job::FindTask(const TaskKey& aKey)
+const Task*
+Job::FindTask(const TaskKey& aKey) const
 {
   const auto occurrence = this->occurrences.find(aKey.occurrence);
   if (occurrence == this->occurrences.end() || aKey.step >= occurrence->second.steps.size() ||
@@ -15,12 +15,27 @@
   return &occurrence->second.steps[aKey.step].tasks[aKey.index];
 }
 
-Task&
-Job::FindCountedTask(const TaskKey& aKey)
+Task*
+Job::FindOrCreateTask(const TaskKey& aKey)
+{
+  if (this->FindTask(aKey) == nullptr) {
+    return nullptr;
+  }
+  return &this->occurrences.at(aKey.occurrence).steps[aKey.step].tasks[aKey.index];
+}
+
+TaskKey
+Job::CountedTask(const TaskKey& aKey) const
 {
   auto key = aKey;
   key.index = this->spec.steps[aKey.step].isGang ? 0 : aKey.index;
-  return *this->FindTask(key);
+  return key;
+}
+
+std::size_t
+Job::CountFailures(const TaskKey& aKey) const
+{
+  return this->FindTask(this->CountedTask(aKey))->failedRuns.size();
 }
 
 std::vector<Milliseconds>
--- a/Libraries/LibCell/Job.h
+++ b/Libraries/LibCell/Job.h
@@ -6,6 +6,7 @@
 #include <LibCell/Ports.h>
 #include <LibCell/Specification.h>
 #include <LibCell/StepAdvice.h>
+#include <LibCell/StepTasks.h>
 #include <LibCell/StepWait.h>
 #include <LibCell/WorkspaceUsage.h>
 #include <array>
@@ -30,66 +31,6 @@
   Cancelled,
 };
 
-/// Scheduling state of a task.
-enum class TaskPhase : std::uint8_t
-{
-  Waiting,
-  /// Running at a worker, or its start order was sent.
-  Placed,
-  Succeeded,
-};
-
-/// Where a run starts, as stored before its start is sent.
-struct RecordedStart
-{
-  std::uint64_t run = 0;
-  WorkerId worker;
-  std::string machine;
-  /// Process start of the worker, Unix ms.
-  std::int64_t incarnation = 0;
-};
-
-/// A task's scheduling state and what its runs left behind.
-struct Task
-{
-  /// @return true if the task may be what crashed its workers
-  [[nodiscard]] bool IsCrashSuspect() const
-  {
-    return !this->blamedRuns.empty() || this->crashedRuns.size() > 1;
-  }
-
-  TaskPhase phase = TaskPhase::Waiting;
-  /// Number of the latest run; 0 if there was none.
-  std::uint64_t run = 0;
-  WorkerId worker;
-  std::string checkpoint;
-  /// Numbers of the runs that failed. A set, since several workers report ends in any order.
-  std::set<std::uint64_t> failedRuns;
-  /// Numbers of the runs during which their worker crashed, or may have crashed.
-  std::set<std::uint64_t> crashedRuns;
-  /// Those of @ref crashedRuns that were the latest confirmed start at their worker.
-  std::set<std::uint64_t> blamedRuns;
-  /// Numbers of the runs that were lost with all workers of a rack; these are not held against the
-  /// task.
-  std::set<std::uint64_t> rackLossRuns;
-  /// The latest start of a task whose job is suspected of crashing workers. If this leader is gone
-  /// before the worker's crash is confirmed, a later leader counts it.
-  std::optional<RecordedStart> recordedStart;
-  /// Change count of the job that must be stored before @ref recordedStart is sent; 0 if it was
-  /// sent or dropped.
-  std::uint64_t recordedStartChange = 0;
-  /// The task is not started before this time.
-  TimePoint earliestStart{};
-  /// Number of its runs that were stopped because they made no progress.
-  std::uint32_t stalledRuns = 0;
-  /// Number of its runs that were stopped to make room for gangs.
-  std::uint32_t preemptions = 0;
-  /// Starts in a row that workers rejected.
-  std::uint32_t rejectedStarts = 0;
-  /// Worker of the last failed run; the task runs elsewhere next if possible.
-  WorkerId lastFailedWorker;
-};
-
 /// Why a reservation for a gang has ended.
 enum class ReservationEnd : std::uint8_t
 {
@@ -130,10 +71,10 @@
 /// The state of a step within one occurrence of its job.
 struct StepRun
 {
-  /// Creates the tasks, all of them waiting.
+  /// Sets the number of tasks, all of them waiting.
   void CreateTasks(std::uint32_t aCount)
   {
-    this->tasks.resize(aCount);
+    this->tasks = StepTasks(aCount);
     this->waitingTasks = aCount;
   }
   /// Sets the phase of a task, which is not to be assigned directly.
@@ -141,12 +82,26 @@
   {
     this->waitingTasks -= aTask.phase == TaskPhase::Waiting ? 1 : 0;
     this->waitingTasks += aPhase == TaskPhase::Waiting ? 1 : 0;
-    aTask.phase = aPhase;
+    this->tasks.SetPhase(aTask, aPhase);
+  }
+  /// Marks a task that has not succeeded yet.
+  void MarkTaskSucceeded(std::uint32_t aIndex)
+  {
+    this->waitingTasks -= this->tasks.Look(aIndex).phase == TaskPhase::Waiting ? 1 : 0;
+    this->tasks.MarkSucceeded(aIndex);
+    ++this->succeededTasks;
+  }
+  /// Marks all tasks.
+  void MarkAllTasksSucceeded()
+  {
+    this->tasks.MarkAllSucceeded();
+    this->waitingTasks = 0;
+    this->succeededTasks = this->tasks.size();
   }
   /// @return true if the step has tasks to place
   [[nodiscard]] bool IsPending() const { return this->isReady && this->waitingTasks > 0; }
 
-  std::vector<Task> tasks;
+  StepTasks tasks;
   /// Number of tasks in @ref TaskPhase::Waiting.
   std::uint32_t waitingTasks = 0;
   std::uint32_t succeededTasks = 0;
@@ -222,10 +177,15 @@
   /// The value of @ref changeCount that the stored row reflects.
   std::uint64_t durableChangeCount = 0;
 
-  /// @return the task, or null if its occurrence does not exist or the key is out of range.
-  [[nodiscard]] Task* FindTask(const TaskKey& aKey);
-  /// @return the task in which the failures of an existing task are counted: of a gang, the first
-  [[nodiscard]] Task& FindCountedTask(const TaskKey& aKey);
+  /// @return the task, or null if its occurrence does not exist or the key is out of range. Valid
+  /// until the task changes.
+  [[nodiscard]] const Task* FindTask(const TaskKey& aKey) const;
+  /// Does the same for a task that is to be changed.
+  [[nodiscard]] Task* FindOrCreateTask(const TaskKey& aKey);
+  /// @return key of the task in which the failures of a task are counted: of a gang, the first
+  [[nodiscard]] TaskKey CountedTask(const TaskKey& aKey) const;
+  /// @return the number of failed runs that count for an existing task
+  [[nodiscard]] std::size_t CountFailures(const TaskKey& aKey) const;
   /// @return the first occurrence that has not succeeded, or the end
   [[nodiscard]] auto FirstOpenOccurrence() const
   {
--- a/Libraries/LibCell/Records.cpp
+++ b/Libraries/LibCell/Records.cpp
@@ -512,8 +512,10 @@
         record.succeededSteps.push_back({ .occurrence = number, .step = step });
         continue;
       }
-      for (std::uint32_t index = 0; index < run.tasks.size(); ++index) {
-        const auto& task = run.tasks[index];
+      const auto& tasks = run.tasks;
+      for (auto used = tasks.FindUsed(0); used; used = tasks.FindUsed(*used + 1)) {
+        const auto index = *used;
+        const auto& task = tasks[index];
         const bool hasSucceeded = task.phase == TaskPhase::Succeeded;
         const bool hasLostRuns =
           !task.crashedRuns.empty() || !task.rackLossRuns.empty() || task.recordedStart.has_value();
--- a/Tests/LibCell/TestStandstill.cpp
+++ b/Tests/LibCell/TestStandstill.cpp
@@ -60,7 +60,7 @@
 TEST_F(Standstill, IsNoneOnceATaskRuns)
 {
   this->step.isGang = false;
-  this->run.SetPhase(this->run.tasks.front(), TaskPhase::Placed);
+  this->run.SetPhase(this->run.tasks[0], TaskPhase::Placed);
   EXPECT_FALSE(this->StandsStill(WaitReason::Ticket));
 }
 
