--- a/Tests/LibCell/TestRecords.cpp
+++ b/Tests/LibCell/TestRecords.cpp
@@ -129,7 +129,7 @@
   for (std::uint32_t number = 0; number <= kSucceeded; ++number) {
     auto& step = job.occurrences[number].steps.emplace_back();
     step.CreateTasks(1);
-    step.SetPhase(step.tasks.front(), TaskPhase::Succeeded);
+    step.SetPhase(step.tasks[0], TaskPhase::Succeeded);
     step.succeededTasks = 1;
   }
   const auto record = MakeProgressRecord(job);
