LibCell: Refuse job rows with steps that wait for later ones

Cause: the decoder of callers' requests lets a step wait for earlier steps only; that of the rows did not check. ComputeCriticalPaths and the check for ready steps use the numbers as indices, so that one damaged row had the leader write beyond its memory.

Change: such a row is unreadable, like one with another fault.

OddRows.AStepThatWaitsForALaterOneMakesARowUnreadable failed before: rows with steps 1, 2 and 4,000,000,000 in a list of two were read; it passes.

--- a/Libraries/LibCell/Records.cpp
+++ b/Libraries/LibCell/Records.cpp
@@ -446,8 +446,14 @@
                              .firstDue = WallTime(Milliseconds(aValue["due"].asInt64())),
                              .interval = Milliseconds(aValue["interval"].asInt64()),
                              .received = WallTime(Milliseconds(aValue["received"].asInt64())) };
-      for (const auto& step : aValue["steps"]) {
-        spec.steps.push_back(DecodeStep(step));
+      for (const auto& value : aValue["steps"]) {
+        auto step = DecodeStep(value);
+        const auto isEarlier = [&spec](std::uint32_t aStep) { return aStep < spec.steps.size(); };
+        if (!std::ranges::all_of(step.dependsOn, isEarlier)) {
+          return NotRun(ErrorCode::BadRequest,
+                        "The job row has a step that waits for a later one.");
+        }
+        spec.steps.push_back(std::move(step));
       }
       if (spec.steps.empty()) {
         return NotRun(ErrorCode::BadRequest, "The job row has no steps.");
--- a/Tests/LibCell/TestOddRows.cpp
+++ b/Tests/LibCell/TestOddRows.cpp
@@ -55,6 +55,19 @@
   }
 }
 
+// Guards against a leader that writes beyond its memory: a step waits for earlier ones only.
+TEST(OddRows, AStepThatWaitsForALaterOneMakesARowUnreadable)
+{
+  JobSpecification spec{ .id = { "job" } };
+  spec.steps.push_back({ .count = 1 });
+  spec.steps.push_back({ .count = 1, .dependsOn = { 0 } });
+  EXPECT_FALSE(IsError(DecodeSpecification(spec.id, EncodeSpecification(spec))));
+  for (const std::uint32_t step : { 1U, 2U, 4'000'000'000U }) {
+    spec.steps.back().dependsOn = { 0, step };
+    EXPECT_TRUE(IsError(DecodeSpecification(spec.id, EncodeSpecification(spec)))) << step;
+  }
+}
+
 // Guards against a process whose stack ends while it reads a row.
 TEST(OddRows, ADeeplyNestedRowIsUnreadable)
 {
