LibPlatform: Give no request the rest of a reply that nobody asked for

What could happen: a request gets another reply than its own. A peer that begins a reply on an idle connection and goes on once the next request is sent had its rest taken for that request's reply.

Cause: whether an idle connection can be used was asked of the socket only, which is empty once the client has read the beginning.

Change: a connection on which a part of a reply has been read is closed instead of used again.

Evidence: UnsolicitedReplies.BelongToNoLaterRequest failed before (the second request went out on the same connection). TestPlatform passes, 66 of 66.

--- a/Libraries/LibPlatform/HttpClient.cpp
+++ b/Libraries/LibPlatform/HttpClient.cpp
@@ -170,6 +170,10 @@
   /// @return false if the other end is known to have closed, or has sent what nobody asked for.
   [[nodiscard]] bool IsUsable()
   {
+    // A part of a reply that nobody asked for has been read: its rest would count as the next one.
+    if (this->buffer.size() > 0 || (this->parser && this->parser->got_some())) {
+      return false;
+    }
     char byte = 0;
     ErrorStatus status;
     this->socket.receive(
