LibCell: Forecast a backlog behind a limit of any resource

What callers saw, or could see: jobs of all workspaces are refused, "too much work is waiting", though the work waits for one workspace's limit of memory.

Cause: the forecast compared processors alone with the limit, by a copy of the decision. A backlog behind a limit of memory counted for the whole queue.

Change: it asks the same function as the placement.

--- a/Libraries/LibCell/CompletionForecast.cpp
+++ b/Libraries/LibCell/CompletionForecast.cpp
@@ -60,15 +60,11 @@
 bool
 IsAtLimit(const Candidate& aCandidate, double aLimitHeadroom)
 {
-  const auto& usage = *aCandidate.job->workspaceUsage;
-  if (!usage.limit || usage.limit->milliCores == 0) {
-    return false;
-  }
   const auto& step = *aCandidate.specification;
-  const auto milliCores = usage.running.milliCores + usage.unread.milliCores +
-                          step.demand.milliCores * (step.isGang ? step.count : 1);
-  return static_cast<double>(milliCores) >
-         BatchFractionOfLimit(usage, aLimitHeadroom) * static_cast<double>(usage.limit->milliCores);
+  const std::uint32_t needed = step.isGang ? step.count : 1;
+  return CountTasksWithinLimit(*aCandidate.job->workspaceUsage,
+                               { .demand = step.demand, .maxTasks = needed, .isGang = step.isGang },
+                               aLimitHeadroom) < needed;
 }
 
 /// @return the latest start after which the result still has value to the caller
--- a/Libraries/LibCell/WorkspaceLimit.cpp
+++ b/Libraries/LibCell/WorkspaceLimit.cpp
@@ -5,6 +5,19 @@
 
 namespace zinc::cell {
 
+namespace {
+
+/// @return the fraction of the limit that batch tasks may use. They leave @p aHeadroom to urgent
+/// tasks, but only once the workspace uses half of its limit: two wide gangs that fit into the
+/// limit together would run one after the other otherwise.
+double
+BatchFractionOfLimit(const WorkspaceUsage& aUsage, double aHeadroom)
+{
+  return UsesLessThanHalfOfLimit(aUsage) ? 1.0 : 1.0 - aHeadroom;
+}
+
+}
+
 Resources
 RemainingLimit(const Resources& aLimit, const Resources& aUsed)
 {
@@ -49,12 +62,6 @@
   return !aUsage.limit || IsWithinLimit(aUsage.running + aUsage.unread + aDemand, *aUsage.limit);
 }
 
-double
-BatchFractionOfLimit(const WorkspaceUsage& aUsage, double aHeadroom)
-{
-  return UsesLessThanHalfOfLimit(aUsage) ? 1.0 : 1.0 - aHeadroom;
-}
-
 std::uint32_t
 CountTasksWithinLimit(const WorkspaceUsage& aUsage, const LimitRequest& aRequest, double aHeadroom)
 {
--- a/Libraries/LibCell/WorkspaceLimit.h
+++ b/Libraries/LibCell/WorkspaceLimit.h
@@ -26,12 +26,6 @@
 [[nodiscard]] bool
 AllowsWithinLimit(const WorkspaceUsage& aUsage, const Resources& aDemand);
 
-/// @return the fraction of the limit that batch tasks may use. They leave @p aHeadroom to urgent
-/// tasks, but only once the workspace uses half of its limit: two wide gangs that fit into the
-/// limit together would run one after the other otherwise.
-[[nodiscard]] double
-BatchFractionOfLimit(const WorkspaceUsage& aUsage, double aHeadroom);
-
 /// The tasks that a step has to place.
 struct LimitRequest
 {
