LibCell: Give each step its turn while rounds are cut short

What callers could see: a step with room stands still behind a backlog of steps without room, on an instance that does not get through its pending steps in a round.

Cause: a round that ends early leaves the rest to the next one, which begins at the top again.

Change: after such a round the batch steps go by when they were attempted last. Urgent steps go first as before; nothing changes while rounds are complete.

Tried first: steps that the last round attempted behind the others; two batches took turns and the tail was not reached.

--- a/Libraries/LibCell/CellScheduler.h
+++ b/Libraries/LibCell/CellScheduler.h
@@ -367,6 +367,9 @@
   [[nodiscard]] std::uint32_t CountTasksWithinLimit(const Candidate& aCandidate,
                                                     const Resources& aDemand,
                                                     std::uint32_t aMax) const;
+  /// After a truncated round, sorts the batch steps by when they were attempted last, so that each
+  /// gets its turn.
+  void TakeTurnsAfterTruncation(std::vector<Candidate>& aCandidates) const;
   /// Places what is pending, the most urgent steps first, until the time for a round is used up.
   void PlaceCandidates(std::span<const Candidate> aCandidates);
   /// Reserves a part of the workspace's limit for a gang that is on time, against the workspace's
@@ -527,6 +530,8 @@
   /// Gangs for which workers are earmarked in that round.
   std::size_t gangsWithEarmarkedWorkers = 0;
   std::uint64_t placementRound = 0;
+  /// The latest round that ended before it had attempted all steps.
+  std::uint64_t lastTruncatedRound = 0;
   /// Start of the current placement round. Its decisions use one time, since reading the clock
   /// costs more than most of them.
   TimePoint roundBegin{};
--- a/Libraries/LibCell/CellSchedulerPlacement.cpp
+++ b/Libraries/LibCell/CellSchedulerPlacement.cpp
@@ -121,6 +121,19 @@
   std::ranges::stable_sort(aCandidates, {}, &Candidate::priorityKey);
 }
 
+void
+CellScheduler::TakeTurnsAfterTruncation(std::vector<Candidate>& aCandidates) const
+{
+  if (this->lastTruncatedRound + 1 != this->placementRound) {
+    return;
+  }
+  const auto begin = std::ranges::find_if(
+    aCandidates, [this](const Candidate& aCandidate) { return this->IsNonUrgent(aCandidate); });
+  std::ranges::stable_sort(begin, aCandidates.end(), {}, [](const Candidate& aCandidate) {
+    return aCandidate.run->lastRound;
+  });
+}
+
 void
 CellScheduler::RunPlacementRound()
 {
@@ -155,6 +168,7 @@
   }
   this->BuildPools();
   this->OrderCandidates(candidates);
+  this->TakeTurnsAfterTruncation(candidates);
   this->PlaceCandidates(candidates);
   const auto end = this->dependencies.clock.Now();
   this->load.CountPlacement(end - now);
@@ -174,6 +188,7 @@
       this->load.LogStandstill(candidate, WaitReason::Limit, this->roundBegin);
       continue;
     }
+    candidate.run->lastRound = this->placementRound;
     const auto reason = this->PlaceStep(candidate);
     consecutive = reason == WaitReason::Limit ? consecutive + 1 : 0;
     this->load.CountAttempt(reason);
@@ -185,6 +200,7 @@
       this->dependencies.clock.Now() - this->roundBegin > this->options.maxPlacementDuration;
     if (this->hasLostLeadership || isLong) {
       this->load.CountTruncatedPlacement();
+      this->lastTruncatedRound = this->placementRound;
       return;
     }
   }
--- a/Libraries/LibCell/Job.h
+++ b/Libraries/LibCell/Job.h
@@ -110,6 +110,8 @@
   StepAdvice advice;
   /// Expected run time of its tasks; set once a placement attempt or a start needs it.
   std::shared_ptr<StepTiming> timing;
+  /// The latest placement round that attempted it.
+  std::uint64_t lastRound = 0;
   std::optional<GangReservation> reservation;
   /// Reservations with which the gang did not start, and how the last of them ended.
   std::uint32_t failedReservations = 0;
