LibCell: Write job rows without a tree of their lists

Cause: the row of an accepted job was written from a jsoncpp tree, which has a node for each entry of `After`.

Change: rows are written with Boost.JSON, whose values lie in one buffer, as those of the progress are. Names and values are the same, so that older instances read them; the order of the fields changes.

--- a/Libraries/LibCell/Records.cpp
+++ b/Libraries/LibCell/Records.cpp
@@ -1,6 +1,7 @@
 #include <LibCell/Records.h>
 
 #include <LibCell/Policy.h>
+#include <LibCell/StepFlags.h>
 #include <LibPlatform/Json.h>
 #include <algorithm>
 #include <fmt/format.h>
@@ -168,16 +169,6 @@
 /// Length of the dot and the character of the kind.
 constexpr std::size_t kSuffixLength = 2;
 
-Json::Value
-ToJson(const Resources& aAmount)
-{
-  Json::Value value(Json::arrayValue);
-  value.append(Json::Int64(aAmount.milliCores));
-  value.append(Json::Int64(aAmount.memoryMiB));
-  value.append(Json::Int64(aAmount.accelerators));
-  return value;
-}
-
 Resources
 DecodeResources(const Json::Value& aValue)
 {
@@ -186,26 +177,6 @@
            .accelerators = aValue[2].asInt64() };
 }
 
-Json::Value
-ToJson(const QueuePolicy& aQueue)
-{
-  Json::Value value(Json::objectValue);
-  value["name"] = aQueue.name.value;
-  value["pool"] = aQueue.pool;
-  value["priority"] = aQueue.priority;
-  value["attempts"] = aQueue.maxAttempts;
-  value["stretch"] = aQueue.stretch;
-  value["slack"] = Json::Int64(aQueue.slack.count());
-  if (aQueue.needsAdvice) {
-    Json::Value advice(Json::arrayValue);
-    advice.append(aQueue.advice.baseMs);
-    advice.append(aQueue.advice.perWorkerMs);
-    advice.append(Json::Int64(aQueue.advice.ticketValidity.count()));
-    value["advice"] = advice;
-  }
-  return value;
-}
-
 QueuePolicy
 DecodeQueue(const Json::Value& aValue)
 {
@@ -225,43 +196,6 @@
   return queue;
 }
 
-/// Bits of a step's stored flags; the values must not change.
-enum StepFlag : std::uint32_t
-{
-  Checkpoints = 1,
-  Gang = 2,
-  OneRack = 4,
-  Speculate = 8,
-  Service = 16,
-  BestEffort = 32,
-  AvailabilityBudget = 64,
-};
-
-Json::Value
-ToJson(const StepSpecification& aStep)
-{
-  Json::Value value(Json::objectValue);
-  value["count"] = aStep.count;
-  value["demand"] = ToJson(aStep.demand);
-  value["estimate"] = Json::Int64(aStep.estimate.count());
-  for (const auto step : aStep.dependsOn) {
-    value["after"].append(step);
-  }
-  const std::uint32_t flags =
-    (aStep.hasCheckpoints ? Checkpoints : 0U) | (aStep.isGang ? Gang : 0U) |
-    (aStep.prefersSameRack ? OneRack : 0U) | (aStep.canSpeculate ? Speculate : 0U) |
-    (aStep.isService ? Service : 0U) | (aStep.isBestEffort ? BestEffort : 0U) |
-    (aStep.hasAvailabilityBudget ? AvailabilityBudget : 0U);
-  value["flags"] = flags;
-  value["label"] = aStep.requiredLabel;
-  value["rack"] = aStep.dataRack;
-  value["image"] = aStep.image;
-  value["spread"] = aStep.maxTasksPerWorker;
-  value["tail"] = Json::Int64(aStep.tailLatencyTarget.count());
-  value["away"] = aStep.availabilityBudget;
-  return value;
-}
-
 StepSpecification
 DecodeStep(const Json::Value& aValue)
 {
@@ -269,18 +203,18 @@
   StepSpecification step{ .count = aValue["count"].asUInt(),
                           .demand = DecodeResources(aValue["demand"]),
                           .estimate = Milliseconds(aValue["estimate"].asInt64()),
-                          .hasCheckpoints = (flags & Checkpoints) != 0,
-                          .isGang = (flags & Gang) != 0,
-                          .prefersSameRack = (flags & OneRack) != 0,
-                          .canSpeculate = (flags & Speculate) != 0,
-                          .isService = (flags & Service) != 0,
-                          .isBestEffort = (flags & BestEffort) != 0,
+                          .hasCheckpoints = (flags & detail::Checkpoints) != 0,
+                          .isGang = (flags & detail::Gang) != 0,
+                          .prefersSameRack = (flags & detail::OneRack) != 0,
+                          .canSpeculate = (flags & detail::Speculate) != 0,
+                          .isService = (flags & detail::Service) != 0,
+                          .isBestEffort = (flags & detail::BestEffort) != 0,
                           .requiredLabel = aValue["label"].asString(),
                           .dataRack = aValue["rack"].asString(),
                           .image = aValue["image"].asString(),
                           .maxTasksPerWorker = aValue["spread"].asUInt(),
                           .tailLatencyTarget = Milliseconds(aValue["tail"].asInt64()),
-                          .hasAvailabilityBudget = (flags & AvailabilityBudget) != 0,
+                          .hasAvailabilityBudget = (flags & detail::AvailabilityBudget) != 0,
                           .availabilityBudget = aValue["away"].asUInt() };
   for (const auto& dependency : aValue["after"]) {
     step.dependsOn.push_back(dependency.asUInt());
@@ -416,23 +350,6 @@
                      .kind = static_cast<JobRowKind>(kind) };
 }
 
-std::string
-EncodeSpecification(const JobSpecification& aSpec)
-{
-  Json::Value value(Json::objectValue);
-  value["workspace"] = aSpec.workspace.value;
-  value["queue"] = ToJson(aSpec.queue);
-  value["payload"] = aSpec.payload;
-  for (const auto& step : aSpec.steps) {
-    value["steps"].append(ToJson(step));
-  }
-  value["occurrences"] = aSpec.occurrences;
-  value["due"] = Json::Int64(aSpec.firstDue.time_since_epoch().count());
-  value["interval"] = Json::Int64(aSpec.interval.count());
-  value["received"] = Json::Int64(aSpec.received.time_since_epoch().count());
-  return WriteJson(value);
-}
-
 Result<JobSpecification>
 DecodeSpecification(const JobId& aJob, std::string_view aText)
 {
--- a/Tests/Platform/AllocationCounter.cpp
+++ b/Tests/Platform/AllocationCounter.cpp
@@ -7,10 +7,17 @@
 
 namespace {
 
+thread_local std::size_t allocations = 0;
 thread_local std::size_t allocatedBytes = 0;
 
 }
 
+std::size_t
+CountAllocations()
+{
+  return allocations;
+}
+
 std::size_t
 CountAllocatedBytes()
 {
@@ -22,6 +29,7 @@
 void*
 Allocate(std::size_t aBytes)
 {
+  ++allocations;
   allocatedBytes += aBytes;
   if (void* memory = std::malloc(aBytes == 0 ? 1 : aBytes)) {
     return memory;
--- a/Tests/Platform/TestReadingCost.cpp
+++ b/Tests/Platform/TestReadingCost.cpp
@@ -1,6 +1,7 @@
 #include "AllocationCounter.h"
 #include "ScriptedPeer.h"
 
+#include <LibCell/Records.h>
 #include <LibInstanceCalls/InstanceCalls.h>
 #include <LibPlatform/HttpExchange.h>
 #include <LibPlatform/Json.h>
@@ -213,4 +214,19 @@
   }
 }
 
+// Guards against a control thread that is busy with the row of an accepted job: long lists of
+// earlier steps must not cost a tree with a node for each.
+TEST(ReadingCost, WritingTheRowOfAJobTakesNoTreeOfItsLists)
+{
+  constexpr std::size_t kSteps = 1000;
+  constexpr std::size_t kDependencies = 80;
+  cell::JobSpecification spec;
+  for (std::size_t step = 0; step < kSteps; ++step) {
+    spec.steps.emplace_back().dependsOn.assign(step < kDependencies ? 0 : kDependencies, 7);
+  }
+  const auto before = CountAllocations();
+  EXPECT_FALSE(EncodeSpecification(spec).empty());
+  EXPECT_LT(CountAllocations() - before, kSteps);
+}
+
 }
