LibCell: Move room, earmarks and turns out of the scheduler

Pool tells its room and order, GangEarmarks holds what is kept for gangs, SortByTurn orders steps after a truncated round, and HasStoodStill asks a step run: none needs the scheduler.

--- a/Libraries/LibCell/CellScheduler.h
+++ b/Libraries/LibCell/CellScheduler.h
@@ -10,6 +10,7 @@
 #include <LibCell/CompletionForecast.h>
 #include <LibCell/EvacuatedZones.h>
 #include <LibCell/EvacuationReport.h>
+#include <LibCell/GangEarmarks.h>
 #include <LibCell/Job.h>
 #include <LibCell/LeaderReport.h>
 #include <LibCell/LeaseSuspensions.h>
@@ -363,13 +364,6 @@
   [[nodiscard]] bool IsUsable(const Worker& aWorker, TimePoint aNow) const;
   /// @return true if the workspace's limit allows a task of the step, or its whole gang
   [[nodiscard]] bool FitsIntoLimit(const Candidate& aCandidate) const;
-  /// @return how many more tasks of this demand the workspace's limit allows, at most @p aMax.
-  [[nodiscard]] std::uint32_t CountTasksWithinLimit(const Candidate& aCandidate,
-                                                    const Resources& aDemand,
-                                                    std::uint32_t aMax) const;
-  /// After a truncated round, sorts the batch steps by when they were attempted last, so that each
-  /// gets its turn.
-  void TakeTurnsAfterTruncation(std::vector<Candidate>& aCandidates) const;
   /// Places what is pending, the most urgent steps first, until the time for a round is used up.
   void PlaceCandidates(std::span<const Candidate> aCandidates);
   /// Reserves a part of the workspace's limit for a gang that is on time, against the workspace's
@@ -381,8 +375,6 @@
   [[nodiscard]] bool HasReadEnoughWorkers() const;
   /// Computes an upper bound of what a predecessor's runs use at unread workers.
   void EstimateUnreadUsage();
-  /// @return true if one task of the step, or its whole gang, fits into the pool.
-  [[nodiscard]] static bool HasRoom(Pool& aPool, const StepSpecification& aStep);
   /// @return true if the pool keeps its headroom for urgent tasks after the demand is allocated, or
   /// if the step has stood still for the headroom for too long and there is room for it twice.
   [[nodiscard]] bool LeavesHeadroom(const Candidate& aCandidate,
@@ -391,11 +383,6 @@
   /// @return true if workers that are kept for a gang have room for a task of the step, or for its
   /// gang, and the step may not use them
   [[nodiscard]] bool HasEarmarkedRoom(const Candidate& aCandidate) const;
-  /// @return true if the step has stood still for too long because of what is kept for others
-  [[nodiscard]] bool HasStoodStill(const Candidate& aCandidate) const;
-  /// @return true if the workers that may run the step have room for two of its tasks, or for its
-  /// gang twice.
-  [[nodiscard]] bool HasRoomTwice(const Candidate& aCandidate, const Pool& aPool) const;
   /// Asks the policy service which of the workers may run the step.
   void RequestAdvice(const Candidate& aCandidate, std::span<const WorkerNumber> aWorkers);
   void OnAdviceResponse(const StepName& aStep,
@@ -459,9 +446,6 @@
   /// Avoids the worker for the first rejection of a task, and delays the task after further ones.
   void BackOffRejectedTask(Worker& aWorker, const TaskName& aTask);
   [[nodiscard]] Pool* FindPool(const std::string& aName);
-  /// @return the workers of the pool, those with the most free processors first. Sorts once per
-  /// round, and only if a step needs the order.
-  [[nodiscard]] static std::span<Worker* const> SortByFreeCores(Pool& aPool);
   void BuildPools();
   [[nodiscard]] std::uint64_t NextRunNumber();
 
@@ -523,12 +507,7 @@
   std::set<WorkerId> publishedWorkers;
   /// Moving average of the fraction of requested workers that turned out eligible, by queue.
   std::map<QueueId, double> eligibleFractions;
-  /// Number of the current gang round; workers that it earmarked get no batch tasks until the next.
-  std::uint64_t gangRound = 1;
-  /// Workers that are earmarked in that round.
-  std::vector<WorkerNumber> earmarkedWorkers;
-  /// Gangs for which workers are earmarked in that round.
-  std::size_t gangsWithEarmarkedWorkers = 0;
+  GangEarmarks gangEarmarks;
   std::uint64_t placementRound = 0;
   /// The latest round that ended before it had attempted all steps.
   std::uint64_t lastTruncatedRound = 0;
--- a/Libraries/LibCell/CellSchedulerAdvice.cpp
+++ b/Libraries/LibCell/CellSchedulerAdvice.cpp
@@ -80,7 +80,7 @@
   const auto minWorkers = isHardToPlace ? aMax : this->options.minWorkersPerRequest;
   std::vector<WorkerNumber> named;
   for (const auto* worker :
-       this->rankings.OrderPool(aCandidate, this->roundBegin, SortByFreeCores(aPool))) {
+       this->rankings.OrderPool(aCandidate, this->roundBegin, aPool.SortByFreeCores())) {
     const bool isEnough = expectedRoom >= wantedRoom && named.size() >= minWorkers;
     if (isEnough || named.size() == aMax) {
       break;
--- a/Libraries/LibCell/CellSchedulerGangs.cpp
+++ b/Libraries/LibCell/CellSchedulerGangs.cpp
@@ -41,7 +41,7 @@
     }
     aPool.free += total;
   }
-  const bool hasRoom = HasRoom(aPool, step);
+  const bool hasRoom = aPool.HasRoomFor(step);
   if (!hasRoom || !this->LeavesHeadroom(aCandidate, total, aPool)) {
     // A gang for which tasks are stopped may use the headroom.
     if (this->PreemptForGang(aCandidate, aPool)) {
@@ -260,7 +260,7 @@
 CellScheduler::EarmarkWorkersForGang(const Candidate& aCandidate, const Pool& aPool)
 {
   const bool isOnTime = !IsAtOrAfter(aCandidate.priorityKey, PriorityClass::Late);
-  if (!isOnTime || this->gangsWithEarmarkedWorkers >= kMaxGangsWithEarmarkedWorkers) {
+  if (!isOnTime || this->gangEarmarks.gangs >= kMaxGangsWithEarmarkedWorkers) {
     return;
   }
   const auto& step = *aCandidate.specification;
@@ -270,7 +270,7 @@
     return aWorker->FreeResources().milliCores;
   });
   std::uint32_t slots = 0;
-  ++this->gangsWithEarmarkedWorkers;
+  ++this->gangEarmarks.gangs;
   for (auto* worker : workers) {
     if (slots >= step.count) {
       return;
@@ -278,8 +278,8 @@
     Worker empty;
     empty.entry.capacity = worker->entry.capacity;
     slots += CountFittingTasks(empty, demand, step.count);
-    worker->earmarkedInGangRound = this->gangRound;
-    this->earmarkedWorkers.push_back(worker->number);
+    worker->earmarkedInGangRound = this->gangEarmarks.round;
+    this->gangEarmarks.workers.push_back(worker->number);
   }
 }
 
--- a/Libraries/LibCell/CellSchedulerLimits.cpp
+++ b/Libraries/LibCell/CellSchedulerLimits.cpp
@@ -1,6 +1,7 @@
 #include <LibCell/CellScheduler.h>
 #include <LibCell/Placement.h>
 #include <LibCell/PlacementOrder.h>
+#include <LibCell/Standstill.h>
 #include <LibCell/WorkspaceLimit.h>
 #include <algorithm>
 
@@ -96,21 +97,14 @@
 {
   const auto& step = *aCandidate.specification;
   const std::uint32_t needed = step.isGang ? step.count : 1;
-  return this->CountTasksWithinLimit(aCandidate, step.demand, needed) == needed;
-}
-
-std::uint32_t
-CellScheduler::CountTasksWithinLimit(const Candidate& aCandidate,
-                                     const Resources& aDemand,
-                                     std::uint32_t aMax) const
-{
-  return cell::CountTasksWithinLimit(
-    *aCandidate.job->workspaceUsage,
-    { .demand = aDemand,
-      .maxTasks = aMax,
-      .mayUseReserve = !this->IsNonUrgent(aCandidate) || this->HasStoodStill(aCandidate),
-      .isGang = aCandidate.specification->isGang },
-    this->options.limitHeadroom);
+  return CountTasksWithinLimit(
+           *aCandidate.job->workspaceUsage,
+           { .demand = step.demand,
+             .maxTasks = needed,
+             .mayUseReserve = !this->IsNonUrgent(aCandidate) ||
+                              HasStoodStill(*aCandidate.run, this->options.maxReserveWait),
+             .isGang = step.isGang },
+           this->options.limitHeadroom) == needed;
 }
 
 }
--- a/Libraries/LibCell/CellSchedulerPlacement.cpp
+++ b/Libraries/LibCell/CellSchedulerPlacement.cpp
@@ -27,18 +27,6 @@
   return found == this->pools.end() ? nullptr : &found->second;
 }
 
-std::span<Worker* const>
-CellScheduler::SortByFreeCores(Pool& aPool)
-{
-  if (aPool.byFreeCores.empty()) {
-    aPool.byFreeCores = aPool.workers;
-    std::ranges::stable_sort(aPool.byFreeCores, std::greater{}, [](const Worker* aWorker) {
-      return aWorker->FreeResources().milliCores;
-    });
-  }
-  return aPool.byFreeCores;
-}
-
 bool
 CellScheduler::IsUsable(const Worker& aWorker, TimePoint aNow) const
 {
@@ -121,19 +109,6 @@
   std::ranges::stable_sort(aCandidates, {}, &Candidate::priorityKey);
 }
 
-void
-CellScheduler::TakeTurnsAfterTruncation(std::vector<Candidate>& aCandidates) const
-{
-  if (this->lastTruncatedRound + 1 != this->placementRound) {
-    return;
-  }
-  const auto begin = std::ranges::find_if(
-    aCandidates, [this](const Candidate& aCandidate) { return this->IsNonUrgent(aCandidate); });
-  std::ranges::stable_sort(begin, aCandidates.end(), {}, [](const Candidate& aCandidate) {
-    return aCandidate.run->lastRound;
-  });
-}
-
 void
 CellScheduler::RunPlacementRound()
 {
@@ -155,9 +130,7 @@
   }
   if (this->isGangRound) {
     this->nextGangPlacement = now + this->options.gangPlacementInterval;
-    ++this->gangRound;
-    this->gangsWithEarmarkedWorkers = 0;
-    this->earmarkedWorkers.clear();
+    this->gangEarmarks.BeginRound();
   }
   auto candidates = this->CollectCandidates();
   std::erase_if(candidates, [this](const Candidate& aCandidate) {
@@ -168,7 +141,9 @@
   }
   this->BuildPools();
   this->OrderCandidates(candidates);
-  this->TakeTurnsAfterTruncation(candidates);
+  if (this->lastTruncatedRound + 1 == this->placementRound) {
+    SortByTurn(candidates);
+  }
   this->PlaceCandidates(candidates);
   const auto end = this->dependencies.clock.Now();
   this->load.CountPlacement(end - now);
@@ -219,26 +194,6 @@
   return !awaitsFirstAdvice && (this->isGangRound || !isGang);
 }
 
-bool
-CellScheduler::HasRoom(Pool& aPool, const StepSpecification& aStep)
-{
-  const auto demand = AllocatedDemand(aStep);
-  const std::uint32_t needed = aStep.isGang ? aStep.count : 1;
-  const std::pair searched(demand, needed);
-  if (std::ranges::find(aPool.demandsWithoutRoom, searched) != aPool.demandsWithoutRoom.end()) {
-    return false;
-  }
-  std::uint32_t room = 0;
-  for (const auto* worker : SortByFreeCores(aPool)) {
-    room += CountFittingTasks(*worker, demand, needed);
-    if (room >= needed) {
-      return true;
-    }
-  }
-  aPool.demandsWithoutRoom.push_back(searched);
-  return false;
-}
-
 WaitReason
 CellScheduler::PlaceStep(const Candidate& aCandidate)
 {
@@ -288,10 +243,12 @@
                                    bool aNeedsTicket) const
 {
   const auto& step = *aCandidate.specification;
-  const bool leavesEarmarked = this->IsNonUrgent(aCandidate) && !this->HasStoodStill(aCandidate);
+  const bool leavesEarmarked =
+    this->IsNonUrgent(aCandidate) && !HasStoodStill(*aCandidate.run, this->options.maxReserveWait);
   std::vector<Worker*> eligible;
   const auto addIfEligible = [&](Worker* aWorker) {
-    const bool isEarmarked = leavesEarmarked && aWorker->earmarkedInGangRound == this->gangRound;
+    const bool isEarmarked =
+      leavesEarmarked && aWorker->earmarkedInGangRound == this->gangEarmarks.round;
     const bool isAvoided = aWorker->avoidUntil > this->roundBegin;
     if (!isEarmarked && !isAvoided && HasRequiredLabel(*aWorker, step)) {
       eligible.push_back(aWorker);
@@ -332,20 +289,26 @@
   if (aPool.free.milliCores - aDemand.milliCores >= headroom) {
     return true;
   }
-  return this->HasStoodStill(aCandidate) && this->HasRoomTwice(aCandidate, aPool);
+  if (!HasStoodStill(*aCandidate.run, this->options.maxReserveWait)) {
+    return false;
+  }
+  const auto& step = *aCandidate.specification;
+  const std::uint32_t twice = 2 * (step.isGang ? step.count : 1);
+  return CountRoom(this->FindEligibleWorkers(aCandidate, aPool, false), step, twice) >= twice;
 }
 
 bool
 CellScheduler::HasEarmarkedRoom(const Candidate& aCandidate) const
 {
-  if (!this->IsNonUrgent(aCandidate) || this->HasStoodStill(aCandidate)) {
+  if (!this->IsNonUrgent(aCandidate) ||
+      HasStoodStill(*aCandidate.run, this->options.maxReserveWait)) {
     return false;
   }
   const auto& step = *aCandidate.specification;
   const auto demand = AllocatedDemand(step);
   const std::uint32_t needed = step.isGang ? step.count : 1;
   std::uint32_t room = 0;
-  for (const auto number : this->earmarkedWorkers) {
+  for (const auto number : this->gangEarmarks.workers) {
     const auto* worker = this->workers.FindByNumber(number);
     const bool isAdmitted =
       !aCandidate.queue->needsAdvice || aCandidate.run->advice.FindTicket(number) != nullptr;
@@ -356,25 +319,6 @@
   return room >= needed;
 }
 
-bool
-CellScheduler::HasStoodStill(const Candidate& aCandidate) const
-{
-  return WaitForReserve(*aCandidate.run) >= this->options.maxReserveWait;
-}
-
-bool
-CellScheduler::HasRoomTwice(const Candidate& aCandidate, const Pool& aPool) const
-{
-  const auto& step = *aCandidate.specification;
-  const auto demand = AllocatedDemand(step);
-  const std::uint32_t needed = 2 * (step.isGang ? step.count : 1);
-  std::uint32_t room = 0;
-  for (const auto* worker : this->FindEligibleWorkers(aCandidate, aPool, false)) {
-    room += CountFittingTasks(*worker, demand, needed);
-  }
-  return room >= needed;
-}
-
 WaitReason
 CellScheduler::PlaceTasks(const Candidate& aCandidate, Pool& aPool)
 {
@@ -382,7 +326,7 @@
   auto& run = *aCandidate.run;
   // Limits also count the processors of best-effort tasks, which do run.
   const auto allocated = AllocatedDemand(step);
-  if (!HasRoom(aPool, step)) {
+  if (!aPool.HasRoomFor(step)) {
     return WaitReason::Room;
   }
   if (!this->LeavesHeadroom(aCandidate, allocated, aPool)) {
@@ -406,7 +350,7 @@
     if (task.earliestStart > this->roundBegin) {
       continue;
     }
-    if (this->CountTasksWithinLimit(aCandidate, step.demand, 1) == 0) {
+    if (!this->FitsIntoLimit(aCandidate)) {
       return WaitReason::Limit;
     }
     if (!this->LeavesHeadroom(aCandidate, allocated, aPool)) {
--- a/Libraries/LibCell/Placement.cpp
+++ b/Libraries/LibCell/Placement.cpp
@@ -151,6 +151,20 @@
   return static_cast<std::uint32_t>(room);
 }
 
+std::uint32_t
+CountRoom(std::span<Worker* const> aWorkers, const StepSpecification& aStep, std::uint32_t aMax)
+{
+  const auto demand = AllocatedDemand(aStep);
+  std::uint32_t room = 0;
+  for (const auto* worker : aWorkers) {
+    room += CountFittingTasks(*worker, demand, aMax);
+    if (room >= aMax) {
+      break;
+    }
+  }
+  return room;
+}
+
 bool
 HasRequiredLabel(const Worker& aWorker, const StepSpecification& aStep)
 {
--- a/Libraries/LibCell/Placement.h
+++ b/Libraries/LibCell/Placement.h
@@ -37,6 +37,10 @@
 [[nodiscard]] std::uint32_t
 CountFittingTasks(const Resources& aFree, const Resources& aDemand, std::uint32_t aMax);
 
+/// @return how many tasks of the step fit at the workers together; counts on to @p aMax or beyond
+[[nodiscard]] std::uint32_t
+CountRoom(std::span<Worker* const> aWorkers, const StepSpecification& aStep, std::uint32_t aMax);
+
 /// @return true if the worker has the label that the step requires.
 [[nodiscard]] bool
 HasRequiredLabel(const Worker& aWorker, const StepSpecification& aStep);
--- a/Libraries/LibCell/PlacementOrder.cpp
+++ b/Libraries/LibCell/PlacementOrder.cpp
@@ -1,5 +1,7 @@
 #include <LibCell/PlacementOrder.h>
 
+#include <algorithm>
+
 namespace zinc::cell {
 
 namespace {
@@ -29,4 +31,15 @@
   return MakePriorityKey(ClassOf(aInput, latestStart), latestStart);
 }
 
+void
+SortByTurn(std::span<Candidate> aCandidates)
+{
+  const auto firstBatch = std::ranges::find_if(aCandidates, [](const Candidate& aCandidate) {
+    return IsAtOrAfter(aCandidate.priorityKey, PriorityClass::OnTime);
+  });
+  std::ranges::stable_sort(firstBatch, aCandidates.end(), {}, [](const Candidate& aCandidate) {
+    return aCandidate.run->lastRound;
+  });
+}
+
 }
--- a/Libraries/LibCell/PlacementOrder.h
+++ b/Libraries/LibCell/PlacementOrder.h
@@ -4,8 +4,10 @@
 /// The order in which pending steps are placed. Load: more pending work than fits at a time.
 
 #include <LibBase/Time.h>
+#include <LibCell/Candidate.h>
 #include <LibCell/PriorityClass.h>
 #include <cstdint>
+#include <span>
 
 namespace zinc::cell {
 
@@ -47,4 +49,9 @@
   return aPriorityKey >= static_cast<std::int64_t>(aClass) * kPriorityClassSpan;
 }
 
+/// Sorts the batch steps among steps in the order of their keys by when they were attempted last,
+/// so that each gets its turn although rounds end before they have attempted all.
+void
+SortByTurn(std::span<Candidate> aCandidates);
+
 }
--- a/Libraries/LibCell/Pool.h
+++ b/Libraries/LibCell/Pool.h
@@ -6,6 +6,7 @@
 #include <LibBase/Resources.h>
 #include <LibCell/Worker.h>
 #include <cstdint>
+#include <span>
 #include <utility>
 #include <vector>
 
@@ -14,13 +15,18 @@
 /// The workers of a pool that may get tasks in the current placement round.
 struct Pool
 {
+  /// @return the workers, those with the most free processors at the start of the round first.
+  /// Sorts once per round, and only if a step needs the order.
+  [[nodiscard]] std::span<Worker* const> SortByFreeCores();
+  /// @return true if one task of the step, or its whole gang, fits into the pool
+  [[nodiscard]] bool HasRoomFor(const StepSpecification& aStep);
+
   std::vector<Worker*> workers;
   /// The pool's listed workers in evacuated zones.
   std::vector<Worker*> evacuated;
   Resources capacity;
   Resources free;
-  /// The workers with the most free processors at the start of the round first; see
-  /// CellScheduler::SortByFreeCores.
+  /// Empty until the round needs it; see @ref SortByFreeCores.
   std::vector<Worker*> byFreeCores;
   /// Demands that fitted nowhere in this round. Room only shrinks within a round, so they need no
   /// other scan.
--- a/Libraries/LibCell/Standstill.cpp
+++ b/Libraries/LibCell/Standstill.cpp
@@ -42,15 +42,14 @@
          AllowsWithinLimit(usage, step.demand * (step.isGang ? step.count : 1));
 }
 
-Milliseconds
-WaitForReserve(const StepRun& aRun)
+bool
+HasStoodStill(const StepRun& aRun, Milliseconds aMaxWait)
 {
-  if (!RunsNothing(aRun)) {
-    return Milliseconds{ 0 };
-  }
   const auto& standstill = aRun.standstill;
-  return standstill.TimeOf(WaitReason::Limit) + standstill.TimeOf(WaitReason::Headroom) +
-         standstill.TimeOf(WaitReason::Earmark);
+  const auto waited = standstill.TimeOf(WaitReason::Limit) +
+                      standstill.TimeOf(WaitReason::Headroom) +
+                      standstill.TimeOf(WaitReason::Earmark);
+  return waited >= aMaxWait && RunsNothing(aRun);
 }
 
 }
--- a/Libraries/LibCell/Standstill.h
+++ b/Libraries/LibCell/Standstill.h
@@ -14,9 +14,9 @@
 [[nodiscard]] bool
 StandsStill(const Candidate& aCandidate, WaitReason aReason);
 
-/// @return how long the step has stood still because of what is kept for other steps, rather than
-/// for the policy service; 0 if one of its tasks runs
-[[nodiscard]] Milliseconds
-WaitForReserve(const StepRun& aRun);
+/// @return true if the step has stood still for this long because of what is kept for other steps,
+/// rather than for the policy service, and none of its tasks runs
+[[nodiscard]] bool
+HasStoodStill(const StepRun& aRun, Milliseconds aMaxWait);
 
 }
