LibCell: Name what a step may use of a limit, and one count of tasks a worker may run

A request to a limit says whether it may use the headroom and the reservation, in place of what kind of step asks. RecordStandstill changes a step's run, which its former name hid. The bound of a step's tasks at a worker stood three times. No decision changes.

--- a/Libraries/LibCell/CellSchedulerLimits.cpp
+++ b/Libraries/LibCell/CellSchedulerLimits.cpp
@@ -97,14 +97,14 @@
 {
   const auto& step = *aCandidate.specification;
   const std::uint32_t needed = step.isGang ? step.count : 1;
-  return CountTasksWithinLimit(
-           *aCandidate.job->workspaceUsage,
-           { .demand = step.demand,
-             .maxTasks = needed,
-             .mayUseReserve = !this->IsNonUrgent(aCandidate) ||
-                              HasStoodStill(*aCandidate.run, this->options.maxReserveWait),
-             .isGang = step.isGang },
-           this->options.limitHeadroom) == needed;
+  const bool mayUseReserve =
+    !this->IsNonUrgent(aCandidate) || HasStoodStill(*aCandidate.run, this->options.maxReserveWait);
+  return CountTasksWithinLimit(*aCandidate.job->workspaceUsage,
+                               { .demand = step.demand,
+                                 .maxTasks = needed,
+                                 .mayUseHeadroom = mayUseReserve,
+                                 .mayUseReservation = mayUseReserve || step.isGang },
+                               this->options.limitHeadroom) == needed;
 }
 
 }
--- a/Libraries/LibCell/CellSchedulerPlacement.cpp
+++ b/Libraries/LibCell/CellSchedulerPlacement.cpp
@@ -160,7 +160,7 @@
     auto& consecutive = candidate.job->workspaceUsage->attemptsBeyondLimit;
     if (consecutive >= kMaxAttemptsBeyondLimit && !this->FitsIntoLimit(candidate)) {
       this->load.CountAttempt(WaitReason::Limit);
-      this->load.LogStandstill(candidate, WaitReason::Limit, this->roundBegin);
+      this->load.RecordStandstill(candidate, WaitReason::Limit, this->roundBegin);
       continue;
     }
     candidate.run->lastRound = this->placementRound;
@@ -168,7 +168,7 @@
     consecutive = reason == WaitReason::Limit ? consecutive + 1 : 0;
     this->load.CountAttempt(reason);
     this->load.LogLongWait(candidate, reason, this->roundBegin);
-    this->load.LogStandstill(candidate, reason, this->roundBegin);
+    this->load.RecordStandstill(candidate, reason, this->roundBegin);
     // The rest is left to the next round, so that a long round does not delay other work.
     const bool isLong =
       ++attempts % kAttemptsPerTimeCheck == 0 &&
--- a/Libraries/LibCell/CompletionForecast.cpp
+++ b/Libraries/LibCell/CompletionForecast.cpp
@@ -62,9 +62,10 @@
 {
   const auto& step = *aCandidate.specification;
   const std::uint32_t needed = step.isGang ? step.count : 1;
-  return CountTasksWithinLimit(*aCandidate.job->workspaceUsage,
-                               { .demand = step.demand, .maxTasks = needed, .isGang = step.isGang },
-                               aLimitHeadroom) < needed;
+  return CountTasksWithinLimit(
+           *aCandidate.job->workspaceUsage,
+           { .demand = step.demand, .maxTasks = needed, .mayUseReservation = step.isGang },
+           aLimitHeadroom) < needed;
 }
 
 /// @return the latest start after which the result still has value to the caller
--- a/Libraries/LibCell/GangPreemption.cpp
+++ b/Libraries/LibCell/GangPreemption.cpp
@@ -65,9 +65,7 @@
             std::vector<MemberSlot>& aSlots)
 {
   const auto demand = AllocatedDemand(aStep);
-  const auto maxMembers = std::min(
-    aStep.maxTasksPerWorker > 0 ? std::min(aStep.maxTasksPerWorker, aStep.count) : aStep.count,
-    CountFreeRuns(aWorker));
+  const auto maxMembers = std::min(MaxTasksPerWorker(aStep), CountFreeRuns(aWorker));
   auto stoppable = FindStoppableRuns(aWorker, aMayStop);
   auto free = aWorker.FreeResources();
   // The room of runs that are being stopped already becomes free soon.
--- a/Libraries/LibCell/LoadReport.cpp
+++ b/Libraries/LibCell/LoadReport.cpp
@@ -102,7 +102,7 @@
 }
 
 void
-LoadReport::LogStandstill(const Candidate& aCandidate, WaitReason aReason, TimePoint aNow) const
+LoadReport::RecordStandstill(const Candidate& aCandidate, WaitReason aReason, TimePoint aNow) const
 {
   auto& run = *aCandidate.run;
   const bool wasStandingStill = run.standstill.LastReason() != WaitReason::None;
--- a/Libraries/LibCell/LoadReport.h
+++ b/Libraries/LibCell/LoadReport.h
@@ -59,9 +59,10 @@
   /// Logs a step that has been pending for long.
   /// @param aNow start of the placement round
   void LogLongWait(const Candidate& aCandidate, WaitReason aReason, TimePoint aNow) const;
-  /// Logs a step that stands still, and how long it did once it goes on.
+  /// Records in the step's run whether it stands still; see @ref StandsStill. Logs a long
+  /// standstill, and how long it was once the step goes on.
   /// @param aNow start of the placement round
-  void LogStandstill(const Candidate& aCandidate, WaitReason aReason, TimePoint aNow) const;
+  void RecordStandstill(const Candidate& aCandidate, WaitReason aReason, TimePoint aNow) const;
   /// @return true if a line about the load is due
   [[nodiscard]] bool IsLineDue(TimePoint aNow) const { return aNow >= this->nextLine; }
   /// Logs the load and begins a new sample.
--- a/Libraries/LibCell/Placement.cpp
+++ b/Libraries/LibCell/Placement.cpp
@@ -17,9 +17,7 @@
 std::uint32_t
 CountFittingMembers(const Worker& aWorker, const StepSpecification& aStep)
 {
-  const auto maxTasks =
-    aStep.maxTasksPerWorker > 0 ? std::min(aStep.maxTasksPerWorker, aStep.count) : aStep.count;
-  return CountFittingTasks(aWorker, AllocatedDemand(aStep), maxTasks);
+  return CountFittingTasks(aWorker, AllocatedDemand(aStep), MaxTasksPerWorker(aStep));
 }
 
 /// A worker with its sort key, which is computed once.
--- a/Libraries/LibCell/WorkspaceLimit.cpp
+++ b/Libraries/LibCell/WorkspaceLimit.cpp
@@ -69,10 +69,10 @@
     return aRequest.maxTasks;
   }
   const double usableFraction =
-    aRequest.mayUseReserve ? 1.0 : BatchFractionOfLimit(aUsage, aHeadroom);
+    aRequest.mayUseHeadroom ? 1.0 : BatchFractionOfLimit(aUsage, aHeadroom);
   auto used = aUsage.running + aUsage.unread;
   // Another gang that fits may go first, but single tasks would take each core as it is freed.
-  if (aUsage.reservedForGang && !aRequest.mayUseReserve && !aRequest.isGang) {
+  if (aUsage.reservedForGang && !aRequest.mayUseReservation) {
     used += *aUsage.reservedForGang;
   }
   auto room = static_cast<std::int64_t>(aRequest.maxTasks);
--- a/Libraries/LibCell/WorkspaceLimit.h
+++ b/Libraries/LibCell/WorkspaceLimit.h
@@ -32,9 +32,10 @@
   /// Resources of one task.
   Resources demand;
   std::uint32_t maxTasks = 1;
-  /// The step may use what is kept for urgent tasks and for a pending gang.
-  bool mayUseReserve = false;
-  bool isGang = false;
+  /// The step may use what is kept for urgent tasks.
+  bool mayUseHeadroom = false;
+  /// The step may use what is reserved for a pending gang.
+  bool mayUseReservation = false;
 };
 
 /// @return how many more of the tasks the limit allows, at most all
--- a/Tests/LibCell/TestWorkspaceLimit.cpp
+++ b/Tests/LibCell/TestWorkspaceLimit.cpp
@@ -19,7 +19,7 @@
 LimitRequest
 MakeGang(std::uint32_t aTasks, const Resources& aDemand)
 {
-  return { .demand = aDemand, .maxTasks = aTasks, .isGang = true };
+  return { .demand = aDemand, .maxTasks = aTasks, .mayUseReservation = true };
 }
 
 }
@@ -50,7 +50,7 @@
   const auto usage = MakeUsage({ .milliCores = 90'000 });
   LimitRequest request{ .demand = { .milliCores = 1000 }, .maxTasks = 10 };
   EXPECT_EQ(CountTasksWithinLimit(usage, request, kHeadroom), 4U);
-  request.mayUseReserve = true;
+  request.mayUseHeadroom = true;
   EXPECT_EQ(CountTasksWithinLimit(usage, request, kHeadroom), 10U);
 }
 
