Meta: Pass over the listed tests under the sanitizers too

KNOWN-RED.txt lists tests of TestCell for the first time since TestCell runs under the sanitizers. Meta/test.sh passes over just the listed tests and prints them; Meta/test-sanitized.sh ran them and failed.

Change: it takes the same list. No other test is left out.

--- a/Meta/test-sanitized.sh
+++ b/Meta/test-sanitized.sh
@@ -1,9 +1,14 @@
 #!/usr/bin/env bash
 # Runs the libraries' tests under the address and undefined-behaviour sanitizers, and those that use
-# threads under the thread sanitizer.
+# threads under the thread sanitizer. Passes over the tests that Meta/test.sh passes over and prints.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
+red=$(sed -n 's/^test: //p' KNOWN-RED.txt | paste -s -d :)
+if [ -n "$red" ]; then
+  export GTEST_FILTER="-$red"
+fi
+
 run() {
   local directory=$1 sanitizers=$2 tests=$3
   cmake -S . -B "$directory" -G Ninja -DCMAKE_BUILD_TYPE=Debug -DCMAKE_CXX_FLAGS_DEBUG="-O1 -g1" \
