--- a/Tests/Crowd/Crowd.h
+++ b/Tests/Crowd/Crowd.h
@@ -28,6 +28,9 @@
   /// no longer read, and the server has read what it reads of it.
   void Send(std::string_view aText, std::string_view aFiller = {}, std::size_t aFillerBytes = 0);
 
+  /// @return the bytes that have arrived at the server's port and were not read
+  [[nodiscard]] std::size_t CountUnreadBytes() const;
+
 private:
   struct Connection
   {
@@ -37,8 +40,6 @@
 
   /// Waits until the server has read what was sent, or reads no more of it.
   void AwaitRead() const;
-  /// @return the bytes that have arrived at the server's port and were not read
-  [[nodiscard]] std::size_t CountUnreadBytes() const;
   /// Sends as much as the connection takes.
   /// @return true if it took any byte
   static bool Advance(Connection& aConnection,
--- a/Tests/Crowd/TestCrowds.cpp
+++ b/Tests/Crowd/TestCrowds.cpp
@@ -254,6 +254,20 @@
   this->ExpectSound(this->OrdinarySubmission());
 }
 
+// Guards against what the system keeps for the process: bytes that have arrived and are not read,
+// as the process waits for a client that does not read its responses.
+TEST_F(Crowds, UnreadRequestsStayWithinTheMemory)
+{
+  constexpr std::size_t kClients = 16;
+  constexpr std::size_t kBytesPerClient = 24 * kMiB;
+  Crowd crowd(this->cell->Callers(0));
+  EXPECT_EQ(crowd.Connect(kClients), kClients);
+  crowd.Send("", "GET /work/00000000000000bb HTTP/1.1\r\nHost: h\r\n\r\n", kBytesPerClient);
+  const auto unreadMiB = static_cast<std::int64_t>(crowd.CountUnreadBytes() / kMiB);
+  this->ExpectSound(this->OrdinarySubmission());
+  EXPECT_LE(this->PeakMiB() + unreadMiB, kMemoryMiB);
+}
+
 // Guards against small requests that become large in memory: a task that has not started needs no
 // object of its own.
 TEST_F(Crowds, WideJobsDoNotExhaustTheMemory)
