--- a/Libraries/LibCell/CellScheduler.h
+++ b/Libraries/LibCell/CellScheduler.h
@@ -143,7 +143,7 @@
   void ApplyProgressRecord(Job& aJob, const ProgressRecord& aRecord);
   /// Cancels a job; remembers the cancellation if the job is not known yet.
   void ApplyCancellation(const JobId& aJob);
-  /// Creates the occurrences of a job whose due time has come.
+  /// Creates the occurrences of a job whose due time has come, unless too many others are open.
   void StartDueOccurrences(Job& aJob);
   /// @return the occurrence; creates it and those before it that do not exist yet
   OccurrenceRun& FindOrCreateOccurrence(Job& aJob, std::uint32_t aNumber);
--- a/Libraries/LibCell/CellSchedulerJobs.cpp
+++ b/Libraries/LibCell/CellSchedulerJobs.cpp
@@ -12,6 +12,20 @@
 constexpr Milliseconds kMaxPlausibleAge{ 10'000 };
 /// A workspace's weight is its rate of jobs a second; its burst is this many seconds of that rate.
 constexpr double kWeightBurstSeconds = 4.0;
+/// Maximum number of steps in a job's open occurrences, which have begun and not succeeded. Load: a
+/// few kilobytes ask for 100,000 occurrences of 1,000 steps, all of them due.
+constexpr std::uint32_t kMaxOpenSteps = 1000;
+/// So many occurrences may overlap however many steps they have.
+constexpr std::uint32_t kMinOpenOccurrences = 4;
+
+/// @return true if further occurrences begin only after earlier ones have succeeded
+bool
+HasMaxOpenOccurrences(const Job& aJob)
+{
+  const auto steps = static_cast<std::uint32_t>(aJob.spec.steps.size());
+  const auto open = aJob.occurrencesStarted - aJob.occurrencesSucceeded;
+  return open >= std::max(kMinOpenOccurrences, kMaxOpenSteps / steps);
+}
 
 }
 
@@ -330,7 +344,7 @@
   const auto wallTime = this->dependencies.wallClock();
   while (aJob.occurrencesStarted < aJob.spec.occurrences) {
     const auto due = aJob.spec.firstDue + aJob.spec.interval * aJob.occurrencesStarted;
-    if (wallTime + this->options.maxEarlyStart < due) {
+    if (wallTime + this->options.maxEarlyStart < due || HasMaxOpenOccurrences(aJob)) {
       return;
     }
     this->FindOrCreateOccurrence(aJob, aJob.occurrencesStarted);
--- a/Tests/Crowd/TestCrowds.cpp
+++ b/Tests/Crowd/TestCrowds.cpp
@@ -287,4 +287,19 @@
     { .to = this->cell->Callers(0), .target = "/work/", .bearer = this->cell->Keys().KeyOf(0) });
 }
 
+// Guards against small requests that become large in memory: an occurrence needs no objects before
+// it can run.
+TEST_F(Crowds, ManyOccurrencesDoNotExhaustTheMemory)
+{
+  constexpr int kJobs = 4;
+  for (int number = 0; number < kJobs; ++number) {
+    auto submission = this->Submission(fmt::format("{:016x}", number + 1), 1);
+    submission.body.insert(1, R"("Times":100000,"IntervalMs":1,)");
+    static_cast<void>(PerformHttp(submission));
+  }
+  std::this_thread::sleep_for(Milliseconds{ 3000 });
+  this->ExpectSound(
+    { .to = this->cell->Callers(0), .target = "/work/", .bearer = this->cell->Keys().KeyOf(0) });
+}
+
 }
