--- a/Libraries/LibCell/GangPreemption.cpp
+++ b/Libraries/LibCell/GangPreemption.cpp
@@ -65,8 +65,9 @@
             std::vector<MemberSlot>& aSlots)
 {
   const auto demand = AllocatedDemand(aStep);
-  const auto maxMembers =
-    aStep.maxTasksPerWorker > 0 ? std::min(aStep.maxTasksPerWorker, aStep.count) : aStep.count;
+  const auto maxMembers = std::min(
+    aStep.maxTasksPerWorker > 0 ? std::min(aStep.maxTasksPerWorker, aStep.count) : aStep.count,
+    CountFreeRuns(aWorker));
   auto stoppable = FindStoppableRuns(aWorker, aMayStop);
   auto free = aWorker.FreeResources();
   // The room of runs that are being stopped already becomes free soon.
--- a/Libraries/LibCell/Placement.cpp
+++ b/Libraries/LibCell/Placement.cpp
@@ -122,10 +122,18 @@
                                       : std::min(aStep.count, aStep.maxTasksPerWorker);
 }
 
+std::uint32_t
+CountFreeRuns(const Worker& aWorker)
+{
+  const auto runs = static_cast<std::uint32_t>(aWorker.allocations.size());
+  return kMaxRunsPerWorker - std::min(runs, kMaxRunsPerWorker);
+}
+
 std::uint32_t
 CountFittingTasks(const Worker& aWorker, const Resources& aDemand, std::uint32_t aMax)
 {
-  return CountFittingTasks(aWorker.FreeResources(), aDemand, aMax);
+  return CountFittingTasks(
+    aWorker.FreeResources(), aDemand, std::min(aMax, CountFreeRuns(aWorker)));
 }
 
 std::uint32_t
--- a/Libraries/LibCell/Placement.h
+++ b/Libraries/LibCell/Placement.h
@@ -21,6 +21,14 @@
 [[nodiscard]] std::uint32_t
 MaxTasksPerWorker(const StepSpecification& aStep);
 
+/// Runs that a worker gets at most, however little its tasks ask for. Load: tasks without demand,
+/// all of which would fit on one worker.
+inline constexpr std::uint32_t kMaxRunsPerWorker = 1000;
+
+/// @return how many more runs the worker may get
+[[nodiscard]] std::uint32_t
+CountFreeRuns(const Worker& aWorker);
+
 /// @return how many more tasks of this demand fit at the worker, at most @p aMax.
 [[nodiscard]] std::uint32_t
 CountFittingTasks(const Worker& aWorker, const Resources& aDemand, std::uint32_t aMax);
--- a/Tests/Crowd/TestCrowds.cpp
+++ b/Tests/Crowd/TestCrowds.cpp
@@ -302,4 +302,16 @@
     { .to = this->cell->Callers(0), .target = "/work/", .bearer = this->cell->Keys().KeyOf(0) });
 }
 
+// Guards against a leader that starts 100,000 tasks at once, because they ask for nothing, and
+// answers nobody meanwhile.
+TEST_F(Crowds, TasksWithoutDemandDoNotExhaustTheProcess)
+{
+  auto submission = this->Submission("0000000000000001", 1);
+  submission.body = R"({"Spec":"{}","Phases":[{"Count":100000,"EstimateMs":100}]})";
+  static_cast<void>(PerformHttp(submission));
+  std::this_thread::sleep_for(Milliseconds{ 3000 });
+  this->ExpectSound(
+    { .to = this->cell->Callers(0), .target = "/work/", .bearer = this->cell->Keys().KeyOf(0) });
+}
+
 }
--- a/Tests/LibCell/TestTimedJobs.cpp
+++ b/Tests/LibCell/TestTimedJobs.cpp
@@ -4,7 +4,7 @@
 
 namespace {
 
-/// A worker with room for all tasks, and a job "timed" whose occurrences are all due.
+/// Workers with room for all tasks, and a job "timed" whose occurrences are all due.
 class TimedJobs : public CellSchedulerFixture
 {
 protected:
@@ -17,7 +17,9 @@
     job.occurrences = aOccurrences;
     job.interval = Milliseconds{ 1 };
     this->AcceptJob(job);
-    this->entries.push_back(this->workers.Add("w", 100'000));
+    for (const auto* worker : { "w1", "w2", "w3" }) {
+      this->entries.push_back(this->workers.Add(worker, 100'000));
+    }
     this->wallTime = WallTime{ Milliseconds{ 1'000'000 } };
     this->BeginTerm();
     this->RunFor(kLong);
