--- a/Libraries/LibCell/Job.h
+++ b/Libraries/LibCell/Job.h
@@ -193,10 +193,6 @@
   {
     return this->occurrences.lower_bound(this->occurrencesSucceeded);
   }
-  [[nodiscard]] auto FirstOpenOccurrence()
-  {
-    return this->occurrences.lower_bound(this->occurrencesSucceeded);
-  }
   [[nodiscard]] std::uint32_t TotalOccurrences() const
   {
     return std::max<std::uint32_t>(1, this->spec.occurrences);
--- a/Tests/Crowd/TestCrowds.cpp
+++ b/Tests/Crowd/TestCrowds.cpp
@@ -314,4 +314,24 @@
     { .to = this->cell->Callers(0), .target = "/work/", .bearer = this->cell->Keys().KeyOf(0) });
 }
 
+// Guards against a leader that runs out of memory because of all accepted jobs together, each of
+// which keeps to the bounds on its steps.
+TEST_F(Crowds, JobsOfManyStepsShareTheMemory)
+{
+  constexpr int kJobs = 100;
+  constexpr int kSteps = 1000;
+  std::string steps = R"({"Count":1,"Cpu":250})";
+  for (int step = 1; step < kSteps; ++step) {
+    steps += R"(,{"Count":1,"Cpu":250})";
+  }
+  for (int number = 0; number < kJobs; ++number) {
+    auto submission = this->Submission(fmt::format("{:016x}", number + 1), 1);
+    submission.body = fmt::format(R"({{"Spec":"{{}}","Phases":[{}]}})", steps);
+    static_cast<void>(PerformHttp(submission));
+  }
+  std::this_thread::sleep_for(Milliseconds{ 3000 });
+  this->ExpectSound(
+    { .to = this->cell->Callers(0), .target = "/work/", .bearer = this->cell->Keys().KeyOf(0) });
+}
+
 }
