--- a/Tests/Crowd/TestCrowds.cpp
+++ b/Tests/Crowd/TestCrowds.cpp
@@ -1,4 +1,5 @@
 #include <Crowd/Crowd.h>
+#include <Soak/JobBody.h>
 #include <Soak/SoakCell.h>
 #include <System/HttpCaller.h>
 #include <filesystem>
@@ -19,6 +20,7 @@
 constexpr std::size_t kHeaderBytes = 16'384;
 constexpr std::size_t kMiB = std::size_t{ 1 } << 20U;
 constexpr unsigned kOk = 200;
+constexpr soak::StepBody kSmallStep{ .milliCores = 250, .memoryMiB = 64, .estimateMs = 100 };
 
 /// One instance with a store and workers of its own, and what its process uses.
 class Crowds : public testing::Test
@@ -60,20 +62,17 @@
     EXPECT_LE(peakMiB, kMemoryMiB);
   }
 
-  /// @return the submission of a job of one step
-  [[nodiscard]] HttpCallSpec Submission(const std::string& aJob, int aTasks) const
+  [[nodiscard]] HttpCallSpec Submission(const std::string& aJob, const soak::JobBody& aBody) const
   {
     return { .to = this->cell->Callers(0),
              .method = "POST",
              .target = "/work/" + aJob,
              .bearer = this->cell->Keys().KeyOf(0),
-             .body = fmt::format(R"({{"Spec":"{{}}","Phases":[{{"Count":{},"Cpu":250,"MemMb":64,)"
-                                 R"("EstimateMs":100}}]}})",
-                                 aTasks) };
+             .body = soak::WriteJobBody(aBody) };
   }
   [[nodiscard]] HttpCallSpec OrdinarySubmission() const
   {
-    return this->Submission("00000000000000aa", 1);
+    return this->Submission("00000000000000aa", { .steps = { kSmallStep } });
   }
 
   /// @return the highest resident memory that the process has had
@@ -277,9 +276,11 @@
 TEST_F(Crowds, WideJobsDoNotExhaustTheMemory)
 {
   constexpr int kJobs = 20;
-  constexpr int kTasks = 100'000;
+  auto step = kSmallStep;
+  step.tasks = 100'000;
   for (int number = 0; number < kJobs; ++number) {
-    static_cast<void>(PerformHttp(this->Submission(fmt::format("{:016x}", number + 1), kTasks)));
+    static_cast<void>(
+      PerformHttp(this->Submission(fmt::format("{:016x}", number + 1), { .steps = { step } })));
   }
   // The leader reads an accepted job soon after. A further job would be refused while these wait.
   std::this_thread::sleep_for(Milliseconds{ 3000 });
@@ -293,9 +294,9 @@
 {
   constexpr int kJobs = 4;
   for (int number = 0; number < kJobs; ++number) {
-    auto submission = this->Submission(fmt::format("{:016x}", number + 1), 1);
-    submission.body.insert(1, R"("Times":100000,"IntervalMs":1,)");
-    static_cast<void>(PerformHttp(submission));
+    static_cast<void>(PerformHttp(
+      this->Submission(fmt::format("{:016x}", number + 1),
+                       { .steps = { kSmallStep }, .occurrences = 100'000, .intervalMs = 1 })));
   }
   std::this_thread::sleep_for(Milliseconds{ 3000 });
   this->ExpectSound(
@@ -306,9 +307,8 @@
 // answers nobody meanwhile.
 TEST_F(Crowds, TasksWithoutDemandDoNotExhaustTheProcess)
 {
-  auto submission = this->Submission("0000000000000001", 1);
-  submission.body = R"({"Spec":"{}","Phases":[{"Count":100000,"EstimateMs":100}]})";
-  static_cast<void>(PerformHttp(submission));
+  static_cast<void>(PerformHttp(this->Submission(
+    "0000000000000001", { .steps = { { .tasks = 100'000, .estimateMs = 100 } } })));
   std::this_thread::sleep_for(Milliseconds{ 3000 });
   this->ExpectSound(
     { .to = this->cell->Callers(0), .target = "/work/", .bearer = this->cell->Keys().KeyOf(0) });
@@ -319,15 +319,10 @@
 TEST_F(Crowds, JobsOfManyStepsShareTheMemory)
 {
   constexpr int kJobs = 100;
-  constexpr int kSteps = 1000;
-  std::string steps = R"({"Count":1,"Cpu":250})";
-  for (int step = 1; step < kSteps; ++step) {
-    steps += R"(,{"Count":1,"Cpu":250})";
-  }
+  constexpr std::size_t kSteps = 1000;
+  const soak::JobBody body{ .steps = std::vector(kSteps, soak::StepBody{ .milliCores = 250 }) };
   for (int number = 0; number < kJobs; ++number) {
-    auto submission = this->Submission(fmt::format("{:016x}", number + 1), 1);
-    submission.body = fmt::format(R"({{"Spec":"{{}}","Phases":[{}]}})", steps);
-    static_cast<void>(PerformHttp(submission));
+    static_cast<void>(PerformHttp(this->Submission(fmt::format("{:016x}", number + 1), body)));
   }
   std::this_thread::sleep_for(Milliseconds{ 3000 });
   this->ExpectSound(
