LibCell: Log restarts of workers and ends that are missing

Cause: a restart under the same id logged nothing for a worker without runs; run_lost did not say whether a report had listed the run, and no line showed that a report lacks ends, so that the hypotheses could not be told apart.

Change: worker_restarted, ends_missing, and reported on run_lost.

--- a/Libraries/LibCell/CellSchedulerRestarts.cpp
+++ b/Libraries/LibCell/CellSchedulerRestarts.cpp
@@ -1,5 +1,7 @@
 #include <LibCell/CellScheduler.h>
 
+#include <algorithm>
+
 namespace zinc::cell {
 
 namespace {
@@ -24,6 +26,7 @@
              { "machine", aWorker.entry.machine },
              { "rack", aWorker.entry.rack.value },
              { "reason", ToString(aReason) },
+             { "reported", aAllocation.isReported },
              { "age_ms", (aNow - aAllocation.startedAt).count() },
              { "silent_ms", (aNow - aWorker.lastResponse).count() } });
 }
@@ -33,9 +36,19 @@
 void
 CellScheduler::OnWorkerRestarted(Worker& aWorker, WorkerLossReason aReason)
 {
+  const auto unreported = std::ranges::count(aWorker.allocations, false, &Allocation::isReported);
+  this->dependencies.log.Log(LogLevel::Info,
+                             "worker_restarted",
+                             { { "worker", aWorker.entry.id.value },
+                               { "reason", ToString(aReason) },
+                               { "incarnation", aWorker.KnownIncarnation() },
+                               { "acknowledged", aWorker.acknowledgedSequence },
+                               { "runs", aWorker.allocations.size() },
+                               { "unreported", unreported } });
   this->RequeueLostRuns(aWorker, aReason);
   // The start time of the next incarnation may not be known yet; any later one proves the crash.
   this->ConfirmCrash(aWorker.entry.MachineOrId(), aWorker.KnownIncarnation() + 1);
+  aWorker.isSequenceKnown = true;
   aWorker.seenSequence = 0;
   aWorker.acknowledgedSequence = 0;
   aWorker.unacknowledgedEnds.clear();
--- a/Libraries/LibCell/CellSchedulerTakeover.cpp
+++ b/Libraries/LibCell/CellSchedulerTakeover.cpp
@@ -55,6 +55,7 @@
                          .phaseSince = now,
                          .startedAt = now,
                          .isStartConfirmed = true,
+                         .isReported = true,
                          .progressPercent = aActiveRun.progressPercent,
                          .lastProgress = now,
                          .load = aActiveRun.load,
--- a/Libraries/LibCell/CellSchedulerWorkers.cpp
+++ b/Libraries/LibCell/CellSchedulerWorkers.cpp
@@ -14,6 +14,25 @@
 /// Interval of the lease renewals of a worker whose ends are not stored yet.
 constexpr Milliseconds kUnacknowledgedRenewalInterval{ 400 };
 
+/// Logs that a report lacks ends which this leader has not seen.
+void
+LogMissingEnds(const Logger& aLog, Worker& aWorker, const WorkerReport& aReport)
+{
+  const auto expected = aWorker.seenSequence + 1;
+  const bool hasGap = aWorker.isSequenceKnown && !aReport.endedRuns.empty() &&
+                      aReport.endedRuns.front().sequence > expected;
+  aWorker.isSequenceKnown = true;
+  if (hasGap) {
+    aLog.Log(LogLevel::Error,
+             "ends_missing",
+             { { "worker", aWorker.entry.id.value },
+               { "incarnation", aReport.incarnation },
+               { "expected", expected },
+               { "first", aReport.endedRuns.front().sequence },
+               { "acknowledged", aWorker.acknowledgedSequence } });
+  }
+}
+
 }
 
 OrderTarget
@@ -257,6 +276,7 @@
   aWorker.lastResponse = now;
   aWorker.clockOffset = aReport.clockMs - now.time_since_epoch().count();
   aWorker.isClockKnown = true;
+  LogMissingEnds(this->dependencies.log, aWorker, aReport);
   bool hasEnds = false;
   for (const auto& end : aReport.endedRuns) {
     if (end.sequence > aWorker.seenSequence) {
@@ -405,6 +425,7 @@
     return;
   }
   allocation->isStartConfirmed = true;
+  allocation->isReported = true;
   if (allocation->phase == RunPhase::Starting || allocation->phase == RunPhase::Uncertain) {
     allocation->phase = RunPhase::Running;
     allocation->phaseSince = now;
--- a/Libraries/LibCell/Worker.h
+++ b/Libraries/LibCell/Worker.h
@@ -92,6 +92,9 @@
   TimePoint startedAt{};
   /// The worker accepted the start or reported the run.
   bool isStartConfirmed = false;
+  /// A report listed the run, so that it is at the worker's known incarnation. The incarnation that
+  /// accepted a start is not known before.
+  bool isReported = false;
   /// The worker accepted a stop; the run can no longer start.
   bool isStopAccepted = false;
   bool isStopInFlight = false;
@@ -148,6 +151,8 @@
   std::int64_t incarnation = 0;
   /// All runs of this leader at the worker have ended by then.
   TimePoint leaseExpiry{};
+  /// The incarnation has reported during this term, or began during it.
+  bool isSequenceKnown = false;
   /// Sequence number of the last end that was processed.
   std::uint64_t seenSequence = 0;
   /// Sequence number up to which the worker can discard ends.
