LibPlatform: Send a request on a given connection only

Cause: an HTTP client opens another connection when the last one is closed. A request that is meant for one process then reaches the next one at its address.

Change: a reply names its connection, and a request may require one; it fails as not run if that connection is closed. Numbers differ over all clients of the process.

Measured: ConnectionPool.SendsARequestForOneConnectionOnNoOther; no caller yet.

--- a/Libraries/LibPlatform/HttpClient.cpp
+++ b/Libraries/LibPlatform/HttpClient.cpp
@@ -1,5 +1,7 @@
 #include <LibPlatform/HttpClient.h>
 
+#include <algorithm>
+#include <atomic>
 #include <boost/asio/connect.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -27,6 +29,14 @@
   return std::chrono::steady_clock::now();
 }
 
+/// @return a number that no other connection of this process has; never 0
+std::uint64_t
+NextConnectionNumber()
+{
+  static std::atomic<std::uint64_t> last{ 0 };
+  return ++last;
+}
+
 /// A request on its way, from the call to its completion.
 struct Exchange
 {
@@ -69,7 +79,11 @@
   void Enqueue(Exchange aExchange);
   /// Gives waiting requests to idle connections and opens more where there is room.
   void Pump();
-  Connection* TakeIdle();
+  /// Fails the first waiting requests whose connections are closed.
+  void FailUnsendable();
+  /// @param aNumber the only connection to take, if set
+  /// @return an idle connection; null if there is none
+  Connection* TakeIdle(std::optional<std::uint64_t> aNumber);
   void Open();
   /// Has the queue looked through at this time at the latest.
   void ArmQueueTimer(SteadyTime aDeadline);
@@ -181,6 +195,7 @@
     return status == asio::error::would_block;
   }
 
+  [[nodiscard]] std::uint64_t Number() const { return this->number; }
   [[nodiscard]] SteadyTime AnsweredAt() const { return this->answeredAt; }
   [[nodiscard]] bool IsConnecting() const { return this->isConnecting; }
 
@@ -310,7 +325,8 @@
     this->deadline.reset();
     this->answeredAt = Now();
     HttpReply complete{ .status = this->reply->result_int(),
-                        .body = std::move(this->reply->body()) };
+                        .body = std::move(this->reply->body()),
+                        .connection = this->number };
     const bool isKept = this->reply->keep_alive();
     this->reply.reset();
     Exchange answered = std::move(*this->exchange);
@@ -344,6 +360,7 @@
   }
 
   std::shared_ptr<Pool> pool;
+  const std::uint64_t number = NextConnectionNumber();
   asio::ip::tcp::socket socket;
   asio::steady_timer timer;
   std::uint64_t timerGeneration = 0;
@@ -428,15 +445,16 @@
 void
 HttpClient::Pool::Pump()
 {
-  while (!this->queue.empty()) {
-    Connection* connection = this->TakeIdle();
+  for (this->FailUnsendable(); !this->queue.empty(); this->FailUnsendable()) {
+    const auto required = this->queue.front().request.connection;
+    Connection* connection = this->TakeIdle(required);
     if (connection == nullptr) {
       break;
     }
-    if (this->queue.empty()) {
-      // A closed connection that was found meanwhile has let another one take the request.
+    // A closed connection that was found meanwhile may have let another one take the request.
+    if (this->queue.empty() || this->queue.front().request.connection != required) {
       this->idle.push_back(connection);
-      break;
+      continue;
     }
     Exchange exchange = std::move(this->queue.front());
     this->queue.pop_front();
@@ -448,19 +466,41 @@
   }
 }
 
+void
+HttpClient::Pool::FailUnsendable()
+{
+  while (!this->queue.empty()) {
+    const auto required = this->queue.front().request.connection;
+    if (!required || std::ranges::find(this->connections, *required, &Connection::Number) !=
+                       this->connections.end()) {
+      return;
+    }
+    Exchange exchange = std::move(this->queue.front());
+    this->queue.pop_front();
+    this->Complete(std::move(exchange),
+                   NotRun(ErrorCode::Unavailable, "The connection to use is closed."));
+  }
+}
+
 HttpClient::Pool::Connection*
-HttpClient::Pool::TakeIdle()
+HttpClient::Pool::TakeIdle(std::optional<std::uint64_t> aNumber)
 {
-  while (!this->idle.empty()) {
-    Connection* connection = this->idle.back();
-    this->idle.pop_back();
+  while (true) {
+    const auto found =
+      std::find_if(this->idle.rbegin(), this->idle.rend(), [aNumber](const Connection* aIdle) {
+        return !aNumber || aIdle->Number() == *aNumber;
+      });
+    if (found == this->idle.rend()) {
+      return nullptr;
+    }
+    Connection* connection = *found;
+    this->idle.erase(std::next(found).base());
     const bool isFresh = connection->AnsweredAt() + this->options.idleLimit > Now();
     if (isFresh && connection->IsUsable()) {
       return connection;
     }
     connection->Close("The connection was idle for too long or closed by the service.");
   }
-  return nullptr;
 }
 
 void
--- a/Libraries/LibPlatform/HttpClient.h
+++ b/Libraries/LibPlatform/HttpClient.h
@@ -5,8 +5,10 @@
 
 #include <LibBase/Verdict.h>
 #include <LibPlatform/HttpOptions.h>
+#include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -35,6 +37,8 @@
   std::string target;
   std::string body;
   std::vector<HttpHeader> headers;
+  /// If set, the request is sent on this connection or fails with @ref RunState::NotRun.
+  std::optional<std::uint64_t> connection = {};
 };
 
 /// A complete reply, whatever its status.
@@ -42,6 +46,9 @@
 {
   unsigned status = 0;
   std::string body;
+  /// The connection on which it arrived; differs from that of every other connection of this
+  /// process. The process at its other end stays the same.
+  std::uint64_t connection = 0;
 };
 
 /// Sends each request at most once, with one request outstanding a connection, so that a reply
--- a/Tests/LibPlatform/TestConnectionPool.cpp
+++ b/Tests/LibPlatform/TestConnectionPool.cpp
@@ -29,15 +29,22 @@
   {
   }
 
-  void Send()
+  /// @param aConnection the only connection to send on, if set
+  void Send(std::optional<std::uint64_t> aConnection = {})
   {
-    this->client->Send([] { return HttpRequest{ .target = "/" }; },
-                       Milliseconds{ 0 },
-                       [this](const Result<HttpReply>& aReply) {
-                         return [this, isAnswered = !IsError(aReply)] {
-                           this->answered += isAnswered ? 1 : 0;
-                         };
-                       });
+    this->client->Send(
+      [aConnection] { return HttpRequest{ .target = "/", .connection = aConnection }; },
+      Milliseconds{ 0 },
+      [this](const Result<HttpReply>& aReply) {
+        return [this, aReply] {
+          if (IsError(aReply)) {
+            this->failures.push_back(ErrorOf(aReply).run);
+            return;
+          }
+          ++this->answered;
+          this->lastConnection = ValueOf(aReply).connection;
+        };
+      });
   }
 
   /// Lets the client work until nothing is left to do at once.
@@ -72,6 +79,9 @@
   Tcp::acceptor acceptor;
   std::shared_ptr<HttpClient> client;
   int answered = 0;
+  /// The connection of the last reply.
+  std::uint64_t lastConnection = 0;
+  std::vector<RunState> failures;
 };
 
 }
@@ -110,4 +120,38 @@
   EXPECT_EQ(this->answered, 4);
 }
 
+// Guards against a request that is meant for one process and reaches the next one at its address.
+TEST_F(ConnectionPool, SendsARequestForOneConnectionOnNoOther)
+{
+  this->Send();
+  this->Settle();
+  auto first = this->acceptor.accept();
+  this->Settle();
+  ASSERT_TRUE(ReadRequest(first));
+  Reply(first);
+  this->Settle();
+  ASSERT_EQ(this->answered, 1);
+  const auto connection = this->lastConnection;
+  this->Send(connection);
+  this->Settle();
+  ASSERT_TRUE(ReadRequest(first));
+  Reply(first);
+  this->Settle();
+  ASSERT_EQ(this->answered, 2);
+  EXPECT_EQ(this->lastConnection, connection);
+  first.close();
+  this->Send(connection);
+  this->Settle();
+  EXPECT_EQ(this->failures, std::vector{ RunState::NotRun });
+  this->Send();
+  this->Settle();
+  auto second = this->acceptor.accept();
+  this->Settle();
+  ASSERT_TRUE(ReadRequest(second));
+  Reply(second);
+  this->Settle();
+  EXPECT_EQ(this->answered, 3);
+  EXPECT_NE(this->lastConnection, connection);
+}
+
 }
