LibCell: Acknowledge ends only to the incarnation that reported them

Cause: a worker that starts again under its id numbers its ends from 1. A renewal that was made for its previous incarnation, or that the leader sends before it knows of the restart, carries a higher number and makes the next incarnation forget ends that nobody has read.

Change: a renewal acknowledges ends, and names a deadline, only on the connection on which the worker reported. Without one it only reads.

Evidence: RestartedWorkerTest.DoesNotAcknowledgeEndsOfTheNextIncarnation fails with the former order of the renewal and passes with this one.

--- a/Libraries/LibCell/CellSchedulerRestarts.cpp
+++ b/Libraries/LibCell/CellSchedulerRestarts.cpp
@@ -54,6 +54,7 @@
   aWorker.unacknowledgedEnds.clear();
   this->workersWithEnds.erase(aWorker.number);
   aWorker.isClockKnown = false;
+  aWorker.connection.reset();
   aWorker.incarnation = 0;
   this->renewals.Schedule(aWorker, this->dependencies.clock.Now());
   this->MarkWorkerRead(aWorker.entry.id);
--- a/Libraries/LibCell/CellSchedulerWorkers.cpp
+++ b/Libraries/LibCell/CellSchedulerWorkers.cpp
@@ -153,11 +153,13 @@
 {
   const ActivityTimes::Scope activity(this->load.Activities(), Activity::Renewals);
   const auto now = this->dependencies.clock.Now();
+  // The acknowledgement and the deadline hold for the incarnation that has reported, and mean
+  // something else to a later one. Without a connection to it the request only reads the report,
+  // and the lease of a worker that does not respond expires.
   LeaseRenewal order{ .target = this->MakeOrderTarget(aWorker),
-                      .acknowledgedSequence = aWorker.acknowledgedSequence };
-  // The lease of a worker that does not respond is not renewed, so that it expires; the request
-  // only reads the worker's report.
-  const bool renewsLease = aWorker.isClockKnown && aWorker.failedRenewals == 0 &&
+                      .acknowledgedSequence = aWorker.connection ? aWorker.acknowledgedSequence : 0,
+                      .connection = aWorker.connection };
+  const bool renewsLease = aWorker.isClockKnown && aWorker.connection &&
                            !aWorker.isLeaseSuspended && now < this->termEnd;
   if (renewsLease) {
     order.leaseDeadline = this->ExtendLease(aWorker);
@@ -197,6 +199,12 @@
   worker.isRenewalInFlight = false;
   const auto now = this->dependencies.clock.Now();
   if (IsError(aResponse)) {
+    const bool isConnectionClosed = worker.connection && ErrorOf(aResponse).run == RunState::NotRun;
+    if (isConnectionClosed) {
+      worker.connection.reset();
+      this->renewals.Schedule(worker, now);
+      return;
+    }
     this->OnLeaseRenewalFailed(worker);
     return;
   }
@@ -229,6 +237,7 @@
 CellScheduler::OnLeaseRenewalFailed(Worker& aWorker)
 {
   const auto now = this->dependencies.clock.Now();
+  aWorker.connection.reset();
   ++aWorker.failedRenewals;
   this->renewals.Schedule(aWorker, now + this->options.renewalRetryDelay);
   if (aWorker.reachability == WorkerReachability::Reachable &&
@@ -273,6 +282,7 @@
   aWorker.reachability = WorkerReachability::Reachable;
   this->unresponsiveWorkers.erase(aWorker.number);
   aWorker.failedRenewals = 0;
+  aWorker.connection = aReport.connection;
   aWorker.lastResponse = now;
   aWorker.clockOffset = aReport.clockMs - now.time_since_epoch().count();
   aWorker.isClockKnown = true;
--- a/Libraries/LibCell/Ports.h
+++ b/Libraries/LibCell/Ports.h
@@ -204,6 +204,8 @@
   std::vector<EndedRun> endedRuns;
   /// The worker has further ends, which it lists once these are acknowledged.
   bool hasMoreEnds = false;
+  /// The connection on which the worker responded; see @ref LeaseRenewal::connection.
+  std::uint64_t connection = 0;
 };
 
 /// The worker that an order is sent to, and the sender's fencing token.
@@ -225,6 +227,9 @@
   std::uint64_t acknowledgedSequence = 0;
   /// How long the worker may delay its response while no run ends.
   Milliseconds maxWait{ 0 };
+  /// If set, the order is sent on this connection only, so that it reaches the incarnation that has
+  /// responded there, or none.
+  std::optional<std::uint64_t> connection = {};
 };
 
 /// Starts a run.
--- a/Libraries/LibCell/Worker.h
+++ b/Libraries/LibCell/Worker.h
@@ -159,6 +159,9 @@
   std::uint64_t acknowledgedSequence = 0;
   std::deque<UnacknowledgedEnd> unacknowledgedEnds;
   bool isRenewalInFlight = false;
+  /// The connection on which the worker reported last; empty until it has reported, and after a
+  /// renewal failed. Another connection may lead to a later incarnation under the same id.
+  std::optional<std::uint64_t> connection;
   /// The leader record may say that its lease is not renewed; see @ref LeaseSuspensions.
   bool isLeaseSuspended = false;
   TimePoint nextRenewal{};
--- a/Tests/LibCell/SimulatedWorkers.cpp
+++ b/Tests/LibCell/SimulatedWorkers.cpp
@@ -8,8 +8,8 @@
 namespace {
 
 constexpr Milliseconds kMaxLease{ 6000 };
-/// Offset of the workers' clocks from the leader's, ms.
-constexpr std::int64_t kClockOffset = 1'000'000;
+/// By how much the clock of a worker's next incarnation is behind that of the previous one, ms.
+constexpr std::int64_t kClockReset = 100'000;
 /// Time in which a run's progress changes by one percent.
 constexpr std::int64_t kMsPerPercent = 50;
 constexpr std::int64_t kMaxPercent = 100;
@@ -80,13 +80,21 @@
   }
 }
 
+std::uint64_t
+SimulatedWorkers::ConnectionTo(const Worker& aWorker)
+{
+  return static_cast<std::uint64_t>(aWorker.entry.incarnation);
+}
+
 WorkerReport
 SimulatedWorkers::MakeReport(const Worker& aWorker) const
 {
-  WorkerReport report{ .clockMs = this->clock.Now().time_since_epoch().count() + kClockOffset,
+  WorkerReport report{ .clockMs =
+                         this->clock.Now().time_since_epoch().count() + aWorker.clockOffset,
                        .incarnation = aWorker.entry.incarnation,
                        .endedRuns = aWorker.ended,
-                       .hasMoreEnds = aWorker.ended.size() > this->maxReportedEnds };
+                       .hasMoreEnds = aWorker.ended.size() > this->maxReportedEnds,
+                       .connection = ConnectionTo(aWorker) };
   report.endedRuns.resize(std::min(report.endedRuns.size(), this->maxReportedEnds));
   for (const auto& [key, entry] : aWorker.running) {
     report.activeRuns.push_back(entry);
@@ -122,6 +130,11 @@
     return;
   }
   auto& worker = found->second;
+  if (aOrder.connection && *aOrder.connection != ConnectionTo(worker)) {
+    this->pendingResponses.push_back(
+      [aHandler] { aHandler(NotRun(ErrorCode::Unavailable, "closed")); });
+    return;
+  }
   this->ExpireLease(worker);
   if (aOrder.target.fencingToken < worker.token) {
     this->pendingResponses.push_back(
@@ -133,7 +146,7 @@
     return aEnd.sequence <= aOrder.acknowledgedSequence;
   });
   if (aOrder.leaseDeadline) {
-    const TimePoint until{ Milliseconds(*aOrder.leaseDeadline - kClockOffset) };
+    const TimePoint until{ Milliseconds(*aOrder.leaseDeadline - worker.clockOffset) };
     worker.leaseExpiry =
       std::max(worker.leaseExpiry, std::min(until, this->clock.Now() + kMaxLease));
   }
@@ -158,7 +171,7 @@
     return OrderResult::Fenced;
   }
   aWorker.token = aOrder.target.fencingToken;
-  const TimePoint until{ Milliseconds(aOrder.leaseDeadline - kClockOffset) };
+  const TimePoint until{ Milliseconds(aOrder.leaseDeadline - aWorker.clockOffset) };
   if (until <= this->clock.Now()) {
     return OrderResult::DeadlinePassed;
   }
@@ -169,13 +182,13 @@
     ++this->rejections;
     return OrderResult::Rejected;
   }
+  aWorker.leaseExpiry =
+    std::max(aWorker.leaseExpiry, std::min(until, this->clock.Now() + kMaxLease));
   const auto key = this->KeyOfTask(aOrder.task);
   if (aOrder.run <= aWorker.highestRun[key]) {
     return OrderResult::StaleRun;
   }
   aWorker.highestRun[key] = aOrder.run;
-  aWorker.leaseExpiry =
-    std::max(aWorker.leaseExpiry, std::min(until, this->clock.Now() + kMaxLease));
   aWorker.running[key] = { .task = aOrder.task,
                            .run = aOrder.run,
                            .checkpoint = aOrder.checkpoint };
@@ -278,6 +291,7 @@
   Worker next;
   next.entry = aWorker.entry;
   ++next.entry.incarnation;
+  next.clockOffset = aWorker.clockOffset - kClockReset;
   if (this->restartMode == RestartMode::GetsNewId) {
     next.entry.id = { fmt::format("{}-{}", next.entry.machine, next.entry.incarnation) };
   }
@@ -287,6 +301,16 @@
   this->delayedStartsDue = this->clock.Now() + this->startDelay;
 }
 
+WorkerEntry
+SimulatedWorkers::RestartAtOnce(const std::string& aId)
+{
+  this->Crash(aId);
+  std::vector<WorkerEntry> entries;
+  const auto crashed = this->At(aId);
+  this->Restart(crashed, entries);
+  return entries.front();
+}
+
 void
 SimulatedWorkers::ExecuteDelayedStarts()
 {
@@ -304,6 +328,9 @@
 {
   const auto now = this->clock.Now();
   this->ExecuteDelayedStarts();
+  for (auto& [id, worker] : this->workers) {
+    this->ExpireLease(worker);
+  }
   std::vector<std::string> crashing;
   std::vector<Worker> restarting;
   for (auto& [id, worker] : this->workers) {
--- a/Tests/LibCell/SimulatedWorkers.h
+++ b/Tests/LibCell/SimulatedWorkers.h
@@ -49,6 +49,8 @@
   struct Worker
   {
     WorkerEntry entry;
+    /// The worker's clock minus the test's, ms.
+    std::int64_t clockOffset = 1'000'000;
     bool isReachable = true;
     /// Orders take effect, but their responses are lost.
     bool losesResponses = false;
@@ -91,6 +93,9 @@
   void End(const std::string& aWorker, const TaskName& aTask, RunOutcome aOutcome);
   /// Ends the runs of all workers.
   void EndAll(RunOutcome aOutcome = RunOutcome::Succeeded);
+  /// Ends the incarnation of a worker and begins the next one at once, under the same id.
+  /// @return its entry, for the scheduler
+  WorkerEntry RestartAtOnce(const std::string& aId);
   /// Ends all runs of a worker without a report. It returns after @ref restartDelay as a new
   /// incarnation.
   void Crash(const std::string& aId);
@@ -141,6 +146,8 @@
   [[nodiscard]] std::string KeyOfTask(const TaskName& aTask) const;
   void ExpireLease(Worker& aWorker);
   [[nodiscard]] OrderResult ExecuteStart(Worker& aWorker, const StartOrder& aOrder);
+  /// @return the number of the connection to a worker, which ends with its incarnation
+  [[nodiscard]] static std::uint64_t ConnectionTo(const Worker& aWorker);
   [[nodiscard]] WorkerReport MakeReport(const Worker& aWorker) const;
   void QueueResponse(const WorkerId& aWorker,
                      std::function<void()> aReportLoss,
--- /dev/null
+++ b/Tests/LibCell/TestRestartedWorkers.cpp
@@ -0,0 +1,75 @@
+#include "CellSchedulerFixture.h"
+
+#include <algorithm>
+
+namespace zinc::cell::test {
+
+namespace {
+
+/// Workers that start again under their ids. The next incarnation knows nothing of the previous one
+/// and takes its orders.
+class RestartedWorkerTest : public CellSchedulerFixture
+{
+protected:
+  /// Runs a job at the only worker, so that the leader acknowledges its end.
+  void RunAcknowledgedJob()
+  {
+    this->entries = { this->workers.Add("w1", 4) };
+    this->AcceptJob(MakeJob("first", 1, 1));
+    this->BeginTerm();
+    this->RunFor(Milliseconds{ 300 });
+    this->workers.EndAll();
+    this->RunFor(Milliseconds{ 500 });
+    ASSERT_EQ(this->StatusOf("first").outcome, JobOutcome::Succeeded);
+    ASSERT_TRUE(this->workers.At("w1").ended.empty());
+  }
+};
+    this->BeginTerm();
+    this->RunFor(Milliseconds{ 300 });
+    const auto next = this->workers.RestartAtOnce("w1");
+    this->AcceptJob(MakeJob("job", 1, 1));
+    this->scheduler->Tick();
+    this->entries = { next, this->workers.Add("w2", 4) };
+    this->scheduler->OnWorkerEntry(this->entries.back());
+    return next;
+  }
+
+  /// @return the largest number of runs of the task of "job" at one time
+  std::size_t CountCopiesDuring(Milliseconds aDuration)
+  {
+    constexpr Milliseconds kStep{ 10 };
+    std::size_t most = 0;
+    for (Milliseconds elapsed{ 0 }; elapsed < aDuration; elapsed += kStep) {
+      this->RunFor(kStep);
+      std::size_t copies = 0;
+      for (const auto& entry : this->entries) {
+        const auto& running = this->workers.At(entry.id.value).running;
+        copies += static_cast<std::size_t>(std::ranges::count_if(
+          running, [](const auto& aRun) { return aRun.second.task.job.value == "job"; }));
+      }
+      most = std::max(most, copies);
+    }
+    return most;
+  }
+};
+
+}
+
+// Guards against a task that starts again after it has succeeded: an acknowledgement that was made
+// for the worker's previous incarnation makes the next one forget an end that nobody has read.
+TEST_F(RestartedWorkerTest, DoesNotAcknowledgeEndsOfTheNextIncarnation)
+{
+  this->RunAcknowledgedJob();
+  const auto entry = this->workers.RestartAtOnce("w1");
+  this->AcceptJob(MakeJob("job", 1, 1));
+  this->scheduler->Tick();
+  ASSERT_EQ(this->CountStarts("job"), 1U);
+  this->workers.EndAll();
+  this->RunFor(Milliseconds{ 500 });
+  this->scheduler->OnWorkerEntry(entry);
+  this->RunFor(Milliseconds{ 1000 });
+  EXPECT_EQ(this->CountStarts("job"), 1U);
+  EXPECT_EQ(this->StatusOf("job").outcome, JobOutcome::Succeeded);
+}
+
+}
