LibCell: Keep runs that the next incarnation of a worker may have accepted

Cause: when a row or a report showed that a worker had started again under its id, every run in phase Running counted as lost with the previous incarnation, also one that only the response to its start had confirmed. The next incarnation may have sent that response.

Change: RunLoss decides. Only a run that a report listed is lost; the first report of the next incarnation tells which of the others it runs.

Evidence: KeepsARunThatTheNextIncarnationAcceptedBeforeItsRowArrives fails with the former condition (two copies) and passes with this one.

--- a/Libraries/LibCell/CellScheduler.h
+++ b/Libraries/LibCell/CellScheduler.h
@@ -239,11 +239,11 @@
   void OnLeaseRenewalFailed(Worker& aWorker);
   /// Discards all state of the worker's previous incarnation.
   void OnWorkerRestarted(Worker& aWorker, WorkerLossReason aReason);
-  /// Releases the allocations of a worker whose runs have ended without a report. Those that its
-  /// next incarnation may still start are stopped there first.
+  /// Releases the allocations of a worker whose runs have ended without a report. The first report
+  /// of the next incarnation tells which of the others it runs.
   void RequeueLostRuns(Worker& aWorker, WorkerLossReason aReason);
-  /// Stops a run at the next incarnation of a worker, which has the same id and may carry out a
-  /// start order that was sent to the previous one.
+  /// Sends the stop of a run again, to the next incarnation of a worker. It has the same id and may
+  /// carry out a start order that was sent to the previous one.
   void PreventLateStart(Worker& aWorker, Allocation& aAllocation);
   /// Adds a worker, or updates a known one; ends the incarnations that it supersedes.
   void ApplyWorkerEntry(const WorkerEntry& aEntry);
--- a/Libraries/LibCell/CellSchedulerRestarts.cpp
+++ b/Libraries/LibCell/CellSchedulerRestarts.cpp
@@ -1,4 +1,5 @@
 #include <LibCell/CellScheduler.h>
+#include <LibCell/RunLoss.h>
 
 #include <algorithm>
 
@@ -64,30 +65,33 @@
 CellScheduler::RequeueLostRuns(Worker& aWorker, WorkerLossReason aReason)
 {
   this->RecordWorkerLoss(aWorker);
-  if (aWorker.allocations.empty()) {
+  const auto now = this->dependencies.clock.Now();
+  std::vector<Allocation> lostRuns;
+  for (auto& allocation : aWorker.allocations) {
+    if (IsRunLost(allocation, aReason)) {
+      lostRuns.push_back(allocation);
+    } else if (allocation.phase == RunPhase::Stopping &&
+               aReason != WorkerLossReason::LeaseExpired) {
+      // The stop may have reached the previous incarnation.
+      this->PreventLateStart(aWorker, allocation);
+    }
+  }
+  if (lostRuns.empty()) {
     return;
   }
   this->dependencies.log.Log(LogLevel::Warning,
                              "runs_lost",
                              { { "worker", aWorker.entry.id.value },
-                               { "runs", aWorker.allocations.size() },
+                               { "runs", lostRuns.size() },
                                { "reason", ToString(aReason) } });
-  const bool keepsId = aReason == WorkerLossReason::RowOfNextIncarnation ||
-                       aReason == WorkerLossReason::ReportOfNextIncarnation;
-  const auto lostRuns = aWorker.allocations;
   this->dependencies.metrics
     .FindCounter({ .name = "zinc_cell_lost_runs_total",
                    .help = "Runs that were lost with their worker, by how that was learned." },
                  { { "reason", std::string(ToString(aReason)) } })
     .Add(lostRuns.size());
   for (const auto& allocation : lostRuns) {
-    LogLostRun(
-      this->dependencies.log, aWorker, allocation, aReason, this->dependencies.clock.Now());
+    LogLostRun(this->dependencies.log, aWorker, allocation, aReason, now);
     this->SaveCheckpoint(allocation);
-    if (keepsId && allocation.phase != RunPhase::Running) {
-      this->PreventLateStart(aWorker, *aWorker.FindAllocation(allocation.task, allocation.run));
-      continue;
-    }
     this->ReleaseAllocation(aWorker, allocation.task, allocation.run);
     this->RequeueRun(allocation.task, allocation.run);
     if (auto* job = this->FindJob(allocation.task.job)) {
--- a/Tests/LibCell/TestRestartedWorkers.cpp
+++ b/Tests/LibCell/TestRestartedWorkers.cpp
@@ -23,7 +23,13 @@
     ASSERT_EQ(this->StatusOf("first").outcome, JobOutcome::Succeeded);
     ASSERT_TRUE(this->workers.At("w1").ended.empty());
   }
-};
+
+  /// Starts a job at the worker w1, which has started again without the leader's knowledge, and
+  /// adds the worker w2.
+  /// @return the row of w1's next incarnation
+  WorkerEntry StartAtNextIncarnation()
+  {
+    this->entries = { this->workers.Add("w1", 4) };
     this->BeginTerm();
     this->RunFor(Milliseconds{ 300 });
     const auto next = this->workers.RestartAtOnce("w1");
@@ -72,4 +78,37 @@
   EXPECT_EQ(this->StatusOf("job").outcome, JobOutcome::Succeeded);
 }
 
+// Guards against two runs of a task: the next incarnation of a worker accepts a start before its
+// row shows that the previous one has ended.
+TEST_F(RestartedWorkerTest, KeepsARunThatTheNextIncarnationAcceptedBeforeItsRowArrives)
+{
+  const auto next = this->StartAtNextIncarnation();
+  this->workers.Deliver();
+  this->workers.At("w1").losesResponses = true;
+  this->scheduler->OnWorkerEntry(next);
+  EXPECT_EQ(this->CountCopiesDuring(Milliseconds{ 500 }), 1U);
+  this->workers.At("w1").losesResponses = false;
+  EXPECT_EQ(this->CountCopiesDuring(Milliseconds{ 3000 }), 1U);
+  EXPECT_EQ(this->CountStarts("job"), 1U);
+  this->workers.EndAll();
+  this->RunFor(Milliseconds{ 500 });
+  EXPECT_EQ(this->StatusOf("job").outcome, JobOutcome::Succeeded);
+}
+
+// Guards against a task that is lost with its worker: a start that was accepted last is not at the
+// next incarnation.
+TEST_F(RestartedWorkerTest, StartsATaskAgainThatThePreviousIncarnationAccepted)
+{
+  this->entries = { this->workers.Add("w1", 4) };
+  this->BeginTerm();
+  this->RunFor(Milliseconds{ 300 });
+  this->AcceptJob(MakeJob("job", 1, 1));
+  this->scheduler->Tick();
+  this->workers.Deliver();
+  ASSERT_EQ(this->CountStarts("job"), 1U);
+  this->scheduler->OnWorkerEntry(this->workers.RestartAtOnce("w1"));
+  this->RunFor(Milliseconds{ 1000 });
+  EXPECT_EQ(this->CountStarts("job"), 2U);
+}
+
 }
