LibCell: Wait for silent workers that may carry out a start late

Cause: when the lease of a silent worker had expired by the leader's count, runs started elsewhere whose start no report had listed. The next incarnation under the same id may carry out such a start late, and its deadline, a time on the previous incarnation's clock, does not end it.

Change: such a run waits until the worker reports, until its row is gone, or until orders can no longer be carried out (15 s after the lease).

--- a/Libraries/LibCell/CellSchedulerOptions.h
+++ b/Libraries/LibCell/CellSchedulerOptions.h
@@ -14,19 +14,17 @@
 /// Limits of the platform and tuning values of the scheduler.
 struct CellSchedulerOptions
 {
-  /// Longest lease that a worker grants; set by the platform.
+  /// Lease that the leader requests.
   Milliseconds maxLease{ 6000 };
   /// Largest fraction by which a worker's clock runs slow; documented by the platform.
   double maxClockDrift = 0.02;
   /// Time that an order may spend in transit; added when the scheduler waits for a lease to expire.
   Milliseconds orderTransitMargin{ 300 };
+  /// Longest time for which an order without a response may be carried out later, if the worker has
+  /// started again meanwhile: the order's deadline is a time on the previous incarnation's clock.
+  Milliseconds maxOrderDelay{ 15'000 };
   /// @return the time after which a lease granted now has expired by any worker's clock.
-  [[nodiscard]] Milliseconds LeaseExpiryBound() const
-  {
-    return Milliseconds(static_cast<std::int64_t>(std::ceil(
-             static_cast<double>(this->maxLease.count()) * (1.0 + this->maxClockDrift)))) +
-           this->orderTransitMargin;
-  }
+  [[nodiscard]] Milliseconds LeaseExpiryBound() const { return this->BoundOf(this->maxLease); }
   /// How long a worker may wait for a run to end before it responds to a lease renewal. A shorter
   /// wait leaves more of the lease when a connection breaks, a longer one needs fewer calls.
   Milliseconds renewalWait{ 700 };
--- a/Libraries/LibCell/CellSchedulerRestarts.cpp
+++ b/Libraries/LibCell/CellSchedulerRestarts.cpp
@@ -68,7 +68,7 @@
   const auto now = this->dependencies.clock.Now();
   std::vector<Allocation> lostRuns;
   for (auto& allocation : aWorker.allocations) {
-    if (IsRunLost(allocation, aReason)) {
+    if (IsRunLost(aWorker, allocation, aReason, now, this->options.maxOrderDelay)) {
       lostRuns.push_back(allocation);
     } else if (allocation.phase == RunPhase::Stopping &&
                aReason != WorkerLossReason::LeaseExpired) {
@@ -128,7 +128,13 @@
   for (const auto number :
        std::vector(this->unresponsiveWorkers.begin(), this->unresponsiveWorkers.end())) {
     auto* worker = this->workers.FindByNumber(number);
-    if (now > worker->leaseExpiry && !worker->allocations.empty()) {
+    const bool hasLostRuns =
+      now > worker->leaseExpiry &&
+      std::ranges::any_of(worker->allocations, [this, worker, now](const Allocation& aAllocation) {
+        return IsRunLost(
+          *worker, aAllocation, WorkerLossReason::LeaseExpired, now, this->options.maxOrderDelay);
+      });
+    if (hasLostRuns) {
       this->RequeueLostRuns(*worker, WorkerLossReason::LeaseExpired);
     }
     const bool isLost = !worker->isListed && now > worker->leaseExpiry &&
--- a/Libraries/LibCell/RunLoss.h
+++ b/Libraries/LibCell/RunLoss.h
@@ -13,6 +13,10 @@
 /// @return true if the run has ended without a report. A run that no report has listed may be at
 /// the next incarnation, or start there late, so that the first report of that one decides.
 [[nodiscard]] bool
-IsRunLost(const Allocation& aAllocation, WorkerLossReason aReason);
+IsRunLost(const Worker& aWorker,
+          const Allocation& aAllocation,
+          WorkerLossReason aReason,
+          TimePoint aNow,
+          Milliseconds aMaxOrderDelay);
 
 }
--- a/Tests/LibCell/TestRestartedWorkers.cpp
+++ b/Tests/LibCell/TestRestartedWorkers.cpp
@@ -111,4 +111,50 @@
   EXPECT_EQ(this->CountStarts("job"), 2U);
 }
 
+// Guards against two runs of a task: a start without a response is carried out by the next
+// incarnation, where its deadline means a later time, and the worker is cut off until the leader
+// takes the lease to have expired.
+TEST_F(RestartedWorkerTest, WaitsForACutOffWorkerWhoseNextIncarnationMayCarryOutALateStart)
+{
+  this->entries = { this->workers.Add("w1", 4) };
+  this->workers.At("w1").delaysStarts = true;
+  this->BeginTerm();
+  this->RunFor(Milliseconds{ 300 });
+  this->AcceptJob(MakeJob("job", 1, 1));
+  this->RunFor(Milliseconds{ 10 });
+  ASSERT_EQ(this->workers.CountDelayedStarts(), 1U);
+  this->workers.restartDelay = Milliseconds{ 300 };
+  this->workers.Crash("w1");
+  this->RunFor(Milliseconds{ 310 });
+  this->workers.At("w1").isReachable = false;
+  this->entries.push_back(this->workers.Add("w2", 4));
+  this->scheduler->OnWorkerEntry(this->entries.back());
+  EXPECT_EQ(this->CountCopiesDuring(Milliseconds{ 9000 }), 1U);
+  this->workers.At("w1").isReachable = true;
+  this->RunFor(Milliseconds{ 2000 });
+  this->workers.EndAll();
+  this->RunFor(Milliseconds{ 500 });
+  EXPECT_EQ(this->StatusOf("job").outcome, JobOutcome::Succeeded);
+}
+
+// Guards against a task that waits without end for a worker that is cut off and keeps its row.
+TEST_F(RestartedWorkerTest, GivesUpAnUnansweredStartOnceItCannotBeCarriedOut)
+{
+  this->entries = { this->workers.Add("w1", 4) };
+  this->workers.At("w1").losesResponses = true;
+  this->BeginTerm();
+  this->RunFor(Milliseconds{ 300 });
+  this->workers.At("w1").losesResponses = false;
+  this->RunFor(Milliseconds{ 300 });
+  this->workers.At("w1").losesResponses = true;
+  this->AcceptJob(MakeJob("job", 1, 1));
+  this->RunFor(Milliseconds{ 10 });
+  this->workers.At("w1").isReachable = false;
+  this->entries.push_back(this->workers.Add("w2", 4));
+  this->scheduler->OnWorkerEntry(this->entries.back());
+  this->RunFor(this->options.LeaseExpiryBound() + this->options.maxOrderDelay +
+               Milliseconds{ 1000 });
+  EXPECT_EQ(this->CountStarts("job"), 2U);
+}
+
 }
--- a/Tests/LibCell/TestRunLoss.cpp
+++ b/Tests/LibCell/TestRunLoss.cpp
@@ -5,10 +5,13 @@
 
 namespace {
 
+constexpr TimePoint kExpiry{ Milliseconds{ 1000 } };
+constexpr Milliseconds kOrderDelay{ 500 };
+
 bool
-IsLost(bool aIsReported, WorkerLossReason aReason)
+IsLostAt(const Worker& aWorker, bool aIsReported, WorkerLossReason aReason, TimePoint aNow)
 {
-  return IsRunLost({ .isReported = aIsReported }, aReason);
+  return IsRunLost(aWorker, { .isReported = aIsReported }, aReason, aNow, kOrderDelay);
 }
 
 }
@@ -17,18 +20,33 @@
 // has ended.
 TEST(RunLoss, ARestartUnderTheSameIdLosesReportedRunsOnly)
 {
+  const Worker worker{ .leaseExpiry = kExpiry };
   for (const auto reason :
        { WorkerLossReason::RowOfNextIncarnation, WorkerLossReason::ReportOfNextIncarnation }) {
-    EXPECT_TRUE(IsLost(true, reason));
-    EXPECT_FALSE(IsLost(false, reason));
+    EXPECT_TRUE(IsLostAt(worker, true, reason, kExpiry));
+    EXPECT_FALSE(IsLostAt(worker, false, reason, kExpiry + 2 * kOrderDelay));
   }
 }
 
+// Guards against two runs of a task, of which the next incarnation starts one late, and against
+// waiting without end for a silent worker or for one that is gone.
+TEST(RunLoss, AnExpiredLeaseLosesAnUnreportedRunOnceItCannotStartAnyMore)
+{
+  Worker worker{ .leaseExpiry = kExpiry };
+  const auto reason = WorkerLossReason::LeaseExpired;
+  EXPECT_TRUE(IsLostAt(worker, true, reason, kExpiry));
+  EXPECT_FALSE(IsLostAt(worker, false, reason, kExpiry + kOrderDelay));
+  EXPECT_TRUE(IsLostAt(worker, false, reason, kExpiry + kOrderDelay + Milliseconds{ 1 }));
+  worker.isListed = false;
+  EXPECT_TRUE(IsLostAt(worker, false, reason, kExpiry));
+}
+
 // Guards against waiting for an id that takes no more orders.
 TEST(RunLoss, AnotherWorkerOnTheMachineLosesAllRuns)
 {
+  const Worker worker{ .leaseExpiry = kExpiry };
   for (const auto reason : { WorkerLossReason::Superseded, WorkerLossReason::AddressReused }) {
-    EXPECT_TRUE(IsLost(false, reason));
+    EXPECT_TRUE(IsLostAt(worker, false, reason, kExpiry));
   }
 }
 
