LibCell: Fence orders that were meant for a worker's previous incarnation

Cause: a worker that has started again has seen no fencing token, so that it carries out late orders of the previous incarnation, with their acknowledgements and deadlines, also after it has reported.

Change: OrderFence. A restart raises the token of the worker's orders to the version of the latest leader record, which is higher than that of the term and lower than that of any later term. Until there is one the worker gets no lease and no task.

Evidence: FencesALateRenewalOfThePreviousIncarnation and StartsNothingAtANewIncarnationWithoutAHigherFencingToken fail without the raised token.

--- a/Libraries/LibCell/CellScheduler.cpp
+++ b/Libraries/LibCell/CellScheduler.cpp
@@ -268,8 +268,16 @@
 }
 
 void
-CellScheduler::OnReportStored(const LeaderReport& aReport)
+CellScheduler::OnReportStored(const LeaderReport& aReport, std::uint64_t aVersion)
 {
+  this->latestFencingToken = std::max(this->latestFencingToken, aVersion);
+  for (auto* worker : this->workers.All()) {
+    if (worker->fence.AwaitsToken()) {
+      worker->fence.OnTokenAvailable(this->latestFencingToken);
+      this->renewals.ScheduleAtLatest(*worker, this->dependencies.clock.Now());
+      this->isPlacementDue = true;
+    }
+  }
   for (const auto& name : aReport.workers) {
     if (!this->publishedWorkers.insert({ name }).second) {
       continue;
--- a/Libraries/LibCell/CellScheduler.h
+++ b/Libraries/LibCell/CellScheduler.h
@@ -122,7 +122,8 @@
   [[nodiscard]] LeaderReport MakeLeaderReport();
   /// Called when the leader record says this. Only the workers that it names may get tasks, since
   /// the next leader asks each of them for its runs.
-  void OnReportStored(const LeaderReport& aReport);
+  /// @param aVersion version of the record, lower than the fencing token of any later term
+  void OnReportStored(const LeaderReport& aReport, std::uint64_t aVersion);
   /// @return true while a predecessor's runs may exist at unread workers.
   [[nodiscard]] bool IsRecovering() const { return !this->unreadWorkers.IsEmpty(); }
   /// @return how long such runs may still exist.
@@ -221,6 +222,7 @@
   void SendLeaseRenewal(Worker& aWorker);
   void OnLeaseRenewalResponse(const WorkerId& aWorker,
                               std::int64_t aIncarnation,
+                              std::uint64_t aFencingToken,
                               TimePoint aSent,
                               const Result<std::variant<WorkerReport, OrderResult>>& aResponse);
   /// Processes the report of a worker.
@@ -436,6 +438,7 @@
   void OnStartResult(const WorkerId& aWorker,
                      const TaskName& aTask,
                      std::uint64_t aRun,
+                     std::uint64_t aFencingToken,
                      const Result<OrderResult>& aResult);
   /// @param aReason why the order was not sent or not accepted, for the log
   void OnStartRejected(Worker& aWorker,
@@ -458,7 +461,10 @@
   bool hasLostLeadership = false;
   /// True while the jobs of a predecessor are being adopted.
   bool isAdoptingJobs = false;
+  /// The token of the term.
   std::uint64_t fencingToken = 0;
+  /// The version of the latest leader record, for workers that start again during the term.
+  std::uint64_t latestFencingToken = 0;
   std::uint64_t runCounter = 0;
   TimePoint termBegin{};
   TimePoint termEnd{};
--- a/Libraries/LibCell/CellSchedulerPlacement.cpp
+++ b/Libraries/LibCell/CellSchedulerPlacement.cpp
@@ -38,7 +38,8 @@
   return !isEvacuated && aWorker.isListed && hasCurrentRow && !aWorker.entry.isDraining &&
          aWorker.reachability == WorkerReachability::Reachable && aWorker.isClockKnown &&
          aWorker.failedRenewals == 0 && aWorker.avoidUntil <= aNow &&
-         aWorker.runsOfUnknownDemand == 0 && aWorker.isPublished && !aWorker.isLeaseSuspended;
+         aWorker.runsOfUnknownDemand == 0 && aWorker.isPublished && !aWorker.isLeaseSuspended &&
+         !aWorker.fence.AwaitsToken();
 }
 
 void
--- a/Libraries/LibCell/CellSchedulerRestarts.cpp
+++ b/Libraries/LibCell/CellSchedulerRestarts.cpp
@@ -46,6 +46,10 @@
                                { "acknowledged", aWorker.acknowledgedSequence },
                                { "runs", aWorker.allocations.size() },
                                { "unreported", unreported } });
+  aWorker.fence.OnRestarted(this->latestFencingToken);
+  if (aWorker.fence.AwaitsToken() && this->dependencies.onUnpublishedWorker) {
+    this->dependencies.onUnpublishedWorker();
+  }
   this->RequeueLostRuns(aWorker, aReason);
   // The start time of the next incarnation may not be known yet; any later one proves the crash.
   this->ConfirmCrash(aWorker.entry.MachineOrId(), aWorker.KnownIncarnation() + 1);
--- a/Libraries/LibCell/CellSchedulerStarts.cpp
+++ b/Libraries/LibCell/CellSchedulerStarts.cpp
@@ -79,9 +79,10 @@
                                     guard = std::weak_ptr<bool>(this->livenessToken),
                                     id = aWorker.entry.id,
                                     name,
-                                    aRunNumber](Result<OrderResult> aResult) {
+                                    aRunNumber,
+                                    token = aWorker.fence.Token()](Result<OrderResult> aResult) {
                                      if (!guard.expired() && !this->hasLostLeadership) {
-                                       this->OnStartResult(id, name, aRunNumber, aResult);
+                                       this->OnStartResult(id, name, aRunNumber, token, aResult);
                                      }
                                    });
 }
@@ -90,6 +91,7 @@
 CellScheduler::OnStartResult(const WorkerId& aWorker,
                              const TaskName& aTask,
                              std::uint64_t aRun,
+                             std::uint64_t aFencingToken,
                              const Result<OrderResult>& aResult)
 {
   const ActivityTimes::Scope activity(this->load.Activities(), Activity::Orders);
@@ -109,7 +111,11 @@
     }
     return;
   }
-  const auto result = IsError(aResult) ? OrderResult::Rejected : ValueOf(aResult);
+  auto result = IsError(aResult) ? OrderResult::Rejected : ValueOf(aResult);
+  if (result == OrderResult::Fenced && worker.fence.IsEarlier(aFencingToken)) {
+    // The token that the worker has seen is this leader's: it has started again meanwhile.
+    result = OrderResult::Rejected;
+  }
   if (result == OrderResult::Accepted) {
     allocation->isStartConfirmed = true;
     if (allocation->phase == RunPhase::Starting || allocation->phase == RunPhase::Uncertain) {
--- a/Libraries/LibCell/CellSchedulerStops.cpp
+++ b/Libraries/LibCell/CellSchedulerStops.cpp
@@ -112,6 +112,10 @@
   if (IsError(aResult)) {
     return;
   }
+  if (ValueOf(aResult) == OrderResult::Fenced &&
+      worker->fence.IsEarlier(aOrder.target.fencingToken)) {
+    return;
+  }
   if (ValueOf(aResult) == OrderResult::Fenced) {
     this->StepDown("a worker has seen a higher fencing token");
     return;
--- a/Libraries/LibCell/CellSchedulerTakeover.cpp
+++ b/Libraries/LibCell/CellSchedulerTakeover.cpp
@@ -11,6 +11,7 @@
   const auto now = this->dependencies.clock.Now();
   this->termBegin = now;
   this->fencingToken = aSnapshot.fencingToken;
+  this->latestFencingToken = aSnapshot.fencingToken;
   this->unreadWorkers.Begin(aSnapshot, now);
   // The record of the takeover repeats the predecessor's.
   (void)this->leaseSuspensions.OnRecordMade(RemainingLeases(aSnapshot.suspendedLeases, now));
--- a/Libraries/LibCell/CellSchedulerWorkers.cpp
+++ b/Libraries/LibCell/CellSchedulerWorkers.cpp
@@ -41,7 +41,7 @@
   return { .worker = aWorker.entry.id,
            .address = aWorker.entry.address,
            .port = aWorker.entry.port,
-           .fencingToken = this->fencingToken };
+           .fencingToken = aWorker.fence.Token() };
 }
 
 void
@@ -60,6 +60,7 @@
   auto* known = this->workers.Find(aEntry.id);
   if (known == nullptr) {
     auto& added = this->workers.Add(aEntry);
+    added.fence = OrderFence(this->latestFencingToken);
     this->renewals.Schedule(added, now);
     this->unresponsiveWorkers.insert(added.number);
     added.lastResponse = now;
@@ -160,7 +161,8 @@
                       .acknowledgedSequence = aWorker.connection ? aWorker.acknowledgedSequence : 0,
                       .connection = aWorker.connection };
   const bool renewsLease = aWorker.isClockKnown && aWorker.connection &&
-                           !aWorker.isLeaseSuspended && now < this->termEnd;
+                           !aWorker.isLeaseSuspended && !aWorker.fence.AwaitsToken() &&
+                           now < this->termEnd;
   if (renewsLease) {
     order.leaseDeadline = this->ExtendLease(aWorker);
   }
@@ -176,9 +178,10 @@
      guard = std::weak_ptr<bool>(this->livenessToken),
      id = aWorker.entry.id,
      incarnation = aWorker.incarnation,
+     token = aWorker.fence.Token(),
      now](Result<std::variant<WorkerReport, OrderResult>> aResponse) {
       if (!guard.expired() && !this->hasLostLeadership) {
-        this->OnLeaseRenewalResponse(id, incarnation, now, aResponse);
+        this->OnLeaseRenewalResponse(id, incarnation, token, now, aResponse);
       }
     });
 }
@@ -187,6 +190,7 @@
 CellScheduler::OnLeaseRenewalResponse(
   const WorkerId& aWorker,
   std::int64_t aIncarnation,
+  std::uint64_t aFencingToken,
   TimePoint aSent,
   const Result<std::variant<WorkerReport, OrderResult>>& aResponse)
 {
@@ -209,6 +213,11 @@
     return;
   }
   if (const auto* rejection = std::get_if<OrderResult>(&ValueOf(aResponse))) {
+    if (*rejection == OrderResult::Fenced && worker.fence.IsEarlier(aFencingToken)) {
+      // The token that it has seen is this leader's.
+      this->renewals.Schedule(worker, now);
+      return;
+    }
     if (*rejection == OrderResult::Fenced) {
       this->StepDown("a worker has seen a higher fencing token");
       return;
@@ -231,6 +240,9 @@
     return;
   }
   this->OnReport(worker, aSent, std::get<WorkerReport>(ValueOf(aResponse)));
+  if (worker.fence.IsOpen()) {
+    worker.fence.OnResponse(aFencingToken);
+  }
 }
 
 void
--- a/Libraries/LibCell/LeaderElection.cpp
+++ b/Libraries/LibCell/LeaderElection.cpp
@@ -433,7 +433,7 @@
   this->nextRenewalAt = this->isRenewalOutdated ? this->dependencies.clock.Now()
                                                 : aSent + this->options.renewalInterval;
   if (this->dependencies.onReportStored) {
-    this->dependencies.onReportStored(aReport);
+    this->dependencies.onReportStored(aReport, result.version);
   }
   if (aIsHandover) {
     this->CompleteHandover();
--- a/Libraries/LibCell/LeaderElection.h
+++ b/Libraries/LibCell/LeaderElection.h
@@ -98,8 +98,9 @@
     std::function<void(std::string_view)> onTermLost;
     /// Called before each renewal.
     std::function<LeaderReport()> makeReport;
-    /// Called with the report that a successful renewal has written; may be empty.
-    std::function<void(const LeaderReport&)> onReportStored;
+    /// Called with the report that a successful renewal has written, and the version of the record;
+    /// may be empty.
+    std::function<void(const LeaderReport&, std::uint64_t)> onReportStored;
   };
 
   /// Identity of this instance.
--- a/Libraries/LibCell/Worker.h
+++ b/Libraries/LibCell/Worker.h
@@ -3,6 +3,7 @@
 /// @file
 /// The leader's state of a worker and of the runs allocated to it.
 
+#include <LibCell/OrderFence.h>
 #include <LibCell/Ports.h>
 #include <LibCell/WorkerSpeed.h>
 #include <LibCell/WorkspaceUsage.h>
@@ -140,6 +141,7 @@
   WorkerNumber number = 0;
   /// The store has a row of the worker.
   bool isListed = true;
+  OrderFence fence;
   /// The leader record names the worker; only then may it get tasks.
   bool isPublished = false;
   WorkerReachability reachability = WorkerReachability::Unread;
--- a/Libraries/LibInstance/CellInstance.cpp
+++ b/Libraries/LibInstance/CellInstance.cpp
@@ -66,9 +66,9 @@
                .onTermLost = [this](std::string_view) { this->OnTermLost(); },
                .makeReport = [this] { return this->BuildLeaderReport(); },
                .onReportStored =
-                 [this](const cell::LeaderReport& aReport) {
+                 [this](const cell::LeaderReport& aReport, std::uint64_t aVersion) {
                    if (this->scheduler) {
-                     this->scheduler->OnReportStored(aReport);
+                     this->scheduler->OnReportStored(aReport, aVersion);
                    }
                  } },
              this->options.identity,
--- a/Tests/Benchmarks/Scheduler/SimulatedCell.cpp
+++ b/Tests/Benchmarks/Scheduler/SimulatedCell.cpp
@@ -121,7 +121,7 @@
       run();
     }
     this->Measure([this] { this->scheduler->Tick(); });
-    this->scheduler->OnReportStored(this->scheduler->MakeLeaderReport());
+    this->scheduler->OnReportStored(this->scheduler->MakeLeaderReport(), 0);
     this->clock.Advance(kTickInterval);
   }
   return this->cost;
--- a/Tests/LibCell/CellSchedulerFixture.cpp
+++ b/Tests/LibCell/CellSchedulerFixture.cpp
@@ -164,7 +164,7 @@
   for (auto elapsed = Milliseconds{ 0 }; elapsed < aDuration; elapsed += kStep) {
     this->scheduler->Tick();
     if (this->publishesWorkers) {
-      this->scheduler->OnReportStored(this->scheduler->MakeLeaderReport());
+      this->scheduler->OnReportStored(this->scheduler->MakeLeaderReport(), ++this->store.version);
     }
     this->ListRestartedWorkers();
     this->workers.Deliver();
--- a/Tests/LibCell/SimulatedWorkers.cpp
+++ b/Tests/LibCell/SimulatedWorkers.cpp
@@ -301,6 +301,14 @@
   this->delayedStartsDue = this->clock.Now() + this->startDelay;
 }
 
+void
+SimulatedWorkers::RepeatRenewal(const LeaseRenewal& aOrder)
+{
+  auto order = aOrder;
+  order.connection.reset();
+  this->RenewLease(std::move(order), [](const auto&) {});
+}
+
 WorkerEntry
 SimulatedWorkers::RestartAtOnce(const std::string& aId)
 {
--- a/Tests/LibCell/SimulatedWorkers.h
+++ b/Tests/LibCell/SimulatedWorkers.h
@@ -93,6 +93,8 @@
   void End(const std::string& aWorker, const TaskName& aTask, RunOutcome aOutcome);
   /// Ends the runs of all workers.
   void EndAll(RunOutcome aOutcome = RunOutcome::Succeeded);
+  /// Carries out an earlier lease renewal of a worker once more, at its present incarnation.
+  void RepeatRenewal(const LeaseRenewal& aOrder);
   /// Ends the incarnation of a worker and begins the next one at once, under the same id.
   /// @return its entry, for the scheduler
   WorkerEntry RestartAtOnce(const std::string& aId);
--- a/Tests/LibCell/TestLeaderElection.cpp
+++ b/Tests/LibCell/TestLeaderElection.cpp
@@ -37,8 +37,8 @@
                                      .isRecovering = this->isRecovering,
                                      .recoveryLeft = this->recoveryLeft };
               },
-            .onReportStored =
-              [this](const LeaderReport& aReport) { this->publishedWorkers = aReport.workers; } },
+            .onReportStored = [this](const LeaderReport& aReport,
+                                     std::uint64_t) { this->publishedWorkers = aReport.workers; } },
           { .name = aName,
             .incarnation = aName + aIncarnation,
             .address = "10.0.0.1",
--- a/Tests/LibCell/TestRestartedWorkers.cpp
+++ b/Tests/LibCell/TestRestartedWorkers.cpp
@@ -157,4 +157,44 @@
   EXPECT_EQ(this->CountStarts("job"), 2U);
 }
 
+// Guards against a task that starts again after it has succeeded: the next incarnation carries out
+// a late renewal of the previous one, with its acknowledgement, after it has reported.
+TEST_F(RestartedWorkerTest, FencesALateRenewalOfThePreviousIncarnation)
+{
+  this->RunAcknowledgedJob();
+  const auto late = this->workers.leaseRenewals.back();
+  ASSERT_GT(late.acknowledgedSequence, 0U);
+  this->scheduler->OnWorkerEntry(this->workers.RestartAtOnce("w1"));
+  this->RunFor(Milliseconds{ 1000 });
+  this->AcceptJob(MakeJob("job", 1, 1));
+  this->RunFor(Milliseconds{ 300 });
+  ASSERT_EQ(this->CountStarts("job"), 1U);
+  this->workers.EndAll();
+  this->workers.RepeatRenewal(late);
+  this->RunFor(Milliseconds{ 1000 });
+  EXPECT_EQ(this->CountStarts("job"), 1U);
+  EXPECT_EQ(this->StatusOf("job").outcome, JobOutcome::Succeeded);
+  EXPECT_FALSE(this->hasLostLeadership);
+}
+
+// Guards against a worker that is used without a higher fencing token than its previous
+// incarnation.
+TEST_F(RestartedWorkerTest, StartsNothingAtANewIncarnationWithoutAHigherFencingToken)
+{
+  this->entries = { this->workers.Add("w1", 4) };
+  this->publishesWorkers = false;
+  this->BeginTerm();
+  this->scheduler->OnReportStored(this->scheduler->MakeLeaderReport(), this->fencingToken);
+  this->RunFor(Milliseconds{ 300 });
+  this->scheduler->OnWorkerEntry(this->workers.RestartAtOnce("w1"));
+  this->RunFor(Milliseconds{ 300 });
+  this->AcceptJob(MakeJob("job", 1, 1));
+  this->RunFor(Milliseconds{ 300 });
+  EXPECT_EQ(this->CountStarts("job"), 0U);
+  this->scheduler->OnReportStored(this->scheduler->MakeLeaderReport(), ++this->store.version);
+  this->RunFor(Milliseconds{ 300 });
+  ASSERT_EQ(this->CountStarts("job"), 1U);
+  EXPECT_GT(this->workers.starts.back().token, this->fencingToken);
+}
+
 }
--- a/Tests/LibCell/TestRunEndHistories.cpp
+++ b/Tests/LibCell/TestRunEndHistories.cpp
@@ -114,7 +114,7 @@
       this->suspendedLeases.emplace(id, this->clock.Now() + left);
     }
     this->recordedWorkers = report.workers;
-    this->scheduler->OnReportStored(report);
+    this->scheduler->OnReportStored(report, ++this->store.version);
   }
 
   void ChangeLeader()
--- a/Tests/LibCell/TestTakeover.cpp
+++ b/Tests/LibCell/TestTakeover.cpp
@@ -437,7 +437,7 @@
   ASSERT_GT(this->workers.leaseRenewals.size(), count);
   const auto omitted = this->scheduler->MakeLeaderReport();
   EXPECT_TRUE(omitted.suspendedLeases.empty());
-  this->scheduler->OnReportStored(named);
+  this->scheduler->OnReportStored(named, ++this->store.version);
   this->AcceptJob(MakeJob("job", 1, 4));
   this->RunFor(Milliseconds{ 500 });
   EXPECT_EQ(std::count_if(this->workers.leaseRenewals.begin() + static_cast<std::ptrdiff_t>(count),
@@ -445,7 +445,7 @@
                           renewsLease),
             0);
   EXPECT_EQ(this->CountStarts("job"), 0U) << "a start grants a lease, too";
-  this->scheduler->OnReportStored(omitted);
+  this->scheduler->OnReportStored(omitted, ++this->store.version);
   this->RunFor(Milliseconds{ 100 });
   EXPECT_TRUE(renewsLease(this->workers.leaseRenewals.back()));
   EXPECT_EQ(this->CountStarts("job"), 1U);
--- a/Tests/LibCell/TestWorkerCrashes.cpp
+++ b/Tests/LibCell/TestWorkerCrashes.cpp
@@ -305,7 +305,7 @@
   };
   while (countRecorded() == 0) {
     this->scheduler->Tick();
-    this->scheduler->OnReportStored(this->scheduler->MakeLeaderReport());
+    this->scheduler->OnReportStored(this->scheduler->MakeLeaderReport(), ++this->store.version);
     this->ListRestartedWorkers();
     this->workers.Deliver();
     this->clock.Advance(Milliseconds{ 10 });
