LibCell: Count a restarted worker's lease by the longest that it grants

Cause: the leader requests leases of 7.5 s where workers grant 10 s, and counts by what it requested. An order for the previous incarnation that the next one takes names a deadline on another clock, which is cut only to the longest lease from its arrival, for all runs there.

Change: until a worker has responded to the raised token, each report extends its lease, as counted, by the longest lease that workers grant.

Evidence: WaitsForALeaseThatWasRequestedByThePreviousClock fails with the former count.

--- a/Libraries/LibCell/CellSchedulerOptions.h
+++ b/Libraries/LibCell/CellSchedulerOptions.h
@@ -5,6 +5,7 @@
 
 #include <LibBase/Time.h>
 #include <LibCell/RankingSelector.h>
+#include <algorithm>
 #include <cmath>
 #include <cstddef>
 #include <cstdint>
@@ -16,6 +17,8 @@
 {
   /// Lease that the leader requests.
   Milliseconds maxLease{ 6000 };
+  /// Longest lease that a worker grants, whatever deadline an order names; set by the platform.
+  Milliseconds maxGrantedLease{ 6000 };
   /// Largest fraction by which a worker's clock runs slow; documented by the platform.
   double maxClockDrift = 0.02;
   /// Time that an order may spend in transit; added when the scheduler waits for a lease to expire.
@@ -25,6 +28,18 @@
   Milliseconds maxOrderDelay{ 15'000 };
   /// @return the time after which a lease granted now has expired by any worker's clock.
   [[nodiscard]] Milliseconds LeaseExpiryBound() const { return this->BoundOf(this->maxLease); }
+  /// @return the time after which a lease has expired whose deadline was a time on another clock.
+  [[nodiscard]] Milliseconds GrantedLeaseExpiryBound() const
+  {
+    return this->BoundOf(std::max(this->maxLease, this->maxGrantedLease));
+  }
+  /// @return the time after which a lease of this length has expired by any worker's clock.
+  [[nodiscard]] Milliseconds BoundOf(Milliseconds aLease) const
+  {
+    return Milliseconds(static_cast<std::int64_t>(
+             std::ceil(static_cast<double>(aLease.count()) * (1.0 + this->maxClockDrift)))) +
+           this->orderTransitMargin;
+  }
   /// How long a worker may wait for a run to end before it responds to a lease renewal. A shorter
   /// wait leaves more of the lease when a connection breaks, a longer one needs fewer calls.
   Milliseconds renewalWait{ 700 };
--- a/Libraries/LibCell/CellSchedulerWorkers.cpp
+++ b/Libraries/LibCell/CellSchedulerWorkers.cpp
@@ -241,6 +241,9 @@
   }
   this->OnReport(worker, aSent, std::get<WorkerReport>(ValueOf(aResponse)));
   if (worker.fence.IsOpen()) {
+    // The deadline of an earlier order is a time on another clock.
+    worker.leaseExpiry =
+      std::max(worker.leaseExpiry, now + this->options.GrantedLeaseExpiryBound());
     worker.fence.OnResponse(aFencingToken);
   }
 }
--- a/Services/Entry/PlatformProgram.cpp
+++ b/Services/Entry/PlatformProgram.cpp
@@ -262,6 +262,7 @@
     .zone = this->boot.zone,
   };
   instanceOptions.scheduler.maxLease = std::min(this->boot.maxLease, kMaxLease);
+  instanceOptions.scheduler.maxGrantedLease = this->boot.maxLease;
   instanceOptions.scheduler.maxStopDuration = this->boot.maxStopDuration;
   instanceOptions.election.maxLeaseAfterTerm = instanceOptions.scheduler.LeaseExpiryBound();
   instanceOptions.documentRereadInterval = std::clamp(
--- a/Tests/LibCell/TestRestartedWorkers.cpp
+++ b/Tests/LibCell/TestRestartedWorkers.cpp
@@ -197,4 +197,28 @@
   EXPECT_GT(this->workers.starts.back().token, this->fencingToken);
 }
 
+// Guards against two runs of a task: the deadline of a renewal for the previous incarnation means a
+// later time to the next one, so that leases there outlast what the leader requested.
+TEST_F(RestartedWorkerTest, WaitsForALeaseThatWasRequestedByThePreviousClock)
+{
+  this->options.maxLease = Milliseconds{ 3000 };
+  this->entries = { this->workers.Add("w1", 4) };
+  this->BeginTerm();
+  this->RunFor(Milliseconds{ 300 });
+  const auto late = this->workers.leaseRenewals.back();
+  ASSERT_TRUE(late.leaseDeadline);
+  const auto next = this->workers.RestartAtOnce("w1");
+  this->workers.RepeatRenewal(late);
+  this->scheduler->OnWorkerEntry(next);
+  this->RunFor(Milliseconds{ 300 });
+  this->AcceptJob(MakeJob("job", 1, 1));
+  this->RunFor(Milliseconds{ 300 });
+  ASSERT_EQ(this->CountStarts("job"), 1U);
+  this->workers.At("w1").isReachable = false;
+  this->entries = { next, this->workers.Add("w2", 4) };
+  this->scheduler->OnWorkerEntry(this->entries.back());
+  EXPECT_EQ(this->CountCopiesDuring(Milliseconds{ 7000 }), 1U);
+  EXPECT_EQ(this->CountStarts("job"), 2U);
+}
+
 }
