LibCell: Wait longer for unread workers that have started lately

A worker that has started again and is cut off may run a predecessor's start beyond the time for which the successor waits.

Change: while such a worker is listed and has not reported, the predecessor's jobs wait for the time for which orders may be carried out late.

Evidence: TakeoverTest.WaitsLongerForAnUnreachableWorkerThatHasStartedAgain fails with the former time; UnreadWorkers.AreAwaitedLongerIfTheyHaveStartedAgain.

--- a/Libraries/LibCell/CellScheduler.cpp
+++ b/Libraries/LibCell/CellScheduler.cpp
@@ -63,7 +63,7 @@
   const ActivityTimes::Scope activity(this->load.Activities(), Activity::DueChecks);
   const auto now = this->dependencies.clock.Now();
   this->load.CountTick(now);
-  if (!this->unreadWorkers.IsEmpty() && now >= this->unreadWorkers.LeasesExpiry()) {
+  if (!this->unreadWorkers.IsEmpty() && now >= this->unreadWorkers.AwaitedUntil()) {
     this->dependencies.log.Log(
       LogLevel::Info, "predecessor_waited_out", { { "unread", this->unreadWorkers.Size() } });
     this->unreadWorkers.Clear();
--- a/Libraries/LibCell/CellScheduler.h
+++ b/Libraries/LibCell/CellScheduler.h
@@ -468,7 +468,8 @@
   std::uint64_t runCounter = 0;
   TimePoint termBegin{};
   TimePoint termEnd{};
-  UnreadWorkers unreadWorkers{ { .rowRestoreTimeout = this->options.rowRestoreTimeout } };
+  UnreadWorkers unreadWorkers{ { .rowRestoreTimeout = this->options.rowRestoreTimeout,
+                                 .maxOrderDelay = this->options.maxOrderDelay } };
   LeaseSuspensions leaseSuspensions;
 
   std::unordered_map<JobId, Job> jobs;
--- a/Libraries/LibCell/CellSchedulerTakeover.cpp
+++ b/Libraries/LibCell/CellSchedulerTakeover.cpp
@@ -41,7 +41,7 @@
 CellScheduler::RemainingRecoveryTime() const
 {
   return std::max(Milliseconds{ 0 },
-                  this->unreadWorkers.LeasesExpiry() - this->dependencies.clock.Now());
+                  this->unreadWorkers.AwaitedUntil() - this->dependencies.clock.Now());
 }
 
 void
--- a/Libraries/LibCell/CellSchedulerWorkers.cpp
+++ b/Libraries/LibCell/CellSchedulerWorkers.cpp
@@ -57,6 +57,11 @@
 CellScheduler::ApplyWorkerEntry(const WorkerEntry& aEntry)
 {
   const auto now = this->dependencies.clock.Now();
+  const auto recently = this->dependencies.wallClock() - this->options.GrantedLeaseExpiryBound() -
+                        this->options.maxOrderDelay;
+  if (aEntry.incarnation > recently.time_since_epoch().count()) {
+    this->unreadWorkers.OnRestarted(aEntry.id);
+  }
   auto* known = this->workers.Find(aEntry.id);
   if (known == nullptr) {
     auto& added = this->workers.Add(aEntry);
@@ -109,6 +114,7 @@
 void
 CellScheduler::OnWorkerUnlisted(const WorkerId& aWorker)
 {
+  this->unreadWorkers.OnUnlisted(aWorker);
   auto* worker = this->workers.Find(aWorker);
   if (worker == nullptr) {
     return;
--- a/Libraries/LibCell/UnreadWorkers.cpp
+++ b/Libraries/LibCell/UnreadWorkers.cpp
@@ -51,6 +51,14 @@
                                               : std::min(found->second, this->leasesExpiry);
 }
 
+TimePoint
+UnreadWorkers::AwaitedUntil() const
+{
+  const bool hasRestarted = std::ranges::any_of(
+    this->workers, [this](const WorkerId& aId) { return this->restarted.contains(aId); });
+  return this->leasesExpiry + (hasRestarted ? this->options.maxOrderDelay : Milliseconds{ 0 });
+}
+
 bool
 UnreadWorkers::HasUnrestricted() const
 {
--- a/Libraries/LibCell/UnreadWorkers.h
+++ b/Libraries/LibCell/UnreadWorkers.h
@@ -19,6 +19,8 @@
 {
   /// Rows that expired during an outage of the store reappear within this time after it recovers.
   Milliseconds rowRestoreTimeout{ 0 };
+  /// How much longer a worker that has started again lately may carry out the predecessor's orders.
+  Milliseconds maxOrderDelay{ 0 };
 };
 
 /// The workers at which runs of a predecessor, or ends that it did not store, may exist, and that
@@ -36,6 +38,13 @@
   /// Sets the time at which all leases of the predecessors have expired.
   void SetLeasesExpiry(TimePoint aExpiry) { this->leasesExpiry = aExpiry; }
   [[nodiscard]] TimePoint LeasesExpiry() const { return this->leasesExpiry; }
+  /// @return until when runs of the predecessors may exist at unread workers. One that has started
+  /// again may carry out an order late, and its deadline means nothing there.
+  [[nodiscard]] TimePoint AwaitedUntil() const;
+  /// Called for a listed worker that has started lately.
+  void OnRestarted(const WorkerId& aWorker) { this->restarted.insert(aWorker); }
+  /// Called when a worker's row is removed.
+  void OnUnlisted(const WorkerId& aWorker) { this->restarted.erase(aWorker); }
   /// Called while changes of workers' rows cannot be read. A row that is missing meanwhile does not
   /// prove that its worker is gone.
   void OnRowsUnavailable(TimePoint aNow) { this->rowsCurrentSince = aNow; }
@@ -77,6 +86,8 @@
   DrainingJobs drainingJobs;
   /// Workers without a row since the term began.
   std::set<WorkerId> unlisted;
+  /// Listed workers that have started lately, read or not.
+  std::set<WorkerId> restarted;
   /// When the leases have expired that the predecessor did not renew. A missing row alone proves
   /// nothing of a lease: the worker may be cut off from the store only.
   std::map<WorkerId, TimePoint> suspendedLeases;
--- a/Tests/LibCell/CellSchedulerFixture.h
+++ b/Tests/LibCell/CellSchedulerFixture.h
@@ -106,7 +106,7 @@
   bool publishesWorkers = true;
   std::uint64_t fencingToken = 0;
   /// Unix time by the leader's clock.
-  WallTime wallTime{};
+  WallTime wallTime{ Milliseconds{ 1'000'000 } };
   /// Clock of the scheduler in place of @ref clock, if set.
   std::unique_ptr<Clock> clockOverride;
   std::unique_ptr<CellScheduler> scheduler;
--- a/Tests/LibCell/TestTakeover.cpp
+++ b/Tests/LibCell/TestTakeover.cpp
@@ -60,6 +60,21 @@
   EXPECT_EQ(this->CountStarts("job"), 3U) << "the predecessor's leases have expired";
 }
 
+// Guards against starting a task twice whose worker has started again lately and is cut off: it may
+// carry out the predecessor's start late.
+TEST_F(TakeoverTest, WaitsLongerForAnUnreachableWorkerThatHasStartedAgain)
+{
+  this->entries = { this->workers.Add("w1", 4), this->workers.Add("w2", 4) };
+  this->entries[1].incarnation = this->wallTime.time_since_epoch().count();
+  this->AcceptJob(MakeJob("job", 1, 4));
+  this->workers.At("w2").isReachable = false;
+  this->BeginTerm(true);
+  this->RunFor(Milliseconds{ 20'000 });
+  EXPECT_EQ(this->CountStarts("job"), 0U);
+  this->RunFor(Milliseconds{ 8000 });
+  EXPECT_EQ(this->CountStarts("job"), 1U);
+}
+
 TEST_F(TakeoverTest, DoesNotRestartTasksIfReadingTheJobsTakesTime)
 {
   this->entries = { this->workers.Add("w1", 4), this->workers.Add("w2", 4) };
--- a/Tests/LibCell/TestUnreadWorkers.cpp
+++ b/Tests/LibCell/TestUnreadWorkers.cpp
@@ -1,5 +1,6 @@
 #include <LibCell/UnreadWorkers.h>
 #include <gtest/gtest.h>
+#include <tuple>
 
 namespace zinc::cell::test {
 
@@ -96,4 +97,24 @@
   EXPECT_TRUE(unread.MarkRead({ "w2" }));
 }
 
+// Guards against starting a task twice that a worker runs which has started again: it carries out
+// orders of the predecessor late, for leases of its own clock.
+TEST(UnreadWorkers, AreAwaitedLongerIfTheyHaveStartedAgain)
+{
+  constexpr Milliseconds kOrderDelay{ 15'000 };
+  UnreadWorkers unread({ .maxOrderDelay = kOrderDelay });
+  auto snapshot = MakeSnapshot({ { "w1" }, { "w2" }, { "left" } });
+  snapshot.workers = { { .id = { "w1" } }, { .id = { "w2" } }, { .id = { "left" } } };
+  unread.Begin(snapshot, kBegin);
+  unread.SetLeasesExpiry(kBegin);
+  EXPECT_EQ(unread.AwaitedUntil(), kBegin);
+  unread.OnRestarted({ "w1" });
+  EXPECT_EQ(unread.AwaitedUntil(), kBegin + kOrderDelay);
+  std::ignore = unread.MarkRead({ "w1" });
+  EXPECT_EQ(unread.AwaitedUntil(), kBegin) << "it has reported";
+  unread.OnRestarted({ "left" });
+  unread.OnUnlisted({ "left" });
+  EXPECT_EQ(unread.AwaitedUntil(), kBegin) << "it is gone";
+}
+
 }
