LibCell: Disconnect from the previous incarnation of a worker

Cause: connections to a worker that went down silently stay until requests on them time out. Since the first report of the next incarnation decides about its runs, that wait now delays them.

Change: a row that shows a restart closes the connections; the response of the renewal on them is not a failure of the next incarnation.

--- a/Libraries/LibCell/CellSchedulerWorkers.cpp
+++ b/Libraries/LibCell/CellSchedulerWorkers.cpp
@@ -101,6 +101,8 @@
   if (hasRestarted) {
     this->OnWorkerRestarted(worker, WorkerLossReason::RowOfNextIncarnation);
     worker.incarnation = aEntry.incarnation;
+    // Its connections may stay silent until requests on them time out.
+    this->dependencies.workers.Disconnect(aEntry.id);
   }
   if (aEntry.incarnation > worker.entry.incarnation) {
     // The cold time of the previous incarnation has ended with it.
@@ -210,7 +212,8 @@
   const auto now = this->dependencies.clock.Now();
   if (IsError(aResponse)) {
     const bool isConnectionClosed = worker.connection && ErrorOf(aResponse).run == RunState::NotRun;
-    if (isConnectionClosed) {
+    const bool hasRestarted = aIncarnation != 0 && worker.incarnation != aIncarnation;
+    if (isConnectionClosed || hasRestarted) {
       worker.connection.reset();
       this->renewals.Schedule(worker, now);
       return;
