LibCell: Discard tickets of a worker that has started again

Cause: a ticket is valid at one incarnation of a worker. Starts with tickets of the previous one are rejected, one after the other, and count as a price.

Change: a restart expires the tickets for the worker.

Evidence: RequestsNewTicketsForANewIncarnation fails without it.

--- a/Libraries/LibCell/CellScheduler.h
+++ b/Libraries/LibCell/CellScheduler.h
@@ -390,6 +390,8 @@
   void OnAdviceResponse(const StepName& aStep,
                         std::span<const WorkerNumber> aRequested,
                         const Result<AdviceResponse>& aResponse);
+  /// Discards the tickets for a worker, which are valid at one incarnation only.
+  void ExpireTicketsFor(const Worker& aWorker);
   void NotifyPlacementDue();
   /// Chooses a worker for a task, if possible another one than where its last run failed.
   [[nodiscard]] Worker* ChooseWorkerFor(const Candidate& aCandidate,
--- a/Libraries/LibCell/CellSchedulerAdvice.cpp
+++ b/Libraries/LibCell/CellSchedulerAdvice.cpp
@@ -220,4 +220,19 @@
   this->NotifyPlacementDue();
 }
 
+void
+CellScheduler::ExpireTicketsFor(const Worker& aWorker)
+{
+  const auto now = this->dependencies.clock.Now();
+  for (const auto& [id, job] : this->activeJobs) {
+    for (auto& [number, occurrence] : job->occurrences) {
+      for (auto& step : occurrence.steps) {
+        if (auto* ticket = step.advice.FindTicket(aWorker.number)) {
+          ticket->expires = std::min(ticket->expires, now);
+        }
+      }
+    }
+  }
+}
+
 }
--- a/Libraries/LibCell/CellSchedulerRestarts.cpp
+++ b/Libraries/LibCell/CellSchedulerRestarts.cpp
@@ -50,6 +50,7 @@
   if (aWorker.fence.AwaitsToken() && this->dependencies.onUnpublishedWorker) {
     this->dependencies.onUnpublishedWorker();
   }
+  this->ExpireTicketsFor(aWorker);
   this->RequeueLostRuns(aWorker, aReason);
   // The start time of the next incarnation may not be known yet; any later one proves the crash.
   this->ConfirmCrash(aWorker.entry.MachineOrId(), aWorker.KnownIncarnation() + 1);
--- a/Tests/LibCell/TestRestartedWorkers.cpp
+++ b/Tests/LibCell/TestRestartedWorkers.cpp
@@ -221,4 +221,24 @@
   EXPECT_EQ(this->CountStarts("job"), 2U);
 }
 
+// Guards against starts that a restarted worker rejects, since a ticket is valid at one
+// incarnation.
+TEST_F(RestartedWorkerTest, RequestsNewTicketsForANewIncarnation)
+{
+  this->policy.routes.front().queue.needsAdvice = true;
+  this->policy.routes.front().queue.advice = { .ticketValidity = Milliseconds{ 60'000 } };
+  this->entries = { this->workers.Add("w1", 1) };
+  auto spec = MakeJob("job", 2, 1);
+  spec.queue.needsAdvice = true;
+  this->AcceptJob(spec);
+  this->BeginTerm();
+  this->RunFor(Milliseconds{ 500 });
+  ASSERT_EQ(this->CountStarts("job"), 1U);
+  const auto earlier = this->workers.starts.back().ticket;
+  this->scheduler->OnWorkerEntry(this->workers.RestartAtOnce("w1"));
+  this->RunFor(Milliseconds{ 500 });
+  ASSERT_EQ(this->CountStarts("job"), 2U);
+  EXPECT_NE(this->workers.starts.back().ticket, earlier);
+}
+
 }
