LibCell: Log missing ends only after the incarnation has listed some

Cause: the first report of a worker to a new leader may list no ends, since the predecessor has acknowledged them.

Change: the numbers count as known once the incarnation has listed an end, or began during the term.

--- a/Libraries/LibCell/CellSchedulerWorkers.cpp
+++ b/Libraries/LibCell/CellSchedulerWorkers.cpp
@@ -21,7 +21,7 @@
   const auto expected = aWorker.seenSequence + 1;
   const bool hasGap = aWorker.isSequenceKnown && !aReport.endedRuns.empty() &&
                       aReport.endedRuns.front().sequence > expected;
-  aWorker.isSequenceKnown = true;
+  aWorker.isSequenceKnown = aWorker.isSequenceKnown || !aReport.endedRuns.empty();
   if (hasGap) {
     aLog.Log(LogLevel::Error,
              "ends_missing",
--- a/Libraries/LibCell/Worker.h
+++ b/Libraries/LibCell/Worker.h
@@ -153,7 +153,7 @@
   std::int64_t incarnation = 0;
   /// All runs of this leader at the worker have ended by then.
   TimePoint leaseExpiry{};
-  /// The incarnation has reported during this term, or began during it.
+  /// The incarnation has listed ends during this term, or began during it.
   bool isSequenceKnown = false;
   /// Sequence number of the last end that was processed.
   std::uint64_t seenSequence = 0;
