LibCell: Log how long jobs are held back after a change of leader

Steps of held jobs now count as standing still for "reports", as do all steps until a new leader has read the workers; jobs_released tells how many jobs were held and for how long, predecessor_waited_out names a worker, and run_lost how long a run was awaited beyond its lease. workers_read was among the lines left out in the second of a take-over: frequent events used up the budget of bytes. The first four lines of an event in a second have a budget of their own. Meta/longest-standstills.py prints all of this.

No decision changes.

--- a/Libraries/LibCell/CellScheduler.cpp
+++ b/Libraries/LibCell/CellScheduler.cpp
@@ -64,8 +64,11 @@
   const auto now = this->dependencies.clock.Now();
   this->load.CountTick(now);
   if (!this->unreadWorkers.IsEmpty() && now >= this->unreadWorkers.AwaitedUntil()) {
-    this->dependencies.log.Log(
-      LogLevel::Info, "predecessor_waited_out", { { "unread", this->unreadWorkers.Size() } });
+    this->dependencies.log.Log(LogLevel::Info,
+                               "predecessor_waited_out",
+                               { { "unread", this->unreadWorkers.Size() },
+                                 { "first", this->unreadWorkers.All().begin()->value },
+                                 { "after_ms", (now - this->termBegin).count() } });
     this->unreadWorkers.Clear();
     this->ReleaseHeldJobs();
   }
@@ -158,7 +161,8 @@
 CellScheduler::ExpectedWaits()
 {
   const ActivityTimes::Scope activity(this->load.Activities(), Activity::LeaderRecord);
-  return this->forecast.Update(this->CollectCandidates(), this->dependencies.clock.Now());
+  return this->forecast.Update(this->CollectCandidates(HeldJobs::Excluded),
+                               this->dependencies.clock.Now());
 }
 
 bool
--- a/Libraries/LibCell/CellScheduler.h
+++ b/Libraries/LibCell/CellScheduler.h
@@ -347,7 +347,15 @@
 
   // Placement.
   void RunPlacementRound();
-  [[nodiscard]] std::vector<Candidate> CollectCandidates();
+  /// Whether jobs that await reports of workers are among the candidates.
+  enum class HeldJobs : std::uint8_t
+  {
+    Excluded,
+    Included,
+  };
+  [[nodiscard]] std::vector<Candidate> CollectCandidates(HeldJobs aHeldJobs);
+  /// Records which steps stand still since workers have not reported yet.
+  void RecordHeldSteps();
   /// Sorts by priority.
   void OrderCandidates(std::vector<Candidate>& aCandidates) const;
   /// @return false for a step that awaits its first advice, and for a gang without new advice
--- a/Libraries/LibCell/CellSchedulerPlacement.cpp
+++ b/Libraries/LibCell/CellSchedulerPlacement.cpp
@@ -67,12 +67,26 @@
   }
 }
 
+void
+CellScheduler::RecordHeldSteps()
+{
+  if (this->unreadWorkers.IsEmpty()) {
+    return;
+  }
+  const bool areAllHeld = !this->HasReadEnoughWorkers();
+  for (const auto& candidate : this->CollectCandidates(HeldJobs::Included)) {
+    if (areAllHeld || candidate.job->awaitsReports) {
+      this->load.RecordStandstill(candidate, WaitReason::Reports, this->roundBegin);
+    }
+  }
+}
+
 std::vector<Candidate>
-CellScheduler::CollectCandidates()
+CellScheduler::CollectCandidates(HeldJobs aHeldJobs)
 {
   std::vector<Candidate> candidates;
   for (const auto& [id, job] : this->activeJobs) {
-    if (job->awaitsReports) {
+    if (job->awaitsReports && aHeldJobs == HeldJobs::Excluded) {
       continue;
     }
     const auto& queue = this->CurrentQueuePolicy(*job);
@@ -118,6 +132,7 @@
   this->lastPlacement = now;
   this->roundBegin = now;
   this->isPlacementDue = false;
+  this->RecordHeldSteps();
   if (now >= this->termEnd || !this->evacuatedZones || !this->HasReadEnoughWorkers()) {
     return;
   }
@@ -133,7 +148,7 @@
     this->nextGangPlacement = now + this->options.gangPlacementInterval;
     this->gangEarmarks.BeginRound();
   }
-  auto candidates = this->CollectCandidates();
+  auto candidates = this->CollectCandidates(HeldJobs::Excluded);
   std::erase_if(candidates, [this](const Candidate& aCandidate) {
     return !this->NeedsPlacementAttempt(aCandidate);
   });
--- a/Libraries/LibCell/CellSchedulerRestarts.cpp
+++ b/Libraries/LibCell/CellSchedulerRestarts.cpp
@@ -29,7 +29,8 @@
              { "reason", ToString(aReason) },
              { "reported", aAllocation.isReported },
              { "age_ms", (aNow - aAllocation.startedAt).count() },
-             { "silent_ms", (aNow - aWorker.lastResponse).count() } });
+             { "silent_ms", (aNow - aWorker.lastResponse).count() },
+             { "beyond_lease_ms", (aNow - aWorker.leaseExpiry).count() } });
 }
 
 }
--- a/Libraries/LibCell/CellSchedulerTakeover.cpp
+++ b/Libraries/LibCell/CellSchedulerTakeover.cpp
@@ -142,10 +142,21 @@
 void
 CellScheduler::ReleaseHeldJobs()
 {
+  std::size_t released = 0;
   for (const auto& [id, job] : this->activeJobs) {
-    job->awaitsReports = job->awaitsReports && this->unreadWorkers.MayKnowOf(id);
+    const bool isReleased = job->awaitsReports && !this->unreadWorkers.MayKnowOf(id);
+    job->awaitsReports = job->awaitsReports && !isReleased;
+    released += isReleased ? 1 : 0;
   }
   this->isPlacementDue = true;
+  if (released > 0) {
+    this->dependencies.log.Log(
+      LogLevel::Info,
+      "jobs_released",
+      { { "jobs", released },
+        { "held_ms", (this->dependencies.clock.Now() - this->termBegin).count() },
+        { "unread", this->unreadWorkers.Size() } });
+  }
 }
 
 }
--- a/Libraries/LibCell/LoadReport.cpp
+++ b/Libraries/LibCell/LoadReport.cpp
@@ -149,6 +149,7 @@
                   { "earmark_ms", timeOf(WaitReason::Earmark) },
                   { "ticket_ms", timeOf(WaitReason::Ticket) },
                   { "record_ms", timeOf(WaitReason::Record) },
+                  { "reports_ms", timeOf(WaitReason::Reports) },
                   { "tasks", step.count },
                   { "millicores", step.demand.milliCores },
                   { "mib", step.demand.memoryMiB },
--- a/Libraries/LibCell/Standstill.cpp
+++ b/Libraries/LibCell/Standstill.cpp
@@ -18,6 +18,7 @@
     case WaitReason::Earmark:
     case WaitReason::Ticket:
     case WaitReason::Record:
+    case WaitReason::Reports:
       return true;
     default:
       return false;
@@ -37,7 +38,11 @@
 {
   const auto& run = *aCandidate.run;
   const auto& step = *aCandidate.specification;
-  const auto& usage = *aCandidate.job->workspaceUsage;
+  auto usage = *aCandidate.job->workspaceUsage;
+  if (aReason == WaitReason::Reports) {
+    // What may run at workers that have not reported is an upper bound, and may not exist.
+    usage.unread = {};
+  }
   return RunsNothing(run) && IsKeptWaiting(aReason) && UsesLessThanHalfOfLimit(usage) &&
          AllowsWithinLimit(usage, step.demand * (step.isGang ? step.count : 1));
 }
--- a/Libraries/LibCell/WaitReason.h
+++ b/Libraries/LibCell/WaitReason.h
@@ -28,6 +28,8 @@
   Record,
   /// Only workers of evacuated zones could run it.
   Evacuated,
+  /// Workers have not reported yet at which runs of a previous leader may exist.
+  Reports,
   Count,
 };
 
@@ -38,8 +40,8 @@
 ToString(WaitReason aReason)
 {
   constexpr std::array<std::string_view, kWaitReasonCount> kNames = {
-    "nothing", "workers", "advice",  "limit",  "headroom", "room",
-    "earmark", "ticket",  "members", "record", "evacuated"
+    "nothing", "workers", "advice",  "limit",  "headroom",  "room",
+    "earmark", "ticket",  "members", "record", "evacuated", "reports"
   };
   return kNames.at(static_cast<std::size_t>(aReason));
 }
--- a/Libraries/LibLog/LineWriter.cpp
+++ b/Libraries/LibLog/LineWriter.cpp
@@ -35,9 +35,12 @@
     found = this->kinds.emplace(std::string(aEvent), Kind{}).first;
   }
   auto& kind = found->second;
-  const bool isBeyond = kind.lines >= this->options.linesPerEvent ||
-                        this->bytesThisSecond + aLine.size() > this->options.bytesPerSecond ||
-                        this->collected.size() + aLine.size() > this->options.waitingBytes;
+  const auto extra =
+    kind.lines < this->options.rareLinesPerEvent ? this->options.rareBytes : std::size_t{ 0 };
+  const bool isBeyond =
+    kind.lines >= this->options.linesPerEvent ||
+    this->bytesThisSecond + aLine.size() > this->options.bytesPerSecond + extra ||
+    this->collected.size() + aLine.size() > this->options.waitingBytes + extra;
   if (isBeyond) {
     ++kind.leftOut;
     ++this->leftOut;
--- a/Libraries/LibLog/LineWriter.h
+++ b/Libraries/LibLog/LineWriter.h
@@ -23,6 +23,10 @@
   std::size_t linesPerEvent = 2000;
   /// Bytes of all lines a second.
   std::size_t bytesPerSecond = std::size_t{ 512 } * 1024;
+  /// The first lines of an event in a second may use @ref rareBytes beyond the other limits, so
+  /// that frequent events do not displace rare ones.
+  std::size_t rareLinesPerEvent = 4;
+  std::size_t rareBytes = std::size_t{ 64 } * 1024;
   /// Lines are collected up to this size, so that a line does not cost a system call.
   std::size_t collectBytes = 4096;
   /// Bytes that wait for a slow reader; lines beyond are left out.
--- a/Meta/longest-standstills.py
+++ b/Meta/longest-standstills.py
@@ -5,7 +5,9 @@
 is told by the lines "step_stands_still" of the leader: none of the step's tasks runs, it fits into
 its workspace's limit of which less than half is in use, and it does not lack room. Stretches of
 less than 500 ms are not logged. Prints the longest ones, then the longest and the total time of
-each reason. Exits with 1 if a stretch is as long as --bound.
+each reason, among them the reports of workers that a new leader awaits ("reports"). Then prints
+what held back all jobs of a predecessor, and the longest time for which a task counted as running
+at a silent worker after its lease had ended. Exits with 1 if a stretch is as long as --bound.
 """
 
 import argparse
@@ -15,7 +17,9 @@
 import sys
 
 FIELD = re.compile(r'(\w+)=("[^"]*"|\S+)')
-REASONS = ("advice", "limit", "headroom", "earmark", "ticket", "record")
+REASONS = ("reports", "advice", "limit", "headroom", "earmark", "ticket", "record")
+# Lines about the jobs of a predecessor, printed as they are.
+TAKEOVER_EVENTS = ("term_begun", "workers_read", "predecessor_waited_out", "jobs_released")
 
 
 @dataclasses.dataclass
@@ -30,7 +34,7 @@
         return int(self.fields["still_ms"])
 
     def time_of(self, reason: str) -> int:
-        return int(self.fields[f"{reason}_ms"])
+        return int(self.fields.get(f"{reason}_ms", 0))
 
     def describe(self) -> str:
         times = " ".join(f"{r} {self.time_of(r)}" for r in REASONS if self.time_of(r) > 0)
@@ -53,8 +57,20 @@
     return (int(hours) * 3600 + int(minutes) * 60 + float(seconds)) * 1000
 
 
-def read_stretches(lines) -> list[Stretch]:
+@dataclasses.dataclass
+class Log:
+    """What the lines tell."""
+
+    stretches: list[Stretch]
+    takeovers: list[str]
+    # Milliseconds for which runs were awaited at silent workers after their leases.
+    awaited_runs: list[int]
+
+
+def read_log(lines) -> Log:
     ended = []
+    takeovers = []
+    awaited_runs = []
     open_stretches: dict[tuple, Stretch] = {}
     first = None
     for line in lines:
@@ -64,6 +80,11 @@
         fields = {key: value.strip('"') for key, value in FIELD.findall(line[position:])}
         now = parse_time(fields["time"])
         first = now if first is None else first
+        if fields["event"] in TAKEOVER_EVENTS:
+            told = " ".join(f"{k}={v}" for k, v in fields.items() if k not in ("time", "level"))
+            takeovers.append(f"{(now - first) / 1000:7.2f} s  {told}")
+        if fields["event"] == "run_lost" and fields["reason"] == "lease_ended":
+            awaited_runs.append(int(fields.get("beyond_lease_ms", 0)))
         if fields["event"] != "step_stands_still":
             continue
         key = (fields["job"], fields["occurrence"], fields["step"])
@@ -76,7 +97,7 @@
             ended.append(stretch)
         else:
             open_stretches[key] = stretch
-    return ended + list(open_stretches.values())
+    return Log(ended + list(open_stretches.values()), takeovers, awaited_runs)
 
 
 def main() -> None:
@@ -84,7 +105,8 @@
     parser.add_argument("--most", type=int, default=10, help="stretches to print")
     parser.add_argument("--bound", type=int, help="length in ms that no stretch may reach")
     options = parser.parse_args()
-    stretches = sorted(read_stretches(sys.stdin), key=lambda s: s.still, reverse=True)
+    log = read_log(sys.stdin)
+    stretches = sorted(log.stretches, key=lambda s: s.still, reverse=True)
     print(f"{len(stretches)} stretches of 500 ms or more")
     for stretch in stretches[: options.most]:
         print(stretch.describe())
@@ -93,6 +115,9 @@
         totals[reason] = sum(s.time_of(reason) for s in stretches)
         longest = max((s.time_of(reason) for s in stretches), default=0)
         print(f"{reason}: longest {longest} ms, in all {totals[reason]} ms")
+    for line in log.takeovers:
+        print(line)
+    print(f"runs awaited after their lease: longest {max(log.awaited_runs, default=0)} ms")
     if options.bound is not None and stretches and stretches[0].still >= options.bound:
         sys.exit(1)
 
--- a/Tests/LibCell/TestStandstill.cpp
+++ b/Tests/LibCell/TestStandstill.cpp
@@ -50,6 +50,15 @@
   EXPECT_FALSE(this->StandsStill(WaitReason::Limit));
 }
 
+// Guards against standstills after a change of leader that no line tells of: the workers that are
+// not read yet could use the whole limit.
+TEST_F(Standstill, CountsTheWaitForReportsWhateverMayRunAtUnreadWorkers)
+{
+  this->usage.unread = { .milliCores = 100'000 };
+  EXPECT_TRUE(this->StandsStill(WaitReason::Reports));
+  EXPECT_FALSE(this->StandsStill(WaitReason::Limit));
+}
+
 TEST_F(Standstill, IsNoneIfTheStepExceedsTheLimit)
 {
   this->usage.running = { .milliCores = 45'000 };
--- a/Tests/LibLog/TestLineWriter.cpp
+++ b/Tests/LibLog/TestLineWriter.cpp
@@ -77,6 +77,27 @@
   EXPECT_EQ(this->ReadAll().size(), 1000U);
 }
 
+// Guards against a log without the one line that decides a case: a change of leader writes
+// thousands of lines of other events in the same second.
+TEST_F(LineWriterTest, FrequentEventsDoNotDisplaceRareOnes)
+{
+  this->options.bytesPerSecond = 1000;
+  this->options.rareBytes = 500;
+  LineWriter writer(this->options);
+  for (int number = 0; number < 100; ++number) {
+    writer.Write("frequent", "0123456789012345678\n");
+  }
+  writer.Write("rare", "event=workers_read\n");
+  EXPECT_EQ(writer.LeftOut(), 50U);
+  for (int number = 0; number < 1000; ++number) {
+    writer.Write("event" + std::to_string(number), "0123456789012345678\n");
+  }
+  writer.Flush();
+  const auto text = this->ReadAll();
+  EXPECT_NE(text.find("event=workers_read"), std::string::npos);
+  EXPECT_LE(text.size(), 1500U) << "rare events share a budget, too";
+}
+
 TEST_F(LineWriterTest, NeverWaitsForAReaderThatDoesNotRead)
 {
   this->options.linesPerEvent = 1'000'000;
