--- a/Libraries/LibCell/Candidate.h
+++ b/Libraries/LibCell/Candidate.h
@@ -8,6 +8,13 @@
 
 namespace zinc::cell {
 
+/// Whether steps are collected whose tasks must not start before workers have reported.
+enum class HeldSteps : std::uint8_t
+{
+  Excluded,
+  Included,
+};
+
 /// A step with tasks to place.
 struct Candidate
 {
--- a/Libraries/LibCell/CellScheduler.cpp
+++ b/Libraries/LibCell/CellScheduler.cpp
@@ -1,4 +1,5 @@
 #include <LibCell/CellScheduler.h>
+#include <LibCell/LatelyStartedWorkers.h>
 
 #include <algorithm>
 
@@ -68,7 +69,8 @@
                                "predecessor_waited_out",
                                { { "unread", this->unreadWorkers.Size() },
                                  { "first", this->unreadWorkers.All().begin()->value },
-                                 { "after_ms", (now - this->termBegin).count() } });
+                                 { "after_ms", (now - this->termBegin).count() },
+                                 { "unfenced", this->unreadWorkers.CountUnfenced() } });
     this->unreadWorkers.Clear();
     this->ReleaseHeldJobs();
   }
@@ -161,7 +163,7 @@
 CellScheduler::ExpectedWaits()
 {
   const ActivityTimes::Scope activity(this->load.Activities(), Activity::LeaderRecord);
-  return this->forecast.Update(this->CollectCandidates(HeldJobs::Excluded),
+  return this->forecast.Update(this->CollectCandidates(HeldSteps::Excluded),
                                this->dependencies.clock.Now());
 }
 
@@ -262,6 +264,14 @@
                        .pendingJobs = this->PendingJobsByQueue(),
                        .isRecovering = this->IsRecovering(),
                        .recoveryLeft = this->RemainingRecoveryTime() };
+  report.madeAt = this->dependencies.clock.Now();
+  report.recordsStarts = this->startRecords.Promise(this->AreAllStartsStored(), report.madeAt);
+  report.fencedIncarnations = this->unreadWorkers.Fenced();
+  ReportLatelyStartedWorkers(report,
+                             this->workers.All(),
+                             this->options,
+                             this->dependencies.clock.Now(),
+                             this->dependencies.wallClock());
   report.number = this->leaseSuspensions.OnRecordMade(report.suspendedLeases);
   for (const auto& [id, left] : report.suspendedLeases) {
     if (auto* worker = this->workers.Find(id)) {
@@ -275,6 +285,7 @@
 CellScheduler::OnReportStored(const LeaderReport& aReport, std::uint64_t aVersion)
 {
   this->latestFencingToken = std::max(this->latestFencingToken, aVersion);
+  this->startRecords.OnReportStored(aReport.madeAt);
   for (auto* worker : this->workers.All()) {
     if (worker->fence.AwaitsToken()) {
       worker->fence.OnTokenAvailable(this->latestFencingToken);
--- a/Libraries/LibCell/CellScheduler.h
+++ b/Libraries/LibCell/CellScheduler.h
@@ -6,6 +6,7 @@
 #include <LibBase/Time.h>
 #include <LibCell/AdviceDispatcher.h>
 #include <LibCell/Candidate.h>
+#include <LibCell/CellSchedulerDependencies.h>
 #include <LibCell/CellSchedulerOptions.h>
 #include <LibCell/CompletionForecast.h>
 #include <LibCell/EvacuatedZones.h>
@@ -23,6 +24,7 @@
 #include <LibCell/RankingSelector.h>
 #include <LibCell/Records.h>
 #include <LibCell/RenewalQueue.h>
+#include <LibCell/StartRecords.h>
 #include <LibCell/TermSnapshot.h>
 #include <LibCell/UnreadWorkers.h>
 #include <LibCell/WaitReason.h>
@@ -50,24 +52,7 @@
 class CellScheduler
 {
 public:
-  struct Dependencies
-  {
-    WorkerPort& workers;
-    StorePort& store;
-    AdvicePort& advice;
-    const Clock& clock;
-    const Logger& log;
-    MetricRegistry& metrics;
-    /// Unix time, for the start times of occurrences.
-    std::function<WallTime()> wallClock;
-    /// Called once when another leader has taken over.
-    std::function<void()> onLeadershipLost;
-    /// Called when a placement round is useful before the next tick; may be empty.
-    std::function<void()> onPlacementDue;
-    /// Called when a reachable worker is missing from the leader record, or its lease is suspended
-    /// there; may be empty.
-    std::function<void()> onUnpublishedWorker;
-  };
+  using Dependencies = CellSchedulerDependencies;
 
   CellScheduler(Dependencies aDependencies, CellSchedulerOptions aOptions);
   ~CellScheduler();
@@ -347,13 +332,16 @@
 
   // Placement.
   void RunPlacementRound();
-  /// Whether jobs that await reports of workers are among the candidates.
-  enum class HeldJobs : std::uint8_t
-  {
-    Excluded,
-    Included,
-  };
-  [[nodiscard]] std::vector<Candidate> CollectCandidates(HeldJobs aHeldJobs);
+  [[nodiscard]] std::vector<Candidate> CollectCandidates(HeldSteps aHeldSteps);
+  /// Records that tasks of the step may have started, so that the next leader awaits them.
+  void RecordStepStart(Job& aJob, StepRun& aRun);
+  /// Records it, too.
+  /// @return true if the record is stored, or the store has been away for so long that the next
+  /// leader does not rely on it: they may start
+  [[nodiscard]] bool MayStartTasksOf(const Candidate& aCandidate);
+  /// @return true if the store has the records of all steps that this leader and previous ones may
+  /// have started
+  [[nodiscard]] bool AreAllStartsStored() const;
   /// Records which steps stand still since workers have not reported yet.
   void RecordHeldSteps();
   /// Sorts by priority.
@@ -481,6 +469,7 @@
   UnreadWorkers unreadWorkers{ { .rowRestoreTimeout = this->options.rowRestoreTimeout,
                                  .maxOrderDelay = this->options.maxOrderDelay } };
   LeaseSuspensions leaseSuspensions;
+  StartRecords startRecords;
 
   std::unordered_map<JobId, Job> jobs;
   /// Active jobs in order of their ids, so that a replay visits them in the same order.
--- a/Libraries/LibCell/CellSchedulerGangs.cpp
+++ b/Libraries/LibCell/CellSchedulerGangs.cpp
@@ -52,6 +52,13 @@
   }
   auto assigned =
     this->AssignGangTo(aCandidate, this->FindEligibleWorkers(aCandidate, aPool, true));
+  if (assigned && !this->MayStartTasksOf(aCandidate)) {
+    // Other tasks must take neither the room nor the limit until the record is stored.
+    this->ReserveLimitForGang(aCandidate);
+    this->ReserveForGang(aCandidate, *assigned, Milliseconds{ 0 });
+    aPool.free -= total;
+    return WaitReason::Record;
+  }
   if (assigned) {
     aPool.free -= total;
     return this->StartGang(aCandidate, *assigned) ? WaitReason::None : WaitReason::Record;
@@ -94,6 +101,9 @@
 bool
 CellScheduler::StartGang(const Candidate& aCandidate, std::span<Worker* const> aAssigned)
 {
+  if (!this->MayStartTasksOf(aCandidate)) {
+    return false;
+  }
   auto run = this->NextRunNumber();
   if (aCandidate.job->isCrashSuspect) {
     if (!this->IsGangRecorded(aCandidate, aAssigned)) {
@@ -122,6 +132,8 @@
   if (run.advice.requestsInFlight > 0 || run.advice.retryAt > this->roundBegin) {
     return;
   }
+  // The record is stored while the tickets are requested.
+  this->RecordStepStart(*aCandidate.job, run);
   const auto demand = AllocatedDemand(*aCandidate.specification);
   GangReservation reservation;
   for (auto* worker : aAssigned) {
--- a/Libraries/LibCell/CellSchedulerJobs.cpp
+++ b/Libraries/LibCell/CellSchedulerJobs.cpp
@@ -123,6 +123,7 @@
   const bool isPlausible = age >= Milliseconds{ 0 } && age <= kMaxPlausibleAge;
   job.receivedAt = isPlausible ? now - age : now;
   job.awaitsReports = this->isAdoptingJobs && !this->unreadWorkers.IsEmpty();
+  job.areStartsUnknown = this->isAdoptingJobs && !this->startRecords.AreComplete();
   job.workspaceUsage = &this->UsageOf(job.spec.workspace);
   job.isBeyondWeight = !this->TakeWeightToken(job.spec.workspace);
   this->activeJobs.emplace(name->job, &job);
@@ -274,6 +275,13 @@
       this->MarkStepSucceeded(aJob, step.occurrence, step.step);
     }
   }
+  for (const auto& step : aRecord.startedSteps) {
+    if (step.occurrence < aJob.TotalOccurrences() && step.step < aJob.spec.steps.size()) {
+      auto& run = this->FindOrCreateOccurrence(aJob, step.occurrence).steps[step.step];
+      run.isStartRecorded = true;
+      run.mayHaveEarlierRuns = run.mayHaveEarlierRuns || this->isAdoptingJobs;
+    }
+  }
   for (const auto& record : aRecord.tasks) {
     if (record.key.occurrence >= aJob.TotalOccurrences()) {
       continue;
@@ -513,6 +521,17 @@
   this->dirtyJobs.insert(aJob.spec.id);
 }
 
+void
+CellScheduler::RecordStepStart(Job& aJob, StepRun& aRun)
+{
+  if (!aRun.isStartRecorded) {
+    aRun.isStartRecorded = true;
+    this->MarkJobChanged(aJob);
+    aRun.startRecordChange = aJob.changeCount;
+    aJob.startRecordChange = aJob.changeCount;
+  }
+}
+
 void
 CellScheduler::RemoveExpiredJobs()
 {
--- a/Libraries/LibCell/CellSchedulerLimits.cpp
+++ b/Libraries/LibCell/CellSchedulerLimits.cpp
@@ -45,7 +45,7 @@
     for (const auto& [number, occurrence] : job->occurrences) {
       for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
         const auto& run = occurrence.steps[step];
-        const std::int64_t count = run.IsPending() ? run.waitingTasks : 0;
+        const std::int64_t count = run.IsPending() && job->IsHeld(run) ? run.waitingTasks : 0;
         job->workspaceUsage->unread += AllocatedDemand(job->spec.steps[step]) * count;
       }
     }
--- a/Libraries/LibCell/CellSchedulerPlacement.cpp
+++ b/Libraries/LibCell/CellSchedulerPlacement.cpp
@@ -74,31 +74,30 @@
     return;
   }
   const bool areAllHeld = !this->HasReadEnoughWorkers();
-  for (const auto& candidate : this->CollectCandidates(HeldJobs::Included)) {
-    if (areAllHeld || candidate.job->awaitsReports) {
+  for (const auto& candidate : this->CollectCandidates(HeldSteps::Included)) {
+    if (areAllHeld || candidate.job->IsHeld(*candidate.run)) {
       this->load.RecordStandstill(candidate, WaitReason::Reports, this->roundBegin);
     }
   }
 }
 
 std::vector<Candidate>
-CellScheduler::CollectCandidates(HeldJobs aHeldJobs)
+CellScheduler::CollectCandidates(HeldSteps aHeldSteps)
 {
   std::vector<Candidate> candidates;
   for (const auto& [id, job] : this->activeJobs) {
-    if (job->awaitsReports && aHeldJobs == HeldJobs::Excluded) {
-      continue;
-    }
     const auto& queue = this->CurrentQueuePolicy(*job);
     for (auto& [number, occurrence] : job->occurrences) {
       for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
-        if (!occurrence.steps[step].IsPending()) {
+        auto& run = occurrence.steps[step];
+        const bool isExcluded = aHeldSteps == HeldSteps::Excluded && job->IsHeld(run);
+        if (!run.IsPending() || isExcluded) {
           continue;
         }
         candidates.push_back({ .job = job,
                                .occurrence = number,
                                .step = step,
-                               .run = &occurrence.steps[step],
+                               .run = &run,
                                .specification = &job->spec.steps[step],
                                .queue = &queue });
       }
@@ -140,6 +139,7 @@
   this->isGangRound = now >= this->nextGangPlacement;
   for (auto& [id, usage] : this->workspaces) {
     usage.attemptsBeyondLimit = 0;
+    usage.awaitingRecords = {};
     if (this->isGangRound) {
       usage.reservedForGang.reset();
     }
@@ -148,7 +148,7 @@
     this->nextGangPlacement = now + this->options.gangPlacementInterval;
     this->gangEarmarks.BeginRound();
   }
-  auto candidates = this->CollectCandidates(HeldJobs::Excluded);
+  auto candidates = this->CollectCandidates(HeldSteps::Excluded);
   std::erase_if(candidates, [this](const Candidate& aCandidate) {
     return !this->NeedsPlacementAttempt(aCandidate);
   });
@@ -234,19 +234,38 @@
     return WaitReason::Limit;
   }
   const bool needsAdvice = queue.needsAdvice && !run.advice.hasResponse;
+  // The record is stored while the policy service responds. A batch gang waits for long, and most
+  // of them wait at a change of leader: its record is made once there is room for it.
+  const bool recordsStart = !step.isGang || !this->IsNonUrgent(aCandidate);
   if (needsAdvice) {
     // Tickets expire soon, so none are requested for steps far back in the queue.
     const auto duration = ExpectedDuration(queue.advice, this->options.minWorkersPerRequest);
     const bool isTooEarly =
       this->adviceDispatcher->IsSaturated(duration) && this->IsNonUrgent(aCandidate);
     if (!isTooEarly) {
+      if (recordsStart) {
+        this->RecordStepStart(*aCandidate.job, run);
+      }
       this->RequestMoreAdvice(aCandidate, *pool);
     }
     return WaitReason::Advice;
   }
+  if (recordsStart && !this->MayStartTasksOf(aCandidate)) {
+    // Steps that exceed the limit together are not recorded together.
+    aCandidate.job->workspaceUsage->awaitingRecords += AllocatedDemand(step) * run.waitingTasks;
+    return WaitReason::Record;
+  }
   return step.isGang ? this->PlaceGang(aCandidate, *pool) : this->PlaceTasks(aCandidate, *pool);
 }
 
+bool
+CellScheduler::MayStartTasksOf(const Candidate& aCandidate)
+{
+  this->RecordStepStart(*aCandidate.job, *aCandidate.run);
+  return aCandidate.job->IsStartStored(*aCandidate.run) ||
+         this->startRecords.AllowsUnrecordedStart(this->roundBegin);
+}
+
 bool
 CellScheduler::IsTicketValid(const CachedTicket* aTicket) const
 {
--- a/Libraries/LibCell/CellSchedulerRecords.cpp
+++ b/Libraries/LibCell/CellSchedulerRecords.cpp
@@ -57,7 +57,7 @@
   std::vector<std::pair<JobId, std::uint64_t>> written;
   std::set<std::uint32_t> partitions;
   std::size_t bytes = 0;
-  // Ended jobs go first, since callers wait for outcomes.
+  // Jobs that wait for the record of a start go first, and ended ones next, since callers wait.
   std::vector<JobId> order;
   std::ranges::copy_if(
     this->dirtyJobs, std::back_inserter(order), [aPartitions](const JobId& aJob) {
@@ -66,6 +66,9 @@
   std::stable_partition(order.begin(), order.end(), [this](const JobId& aJob) {
     return this->jobs.at(aJob).outcome != JobOutcome::Active;
   });
+  std::stable_partition(order.begin(), order.end(), [this](const JobId& aJob) {
+    return this->jobs.at(aJob).AwaitsStartRecord();
+  });
   for (const auto& id : order) {
     if (written.size() == kMaxJobsPerFlush || bytes > kMaxBytesPerFlush) {
       break;
@@ -182,6 +185,11 @@
     }
   }
   this->AdvanceAcknowledgements();
+  if (this->startRecords.TakeWaiting()) {
+    this->nextGangPlacement = {};
+    this->isPlacementDue = true;
+    this->NotifyPlacementDue();
+  }
 }
 
 void
--- a/Libraries/LibCell/CellSchedulerTakeover.cpp
+++ b/Libraries/LibCell/CellSchedulerTakeover.cpp
@@ -13,6 +13,7 @@
   this->fencingToken = aSnapshot.fencingToken;
   this->latestFencingToken = aSnapshot.fencingToken;
   this->unreadWorkers.Begin(aSnapshot, now);
+  this->startRecords.Begin(!aSnapshot.hadPredecessor || aSnapshot.hasStartRecords, now);
   // The record of the takeover repeats the predecessor's.
   (void)this->leaseSuspensions.OnRecordMade(RemainingLeases(aSnapshot.suspendedLeases, now));
   for (const auto& entry : aSnapshot.workers) {
@@ -27,13 +28,22 @@
   if (!this->unreadWorkers.HasUnrestricted()) {
     this->ReleaseHeldJobs();
   }
+  const auto candidates = this->CollectCandidates(HeldSteps::Included);
+  const auto held = std::ranges::count_if(candidates, [](const Candidate& aCandidate) {
+    return aCandidate.job->IsHeld(*aCandidate.run);
+  });
   this->dependencies.log.Log(LogLevel::Info,
                              "term_begun",
                              { { "token", this->fencingToken },
                                { "jobs", this->jobs.size() },
                                { "active", this->activeJobs.size() },
                                { "workers", this->workers.Size() },
-                               { "to_read", this->unreadWorkers.Size() } });
+                               { "to_read", this->unreadWorkers.Size() },
+                               { "pending_steps", candidates.size() },
+                               { "held_steps", held },
+                               { "unfenced", this->unreadWorkers.CountUnfenced() },
+                               { "leases_ms", (this->unreadWorkers.LeasesExpiry() - now).count() },
+                               { "has_start_records", this->startRecords.AreComplete() } });
   this->Tick();
 }
 
@@ -101,9 +111,22 @@
   job->occurrences.at(key.occurrence).steps[key.step].SetPhase(*task, TaskPhase::Placed);
   task->run = aActiveRun.run;
   task->worker = aWorker.entry.id;
+  this->RecordStepStart(*job, job->occurrences.at(key.occurrence).steps[key.step]);
   this->MarkJobStarted(*job);
 }
 
+bool
+CellScheduler::AreAllStartsStored() const
+{
+  if (this->startRecords.AreComplete()) {
+    return true;
+  }
+  // Once all workers have been read, each run of a previous leader has been adopted or has ended.
+  return !this->IsRecovering() && std::ranges::all_of(this->activeJobs, [](const auto& aEntry) {
+    return aEntry.second->AreAllStartsStored();
+  });
+}
+
 void
 CellScheduler::StopAwaitingUnlistedWorkers()
 {
@@ -144,9 +167,10 @@
 {
   std::size_t released = 0;
   for (const auto& [id, job] : this->activeJobs) {
-    const bool isReleased = job->awaitsReports && !this->unreadWorkers.MayKnowOf(id);
-    job->awaitsReports = job->awaitsReports && !isReleased;
-    released += isReleased ? 1 : 0;
+    if (job->awaitsReports && !this->unreadWorkers.MayKnowOf(id)) {
+      job->awaitsReports = false;
+      ++released;
+    }
   }
   this->isPlacementDue = true;
   if (released > 0) {
@@ -155,7 +179,8 @@
       "jobs_released",
       { { "jobs", released },
         { "held_ms", (this->dependencies.clock.Now() - this->termBegin).count() },
-        { "unread", this->unreadWorkers.Size() } });
+        { "unread", this->unreadWorkers.Size() },
+        { "unfenced", this->unreadWorkers.CountUnfenced() } });
   }
 }
 
--- a/Libraries/LibCell/CellSchedulerWorkers.cpp
+++ b/Libraries/LibCell/CellSchedulerWorkers.cpp
@@ -1,4 +1,5 @@
 #include <LibCell/CellScheduler.h>
+#include <LibCell/LatelyStartedWorkers.h>
 #include <LibCell/Placement.h>
 
 #include <algorithm>
@@ -57,10 +58,8 @@
 CellScheduler::ApplyWorkerEntry(const WorkerEntry& aEntry)
 {
   const auto now = this->dependencies.clock.Now();
-  const auto recently = this->dependencies.wallClock() - this->options.GrantedLeaseExpiryBound() -
-                        this->options.maxOrderDelay;
-  if (aEntry.incarnation > recently.time_since_epoch().count()) {
-    this->unreadWorkers.OnRestarted(aEntry.id);
+  if (HasStartedLately(aEntry.incarnation, this->dependencies.wallClock(), this->options)) {
+    this->unreadWorkers.OnStartedLately(aEntry.id, aEntry.incarnation);
   }
   auto* known = this->workers.Find(aEntry.id);
   if (known == nullptr) {
--- a/Libraries/LibCell/Job.cpp
+++ b/Libraries/LibCell/Job.cpp
@@ -4,6 +4,16 @@
 
 namespace zinc::cell {
 
+bool
+Job::AreAllStartsStored() const
+{
+  return std::ranges::all_of(this->occurrences, [this](const auto& aOccurrence) {
+    return std::ranges::all_of(aOccurrence.second.steps, [this](const StepRun& aRun) {
+      return !aRun.isStartRecorded || this->IsStartStored(aRun);
+    });
+  });
+}
+
 const Task*
 Job::FindTask(const TaskKey& aKey) const
 {
--- a/Libraries/LibCell/Job.h
+++ b/Libraries/LibCell/Job.h
@@ -105,6 +105,12 @@
   /// Number of tasks in @ref TaskPhase::Waiting.
   std::uint32_t waitingTasks = 0;
   std::uint32_t succeededTasks = 0;
+  /// A previous leader recorded that tasks may have started.
+  bool mayHaveEarlierRuns = false;
+  /// The progress row says that tasks may have started, or will with the next write.
+  bool isStartRecorded = false;
+  /// Change count of the job that must be stored first; see @ref Job::durableChangeCount.
+  std::uint64_t startRecordChange = 0;
   /// All steps that it depends on have succeeded.
   bool isReady = false;
   StepAdvice advice;
@@ -163,6 +169,8 @@
   /// Runs of a previous leader, or ends that it did not store, may exist at workers that have not
   /// reported yet. No task of the job starts meanwhile.
   bool awaitsReports = false;
+  /// Previous leaders may have started tasks of any step, recorded or not.
+  bool areStartsUnknown = false;
   /// When the request for the job arrived, or when the leader first saw its row if the recorded
   /// time is not plausible.
   TimePoint receivedAt{};
@@ -178,7 +186,30 @@
   std::uint64_t changeCount = 0;
   /// The value of @ref changeCount that the stored row reflects.
   std::uint64_t durableChangeCount = 0;
+  /// Change count of its latest record of a start.
+  std::uint64_t startRecordChange = 0;
 
+  /// @return true if the record that one of its steps may have started is not stored yet
+  [[nodiscard]] bool AwaitsStartRecord() const
+  {
+    return this->outcome == JobOutcome::Active &&
+           this->startRecordChange > this->durableChangeCount;
+  }
+
+  /// @return true if no task of one of its steps may start, since runs of a previous leader may
+  /// exist
+  [[nodiscard]] bool IsHeld(const StepRun& aRun) const
+  {
+    return this->awaitsReports && (this->areStartsUnknown || aRun.mayHaveEarlierRuns);
+  }
+  /// @return true if tasks of one of its steps may start: the next leader will know that they may
+  /// have
+  [[nodiscard]] bool IsStartStored(const StepRun& aRun) const
+  {
+    return aRun.isStartRecorded && this->durableChangeCount >= aRun.startRecordChange;
+  }
+  /// @return true if the store has the records of all its steps whose tasks may have started
+  [[nodiscard]] bool AreAllStartsStored() const;
   /// @return the task, or null if its occurrence does not exist or the key is out of range. Valid
   /// until the task changes.
   [[nodiscard]] const Task* FindTask(const TaskKey& aKey) const;
--- a/Libraries/LibCell/LeaderElection.cpp
+++ b/Libraries/LibCell/LeaderElection.cpp
@@ -140,7 +140,18 @@
   // The renewal was sent before its row was seen, and no later one has taken effect.
   const auto termEnd = this->rowSeenAt + this->options.termDuration;
   const auto lastGrant = this->HasLeaderStopped() ? std::min(now, termEnd) : termEnd;
-  return lastGrant + this->options.maxLeaseAfterTerm;
+  return std::max(lastGrant + this->options.maxLeaseAfterTerm,
+                  this->rowSeenAt + this->leader->longestLease);
+}
+
+bool
+LeaderElection::HasLeaderRecordedStarts() const
+{
+  // The times of the store that two instances know differ by the transit of a response.
+  constexpr Milliseconds kMaxTransit{ 100 };
+  const auto age = this->LeaderRecordAge();
+  return this->leader && this->leader->recordsStarts && this->HasLeaderStopped() && age &&
+         *age + kMaxTransit < kStartRecordPromise;
 }
 
 std::map<WorkerId, TimePoint>
@@ -263,6 +274,7 @@
   this->state = State::Candidate;
   this->predecessor = this->leader;
   this->hasPredecessorStopped = this->HasLeaderStopped();
+  this->hasStartRecords = this->HasLeaderRecordedStarts();
   this->suspendedLeasesExpiry = this->SuspendedLeasesExpiry();
   this->priorLeasesExpiry = this->leader ? this->LeaderLeasesExpiry() : now;
   if (this->leader && this->leader->isRecovering) {
@@ -289,6 +301,8 @@
     record.workers = this->predecessor->workers;
     record.drainingJobs = this->predecessor->drainingJobs;
     record.suspendedLeases = RemainingLeases(this->suspendedLeasesExpiry, now);
+    record.fencedIncarnations = this->predecessor->fencedIncarnations;
+    record.recordsStarts = this->hasStartRecords;
     record.backlog = this->leader->backlog;
   }
   const auto key = this->LeaderRowKey();
@@ -354,6 +368,8 @@
     term.priorLeasesExpiry = this->priorLeasesExpiry;
     term.suspendedLeases = this->suspendedLeasesExpiry;
     term.drainingJobs = this->predecessor->drainingJobs;
+    term.fencedIncarnations = this->predecessor->fencedIncarnations;
+    term.hasStartRecords = this->hasStartRecords;
     for (const auto& worker : this->predecessor->workers) {
       term.previousWorkers.push_back({ worker });
     }
@@ -379,6 +395,9 @@
                        .workers = report.workers,
                        .drainingJobs = report.drainingJobs,
                        .suspendedLeases = report.suspendedLeases,
+                       .fencedIncarnations = report.fencedIncarnations,
+                       .longestLease = report.longestLease,
+                       .recordsStarts = report.recordsStarts,
                        .backlog = report.pendingJobs,
                        .expectedWaits = report.expectedWaits };
   // A successor reads the draining workers, too.
--- a/Libraries/LibCell/LeaderElection.h
+++ b/Libraries/LibCell/LeaderElection.h
@@ -70,6 +70,10 @@
   /// Those of them that the predecessor was not in contact with, and when their leases have
   /// expired.
   std::map<WorkerId, TimePoint> suspendedLeases;
+  /// Those of them that started lately and carry out no order for an earlier incarnation.
+  FencedIncarnations fencedIncarnations;
+  /// Progress rows name all steps whose tasks earlier leaders may have started.
+  bool hasStartRecords = true;
 };
 
 /// Sent to its successor by a leader that has lost the store.
@@ -175,6 +179,8 @@
   [[nodiscard]] bool HasLeaderResigned() const;
   /// @return when all leases granted by the current leader have expired.
   [[nodiscard]] TimePoint LeaderLeasesExpiry() const;
+  /// @return true if the current leader has stopped before it may have started unrecorded tasks.
+  [[nodiscard]] bool HasLeaderRecordedStarts() const;
   /// @return when the leases have expired that the current leader does not renew.
   [[nodiscard]] std::map<WorkerId, TimePoint> SuspendedLeasesExpiry() const;
   void RequestLeadership();
@@ -205,6 +211,7 @@
   /// @ref Term.
   std::optional<LeaderRecord> predecessor;
   bool hasPredecessorStopped = false;
+  bool hasStartRecords = false;
   TimePoint priorLeasesExpiry{};
   std::map<WorkerId, TimePoint> suspendedLeasesExpiry;
   std::optional<Resignation> resignation;
--- a/Libraries/LibCell/LeaderReport.h
+++ b/Libraries/LibCell/LeaderReport.h
@@ -22,6 +22,15 @@
   DrainingJobs drainingJobs;
   /// Workers of both kinds whose leases the leader does not renew.
   SuspendedLeases suspendedLeases;
+  /// Workers of both kinds that started lately and carry out no order for an earlier incarnation.
+  FencedIncarnations fencedIncarnations;
+  /// Progress rows name all steps whose tasks may have started.
+  bool recordsStarts = false;
+  /// When the scheduler made the report.
+  TimePoint madeAt{};
+  /// Time until the last lease of those that started lately has expired; 0 if a lease granted now
+  /// expires later.
+  Milliseconds longestLease{ 0 };
   /// Number of the report within the term, for @ref LeaseSuspensions; 0 before the scheduler
   /// starts.
   std::uint64_t number = 0;
--- a/Libraries/LibCell/ProgressEncoder.cpp
+++ b/Libraries/LibCell/ProgressEncoder.cpp
@@ -68,6 +68,13 @@
     }
     value["steps"] = std::move(steps);
   }
+  if (!aRecord.startedSteps.empty()) {
+    json::array steps(storage);
+    for (const auto& step : aRecord.startedSteps) {
+      steps.emplace_back(EncodeKey(step, storage));
+    }
+    value["started_steps"] = std::move(steps);
+  }
   if (!aRecord.tasks.empty()) {
     json::array tasks(storage);
     tasks.reserve(aRecord.tasks.size());
--- a/Libraries/LibCell/Records.cpp
+++ b/Libraries/LibCell/Records.cpp
@@ -8,6 +8,7 @@
 #include <functional>
 #include <json/json.h>
 #include <limits>
+#include <ranges>
 
 namespace zinc::cell {
 
@@ -90,6 +91,41 @@
   return waits;
 }
 
+/// Encodes incarnations as offsets in the order of the workers, since the leader record is one row
+/// and ids are long.
+/// @return the earliest incarnation, and for each worker the offset from it plus 1; 0 if it has
+/// none
+Json::Value
+EncodeIncarnations(std::span<const std::string> aWorkers, const FencedIncarnations& aIncarnations)
+{
+  const auto first = std::ranges::min(std::views::values(aIncarnations));
+  Json::Value values(Json::arrayValue);
+  values.append(Json::Int64(first));
+  for (const auto& worker : aWorkers) {
+    const auto found = aIncarnations.find({ worker });
+    values.append(Json::Int64(found == aIncarnations.end() ? 0 : found->second - first + 1));
+  }
+  return values;
+}
+
+/// @return nothing if the value does not have one entry for each worker
+FencedIncarnations
+DecodeIncarnations(std::span<const std::string> aWorkers, const Json::Value& aValue)
+{
+  FencedIncarnations incarnations;
+  if (!aValue.isArray() || aValue.size() != aWorkers.size() + 1) {
+    return incarnations;
+  }
+  const auto first = aValue[0].asInt64();
+  for (Json::ArrayIndex index = 1; index < aValue.size(); ++index) {
+    const auto offset = aValue[index].asInt64();
+    if (offset > 0) {
+      incarnations[{ aWorkers[index - 1] }] = first + offset - 1;
+    }
+  }
+  return incarnations;
+}
+
 std::set<std::uint64_t>
 DecodeRuns(const Json::Value& aValue)
 {
@@ -435,6 +471,9 @@
         record.succeededSteps.push_back({ .occurrence = number, .step = step });
         continue;
       }
+      if (run.isStartRecorded) {
+        record.startedSteps.push_back({ .occurrence = number, .step = step });
+      }
       const auto& tasks = run.tasks;
       for (auto used = tasks.FindUsed(0); used; used = tasks.FindUsed(*used + 1)) {
         const auto index = *used;
@@ -473,6 +512,9 @@
       for (const auto& step : aValue["steps"]) {
         record.succeededSteps.push_back(DecodeTaskKey(step));
       }
+      for (const auto& step : aValue["started_steps"]) {
+        record.startedSteps.push_back(DecodeTaskKey(step));
+      }
       for (const auto& task : aValue["tasks"]) {
         record.tasks.push_back({ .key = DecodeTaskKey(task),
                                  .hasSucceeded = task[3].asBool(),
@@ -532,6 +574,13 @@
   for (const auto& [worker, left] : aRecord.suspendedLeases) {
     value["suspended_leases_ms"][worker.value] = Json::Int64(left.count());
   }
+  value["records_starts"] = aRecord.recordsStarts;
+  if (!aRecord.fencedIncarnations.empty()) {
+    value["incarnations"] = EncodeIncarnations(aRecord.workers, aRecord.fencedIncarnations);
+  }
+  if (aRecord.longestLease > Milliseconds{ 0 }) {
+    value["longest_lease_ms"] = Json::Int64(aRecord.longestLease.count());
+  }
   for (const auto& [queue, count] : aRecord.backlog) {
     value["waiting"][queue] = Json::UInt64(count);
   }
@@ -568,6 +617,9 @@
       for (const auto& worker : leases.getMemberNames()) {
         record.suspendedLeases[{ worker }] = Milliseconds(leases[worker].asInt64());
       }
+      record.fencedIncarnations = DecodeIncarnations(record.workers, aValue["incarnations"]);
+      record.longestLease = Milliseconds(aValue["longest_lease_ms"].asInt64());
+      record.recordsStarts = aValue["records_starts"].asBool();
       for (const auto& queue : aValue["waiting"].getMemberNames()) {
         record.backlog[queue] = aValue["waiting"][queue].asUInt64();
       }
--- a/Libraries/LibCell/Records.h
+++ b/Libraries/LibCell/Records.h
@@ -8,6 +8,7 @@
 #include <LibCell/Forward.h>
 #include <LibCell/Job.h>
 #include <LibCell/Ports.h>
+#include <LibCell/StartRecords.h>
 #include <map>
 #include <optional>
 #include <set>
@@ -127,6 +128,8 @@
   std::uint32_t occurrencesSucceeded = 0;
   /// Steps whose tasks have all succeeded; these tasks are not in @ref tasks.
   std::vector<TaskKey> succeededSteps;
+  /// Other steps whose tasks may have started.
+  std::vector<TaskKey> startedSteps;
   std::vector<TaskRecord> tasks;
 };
 
@@ -148,6 +151,10 @@
 /// have expired.
 using SuspendedLeases = std::map<WorkerId, Milliseconds>;
 
+/// Workers that carry out no order which was meant for an earlier incarnation, each with the start
+/// of the incarnation for which this is known, Unix ms.
+using FencedIncarnations = std::map<WorkerId, std::int64_t>;
+
 /// @return the time that is left of leases, by worker; 0 if they have expired.
 [[nodiscard]] SuspendedLeases
 RemainingLeases(const std::map<WorkerId, TimePoint>& aExpiry, TimePoint aNow);
@@ -179,6 +186,16 @@
   /// Those of @ref workers that the leader is not in contact with. It renews none of these leases
   /// while the record names them. Missing in the rows of older versions.
   SuspendedLeases suspendedLeases;
+  /// Those of @ref workers that started lately and are fenced. Missing in the rows of older
+  /// versions.
+  FencedIncarnations fencedIncarnations;
+  /// Time until the last lease has expired of a worker that started lately, if that is later than
+  /// the end of a lease granted now; otherwise 0, as in the rows of older versions.
+  Milliseconds longestLease{ 0 };
+  /// Progress rows name all steps whose tasks may have started, in this term or before, and will
+  /// for
+  /// @ref kStartRecordPromise. False in the rows of older versions.
+  bool recordsStarts = false;
   /// Number of accepted jobs that have not started, by queue.
   std::map<std::string, std::uint64_t> backlog;
   /// Expected waits of jobs that arrive now, at most @ref kMaxExpectedWaits; empty if nothing waits
--- /dev/null
+++ b/Libraries/LibCell/StartRecords.cpp
@@ -0,0 +1,30 @@
+#include <LibCell/StartRecords.h>
+
+namespace zinc::cell {
+
+bool
+StartRecords::Promise(bool aAreAllStored, TimePoint aNow)
+{
+  // The store may carry out a write late. One that is made while earlier ones are unanswered must
+  // not promise what an outage makes obsolete.
+  constexpr Milliseconds kMaxUnstoredTime{ 800 };
+  this->areComplete = this->areComplete || aAreAllStored;
+  const bool isPromised = this->areComplete && aNow - this->lastStoredReport < kMaxUnstoredTime;
+  if (isPromised) {
+    this->promisedUntil = aNow + kStartRecordPromise;
+  }
+  return isPromised;
+}
+
+bool
+StartRecords::AllowsUnrecordedStart(TimePoint aNow)
+{
+  if (aNow < this->promisedUntil) {
+    this->hasWaiting = true;
+    return false;
+  }
+  this->areComplete = false;
+  return true;
+}
+
+}
--- a/Libraries/LibCell/TermSnapshot.h
+++ b/Libraries/LibCell/TermSnapshot.h
@@ -23,7 +23,11 @@
   /// Those of them that the previous leader was not in contact with, and when their leases have
   /// expired.
   std::map<WorkerId, TimePoint> suspendedLeases;
+  /// Those of them that started lately and carry out no order for an earlier incarnation.
+  FencedIncarnations fencedIncarnations;
   bool hadPredecessor = false;
+  /// Progress rows name all steps whose tasks previous leaders may have started.
+  bool hasStartRecords = false;
   std::vector<Row> jobRows;
   std::vector<WorkerEntry> workers;
 };
--- a/Libraries/LibCell/UnreadWorkers.cpp
+++ b/Libraries/LibCell/UnreadWorkers.cpp
@@ -16,9 +16,20 @@
   this->workers.insert(aSnapshot.previousWorkers.begin(), aSnapshot.previousWorkers.end());
   this->unlisted = this->workers;
   this->suspendedLeases = aSnapshot.suspendedLeases;
+  this->fencedIncarnations = aSnapshot.fencedIncarnations;
   for (const auto& entry : aSnapshot.workers) {
     this->unlisted.erase(entry.id);
-    this->workers.insert(entry.id);
+  }
+}
+
+void
+UnreadWorkers::OnStartedLately(const WorkerId& aWorker, std::int64_t aIncarnation)
+{
+  const auto fenced = this->fencedIncarnations.find(aWorker);
+  if (fenced != this->fencedIncarnations.end() && fenced->second == aIncarnation) {
+    this->unfenced.erase(aWorker);
+  } else {
+    this->unfenced.insert(aWorker);
   }
 }
 
@@ -54,9 +65,15 @@
 TimePoint
 UnreadWorkers::AwaitedUntil() const
 {
-  const bool hasRestarted = std::ranges::any_of(
-    this->workers, [this](const WorkerId& aId) { return this->restarted.contains(aId); });
-  return this->leasesExpiry + (hasRestarted ? this->options.maxOrderDelay : Milliseconds{ 0 });
+  return this->leasesExpiry +
+         (this->CountUnfenced() > 0 ? this->options.maxOrderDelay : Milliseconds{ 0 });
+}
+
+std::size_t
+UnreadWorkers::CountUnfenced() const
+{
+  return static_cast<std::size_t>(std::ranges::count_if(
+    this->workers, [this](const WorkerId& aId) { return this->unfenced.contains(aId); }));
 }
 
 bool
@@ -75,6 +92,16 @@
   });
 }
 
+FencedIncarnations
+UnreadWorkers::Fenced() const
+{
+  FencedIncarnations fenced;
+  std::ranges::copy_if(this->fencedIncarnations,
+                       std::inserter(fenced, fenced.end()),
+                       [this](const auto& aEntry) { return this->workers.contains(aEntry.first); });
+  return fenced;
+}
+
 DrainingJobs
 UnreadWorkers::Draining() const
 {
--- a/Libraries/LibCell/UnreadWorkers.h
+++ b/Libraries/LibCell/UnreadWorkers.h
@@ -8,6 +8,7 @@
 #include <LibCell/Records.h>
 #include <LibCell/TermSnapshot.h>
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <set>
 #include <vector>
@@ -19,7 +20,8 @@
 {
   /// Rows that expired during an outage of the store reappear within this time after it recovers.
   Milliseconds rowRestoreTimeout{ 0 };
-  /// How much longer a worker that has started again lately may carry out the predecessor's orders.
+  /// How much longer a worker that has started again lately may carry out the predecessor's orders
+  /// for its previous incarnation.
   Milliseconds maxOrderDelay{ 0 };
 };
 
@@ -33,7 +35,7 @@
   {
   }
 
-  /// Takes over the workers of the predecessor, if there was one.
+  /// Takes over the workers of the predecessor, if there was one. Others got no task from it.
   void Begin(const TermSnapshot& aSnapshot, TimePoint aNow);
   /// Sets the time at which all leases of the predecessors have expired.
   void SetLeasesExpiry(TimePoint aExpiry) { this->leasesExpiry = aExpiry; }
@@ -41,10 +43,13 @@
   /// @return until when runs of the predecessors may exist at unread workers. One that has started
   /// again may carry out an order late, and its deadline means nothing there.
   [[nodiscard]] TimePoint AwaitedUntil() const;
+  /// @return how many of the workers may carry out orders for an earlier incarnation
+  [[nodiscard]] std::size_t CountUnfenced() const;
   /// Called for a listed worker that has started lately.
-  void OnRestarted(const WorkerId& aWorker) { this->restarted.insert(aWorker); }
+  /// @param aIncarnation its start, Unix ms
+  void OnStartedLately(const WorkerId& aWorker, std::int64_t aIncarnation);
   /// Called when a worker's row is removed.
-  void OnUnlisted(const WorkerId& aWorker) { this->restarted.erase(aWorker); }
+  void OnUnlisted(const WorkerId& aWorker) { this->unfenced.erase(aWorker); }
   /// Called while changes of workers' rows cannot be read. A row that is missing meanwhile does not
   /// prove that its worker is gone.
   void OnRowsUnavailable(TimePoint aNow) { this->rowsCurrentSince = aNow; }
@@ -77,6 +82,8 @@
   [[nodiscard]] bool MayKnowOf(const JobId& aJob) const;
   /// @return those that were draining, with the jobs that they may know of
   [[nodiscard]] DrainingJobs Draining() const;
+  /// @return those that the predecessor knew to be fenced, with their incarnations
+  [[nodiscard]] FencedIncarnations Fenced() const;
   /// @return when the leases of an unread worker have expired
   [[nodiscard]] TimePoint LeaseExpiryOf(const WorkerId& aWorker) const;
 
@@ -86,8 +93,10 @@
   DrainingJobs drainingJobs;
   /// Workers without a row since the term began.
   std::set<WorkerId> unlisted;
-  /// Listed workers that have started lately, read or not.
-  std::set<WorkerId> restarted;
+  /// Workers that the predecessor knew to carry out no order for an earlier incarnation.
+  FencedIncarnations fencedIncarnations;
+  /// Listed workers, read or not, that have started lately and may carry out such orders.
+  std::set<WorkerId> unfenced;
   /// When the leases have expired that the predecessor did not renew. A missing row alone proves
   /// nothing of a lease: the worker may be cut off from the store only.
   std::map<WorkerId, TimePoint> suspendedLeases;
--- a/Libraries/LibCell/WaitReason.h
+++ b/Libraries/LibCell/WaitReason.h
@@ -24,7 +24,8 @@
   Ticket,
   /// Not every member of the gang is ready to start.
   Members,
-  /// The record of a suspect's start is not stored yet.
+  /// The record of a suspect's start is not stored yet, or the one that tasks of the step may have
+  /// started.
   Record,
   /// Only workers of evacuated zones could run it.
   Evacuated,
--- a/Libraries/LibCell/WorkspaceLimit.cpp
+++ b/Libraries/LibCell/WorkspaceLimit.cpp
@@ -70,7 +70,7 @@
   }
   const double usableFraction =
     aRequest.mayUseHeadroom ? 1.0 : BatchFractionOfLimit(aUsage, aHeadroom);
-  auto used = aUsage.running + aUsage.unread;
+  auto used = aUsage.running + aUsage.unread + aUsage.awaitingRecords;
   // Another gang that fits may go first, but single tasks would take each core as it is freed.
   if (aUsage.reservedForGang && !aRequest.mayUseReservation) {
     used += *aUsage.reservedForGang;
--- a/Libraries/LibCell/WorkspaceUsage.h
+++ b/Libraries/LibCell/WorkspaceUsage.h
@@ -26,6 +26,8 @@
   std::optional<Resources> highestLimit;
   /// Part of the limit that is reserved for a pending gang.
   std::optional<Resources> reservedForGang;
+  /// What the steps need that wait for their records in the current placement round.
+  Resources awaitingRecords;
   /// Consecutive steps in the current placement round that exceeded the limit.
   std::uint32_t attemptsBeyondLimit = 0;
   /// Tokens for jobs within the workspace's weight; empty until its first job.
--- a/Libraries/LibInstance/CellInstance.cpp
+++ b/Libraries/LibInstance/CellInstance.cpp
@@ -414,7 +414,9 @@
                                .previousWorkers = start.term.previousWorkers,
                                .drainingJobs = start.term.drainingJobs,
                                .suspendedLeases = start.term.suspendedLeases,
+                               .fencedIncarnations = start.term.fencedIncarnations,
                                .hadPredecessor = start.term.hadPredecessor,
+                               .hasStartRecords = start.term.hasStartRecords,
                                .jobRows = std::move(*start.jobRows),
                                .workers = this->workerDirectory.Entries() });
   this->election.RenewSoon();
@@ -455,6 +457,8 @@
       const auto& term = this->pendingTerm->term;
       report.recoveryLeft = term.priorLeasesExpiry - now;
       report.suspendedLeases = cell::RemainingLeases(term.suspendedLeases, now);
+      report.fencedIncarnations = term.fencedIncarnations;
+      report.recordsStarts = term.hasStartRecords;
     }
     if (leader) {
       report.workers = leader->workers;
--- a/Tests/LibCell/CellSchedulerFixture.cpp
+++ b/Tests/LibCell/CellSchedulerFixture.cpp
@@ -130,11 +130,17 @@
   this->scheduler->SetInstances({ "one", "two", "three" });
   this->scheduler->SetTermEnd(this->clock.Now() + Milliseconds{ 1'000'000 });
   this->scheduler->SetPriorLeasesExpiry(this->clock.Now() + aPriorLeasesExpiry);
-  this->scheduler->BeginTerm({ .fencingToken = this->fencingToken = this->WriteTermRows(),
+  for (const auto& entry : this->entries) {
+    aPreviousWorkers.push_back(entry.id);
+  }
+  this->fencingToken = this->WriteTermRows();
+  this->scheduler->BeginTerm({ .fencingToken = this->fencingToken,
                                .previousWorkers = std::move(aPreviousWorkers),
                                .drainingJobs = this->drainingJobs,
                                .suspendedLeases = this->suspendedLeases,
+                               .fencedIncarnations = this->fencedIncarnations,
                                .hadPredecessor = aHasPredecessor,
+                               .hasStartRecords = this->hasStartRecords,
                                .jobRows = this->store.RowsOf(std::string(kJobTable)),
                                .workers = this->entries });
 }
--- a/Tests/LibCell/CellSchedulerFixture.h
+++ b/Tests/LibCell/CellSchedulerFixture.h
@@ -56,6 +56,9 @@
 class CellSchedulerFixture : public testing::Test
 {
 protected:
+  /// A job starts in the step after the one in which it is recorded that it may have started.
+  static constexpr Milliseconds kStartDelay{ 20 };
+
   CellSchedulerFixture();
 
   /// @return a job with one step of @p aCount tasks of @p aCores cores each.
@@ -69,6 +72,8 @@
   /// @return their version, which is the fencing token of the term
   std::uint64_t WriteTermRows();
   /// Begins the term of a new leader with the rows of the store.
+  /// @param aPreviousWorkers workers without a row that the predecessor's leader record names; it
+  /// names all that have one
   void BeginTerm(bool aHasPredecessor = false,
                  Milliseconds aPriorLeasesExpiry = Milliseconds{ 12'400 },
                  std::vector<WorkerId> aPreviousWorkers = {});
@@ -77,6 +82,11 @@
   /// Workers whose leases the predecessor did not renew, in its leader record at the next
   /// @ref BeginTerm, and when they have expired.
   std::map<WorkerId, TimePoint> suspendedLeases;
+  /// Workers that the predecessor knew to be fenced, in its leader record at the next
+  /// @ref BeginTerm.
+  FencedIncarnations fencedIncarnations;
+  /// Whether the predecessor has recorded starts, by its leader record at the next @ref BeginTerm.
+  bool hasStartRecords = false;
   /// Hands the rows of workers that have restarted to the scheduler.
   void ListRestartedWorkers();
   /// Advances the clock in steps of 10 ms; each runs a tick and delivers responses.
--- a/Tests/LibCell/MemoryStore.cpp
+++ b/Tests/LibCell/MemoryStore.cpp
@@ -13,6 +13,9 @@
     return;
   }
   RowBatch batch{ .version = this->version };
+  if (this->clock != nullptr) {
+    batch.storeTime = this->clock->Now().time_since_epoch();
+  }
   for (const auto& [key, row] : this->rows) {
     const bool isInside = key.table == aRange.table && key.partition == aRange.partition &&
                           key.key >= aRange.from && (aRange.to.empty() || key.key < aRange.to);
--- a/Tests/LibCell/MemoryStore.h
+++ b/Tests/LibCell/MemoryStore.h
@@ -50,6 +50,8 @@
   [[nodiscard]] std::vector<Row> RowsOf(const std::string& aTable) const;
 
   StoreMode mode = StoreMode::Available;
+  /// The clock that reads report; none by default.
+  const Clock* clock = nullptr;
   std::map<RowKey, Row> rows;
   std::uint64_t version = 0;
   std::size_t commitCount = 0;
--- a/Tests/LibCell/TestCellScheduler.cpp
+++ b/Tests/LibCell/TestCellScheduler.cpp
@@ -208,11 +208,11 @@
   this->RunFor(Milliseconds{ 200 });
   this->workers.At("w1").losesResponses = true;
   this->AcceptJob(MakeJob("first", 1, 2));
-  this->RunFor(Milliseconds{ 10 });
+  this->RunFor(kStartDelay);
   ASSERT_EQ(this->workers.starts.size(), 1U);
   ASSERT_EQ(this->workers.starts.back().worker.value, "w1");
   this->AcceptJob(MakeJob("second", 1, 2));
-  this->RunFor(Milliseconds{ 10 });
+  this->RunFor(this->options.minFlushInterval + kStartDelay);
   ASSERT_EQ(this->workers.starts.size(), 2U);
   EXPECT_EQ(this->workers.starts.back().worker.value, "w2");
 }
@@ -352,13 +352,15 @@
 TEST_F(CellSchedulerTest, DoesNotAvoidTheWorkersOfAGangThatWaitsForAMember)
 {
   this->entries = { this->workers.Add("w1", 4), this->workers.Add("w2", 4) };
+  this->options.gangPlacementInterval = Milliseconds{ 0 };
   this->BeginTerm();
   this->RunFor(Milliseconds{ 200 });
   this->workers.At("w1").isStalled = true;
-  this->workers.At("w2").losesResponses = true;
   auto gang = MakeJob("gang", 2, 4, 4000);
   gang.steps.front().isGang = true;
   this->AcceptJob(gang);
+  this->scheduler->Tick();
+  this->workers.At("w2").losesResponses = true;
   this->RunFor(Milliseconds{ 60 });
   ASSERT_EQ(this->workers.starts.size(), 2U);
   // The order did not arrive.
--- a/Tests/LibCell/TestEvacuatedZones.cpp
+++ b/Tests/LibCell/TestEvacuatedZones.cpp
@@ -116,7 +116,7 @@
   queue.needsAdvice = true;
   queue.advice = { .baseMs = 500.0, .ticketValidity = Milliseconds{ 300 } };
   QueueRoute plain{ .host = "host", .pathPrefix = "/plain/" };
-  plain.queue = { .name = { "plain" }, .pool = "pool", .priority = 1 };
+  plain.queue = { .name = { "plain" }, .pool = "pool", .priority = 0 };
   this->policy.AddRoute(plain);
   this->AddWorkers("ab", 3, 4);
   this->BeginTerm();
@@ -140,7 +140,7 @@
   auto free = MakeJob("free", 3, 4);
   free.queue = plain.queue;
   this->AcceptJob(free);
-  this->RunFor(Milliseconds{ 50 });
+  this->RunFor(this->options.minFlushInterval + Milliseconds{ 50 });
   EXPECT_EQ(this->CountStartsIn("b"), 6U) << "room reserved elsewhere for the gang is free as well";
   this->advice.isPaused = false;
   this->RunFor(Milliseconds{ 300 });
--- a/Tests/LibCell/TestLeaderElection.cpp
+++ b/Tests/LibCell/TestLeaderElection.cpp
@@ -33,6 +33,9 @@
               [this] {
                 return LeaderReport{ .workers = this->workers,
                                      .suspendedLeases = this->suspendedLeases,
+                                     .fencedIncarnations = this->fencedIncarnations,
+                                     .recordsStarts = true,
+                                     .longestLease = this->longestLease,
                                      .expectedWaits = this->expectedWaits,
                                      .isRecovering = this->isRecovering,
                                      .recoveryLeft = this->recoveryLeft };
@@ -51,6 +54,8 @@
     MonitoredStore monitoredStore;
     std::vector<std::string> workers;
     SuspendedLeases suspendedLeases;
+    FencedIncarnations fencedIncarnations;
+    Milliseconds longestLease{ 0 };
     std::vector<std::string> publishedWorkers;
     std::vector<ExpectedWait> expectedWaits;
     bool isRecovering = false;
@@ -150,6 +155,53 @@
   EXPECT_LE(this->clock.Now() + left, expiry + Milliseconds{ 20 });
 }
 
+// Guards against a successor, or the one after it, that waits for orders which the workers refuse,
+// and against one that counts the longest leases of workers that started lately as expired too
+// early.
+TEST_F(LeaderElectionTest, HandsOnTheFencedIncarnationsAndTheLongestLease)
+{
+  Instance first(*this, "first");
+  Instance second(*this, "second");
+  this->Run({ &first }, Milliseconds{ 300 });
+  first.workers = { "w1", "w2" };
+  first.fencedIncarnations = { { { "w2" }, 1'700'000'000'000 } };
+  first.longestLease = this->options.termDuration + this->options.maxLeaseAfterTerm * 2;
+  this->Run({ &first, &second }, Milliseconds{ 1000 });
+  const auto readAt = this->clock.Now();
+  this->Run({ &second }, Milliseconds{ 3000 });
+  ASSERT_TRUE(second.term);
+  EXPECT_FALSE(second.term->hasStartRecords) << "the first leader may still start tasks";
+  EXPECT_EQ(second.term->fencedIncarnations, first.fencedIncarnations);
+  EXPECT_GT(second.term->priorLeasesExpiry,
+            readAt - this->options.renewalInterval * 2 + first.longestLease);
+  EXPECT_LE(second.term->priorLeasesExpiry, readAt + first.longestLease);
+}
+
+// Guards against starting a task twice: a leader that is known to have stopped recorded its starts
+// only for a while after its last record. Guards also against waiting for those that it recorded.
+TEST_F(LeaderElectionTest, KnowsTheStartsOfALeaderThatHasStoppedLately)
+{
+  for (const auto& [delay, isKnown] :
+       { std::pair{ Milliseconds{ 500 }, true }, std::pair{ kStartRecordPromise, false } }) {
+    this->store = {};
+    this->store.clock = &this->clock;
+    Instance first(*this, "first");
+    Instance second(*this, "second");
+    for (auto* instance : { &first, &second }) {
+      instance->monitoredStore.Read({ .table = std::string(kCellTable) }, [](const auto&) {});
+    }
+    this->Run({ &first }, Milliseconds{ 300 });
+    this->Run({ &first, &second }, Milliseconds{ 700 });
+    ASSERT_TRUE(first.term);
+    this->clock.Advance(delay);
+    second.election.OnInstanceRecord(
+      "first", { .incarnation = "another incarnation" }, ++this->store.version);
+    this->Run({ &second }, Milliseconds{ 200 });
+    ASSERT_TRUE(second.term);
+    EXPECT_EQ(second.term->hasStartRecords, isKnown);
+  }
+}
+
 // Failure: the leader is killed while its expected waits are in circulation. Guards against
 // refusals by the forecast of a dead leader: its age grows, and the successor's record, which is of
 // a recovering leader, does not repeat it.
--- a/Tests/LibCell/TestLongBacklog.cpp
+++ b/Tests/LibCell/TestLongBacklog.cpp
@@ -56,7 +56,7 @@
   auto other = MakeJob("other", 1, 4);
   other.workspace = { "other" };
   this->AcceptJob(other);
-  this->RunFor(Milliseconds{ 20 });
+  this->RunFor(this->options.minFlushInterval + Milliseconds{ 20 });
   ASSERT_EQ(this->workers.starts.size(), 3U);
   EXPECT_EQ(this->workers.starts.back().task.job.value, "other");
   // Released parts of the limit are used again at once.
--- a/Tests/LibCell/TestRecords.cpp
+++ b/Tests/LibCell/TestRecords.cpp
@@ -1,6 +1,7 @@
 #include "CellSchedulerFixture.h"
 
 #include <algorithm>
+#include <fmt/format.h>
 #include <rapidcheck/gtest.h>
 
 namespace zinc::cell::test {
@@ -246,8 +247,13 @@
     record.expectedWaits.push_back(
       { .queue = { name }, .workspace = { AnyName() }, .wait = Milliseconds{ 5 } });
   }
+  for (std::size_t index = 0; index < record.workers.size(); index += 2) {
+    record.fencedIncarnations[{ record.workers[index] }] =
+      1'700'000'000'000 + static_cast<std::int64_t>(index);
+  }
   const auto decoded = DecodeLeaderRecord(EncodeLeaderRecord(record));
   RC_ASSERT(!IsError(decoded));
+  RC_ASSERT(ValueOf(decoded).fencedIncarnations == record.fencedIncarnations);
   RC_ASSERT(ValueOf(decoded).instance == record.instance);
   RC_ASSERT(ValueOf(decoded).incarnation == record.incarnation);
   RC_ASSERT(ValueOf(decoded).address == record.address);
@@ -258,6 +264,45 @@
   RC_ASSERT(ValueOf(decoded).expectedWaits == record.expectedWaits);
 }
 
+// Guards against a leader record that outgrows its row: the start times of all workers of a large
+// cell are in it while they have started lately.
+TEST_F(RecordsTest, StartTimesOfAThousandWorkersTakeFewBytes)
+{
+  constexpr int kWorkers = 1100;
+  constexpr std::size_t kMaxBytesPerWorker = 7;
+  LeaderRecord record;
+  for (int number = 0; number < kWorkers; ++number) {
+    record.workers.push_back(fmt::format("i-{:010}", number));
+  }
+  const auto without = EncodeLeaderRecord(record).size();
+  for (int number = 0; number < kWorkers; ++number) {
+    record.fencedIncarnations[{ record.workers[static_cast<std::size_t>(number)] }] =
+      1'700'000'000'000 + 20 * number;
+  }
+  EXPECT_LE(EncodeLeaderRecord(record).size() - without, kWorkers * kMaxBytesPerWorker);
+}
+
+// Old and new instances mixed: a leader of an older version records no starts.
+TEST_F(RecordsTest, ReadsWhetherALeaderRecordsStarts)
+{
+  const auto decoded =
+    DecodeLeaderRecord(EncodeLeaderRecord({ .token = 7, .recordsStarts = true }));
+  ASSERT_FALSE(IsError(decoded));
+  EXPECT_TRUE(ValueOf(decoded).recordsStarts);
+  const auto older = DecodeLeaderRecord(R"({"instance":"a","token":7})");
+  ASSERT_FALSE(IsError(older));
+  EXPECT_FALSE(ValueOf(older).recordsStarts);
+}
+
+TEST_F(RecordsTest, TheStartedStepsRoundTrip)
+{
+  const ProgressRecord record{ .startedSteps = { { .occurrence = 2, .step = 1 } } };
+  const auto decoded = DecodeProgress(EncodeProgress(record));
+  ASSERT_FALSE(IsError(decoded));
+  ASSERT_EQ(ValueOf(decoded).startedSteps.size(), 1U);
+  EXPECT_EQ(ValueOf(decoded).startedSteps.front(), record.startedSteps.front());
+}
+
 TEST_F(RecordsTest, RejectsMalformedRows)
 {
   EXPECT_TRUE(IsError(DecodeSpecification({ "job" }, "")));
--- a/Tests/LibCell/TestRestartedWorkers.cpp
+++ b/Tests/LibCell/TestRestartedWorkers.cpp
@@ -34,12 +34,19 @@
     this->RunFor(Milliseconds{ 300 });
     const auto next = this->workers.RestartAtOnce("w1");
     this->AcceptJob(MakeJob("job", 1, 1));
-    this->scheduler->Tick();
+    this->RecordAndStart();
     this->entries = { next, this->workers.Add("w2", 4) };
     this->scheduler->OnWorkerEntry(this->entries.back());
     return next;
   }
 
+  /// Sends the start of an accepted job, whose record the store holds at once.
+  void RecordAndStart()
+  {
+    this->scheduler->Tick();
+    this->scheduler->Tick();
+  }
+
   /// @return the largest number of runs of the task of "job" at one time
   std::size_t CountCopiesDuring(Milliseconds aDuration)
   {
@@ -68,7 +75,7 @@
   this->RunAcknowledgedJob();
   const auto entry = this->workers.RestartAtOnce("w1");
   this->AcceptJob(MakeJob("job", 1, 1));
-  this->scheduler->Tick();
+  this->RecordAndStart();
   ASSERT_EQ(this->CountStarts("job"), 1U);
   this->workers.EndAll();
   this->RunFor(Milliseconds{ 500 });
@@ -103,7 +110,7 @@
   this->BeginTerm();
   this->RunFor(Milliseconds{ 300 });
   this->AcceptJob(MakeJob("job", 1, 1));
-  this->scheduler->Tick();
+  this->RecordAndStart();
   this->workers.Deliver();
   ASSERT_EQ(this->CountStarts("job"), 1U);
   this->scheduler->OnWorkerEntry(this->workers.RestartAtOnce("w1"));
@@ -121,7 +128,7 @@
   this->BeginTerm();
   this->RunFor(Milliseconds{ 300 });
   this->AcceptJob(MakeJob("job", 1, 1));
-  this->RunFor(Milliseconds{ 10 });
+  this->RunFor(kStartDelay);
   ASSERT_EQ(this->workers.CountDelayedStarts(), 1U);
   this->workers.restartDelay = Milliseconds{ 300 };
   this->workers.Crash("w1");
@@ -148,7 +155,7 @@
   this->RunFor(Milliseconds{ 300 });
   this->workers.At("w1").losesResponses = true;
   this->AcceptJob(MakeJob("job", 1, 1));
-  this->RunFor(Milliseconds{ 10 });
+  this->RunFor(kStartDelay);
   this->workers.At("w1").isReachable = false;
   this->entries.push_back(this->workers.Add("w2", 4));
   this->scheduler->OnWorkerEntry(this->entries.back());
--- a/Tests/LibCell/TestRunEndHistories.cpp
+++ b/Tests/LibCell/TestRunEndHistories.cpp
@@ -113,6 +113,10 @@
     for (const auto& [id, left] : report.suspendedLeases) {
       this->suspendedLeases.emplace(id, this->clock.Now() + left);
     }
+    this->fencedIncarnations = report.fencedIncarnations;
+    this->recordsStarts = report.recordsStarts;
+    this->recordedAt = report.madeAt;
+    this->recordedLease = this->clock.Now() + report.longestLease;
     this->recordedWorkers = report.workers;
     this->scheduler->OnReportStored(report, ++this->store.version);
   }
@@ -131,7 +135,11 @@
       previous.push_back(id);
     }
     this->hasLostLeadership = false;
-    this->BeginTerm(true, this->options.LeaseExpiryBound(), std::move(previous));
+    this->hasStartRecords =
+      this->recordsStarts && this->clock.Now() - this->recordedAt < kStartRecordPromise;
+    const auto leases =
+      std::max(this->options.LeaseExpiryBound(), this->recordedLease - this->clock.Now());
+    this->BeginTerm(true, leases, std::move(previous));
     this->Publish();
   }
 
@@ -343,6 +351,9 @@
 
   bool hasCrashes = false;
   std::vector<std::string> recordedWorkers;
+  TimePoint recordedLease{};
+  TimePoint recordedAt{};
+  bool recordsStarts = false;
   std::map<std::string, std::uint64_t> lastTracked;
   std::vector<TrackedEnd> ends;
 };
--- a/Tests/LibCell/TestSlowStore.cpp
+++ b/Tests/LibCell/TestSlowStore.cpp
@@ -38,9 +38,10 @@
   }
   this->BeginTerm();
   this->RunFor(Milliseconds{ 50 });
-  this->store.mode = StoreMode::DelayingResponses;
   this->AcceptJobs(0, 400);
-  this->RunFor(Milliseconds{ 200 });
+  this->RunFor(Milliseconds{ 400 });
+  ASSERT_EQ(this->workers.starts.size(), 400U);
+  this->store.mode = StoreMode::DelayingResponses;
   this->workers.EndAll();
   this->RunWithDelayedResponses(2);
   this->RunFor(Milliseconds{ 50 });
@@ -60,6 +61,30 @@
   EXPECT_EQ(succeeded, 400);
 }
 
+// Load: more jobs make progress than the store takes. Guards against jobs that cannot start since
+// their records wait behind the progress of others.
+TEST_F(SlowStoreTest, RecordsStartsBeforeTheProgressOfOtherJobs)
+{
+  for (int number = 0; number < 20; ++number) {
+    this->entries.push_back(this->workers.Add("w" + std::to_string(number), 32));
+  }
+  this->BeginTerm();
+  this->RunFor(Milliseconds{ 50 });
+  for (int number = 0; number < 300; ++number) {
+    this->AcceptJob(MakeJob("job" + std::to_string(number), 2, 1));
+  }
+  this->RunFor(Milliseconds{ 400 });
+  ASSERT_EQ(this->workers.starts.size(), 600U);
+  for (const auto& start : std::vector(this->workers.starts)) {
+    if (start.task.key.index == 0) {
+      this->workers.End(start.worker.value, start.task, RunOutcome::Succeeded);
+    }
+  }
+  this->AcceptJob(MakeJob("last", 1, 1));
+  this->RunFor(2 * this->options.minFlushInterval + kStartDelay);
+  EXPECT_EQ(this->CountStarts("last"), 1U);
+}
+
 TEST_F(SlowStoreTest, BatchesProgressWhileTheStoreIsFast)
 {
   this->entries = { this->workers.Add("w1", 32), this->workers.Add("w2", 32) };
--- a/Tests/LibCell/TestTakeover.cpp
+++ b/Tests/LibCell/TestTakeover.cpp
@@ -75,6 +75,157 @@
   EXPECT_EQ(this->CountStarts("job"), 1U);
 }
 
+// Failure: workers start again, are cut off a second later, and the leader is killed. Guards
+// against jobs that stand still for 15 s more (LOST on the large site): the predecessor had fenced
+// the worker, so that no order for its previous incarnation is carried out any more.
+TEST_F(TakeoverTest, WaitsNoLongerForARestartedWorkerThatThePredecessorHadFenced)
+{
+  this->entries = { this->workers.Add("w1", 4), this->workers.Add("w2", 4) };
+  this->BeginTerm();
+  this->RunFor(Milliseconds{ 100 });
+  auto restarted = this->workers.RestartAtOnce("w2");
+  restarted.incarnation = this->wallTime.time_since_epoch().count();
+  this->workers.At("w2").entry = restarted;
+  this->entries[1] = restarted;
+  this->scheduler->OnWorkerEntry(restarted);
+  this->RunFor(Milliseconds{ 300 });
+  this->AcceptJob(MakeJob("job", 2, 4));
+  this->RunFor(Milliseconds{ 200 });
+  ASSERT_EQ(this->CountStarts("job"), 2U);
+  const auto report = this->scheduler->MakeLeaderReport();
+  this->fencedIncarnations = report.fencedIncarnations;
+  EXPECT_EQ(this->fencedIncarnations.at({ "w2" }), restarted.incarnation);
+
+  this->workers.At("w2").isReachable = false;
+  this->workers.EndAll();
+  const auto leases = std::max(this->options.LeaseExpiryBound(), report.longestLease);
+  this->BeginTerm(true, leases);
+  this->RunFor(leases - Milliseconds{ 100 });
+  EXPECT_EQ(this->CountStarts("job"), 2U) << "the worker may run its task until its lease expires";
+  this->RunFor(Milliseconds{ 400 });
+  EXPECT_EQ(this->CountStarts("job"), 3U);
+}
+
+// Failure: the leader is killed beside a cut of a part of the workers. Guards against jobs that
+// stand still until all leases have expired (LOST on the large site), although nothing of them was
+// started.
+TEST_F(TakeoverTest, StartsJobsAtOnceThatThePredecessorHasNotStarted)
+{
+  this->hasStartRecords = true;
+  this->entries = { this->workers.Add("w1", 8), this->workers.Add("w2", 8) };
+  this->BeginTerm();
+  this->AcceptJob(MakeJob("early", 1, 1));
+  this->RunFor(Milliseconds{ 100 });
+  ASSERT_EQ(this->CountStarts("early"), 1U);
+  const auto worker = this->workers.starts.front().worker;
+  this->scheduler.reset();
+  this->AcceptJob(MakeJob("late", 1, 1));
+  this->workers.At(worker.value).isReachable = false;
+  this->BeginTerm(true);
+  this->RunFor(Milliseconds{ 300 });
+  EXPECT_EQ(this->CountStarts("late"), 1U);
+  EXPECT_EQ(this->CountStarts("early"), 1U) << "its run may still exist";
+}
+
+// The same for a later step of a job, all of whose earlier tasks are known to have ended.
+TEST_F(TakeoverTest, StartsAStepAtOnceThatThePredecessorHasNotStarted)
+{
+  this->hasStartRecords = true;
+  this->entries = { this->workers.Add("w1", 8), this->workers.Add("w2", 8) };
+  auto job = MakeJob("job", 1, 1);
+  job.steps.push_back({ .count = 1, .demand = { .milliCores = 1000 }, .dependsOn = { 0 } });
+  this->AcceptJob(job);
+  this->BeginTerm();
+  this->RunFor(Milliseconds{ 100 });
+  ASSERT_EQ(this->CountStarts("job"), 1U);
+  this->workers.EndAll();
+  const std::string other = this->workers.starts.front().worker.value == "w1" ? "w2" : "w1";
+  this->workers.At(other).isReachable = false;
+  this->BeginTerm(true);
+  this->RunFor(Milliseconds{ 300 });
+  EXPECT_EQ(this->CountStarts("job"), 2U);
+}
+
+// Load: many batch gangs wait at a change of leader. Guards against gangs that stand still although
+// the predecessor only looked for workers for them.
+TEST_F(TakeoverTest, StartsAGangAtOnceThatWaitedForRoom)
+{
+  this->hasStartRecords = true;
+  this->entries = { this->workers.Add("w1", 8), this->workers.Add("w2", 8) };
+  this->BeginTerm();
+  this->AcceptJob(MakeJob("busy", 2, 6));
+  this->RunFor(Milliseconds{ 100 });
+  auto gang = MakeJob("gang", 2, 4);
+  gang.steps.front().isGang = true;
+  this->AcceptJob(gang);
+  this->RunFor(Milliseconds{ 500 });
+  ASSERT_EQ(this->CountStarts("gang"), 0U);
+  this->workers.At("w2").isReachable = false;
+  this->workers.EndAll();
+  this->entries.push_back(this->workers.Add("w3", 8));
+  this->BeginTerm(true);
+  this->RunFor(Milliseconds{ 500 });
+  EXPECT_EQ(this->CountStarts("gang"), 2U);
+}
+
+// Guards against starting a task twice: a leader starts nothing before its successor would know.
+TEST_F(TakeoverTest, StartsNothingBeforeTheStoreSaysThatItMayHave)
+{
+  this->entries = { this->workers.Add("w1", 8) };
+  this->BeginTerm();
+  this->RunFor(Milliseconds{ 100 });
+  this->store.mode = StoreMode::Unavailable;
+  this->AcceptJob(MakeJob("job", 1, 1));
+  this->RunFor(Milliseconds{ 1000 });
+  EXPECT_EQ(this->CountStarts("job"), 0U);
+  this->store.mode = StoreMode::DroppingResponses;
+  this->RunFor(Milliseconds{ 1000 });
+  EXPECT_EQ(this->CountStarts("job"), 0U) << "it may be stored, but that is not known";
+  this->store.mode = StoreMode::Available;
+  this->RunFor(Milliseconds{ 2000 });
+  EXPECT_EQ(this->CountStarts("job"), 1U);
+}
+
+// Failure: the store is away. Guards against steps that stand still meanwhile: after a while nobody
+// relies on the records any more.
+TEST_F(TakeoverTest, StartsUnrecordedTasksWhileTheStoreIsAway)
+{
+  this->entries = { this->workers.Add("w1", 8) };
+  this->BeginTerm();
+  this->RunFor(Milliseconds{ 100 });
+  EXPECT_TRUE(this->scheduler->MakeLeaderReport().recordsStarts);
+  this->publishesWorkers = false;
+  this->store.mode = StoreMode::Unavailable;
+  this->AcceptJob(MakeJob("job", 1, 1));
+  this->RunFor(kStartRecordPromise - Milliseconds{ 100 });
+  EXPECT_EQ(this->CountStarts("job"), 0U);
+  EXPECT_FALSE(this->scheduler->MakeLeaderReport().recordsStarts) << "the store may get it late";
+  this->RunFor(Milliseconds{ 300 });
+  EXPECT_EQ(this->CountStarts("job"), 1U);
+  this->publishesWorkers = true;
+  this->RunFor(Milliseconds{ 100 });
+  EXPECT_FALSE(this->scheduler->MakeLeaderReport().recordsStarts) << "its record is not stored";
+  this->store.mode = StoreMode::Available;
+  this->RunFor(Milliseconds{ 400 });
+  EXPECT_TRUE(this->scheduler->MakeLeaderReport().recordsStarts);
+}
+
+// Guards against starting a task twice after a leader of a version that records no starts.
+TEST_F(TakeoverTest, HoldsAllJobsAfterALeaderThatRecordsNoStarts)
+{
+  this->entries = { this->workers.Add("w1", 8), this->workers.Add("w2", 8) };
+  this->AcceptJob(MakeJob("job", 1, 1));
+  this->workers.At("w1").isReachable = false;
+  this->BeginTerm(true);
+  this->RunFor(Milliseconds{ 2000 });
+  EXPECT_EQ(this->CountStarts("job"), 0U);
+  EXPECT_FALSE(this->scheduler->MakeLeaderReport().recordsStarts) << "nor has a further leader any";
+  this->workers.At("w1").isReachable = true;
+  this->RunFor(Milliseconds{ 1000 });
+  EXPECT_EQ(this->CountStarts("job"), 1U);
+  EXPECT_TRUE(this->scheduler->MakeLeaderReport().recordsStarts);
+}
+
 TEST_F(TakeoverTest, DoesNotRestartTasksIfReadingTheJobsTakesTime)
 {
   this->entries = { this->workers.Add("w1", 4), this->workers.Add("w2", 4) };
--- a/Tests/LibCell/TestUnreadWorkers.cpp
+++ b/Tests/LibCell/TestUnreadWorkers.cpp
@@ -108,13 +108,46 @@
   unread.Begin(snapshot, kBegin);
   unread.SetLeasesExpiry(kBegin);
   EXPECT_EQ(unread.AwaitedUntil(), kBegin);
-  unread.OnRestarted({ "w1" });
+  constexpr std::int64_t kIncarnation = 7;
+  unread.OnStartedLately({ "w1" }, kIncarnation);
   EXPECT_EQ(unread.AwaitedUntil(), kBegin + kOrderDelay);
   std::ignore = unread.MarkRead({ "w1" });
   EXPECT_EQ(unread.AwaitedUntil(), kBegin) << "it has reported";
-  unread.OnRestarted({ "left" });
+  unread.OnStartedLately({ "left" }, kIncarnation);
   unread.OnUnlisted({ "left" });
   EXPECT_EQ(unread.AwaitedUntil(), kBegin) << "it is gone";
 }
 
+// Guards against jobs that stand still for a worker that started lately and refuses orders for its
+// previous incarnation, and against starting a task twice after it has started once more.
+TEST(UnreadWorkers, AreNotAwaitedLongerIfThePredecessorHadFencedThem)
+{
+  constexpr Milliseconds kOrderDelay{ 15'000 };
+  constexpr std::int64_t kFenced = 7;
+  UnreadWorkers unread({ .maxOrderDelay = kOrderDelay });
+  auto snapshot = MakeSnapshot({ { "w1" } });
+  snapshot.fencedIncarnations = { { { "w1" }, kFenced } };
+  unread.Begin(snapshot, kBegin);
+  unread.SetLeasesExpiry(kBegin);
+  unread.OnStartedLately({ "w1" }, kFenced);
+  EXPECT_EQ(unread.AwaitedUntil(), kBegin);
+  EXPECT_EQ(unread.CountUnfenced(), 0U);
+  EXPECT_EQ(unread.Fenced(), snapshot.fencedIncarnations) << "a further leader needs it too";
+  unread.OnStartedLately({ "w1" }, kFenced + 1);
+  EXPECT_EQ(unread.AwaitedUntil(), kBegin + kOrderDelay);
+  EXPECT_EQ(unread.CountUnfenced(), 1U);
+}
+
+// Guards against jobs that stand still for a worker at which the predecessor started nothing, since
+// its leader record did not name it.
+TEST(UnreadWorkers, AreOnlyThoseThatThePredecessorHasNamed)
+{
+  UnreadWorkers unread(kOptions);
+  auto snapshot = MakeSnapshot({ { "w1" } });
+  snapshot.workers = { { .id = { "w1" } }, { .id = { "added" } } };
+  unread.Begin(snapshot, kBegin);
+  EXPECT_FALSE(unread.Contains({ "added" }));
+  EXPECT_TRUE(unread.MarkRead({ "w1" }));
+}
+
 }
