--- a/Libraries/LibCell/CellScheduler.h
+++ b/Libraries/LibCell/CellScheduler.h
@@ -481,6 +481,8 @@
   /// Partitions of the progress table to which a transaction is in flight.
   std::array<bool, kProgressPartitionCount> partitionsInFlight{};
   TimePoint nextFlush{};
+  /// The latest write of progress failed.
+  bool hasFlushFailed = false;
   /// Jobs with occurrences that are not due yet.
   std::set<JobId> timedJobs;
   /// Ended jobs, oldest first.
--- a/Libraries/LibCell/CellSchedulerJobs.cpp
+++ b/Libraries/LibCell/CellSchedulerJobs.cpp
@@ -93,6 +93,9 @@
     }
   }
   this->isPlacementDue = true;
+  if (!this->isAdoptingJobs) {
+    this->FlushProgress();
+  }
 }
 
 void
@@ -142,6 +145,16 @@
                                { "objective_ms", objective.count() },
                                { "beyond_weight", job.isBeyondWeight } });
   this->StartDueOccurrences(job);
+  if (this->CurrentQueuePolicy(job).priority == 0 && !this->isAdoptingJobs) {
+    // An urgent job starts as soon as it arrives, and its record takes time.
+    for (auto& [number, occurrence] : job.occurrences) {
+      for (auto& run : occurrence.steps) {
+        if (run.isReady) {
+          this->RecordStepStart(job, run);
+        }
+      }
+    }
+  }
   if (this->earlyCancellations.erase(name->job) > 0) {
     this->EndJob(job, JobOutcome::Cancelled, "cancelled");
   }
--- a/Libraries/LibCell/CellSchedulerRecords.cpp
+++ b/Libraries/LibCell/CellSchedulerRecords.cpp
@@ -30,7 +30,9 @@
 void
 CellScheduler::FlushProgress()
 {
-  if (this->dirtyJobs.empty() || this->dependencies.clock.Now() < this->nextFlush) {
+  const bool isDue = this->dependencies.clock.Now() >= this->nextFlush ||
+                     (this->startRecords.HasWaiting() && !this->hasFlushFailed);
+  if (this->dirtyJobs.empty() || !isDue) {
     return;
   }
   std::vector<std::uint32_t> idlePartitions;
@@ -166,6 +168,7 @@
   const ActivityTimes::Scope activity(this->load.Activities(), Activity::Progress);
   const auto now = this->dependencies.clock.Now();
   this->nextFlush = now + this->options.minFlushInterval;
+  this->hasFlushFailed = IsError(aResult);
   if (IsError(aResult)) {
     this->nextFlush = now + kFlushRetryDelay;
     this->dependencies.log.Log(
--- a/Libraries/LibCell/StartRecords.h
+++ b/Libraries/LibCell/StartRecords.h
@@ -43,6 +43,8 @@
   /// Called for a step whose record is not stored yet.
   /// @return true if its tasks may start nevertheless
   [[nodiscard]] bool AllowsUnrecordedStart(TimePoint aNow);
+  /// @return true if a step waits for its record, which is to be stored without delay
+  [[nodiscard]] bool HasWaiting() const { return this->hasWaiting; }
   /// Called when records are stored.
   /// @return true if a step has waited for one
   [[nodiscard]] bool TakeWaiting() { return std::exchange(this->hasWaiting, false); }
--- a/Tests/LibCell/TestSlowStore.cpp
+++ b/Tests/LibCell/TestSlowStore.cpp
@@ -80,6 +80,7 @@
       this->workers.End(start.worker.value, start.task, RunOutcome::Succeeded);
     }
   }
+  this->RunFor(Milliseconds{ 20 });
   this->AcceptJob(MakeJob("last", 1, 1));
   this->RunFor(2 * this->options.minFlushInterval + kStartDelay);
   EXPECT_EQ(this->CountStarts("last"), 1U);
