LibCell: Spread the requests of gangs over the workers of a pool

Cause: a request names the workers with the most free processors. Gangs that ask in the same round all named the same ones, at most 100 of them; about a quarter is eligible for each gang, so the first gangs took their room and the others asked about the next workers, again the same for all. After 262 jobs were released at once in a cell of 1,100 workers, gangs needed 7 requests in the mean (at most 13), one after the other, 0.9 s each, while use rose by about a tenth of the cell a second.

Change: while a request of a gang is in flight, what the gang is expected to take counts against the workers that it names (AdviceClaims). Later requests of gangs prefer workers with more unclaimed processors, within the order of the speed bands in an uneven pool. What may start, and when, is unchanged.

Result: 60 gangs of 10 tasks at once at 500 workers, a quarter eligible (GangsReleasedAtOnceAskAboutDifferentWorkers): all start within 2 s with 97 requests; before, half of them, and all only within 5 s with 228.

--- a/Libraries/LibCell/CellScheduler.h
+++ b/Libraries/LibCell/CellScheduler.h
@@ -4,6 +4,7 @@
 /// The scheduler of the leader: the one instance of the cell that places tasks on workers.
 
 #include <LibBase/Time.h>
+#include <LibCell/AdviceClaims.h>
 #include <LibCell/AdviceDispatcher.h>
 #include <LibCell/Candidate.h>
 #include <LibCell/CellSchedulerOptions.h>
@@ -394,7 +395,11 @@
   /// gang, and the step may not use them
   [[nodiscard]] bool HasEarmarkedRoom(const Candidate& aCandidate) const;
   /// Asks the policy service which of the workers may run the step.
-  void RequestAdvice(const Candidate& aCandidate, std::span<const WorkerNumber> aWorkers);
+  /// @param aClaimedMilliCores what the step is expected to take of each worker; see
+  /// @ref AdviceClaims
+  void RequestAdvice(const Candidate& aCandidate,
+                     std::span<const WorkerNumber> aWorkers,
+                     std::int64_t aClaimedMilliCores = 0);
   void OnAdviceResponse(const StepName& aStep,
                         std::span<const WorkerNumber> aRequested,
                         const Result<AdviceResponse>& aResponse);
@@ -466,6 +471,7 @@
   CellSchedulerOptions options;
   std::shared_ptr<const CellPolicy> policy;
   std::unique_ptr<AdviceDispatcher> adviceDispatcher;
+  AdviceClaims adviceClaims;
   /// Lets callbacks notice that the scheduler is gone.
   std::shared_ptr<bool> livenessToken = std::make_shared<bool>(true);
   bool hasLostLeadership = false;
--- a/Libraries/LibCell/CellSchedulerAdvice.cpp
+++ b/Libraries/LibCell/CellSchedulerAdvice.cpp
@@ -78,9 +78,16 @@
   // Few workers may run a step for which the first request found none.
   const bool isHardToPlace = advice.hasResponse && advice.Tickets().empty();
   const auto minWorkers = isHardToPlace ? aMax : this->options.minWorkersPerRequest;
+  const auto byFreeCores = aPool.SortByFreeCores();
+  auto preferred = this->rankings.OrderPool(aCandidate, this->roundBegin, byFreeCores);
+  std::vector<Worker*> byUnclaimedCores;
+  if (step.isGang && !this->adviceClaims.IsEmpty()) {
+    const bool isOrderedByBand = preferred.data() != byFreeCores.data();
+    byUnclaimedCores = this->adviceClaims.SortByUnclaimedCores(preferred, isOrderedByBand);
+    preferred = byUnclaimedCores;
+  }
   std::vector<WorkerNumber> named;
-  for (const auto* worker :
-       this->rankings.OrderPool(aCandidate, this->roundBegin, aPool.SortByFreeCores())) {
+  for (const auto* worker : preferred) {
     const bool isEnough = expectedRoom >= wantedRoom && named.size() >= minWorkers;
     if (isEnough || named.size() == aMax) {
       break;
@@ -118,16 +125,21 @@
   if (named.empty()) {
     return;
   }
+  const auto& step = *aCandidate.specification;
+  const auto total = AllocatedDemand(step).milliCores * step.count;
+  const auto claim = isGang ? total / static_cast<std::int64_t>(named.size()) : 0;
   const auto batches = (named.size() + maxWorkers - 1) / maxWorkers;
   const auto size = (named.size() + batches - 1) / batches;
   for (std::size_t begin = 0; begin < named.size(); begin += size) {
     const auto length = std::min(size, named.size() - begin);
-    this->RequestAdvice(aCandidate, std::span(named).subspan(begin, length));
+    this->RequestAdvice(aCandidate, std::span(named).subspan(begin, length), claim);
   }
 }
 
 void
-CellScheduler::RequestAdvice(const Candidate& aCandidate, std::span<const WorkerNumber> aWorkers)
+CellScheduler::RequestAdvice(const Candidate& aCandidate,
+                             std::span<const WorkerNumber> aWorkers,
+                             std::int64_t aClaimedMilliCores)
 {
   const auto& policy = aCandidate.queue->advice;
   auto& advice = aCandidate.run->advice;
@@ -141,6 +153,9 @@
     advice.MarkRequested(number);
     ids.push_back(this->workers.FindByNumber(number)->entry.id);
   }
+  if (aClaimedMilliCores > 0) {
+    this->adviceClaims.Add(aWorkers, aClaimedMilliCores);
+  }
   // The capacity reserved for a gang is idle until its tickets arrive, so its request goes first.
   this->adviceDispatcher->Submit(
     { .step = name, .workers = std::move(ids), .expectedDuration = expected },
@@ -150,10 +165,15 @@
     [this,
      guard = std::weak_ptr<bool>(this->livenessToken),
      name,
+     aClaimedMilliCores,
      requested = std::vector(aWorkers.begin(), aWorkers.end())](Result<AdviceResponse> aResponse) {
-      if (!guard.expired() && !this->hasLostLeadership) {
-        this->OnAdviceResponse(name, requested, aResponse);
+      if (guard.expired() || this->hasLostLeadership) {
+        return;
+      }
+      if (aClaimedMilliCores > 0) {
+        this->adviceClaims.Remove(requested, aClaimedMilliCores);
       }
+      this->OnAdviceResponse(name, requested, aResponse);
     });
 }
 
--- a/Tests/LibCell/CellSchedulerFixture.cpp
+++ b/Tests/LibCell/CellSchedulerFixture.cpp
@@ -42,7 +42,8 @@
     }
     AdviceResponse response;
     for (const auto& worker : request.workers) {
-      if (this->isEligible(worker)) {
+      if (this->isEligibleFor ? this->isEligibleFor(request.step, worker)
+                              : this->isEligible(worker)) {
         response.tickets.push_back(
           { .worker = worker, .text = "t" + std::to_string(++this->ticketsIssued) });
         this->issuedAt[response.tickets.back().text] = this->clock.Now();
--- a/Tests/LibCell/CellSchedulerFixture.h
+++ b/Tests/LibCell/CellSchedulerFixture.h
@@ -32,6 +32,8 @@
   void Deliver();
 
   std::function<bool(const WorkerId&)> isEligible = [](const WorkerId&) { return true; };
+  /// Eligibility that also depends on the step, in place of @ref isEligible if set.
+  std::function<bool(const StepName&, const WorkerId&)> isEligibleFor;
   /// How long a call takes; calls of one instance are handled one after the other. By default all
   /// responses are due at once.
   std::function<Milliseconds(const AdviceRequest&)> duration;
--- a/Tests/LibCell/TestGangAdvice.cpp
+++ b/Tests/LibCell/TestGangAdvice.cpp
@@ -239,6 +239,42 @@
   EXPECT_EQ(named.size(), count) << "no worker is named twice";
 }
 
+// Load: gangs that are released at once in an idle cell, as after a change of leader. A quarter of
+// the workers is eligible for each, a call takes up to a second, and instances suffice for a
+// request of each gang. Guards against gangs that all name the same workers, of which the first
+// gangs take the room, so that the others ask again and again while most of the cell is idle.
+TEST_F(GangAdvice, GangsReleasedAtOnceAskAboutDifferentWorkers)
+{
+  constexpr std::size_t kGangs = 60;
+  constexpr std::uint32_t kTasks = 10;
+  auto& policy = this->policy.routes.front().queue.advice;
+  policy = { .baseMs = 390.0, .perWorkerMs = 5.6, .ticketValidity = Milliseconds{ 1500 } };
+  this->advice.duration = [policy](const AdviceRequest& aRequest) {
+    return ExpectedDuration(policy, aRequest.workers.size());
+  };
+  this->advice.isEligibleFor = [](const StepName& aStep, const WorkerId& aWorker) {
+    std::uint32_t hash = 2'166'136'261U;
+    for (const auto letter : aStep.job.value + '/' + aWorker.value) {
+      hash = (hash ^ static_cast<unsigned char>(letter)) * 16'777'619U;
+    }
+    return (hash >> 16U) % 4 == 0;
+  };
+  this->AddWorkers(500, 10);
+  this->BeginTerm();
+  this->RunFor(Milliseconds{ 50 });
+  std::vector<std::string> instances;
+  for (int number = 0; number < 100; ++number) {
+    instances.push_back("i" + std::to_string(number));
+  }
+  this->scheduler->SetInstances(instances);
+  for (std::size_t number = 0; number < kGangs; ++number) {
+    this->AcceptJob(MakeGang("gang" + std::to_string(number), kTasks, 5));
+  }
+  this->RunFor(Milliseconds{ 2000 });
+  EXPECT_EQ(this->workers.starts.size(), kGangs * kTasks);
+  EXPECT_LE(this->advice.requests.size(), 2 * kGangs);
+}
+
 // In a cell that is four fifths full, a gang has to learn of all its eligible workers, also the
 // full ones. Otherwise no workers are earmarked for it where it can run.
 TEST_F(GangAdvice, RequestsAdviceOnFullWorkersToo)
