--- a/Libraries/LibCell/CellSchedulerDependencies.h
+++ b/Libraries/LibCell/CellSchedulerDependencies.h
@@ -27,7 +27,7 @@
   /// Called when a placement round is useful before the next tick; may be empty.
   std::function<void()> onPlacementDue;
   /// Called when a reachable worker is missing from the leader record, or its lease is suspended
-  /// there; may be empty.
+  /// there, or it was fenced after a restart; may be empty.
   std::function<void()> onUnpublishedWorker;
 };
 
--- a/Libraries/LibCell/CellSchedulerTakeover.cpp
+++ b/Libraries/LibCell/CellSchedulerTakeover.cpp
@@ -122,8 +122,11 @@
     return true;
   }
   // Once all workers have been read, each run of a previous leader has been adopted or has ended.
+  // The end of a job is as good as the records of its starts, once it is stored.
   return !this->IsRecovering() && std::ranges::all_of(this->activeJobs, [](const auto& aEntry) {
     return aEntry.second->AreAllStartsStored();
+  }) && std::ranges::all_of(this->dirtyJobs, [this](const JobId& aJob) {
+    return this->jobs.at(aJob).outcome == JobOutcome::Active;
   });
 }
 
--- a/Libraries/LibCell/CellSchedulerWorkers.cpp
+++ b/Libraries/LibCell/CellSchedulerWorkers.cpp
@@ -173,8 +173,9 @@
   if (renewsLease) {
     order.leaseDeadline = this->ExtendLease(aWorker);
   }
+  // The response to an order with a higher token fences the worker; that must not wait for an end.
   if (renewsLease && aWorker.reachability == WorkerReachability::Reachable &&
-      aWorker.unacknowledgedEnds.empty()) {
+      aWorker.unacknowledgedEnds.empty() && !aWorker.fence.IsOpen()) {
     order.maxWait = this->RenewalWait();
   }
   this->load.CountRenewal();
@@ -253,6 +254,11 @@
     worker.leaseExpiry =
       std::max(worker.leaseExpiry, now + this->options.GrantedLeaseExpiryBound());
     worker.fence.OnResponse(aFencingToken);
+    const bool hasRestarted = worker.fence.Token() != this->fencingToken;
+    if (!worker.fence.IsOpen() && hasRestarted && this->dependencies.onUnpublishedWorker) {
+      // The next leader needs not wait for orders to the previous incarnation any more.
+      this->dependencies.onUnpublishedWorker();
+    }
   }
 }
 
--- a/Libraries/LibCell/LeaderElection.cpp
+++ b/Libraries/LibCell/LeaderElection.cpp
@@ -150,7 +150,9 @@
   // The times of the store that two instances know differ by the transit of a response.
   constexpr Milliseconds kMaxTransit{ 100 };
   const auto age = this->LeaderRecordAge();
-  return this->leader && this->leader->recordsStarts && this->HasLeaderStopped() && age &&
+  // A leader whose handover was stored may lead on if it did not get the response.
+  const bool hasStopped = this->leader && !this->leader->isResigning && this->HasLeaderStopped();
+  return hasStopped && this->leader->recordsStarts && age &&
          *age + kMaxTransit < kStartRecordPromise;
 }
 
--- a/Libraries/LibCell/StartRecords.h
+++ b/Libraries/LibCell/StartRecords.h
@@ -8,6 +8,7 @@
 
 #include <LibBase/Time.h>
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 namespace zinc::cell {
@@ -44,10 +45,10 @@
   /// @return true if its tasks may start nevertheless
   [[nodiscard]] bool AllowsUnrecordedStart(TimePoint aNow);
   /// @return true if a step waits for its record, which is to be stored without delay
-  [[nodiscard]] bool HasWaiting() const { return this->hasWaiting; }
+  [[nodiscard]] bool HasWaiting() const { return this->waitingSince.has_value(); }
   /// Called when records are stored.
   /// @return true if a step has waited for one
-  [[nodiscard]] bool TakeWaiting() { return std::exchange(this->hasWaiting, false); }
+  [[nodiscard]] bool TakeWaiting() { return std::exchange(this->waitingSince, {}).has_value(); }
 
 private:
   bool areComplete = true;
@@ -55,7 +56,8 @@
   TimePoint promisedUntil{};
   /// When the latest leader record was made that the store holds.
   TimePoint lastStoredReport{};
-  bool hasWaiting = false;
+  /// When a step first waited for its record since records were stored last.
+  std::optional<TimePoint> waitingSince;
 };
 
 }
--- a/Tests/LibCell/TestRestartedWorkers.cpp
+++ b/Tests/LibCell/TestRestartedWorkers.cpp
@@ -144,6 +144,21 @@
   EXPECT_EQ(this->StatusOf("job").outcome, JobOutcome::Succeeded);
 }
 
+// Failure: the leader is killed a second after a worker has started again. Guards against a
+// successor that waits for late orders, since the leader waited for an end before it knew the
+// worker fenced.
+TEST_F(RestartedWorkerTest, IsReportedAsFencedSoonAfterARestart)
+{
+  this->RunAcknowledgedJob();
+  auto next = this->workers.RestartAtOnce("w1");
+  next.incarnation = this->wallTime.time_since_epoch().count();
+  this->workers.At("w1").entry = next;
+  this->scheduler->OnWorkerEntry(next);
+  this->RunFor(Milliseconds{ 100 });
+  const FencedIncarnations fenced{ { { "w1" }, next.incarnation } };
+  EXPECT_EQ(this->scheduler->MakeLeaderReport().fencedIncarnations, fenced);
+}
+
 // Guards against a task that waits without end for a worker that is cut off and keeps its row.
 TEST_F(RestartedWorkerTest, GivesUpAnUnansweredStartOnceItCannotBeCarriedOut)
 {
