--- a/Tests/LibCell/TestTakeover.cpp
+++ b/Tests/LibCell/TestTakeover.cpp
@@ -414,6 +414,21 @@
   EXPECT_EQ(most, 1U);
 }
 
+// Review: one job's progress row cannot be read, so that its version is not known and each commit
+// with it fails. Guards against a cell in which nothing starts, since no record of a start is stored.
+TEST_F(TakeoverTest, StartsOtherJobsBesideAJobWhoseProgressCannotBeRead)
+{
+  this->hasStartRecords = true;
+  this->entries = { this->workers.Add("w1", 8), this->workers.Add("w2", 8) };
+  this->AcceptJob(MakeJob("odd", 1, 1));
+  this->store.Put(JobRowKey({ "odd" }, JobRowKind::Progress), "{");
+  this->BeginTerm(true);
+  this->RunFor(Milliseconds{ 100 });
+  this->AcceptJob(MakeJob("other", 1, 1));
+  this->RunFor(Milliseconds{ 3000 });
+  EXPECT_EQ(this->CountStarts("other"), 1U);
+}
+
 // Guards against starting a task twice after a leader of a version that records no starts.
 TEST_F(TakeoverTest, HoldsAllJobsAfterALeaderThatRecordsNoStarts)
 {
