--- a/Tests/LibCell/TestRunEndHistories.cpp
+++ b/Tests/LibCell/TestRunEndHistories.cpp
@@ -342,7 +342,9 @@
     for (const auto& end : this->ends) {
       const bool isSame = end.task == aStart.task ||
                           (isGang && end.task.job == aStart.task.job && end.task.key.step == 0);
-      if (isSame && end.outcome == aOutcome && end.isAcknowledged && !end.hasLapsed &&
+      // The end of a run that has succeeded counts from when the worker has it.
+      const bool counts = end.isAcknowledged || aOutcome == RunOutcome::Succeeded;
+      if (isSame && end.outcome == aOutcome && counts && !end.hasLapsed &&
           end.run < aStart.run) {
         runs.insert(end.run);
       }
