--- a/Libraries/LibCell/CellScheduler.h
+++ b/Libraries/LibCell/CellScheduler.h
@@ -60,8 +60,8 @@
   CellScheduler(const CellScheduler&) = delete;
   CellScheduler& operator=(const CellScheduler&) = delete;
 
-  /// Begins the term: adopts the jobs of the store. Their tasks are held back until the workers
-  /// have reported the predecessor's runs and their ends.
+  /// Begins the term: adopts the jobs of the store. Tasks that the predecessor may have started are
+  /// held back until the workers have reported its runs and their ends.
   void BeginTerm(TermSnapshot aSnapshot);
   /// Sets the time until which this instance is certainly the leader. It starts no run and renews
   /// no lease beyond it.
@@ -79,10 +79,7 @@
   void OnWorkerEntry(const WorkerEntry& aEntry);
   /// Called while changes of workers' rows cannot be read. A row that is missing meanwhile does not
   /// prove that its worker is gone.
-  void OnWorkerRowsUnavailable()
-  {
-    this->unreadWorkers.OnRowsUnavailable(this->dependencies.clock.Now());
-  }
+  void OnWorkerRowsUnavailable();
   /// Handles the removal of a worker's row.
   void OnWorkerUnlisted(const WorkerId& aWorker);
   /// Does all work that is due: lease renewals, stops, placement and writes.
@@ -340,8 +337,6 @@
   /// @return true if the record is stored, or the store has been away for so long that the next
   /// leader does not rely on it: they may start
   [[nodiscard]] bool MayStartTasksOf(const Candidate& aCandidate);
-  /// @return true if the store has the records of all steps that this leader and previous ones may
-  /// have started
   [[nodiscard]] bool AreAllStartsStored() const;
   /// Records which steps stand still since workers have not reported yet.
   void RecordHeldSteps();
--- a/Libraries/LibCell/CellSchedulerTakeover.cpp
+++ b/Libraries/LibCell/CellSchedulerTakeover.cpp
@@ -130,6 +130,12 @@
   });
 }
 
+void
+CellScheduler::OnWorkerRowsUnavailable()
+{
+  this->unreadWorkers.OnRowsUnavailable(this->dependencies.clock.Now());
+}
+
 void
 CellScheduler::StopAwaitingUnlistedWorkers()
 {
