--- a/Libraries/LibCell/Records.h
+++ b/Libraries/LibCell/Records.h
@@ -192,9 +192,8 @@
   /// Time until the last lease has expired of a worker that started lately, if that is later than
   /// the end of a lease granted now; otherwise 0, as in the rows of older versions.
   Milliseconds longestLease{ 0 };
-  /// Progress rows name all steps whose tasks may have started, in this term or before, and will
-  /// for
-  /// @ref kStartRecordPromise. False in the rows of older versions.
+  /// Progress rows name all steps whose tasks may have started, in this term or before, and
+  /// continue to for @ref kStartRecordPromise. False in the rows of older versions.
   bool recordsStarts = false;
   /// Number of accepted jobs that have not started, by queue.
   std::map<std::string, std::uint64_t> backlog;
