--- a/Libraries/LibCell/Records.cpp
+++ b/Libraries/LibCell/Records.cpp
@@ -8,7 +8,6 @@
 #include <functional>
 #include <json/json.h>
 #include <limits>
-#include <ranges>
 
 namespace zinc::cell {
 
@@ -98,7 +97,8 @@
 Json::Value
 EncodeIncarnations(std::span<const std::string> aWorkers, const FencedIncarnations& aIncarnations)
 {
-  const auto first = std::ranges::min(std::views::values(aIncarnations));
+  const auto first =
+    std::ranges::min_element(aIncarnations, {}, &FencedIncarnations::value_type::second)->second;
   Json::Value values(Json::arrayValue);
   values.append(Json::Int64(first));
   for (const auto& worker : aWorkers) {
