--- a/Tests/LibCell/TestLeaderElection.cpp
+++ b/Tests/LibCell/TestLeaderElection.cpp
@@ -202,7 +202,7 @@
   }
 }
 
-// Review: the response to the last record of a leader that leaves is lost, and it is cut off.
+// Failure: the response to the last record of a leader that leaves is lost, and it is cut off.
 // Guards against starting a task twice: it leads on, and starts unrecorded tasks after a while.
 TEST_F(LeaderElectionTest, DoesNotRelyOnTheRecordsOfALeaderThatMayNotKnowOfItsHandover)
 {
@@ -232,7 +232,7 @@
   EXPECT_FALSE(second.term->hasStartRecords && mayStartUnrecorded);
 }
 
-// Review: the leader's clock runs 2% fast for 100 s; its estimate of the store's time keeps the
+// Failure: the leader's clock runs 2% fast for 100 s; its estimate of the store's time keeps the
 // smallest offset ever seen. Guards against a record that looks newer than it is.
 TEST_F(LeaderElectionTest, DoesNotRelyOnOldRecordsOfALeaderWhoseClockRunsFast)
 {
--- a/Tests/LibCell/TestSlowStore.cpp
+++ b/Tests/LibCell/TestSlowStore.cpp
@@ -86,7 +86,7 @@
   EXPECT_EQ(this->CountStarts("last"), 1U);
 }
 
-// Review. Load: a backlog of jobs for which there is no room, and a store that takes 500 ms. Guards
+// Load: a backlog of jobs for which there is no room, and a store that takes 500 ms. Guards
 // against a job that stands still since its record waits behind those of jobs that cannot start.
 TEST_F(SlowStoreTest, RecordsTheStartOfAJobThatHasRoomBeforeThoseOfOthers)
 {
--- a/Tests/LibCell/TestTakeover.cpp
+++ b/Tests/LibCell/TestTakeover.cpp
@@ -210,7 +210,7 @@
   EXPECT_TRUE(this->scheduler->MakeLeaderReport().recordsStarts);
 }
 
-// Review: an unrecorded job that has ended, whose end is not stored, is not among the active jobs.
+// Failure: an unrecorded job that has ended, whose end is not stored, is not among the active jobs.
 // Guards against starting a task again after it succeeded: the leader record must not say that all
 // starts are recorded.
 TEST_F(TakeoverTest, DoesNotRepeatAnUnrecordedJobWhoseEndIsNotStored)
@@ -241,7 +241,7 @@
   EXPECT_EQ(this->CountStarts("job"), 1U) << "the worker has its end, which nobody stored";
 }
 
-// Review: the same after a predecessor of an older version, whose run's end the next leader reads.
+// The same after a predecessor of an older version, whose run's end the next leader reads.
 TEST_F(TakeoverTest, DoesNotRepeatAJobOfAnOlderVersionWhoseEndIsNotStored)
 {
   this->entries = { this->workers.Add("w1", 8), this->workers.Add("w2", 8) };
@@ -303,7 +303,7 @@
     << "the task runs twice at once; started by the successor: " << early;
 }
 
-// Review: the progress rows cannot be written, the leader record can. Guards against a cell in
+// Failure: the progress rows cannot be written, the leader record can. Guards against a cell in
 // which nothing starts: the promise is prolonged with each leader record.
 TEST_F(TakeoverTest, StartsTasksWhileTheStoreRefusesOnlyProgress)
 {
@@ -316,7 +316,7 @@
   EXPECT_EQ(this->CountStarts("job"), 1U);
 }
 
-// Review: the same with commits of progress that take longer than 3 s.
+// The same with commits of progress that take longer than 3 s.
 TEST_F(TakeoverTest, StartsTasksWhileOnlyProgressIsStoredSlowly)
 {
   this->entries = { this->workers.Add("w1", 8) };
@@ -328,9 +328,9 @@
   EXPECT_EQ(this->CountStarts("job"), 1U);
 }
 
-// Review: a task that waited for room was recorded as possibly started, although it was not. Guards
-// against a standstill after a change of leader: the same uncertainty about one unread worker. See
-// StartsAGangAtOnceThatWaitedForRoom.
+// Failure: a task that waited for room was recorded as possibly started, although it was not.
+// Guards against a standstill after a change of leader: the same uncertainty about one unread
+// worker. See StartsAGangAtOnceThatWaitedForRoom.
 TEST_F(TakeoverTest, StartsATaskInTimeThatWaitedForRoom)
 {
   this->hasStartRecords = true;
@@ -353,7 +353,7 @@
   EXPECT_EQ(this->CountStarts("late"), 1U);
 }
 
-// Review: a leader that is killed while it recovers. Its record tells the rest of the wait
+// Failure: a leader is killed while it recovers. Its record tells the rest of the wait
 // including that for late orders; the next leader adds the latter once more.
 TEST_F(TakeoverTest, DoesNotWaitOnceMoreForLateOrdersAfterARecoveringLeader)
 {
@@ -375,7 +375,7 @@
   EXPECT_EQ(this->CountStarts("job"), 3U);
 }
 
-// Review: the incarnation that the predecessor had fenced ends while the worker is cut off, also
+// Failure: the incarnation that the predecessor had fenced ends while the worker is cut off, also
 // from the store, so that its row is the old one. The next incarnation has seen no token and
 // carries out an order that the predecessor had sent to the fenced one. Guards against two runs at
 // once.
@@ -415,7 +415,7 @@
   EXPECT_EQ(most, 1U);
 }
 
-// Review: one job's progress row cannot be read, so that its version is not known and each commit
+// Failure: one job's progress row cannot be read, so that its version is not known and each commit
 // with it fails. Guards against a cell in which nothing starts, since no record of a start is
 // stored.
 TEST_F(TakeoverTest, StartsOtherJobsBesideAJobWhoseProgressCannotBeRead)
