review: Add a case of a lasting job that is given up after two crashes

A Perpetual task that is alone on its minion is the latest start there, and two crashes of minions end its job as failed.

--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,4 +1,4 @@
-"""An entry of another writer must not end the runs of a sound minion."""
+"""A lasting job whose minion crashes twice must be restarted, not shown as failed."""
 
 import asyncio
 import pathlib
@@ -10,66 +10,54 @@
 
 import platform_standins as platform  # noqa: E402
 
-MINIONS = 6
-TASKS = 12
-TASK_S = 8.0
-ENTRY = "agent-5f21"
-
-
-def runs(cell):
-    """Returns all runs so far as task, number, begin, end."""
-    ended = [(task, number, begun, end) for minion in cell.minions
-             for task, number, begun, end, _ in minion.history]
-    now = time.monotonic()
-    at_work = [(run.task, run.number, run.begun, now) for minion in cell.minions
-               for run in minion.running.values()]
-    return ended + at_work
-
-
-def overlaps(history):
-    """Returns the pairs of runs of one task that were at work at the same time, and for how long."""
-    pairs = []
-    for index, (task, number, begun, end) in enumerate(history):
-        for other_task, other, other_begun, other_end in history[index + 1:]:
-            both = min(end, other_end) - max(begun, other_begun)
-            if task == other_task and number != other and both > 0:
-                pairs.append((task, number, other, both))
-    return pairs
+MINIONS = 8
+# The largest time that the sites name for srv_crash is 5 s.
+DOWN_S = 4.0
+CRASHES = 2
+# A task that lasts has to run again 6 s after its last run, and 3 s more have to pass.
+RESTART_S = 6.0
+STANDSTILL_S = 3.0
 
 
 async def case(record, trouble):
     job = platform.new_id()
-    plan = lambda task, number: (8000, TASK_S, "done")
+    plan = lambda task, number: (2000, None, "failed")
     async with platform.Deployment(record, MINIONS, 32000, plan) as cell:
-        step = {"Count": TASKS, "Cpu": 8000, "MemMb": 512, "EstimateMs": int(TASK_S * 1000)}
-        if not await cell.submit(job, [step]):
+        phases = [{"Count": 1, "Cpu": 2000, "MemMb": 512, "EstimateMs": 1000, "Perpetual": True}]
+        if not await cell.submit(job, phases):
             raise platform.CannotRun("the job was not accepted")
-        until = time.monotonic() + 10
-        while len(cell.runs_of(job)) < TASKS:
-            if time.monotonic() > until:
-                raise platform.CannotRun("the tasks were not started")
-            await asyncio.sleep(0.1)
-        await asyncio.sleep(2)
-        if trouble:
-            # A program beside the minion registers itself: its service is not named in the desired state.
-            busy = next(minion for minion in cell.minions if minion.running)
-            entry = {"Service": "host-agent", "Address": f"{cell.net}.250:9100", "Zone": busy.zone,
-                     "Version": "v3", "State": "ready", "Capacity": {"Cpu": 0, "MemMb": 0, "Gpus": 0},
-                     "Labels": ["agent", busy.rack], "Machine": busy.machine, "Seq": 1,
-                     "born": int(time.time() * 1000)}
-            record.write(f"store gets the entry servers/{ENTRY}: {entry}")
-            cell.store.put("servers", ENTRY, entry)
-        until = time.monotonic() + 3 * TASK_S
-        while time.monotonic() < until and await cell.state(job, quiet=True) != "done":
+        down = []
+        for _ in range(CRASHES):
+            until = time.monotonic() + 15
+            while not cell.runs_of(job):
+                if time.monotonic() > until:
+                    return "LOST: the lasting task was not started for 15 s"
+                await asyncio.sleep(0.1)
+            # It is at work for some seconds.
+            await asyncio.sleep(4)
+            if trouble:
+                victim = next(minion for minion in cell.minions
+                              if minion.id is not None and minion.running)
+                down.append(asyncio.create_task(victim.crash(restart_after=DOWN_S)))
+            await asyncio.sleep(DOWN_S + 4)
+        broken = None
+        idle_since = time.monotonic()
+        until = time.monotonic() + 25
+        while time.monotonic() < until:
             cell.advance()
-            await asyncio.sleep(0.05)
-        doubled = overlaps(runs(cell))
-        for task, number, other, both in doubled:
-            record.write(f"{task}: runs {number} and {other} were at work together for {both:.3f} s")
-        record.write(f"{len(runs(cell))} runs of {TASKS} tasks, the job is shown as {await cell.state(job)}")
-        if doubled:
-            return f"TWICE: {len(doubled)} tasks had two runs at the same time, on minions that were up"
-        return None
+            if cell.runs_of(job):
+                idle_since = time.monotonic()
+            shown = await cell.state(job)
+            if shown == "failed":
+                broken = "LOST: the job is shown as failed, and no run has ended failed"
+            if time.monotonic() - idle_since > RESTART_S + STANDSTILL_S:
+                broken = (broken or "LOST:") + "; its task that lasts has not run for 9 s"
+                break
+            await asyncio.sleep(0.5)
+        if any(entry[4] == "failed" for entry in cell.history_of(job)):
+            raise platform.CannotRun("a run ended as failed")
+        await asyncio.gather(*down)
+        return broken
 
 
 if __name__ == "__main__":
