--- a/review/8/case.py
+++ b/review/8/case.py
@@ -22,6 +22,9 @@
 LATE_S = 11.0
 RESTART_S = 0.3
 MINION_DOWN_S = 1.0
+CRASH_DELAY_S = 2.0
+# An end within a second of a disruption on its machine doesn't count.
+CALM_S = 1.0
 ROUND_S = 6.0
 
 
@@ -51,6 +54,7 @@
     plan = lambda task, number: ((MILLI_CORES, LONG_S, "done") if task.split(".")[0] in jobs
                                  else (1000, SHORT_S, "done"))
     crashes = []
+    started = {}
     async with platform.Deployment(record, MINIONS, MILLI_CORES, plan, records_runs=False) as cell:
         step = {"Count": 1, "Cpu": MILLI_CORES, "MemMb": 64, "EstimateMs": int(LONG_S * 1000)}
         for job in jobs:
@@ -76,8 +80,10 @@
                 token = max(minion.late_tokens, default=0)
                 await asyncio.sleep(RESTART_S)
                 await killed.start()
+                started[killed.name] = time.monotonic()
                 # The next leader has found the run and orders its stop, too.
                 await wait_until(lambda: max(minion.late_tokens, default=0) > token, 4)
+                await asyncio.sleep(CRASH_DELAY_S)
                 minion.late_stop_s = None
                 asyncio.create_task(minion.crash(restart_after=MINION_DOWN_S))
             until = time.monotonic() + ROUND_S
@@ -85,8 +91,12 @@
                 for instance in cell.instances:
                     code = instance.process.returncode
                     if code is not None:
-                        record.write(f"{instance.name} has ended by itself with code {code}")
-                        crashes.append(instance.name)
+                        calm = time.monotonic() - started.get(instance.name, 0)
+                        record.write(f"{instance.name} has ended by itself with code {code}, {calm:.1f} s after it "
+                                     "was started again" if instance.name in started else
+                                     f"{instance.name} has ended by itself with code {code}")
+                        if calm > CALM_S:
+                            crashes.append(instance.name)
                         await asyncio.sleep(RESTART_S)
                         await instance.start()
                 await asyncio.sleep(0.05)
