review: End all processes of a script after a failure, too

A script whose instances did not get ready, or that was asked to end, left processes; one that failed by itself ended with 1, as if the rule had been broken. The run scripts name TROUBLE.

--- a/review/8/case.py
+++ b/review/8/case.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import pathlib
+import signal
 import sys
 import time
 
@@ -95,6 +96,8 @@
                         record.write(f"{instance.name} has ended by itself with code {code}, {calm:.1f} s after it "
                                      "was started again" if instance.name in started else
                                      f"{instance.name} has ended by itself with code {code}")
+                        if code != -signal.SIGSEGV:
+                            raise platform.CannotRun(f"{instance.name} has ended with code {code}")
                         if calm > CALM_S:
                             crashes.append(instance.name)
                         await asyncio.sleep(RESTART_S)
--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -1,4 +1,7 @@
 #!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run; writes record.txt.
+# TROUBLE=1 (the default): a write of the store is late. TROUBLE=0: no write of the store is late.
 set -euo pipefail
 cd "$(dirname "$0")"
+export TROUBLE="${TROUBLE:-1}"
 exec python3 -B case.py
--- a/review/standins-2/platform_standins.py
+++ b/review/standins-2/platform_standins.py
@@ -348,7 +348,7 @@
         self.store.drop("servers", identity)
 
     async def stop(self):
-        if self.id is not None:
+        if self.id is not None and self.server is not None:
             self.beats.cancel()
             await self.server.stop()
 
@@ -580,9 +580,18 @@
         self.net = net
         self.instance_count = instances
         self.instances = []
+        # Activities beside the case that end with it.
+        self.tasks = []
         self.next_instance = 0
 
     async def __aenter__(self):
+        try:
+            return await self.start()
+        except BaseException:
+            await self.stop()
+            raise
+
+    async def start(self):
         if not os.access(COMMAND[0], os.X_OK):
             raise CannotRun("target/bin/zinc-entry is missing: run the build of the deploy file")
         await self.store.server.start()
@@ -611,6 +620,13 @@
         return self
 
     async def __aexit__(self, *_):
+        await self.stop()
+
+    async def stop(self):
+        """Ends all processes and the stand-ins, also after a failure; nothing is started any more."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
         for instance in self.instances:
             await instance.kill()
         for minion in self.minions:
@@ -729,17 +745,21 @@
     return f"{random.getrandbits(64):016x}"
 
 
+async def run_bounded(case):
+    """Runs a case for 115 s at most, and ends it in good order if the script is asked to end."""
+    current = asyncio.current_task()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, current.cancel)
+    return await asyncio.wait_for(case, 115)
+
+
 def main(folder, case):
     """Runs a case: a coroutine that gets the record and whether there is trouble, and returns what broke."""
     record = Record(pathlib.Path(folder) / "record.txt")
     trouble = os.environ.get("TROUBLE", "1") != "0"
     try:
-        broken = asyncio.run(asyncio.wait_for(case(record, trouble), 115))
-    except CannotRun as error:
-        record.write(f"could not run: {error}")
-        print(f"could not run: {error}")
-        return NOT_RUN
-    except (asyncio.TimeoutError, OSError) as error:
+        broken = asyncio.run(run_bounded(case(record, trouble)))
+    except (Exception, asyncio.CancelledError) as error:  # Only a broken rule may end with 1.
         record.write(f"could not run: {error!r}")
         print(f"could not run: {error!r}")
         return NOT_RUN
