LibCell: Keep jobs without steps apart from the jobs of the scheduler

Cause: once the row of an ended job is compacted, the next leader knows how the job ended but not its steps. It kept such jobs among the others, as Job without steps, occurrences and workspace account, and nothing told the two forms apart. StopGang read spec.steps[step] before it looked at anything else. It is called for each run of a lost worker, for a run that a report no longer lists and for a refused start.

Ruled out: a check in StopGang alone mends the case and leaves the class, since any other code could come to such a job.

Change: EndedJobArchive holds the outcome, workspace and queue of jobs whose rows were compacted. FindJob does not find them, so that whoever looks up a Job gets one with steps, or null. StopGang takes the name of a task and acts only on one that exists.

Store: no byte or write more.

--- a/Libraries/LibCell/CellScheduler.cpp
+++ b/Libraries/LibCell/CellScheduler.cpp
@@ -133,6 +133,13 @@
 JobStatus
 CellScheduler::StatusOf(const JobId& aJob) const
 {
+  if (const auto* ended = this->endedJobArchive.Find(aJob)) {
+    return { .isKnown = true,
+             .outcome = ended->outcome,
+             .hasStarted = true,
+             .workspace = ended->workspace,
+             .queue = ended->queue };
+  }
   const auto found = this->jobs.find(aJob);
   if (found == this->jobs.end()) {
     return {};
--- a/Libraries/LibCell/CellScheduler.h
+++ b/Libraries/LibCell/CellScheduler.h
@@ -10,6 +10,7 @@
 #include <LibCell/CellSchedulerDependencies.h>
 #include <LibCell/CellSchedulerOptions.h>
 #include <LibCell/CompletionForecast.h>
+#include <LibCell/EndedJobArchive.h>
 #include <LibCell/EvacuatedZones.h>
 #include <LibCell/EvacuationReport.h>
 #include <LibCell/GangEarmarks.h>
@@ -116,8 +117,6 @@
   // Jobs.
   /// Adds a job that is new, or applies the end of a known one.
   void ApplySpecificationRow(const Row& aRow);
-  /// Adds a job that ended in an earlier term.
-  void AddEndedJob(const JobId& aJob, const EndedJobRecord& aRecord);
   /// Ends a known job if the row holds an @ref EndedJobRecord.
   void ApplyEndedRow(Job& aJob, const Row& aRow);
   /// Applies an outcome that a previous leader stored.
@@ -158,7 +157,7 @@
   /// @return the task of which a worker reports a run. Creates its occurrence, which has started
   /// even if it is not due yet by this leader's clock.
   [[nodiscard]] const Task* FindReportedTask(const TaskName& aTask);
-  /// @return the job, or null if it is unknown.
+  /// @return the job, or null if it is unknown or in @ref endedJobArchive.
   [[nodiscard]] Job* FindJob(const JobId& aJob);
   /// Takes a token for a new job from the workspace's bucket, which refills at the rate of its
   /// weight.
@@ -255,8 +254,9 @@
   void SaveCheckpoint(const Allocation& aAllocation);
   /// Applies the end of a run to its task, which exists.
   void ApplyRunEnd(Worker& aWorker, Job& aJob, const EndedRun& aEnd);
-  /// Stops the remaining members of a gang after one of them was lost; no effect on other steps.
-  void StopGang(Job& aJob, std::uint32_t aOccurrence, std::uint32_t aStep, std::uint64_t aRun);
+  /// Stops the remaining members of a gang after the run of one of them has ended; no effect on
+  /// other steps, and on a task that this leader does not know.
+  void StopGang(const TaskName& aTask, std::uint64_t aRun);
   void StopRun(Worker& aWorker, Allocation& aAllocation, std::string_view aReason);
   void SendStop(Worker& aWorker, Allocation& aAllocation);
   void OnStopResponse(const RunOrder& aOrder, const Result<OrderResult>& aResult);
@@ -472,6 +472,7 @@
   LeaseSuspensions leaseSuspensions;
   StartRecords startRecords;
 
+  /// Jobs with all their steps: those that are active, or were during this term.
   std::unordered_map<JobId, Job> jobs;
   /// Active jobs in order of their ids, so that a replay visits them in the same order.
   std::map<JobId, Job*> activeJobs;
@@ -486,8 +487,9 @@
   bool hasFlushFailed = false;
   /// Jobs with occurrences that are not due yet.
   std::set<JobId> timedJobs;
-  /// Ended jobs, oldest first.
+  /// Those of @ref jobs that have ended, oldest first.
   std::deque<JobId> endedJobs;
+  EndedJobArchive endedJobArchive;
   /// Jobs whose outcome is durable and whose rows are not compacted yet.
   std::deque<JobId> jobsToCompact;
   bool isCompactionInFlight = false;
--- a/Libraries/LibCell/CellSchedulerJobs.cpp
+++ b/Libraries/LibCell/CellSchedulerJobs.cpp
@@ -106,8 +106,8 @@
     this->ApplyEndedRow(*known, aRow);
     return;
   }
-  if (const auto ended = DecodeEndedJob(aRow.value, this->policy.get())) {
-    this->AddEndedJob(name->job, *ended);
+  if (auto ended = DecodeEndedJob(aRow.value, this->policy.get())) {
+    this->endedJobArchive.Add(name->job, std::move(*ended), this->dependencies.clock.Now());
     return;
   }
   auto decoded = DecodeSpecification(name->job, aRow.value);
@@ -160,20 +160,6 @@
   }
 }
 
-void
-CellScheduler::AddEndedJob(const JobId& aJob, const EndedJobRecord& aRecord)
-{
-  auto& job = this->jobs[aJob];
-  job.spec.id = aJob;
-  job.spec.workspace = aRecord.workspace;
-  job.spec.queue.name = aRecord.queue;
-  job.outcome = aRecord.outcome;
-  job.isOutcomeDurable = true;
-  job.hasStarted = true;
-  job.endedAt = this->dependencies.clock.Now();
-  this->endedJobs.push_back(aJob);
-}
-
 bool
 CellScheduler::TakeWeightToken(const WorkspaceId& aWorkspace)
 {
@@ -235,6 +221,9 @@
 void
 CellScheduler::ApplyCancellation(const JobId& aJob)
 {
+  if (this->endedJobArchive.Contains(aJob)) {
+    return;
+  }
   auto* job = this->FindJob(aJob);
   if (job == nullptr) {
     this->earlyCancellations.insert(aJob);
@@ -549,6 +538,7 @@
 CellScheduler::RemoveExpiredJobs()
 {
   const auto now = this->dependencies.clock.Now();
+  this->endedJobArchive.RemoveOlderThan(now - this->options.statusRetention);
   while (!this->endedJobs.empty()) {
     const auto* job = this->FindJob(this->endedJobs.front());
     if (job != nullptr &&
--- a/Libraries/LibCell/CellSchedulerRestarts.cpp
+++ b/Libraries/LibCell/CellSchedulerRestarts.cpp
@@ -100,10 +100,7 @@
     this->SaveCheckpoint(allocation);
     this->ReleaseAllocation(aWorker, allocation.task, allocation.run);
     this->RequeueRun(allocation.task, allocation.run);
-    if (auto* job = this->FindJob(allocation.task.job)) {
-      this->StopGang(
-        *job, allocation.task.key.occurrence, allocation.task.key.step, allocation.run);
-    }
+    this->StopGang(allocation.task, allocation.run);
   }
 }
 
--- a/Libraries/LibCell/CellSchedulerStarts.cpp
+++ b/Libraries/LibCell/CellSchedulerStarts.cpp
@@ -192,9 +192,7 @@
   if (aResult == OrderResult::Rejected || aResult == OrderResult::InsufficientCapacity) {
     this->BackOffRejectedTask(aWorker, aTask);
   }
-  if (job != nullptr) {
-    this->StopGang(*job, aTask.key.occurrence, aTask.key.step, aRun);
-  }
+  this->StopGang(aTask, aRun);
 }
 
 }
--- a/Libraries/LibCell/CellSchedulerStops.cpp
+++ b/Libraries/LibCell/CellSchedulerStops.cpp
@@ -18,15 +18,17 @@
 }
 
 void
-CellScheduler::StopGang(Job& aJob,
-                        std::uint32_t aOccurrence,
-                        std::uint32_t aStep,
-                        std::uint64_t aRun)
+CellScheduler::StopGang(const TaskName& aTask, std::uint64_t aRun)
 {
-  if (!aJob.spec.steps[aStep].isGang || aJob.outcome != JobOutcome::Active) {
+  if (this->FindTask(aTask) == nullptr) {
     return;
   }
-  auto& run = aJob.occurrences.at(aOccurrence).steps[aStep];
+  const auto& job = *this->FindJob(aTask.job);
+  const auto& [occurrence, step, ended] = aTask.key;
+  if (!job.spec.steps[step].isGang || job.outcome != JobOutcome::Active) {
+    return;
+  }
+  const auto& run = job.occurrences.at(occurrence).steps[step];
   for (const auto& [index, task] : run.tasks.WithObject()) {
     const bool isMember = task.phase == TaskPhase::Placed && task.run == aRun;
     auto* worker = isMember ? this->workers.Find(task.worker) : nullptr;
@@ -34,7 +36,7 @@
       continue;
     }
     if (auto* allocation =
-          worker->FindAllocation(MakeTaskName(aJob, { aOccurrence, aStep, index }), aRun)) {
+          worker->FindAllocation(MakeTaskName(job, { occurrence, step, index }), aRun)) {
       this->StopRun(*worker, *allocation, "gang_incomplete");
     }
   }
--- a/Libraries/LibCell/CellSchedulerTakeover.cpp
+++ b/Libraries/LibCell/CellSchedulerTakeover.cpp
@@ -35,7 +35,7 @@
   this->dependencies.log.Log(LogLevel::Info,
                              "term_begun",
                              { { "token", this->fencingToken },
-                               { "jobs", this->jobs.size() },
+                               { "jobs", this->jobs.size() + this->endedJobArchive.Size() },
                                { "active", this->activeJobs.size() },
                                { "workers", this->workers.Size() },
                                { "to_read", this->unreadWorkers.Size() },
--- a/Libraries/LibCell/CellSchedulerWorkers.cpp
+++ b/Libraries/LibCell/CellSchedulerWorkers.cpp
@@ -514,9 +514,7 @@
                                  { "worker", aWorker.entry.id.value } });
     this->ReleaseAllocation(aWorker, task, run);
     this->RequeueRun(task, run);
-    if (auto* job = this->FindJob(task.job)) {
-      this->StopGang(*job, task.key.occurrence, task.key.step, run);
-    }
+    this->StopGang(task, run);
   }
 }
 
--- a/Libraries/LibCell/Forward.h
+++ b/Libraries/LibCell/Forward.h
@@ -7,6 +7,7 @@
 
 class AdviceDispatcher;
 class CellScheduler;
+class EndedJobArchive;
 class EvacuatedZones;
 class EvacuationDirectory;
 class EvacuationReport;
--- a/Tests/LibCell/SimulatedWorkers.cpp
+++ b/Tests/LibCell/SimulatedWorkers.cpp
@@ -135,6 +135,12 @@
       [aHandler] { aHandler(NotRun(ErrorCode::Unavailable, "closed")); });
     return;
   }
+  if (worker.isReplaced) {
+    this->pendingResponses.push_back([aHandler] {
+      aHandler(std::variant<WorkerReport, OrderResult>(OrderResult::WrongIncarnation));
+    });
+    return;
+  }
   this->ExpireLease(worker);
   if (aOrder.target.fencingToken < worker.token) {
     this->pendingResponses.push_back(
@@ -241,6 +247,10 @@
     return;
   }
   auto& worker = found->second;
+  if (worker.isReplaced) {
+    this->pendingResponses.push_back([aHandler] { aHandler(OrderResult::WrongIncarnation); });
+    return;
+  }
   if (aOrder.target.fencingToken < worker.token) {
     this->pendingResponses.push_back([aHandler] { aHandler(OrderResult::Fenced); });
     return;
--- a/Tests/LibCell/SimulatedWorkers.h
+++ b/Tests/LibCell/SimulatedWorkers.h
@@ -58,6 +58,9 @@
     bool rejectsStarts = false;
     /// Stop orders are accepted without effect.
     bool ignoresStops = false;
+    /// Another incarnation responds at its address: lease renewals and stops get
+    /// @ref OrderResult::WrongIncarnation.
+    bool isReplaced = false;
     /// Start orders that get no response are carried out by the next incarnation under the same id.
     bool delaysStarts = false;
     /// When the worker crashes.
