LibCell: Keep the steps of an ended job in the store while it has runs

What callers see: after a change of leader a workspace could have more running than its limit.

Cause: the row of an ended job was compacted as soon as 40 jobs had ended, also while a run of it was still being stopped. The next leader adopts such a run without knowing what it uses. It keeps the worker free (TreatsAWorkerWithARunOfAnEndedJobAsFull), but does not count the run in its workspace, so that another task of the workspace starts beyond the limit elsewhere. The same happened with a timed job that has ended and is whole: its later occurrences are not created again, and the demand was taken from the task.

Change: EndedJobCompactor holds the queue and the batches, and leaves out jobs that have runs at a worker, or may have some at one that has not been read; they go to the end of the queue. A run's demand is taken from the step of its job, whether or not the occurrence exists in this term. CellScheduler loses the compaction's state.

Ruled out: the demand in the compacted row. It would add bytes to every row that stays, for runs that last for a moment.

Store: no byte or write more; a row is compacted later by as long as its last run lasts.

--- a/Libraries/LibCell/CellScheduler.h
+++ b/Libraries/LibCell/CellScheduler.h
@@ -11,6 +11,7 @@
 #include <LibCell/CellSchedulerOptions.h>
 #include <LibCell/CompletionForecast.h>
 #include <LibCell/EndedJobArchive.h>
+#include <LibCell/EndedJobCompactor.h>
 #include <LibCell/EvacuatedZones.h>
 #include <LibCell/EvacuationReport.h>
 #include <LibCell/GangEarmarks.h>
@@ -185,7 +186,7 @@
   void OnFlushConflict(const std::vector<std::pair<JobId, std::uint64_t>>& aJobs,
                        const Transaction& aSent,
                        const CommitResult& aResult);
-  /// Replaces the rows of ended jobs with @ref EndedJobRecord rows, one batch at a time.
+  /// Compacts the rows of ended jobs that have no runs any more.
   void CompactEndedJobs();
   /// The job's progress up to a change count is in the store.
   void OnProgressDurable(Job& aJob, std::uint64_t aChangeCount, std::uint64_t aVersion);
@@ -490,11 +491,8 @@
   /// Those of @ref jobs that have ended, oldest first.
   std::deque<JobId> endedJobs;
   EndedJobArchive endedJobArchive;
-  /// Jobs whose outcome is durable and whose rows are not compacted yet.
-  std::deque<JobId> jobsToCompact;
-  bool isCompactionInFlight = false;
+  EndedJobCompactor compactor{ this->dependencies.store, this->dependencies.clock };
   bool isStoreSlow = false;
-  TimePoint nextCompaction{};
 
   WorkerTable workers;
   /// Losses of contact that may turn out to be crashes.
--- a/Libraries/LibCell/CellSchedulerJobs.cpp
+++ b/Libraries/LibCell/CellSchedulerJobs.cpp
@@ -214,7 +214,9 @@
 {
   if (!aJob.isOutcomeDurable) {
     aJob.isOutcomeDurable = true;
-    this->jobsToCompact.push_back(aJob.spec.id);
+    this->compactor.Add(
+      aJob.spec.id,
+      { .outcome = aJob.outcome, .workspace = aJob.spec.workspace, .queue = aJob.spec.queue.name });
   }
 }
 
--- a/Libraries/LibCell/CellSchedulerRecords.cpp
+++ b/Libraries/LibCell/CellSchedulerRecords.cpp
@@ -12,11 +12,6 @@
 /// Each job needs a condition and a write, and each partition a condition on the term.
 constexpr std::size_t kMaxJobsPerFlush = 48;
 static_assert(2 * kMaxJobsPerFlush + kProgressPartitionCount <= kMaxEntriesPerTransaction);
-/// Each job needs a write and a removal.
-constexpr std::size_t kJobsPerCompaction = 40;
-constexpr Milliseconds kCompactionInterval{ 250 };
-/// Added to @ref kCompactionInterval after a compaction that failed.
-constexpr Milliseconds kCompactionRetryDelay{ 2000 };
 /// The store counts as slow above this commit time; it normally commits within a few ms.
 constexpr Milliseconds kSlowCommitThreshold{ 60 };
 /// No job is added above this size. Leaves room for the conditions within the store's limit on a
@@ -120,44 +115,13 @@
 CellScheduler::CompactEndedJobs()
 {
   const ActivityTimes::Scope activity(this->load.Activities(), Activity::Progress);
-  const auto now = this->dependencies.clock.Now();
-  // Waits for a full batch and for a fast store, since nothing depends on the compaction.
-  const bool isWorthwhile = this->jobsToCompact.size() >= kJobsPerCompaction && !this->isStoreSlow;
-  if (this->isCompactionInFlight || !isWorthwhile || now < this->nextCompaction) {
+  if (this->isStoreSlow || !this->compactor.IsDue()) {
     return;
   }
-  Transaction transaction{ .spansPartitions = true };
-  std::vector<JobId> compacted;
-  while (compacted.size() < kJobsPerCompaction && !this->jobsToCompact.empty()) {
-    const auto id = this->jobsToCompact.front();
-    this->jobsToCompact.pop_front();
-    const auto* job = this->FindJob(id);
-    if (job == nullptr) {
-      continue;
-    }
-    compacted.push_back(id);
-    transaction.writes.push_back({ .key = JobRowKey(id, JobRowKind::Specification),
-                                   .value = EncodeEndedJob({ .outcome = job->outcome,
-                                                             .workspace = job->spec.workspace,
-                                                             .queue = job->spec.queue.name }) });
-    transaction.removals.push_back(JobRowKey(id, JobRowKind::Progress));
-  }
-  this->isCompactionInFlight = true;
-  this->dependencies.store.Commit(
-    std::move(transaction),
-    [this, guard = std::weak_ptr<bool>(this->livenessToken), compacted](
-      Result<CommitResult> aResult) {
-      if (guard.expired()) {
-        return;
-      }
-      this->isCompactionInFlight = false;
-      this->nextCompaction = this->dependencies.clock.Now() + kCompactionInterval;
-      if (IsError(aResult)) {
-        // The commit may have taken effect; writing the same rows again is harmless.
-        this->jobsToCompact.insert(this->jobsToCompact.end(), compacted.begin(), compacted.end());
-        this->nextCompaction += kCompactionRetryDelay;
-      }
-    });
+  const auto jobsWithRuns = this->workers.FindJobsWithRuns();
+  this->compactor.Compact([this, &jobsWithRuns](const JobId& aJob) {
+    return jobsWithRuns.contains(aJob) || this->unreadWorkers.MayKnowOf(aJob);
+  });
 }
 
 void
--- a/Libraries/LibCell/CellSchedulerTakeover.cpp
+++ b/Libraries/LibCell/CellSchedulerTakeover.cpp
@@ -71,14 +71,14 @@
                          .lastProgress = now,
                          .load = aActiveRun.load,
                          .checkpoint = aActiveRun.checkpoint };
-  if (reported != nullptr) {
-    const auto& step = job->spec.steps[aActiveRun.task.key.step];
-    allocation.demand = AllocatedDemand(step);
+  if (const auto* step = job == nullptr ? nullptr : job->FindStep(aActiveRun.task.key)) {
+    // Of an ended job, the occurrence may not exist in this term.
+    allocation.demand = AllocatedDemand(*step);
     allocation.workspaceUsage = job->workspaceUsage;
-    allocation.isService = step.isService;
-    allocation.isBestEffort = step.isBestEffort;
-    allocation.tailLatencyTarget = step.tailLatencyTarget;
-    allocation.estimate = step.estimate;
+    allocation.isService = step->isService;
+    allocation.isBestEffort = step->isBestEffort;
+    allocation.tailLatencyTarget = step->tailLatencyTarget;
+    allocation.estimate = step->estimate;
   } else {
     // The demand is no longer known; the worker gets no tasks until the run has ended.
     allocation.isDemandUnknown = true;
--- a/Libraries/LibCell/Forward.h
+++ b/Libraries/LibCell/Forward.h
@@ -8,6 +8,7 @@
 class AdviceDispatcher;
 class CellScheduler;
 class EndedJobArchive;
+class EndedJobCompactor;
 class EvacuatedZones;
 class EvacuationDirectory;
 class EvacuationReport;
--- a/Libraries/LibCell/Job.cpp
+++ b/Libraries/LibCell/Job.cpp
@@ -14,6 +14,12 @@
   });
 }
 
+const StepSpecification*
+Job::FindStep(const TaskKey& aKey) const
+{
+  return aKey.step < this->spec.steps.size() ? &this->spec.steps[aKey.step] : nullptr;
+}
+
 const Task*
 Job::FindTask(const TaskKey& aKey) const
 {
--- a/Libraries/LibCell/Job.h
+++ b/Libraries/LibCell/Job.h
@@ -210,6 +210,8 @@
   }
   /// @return true if the store has the records of all its steps whose tasks may have started
   [[nodiscard]] bool AreAllStartsStored() const;
+  /// @return the specification of a task's step, or null if the job has no such step
+  [[nodiscard]] const StepSpecification* FindStep(const TaskKey& aKey) const;
   /// @return the task, or null if its occurrence does not exist or the key is out of range. Valid
   /// until the task changes.
   [[nodiscard]] const Task* FindTask(const TaskKey& aKey) const;
--- a/Libraries/LibCell/WorkerTable.cpp
+++ b/Libraries/LibCell/WorkerTable.cpp
@@ -53,4 +53,16 @@
   return aNumber < this->byNumber.size() ? this->byNumber[aNumber] : nullptr;
 }
 
+std::unordered_set<JobId>
+WorkerTable::FindJobsWithRuns() const
+{
+  std::unordered_set<JobId> jobs;
+  for (const auto* worker : this->sorted) {
+    for (const auto& allocation : worker->allocations) {
+      jobs.insert(allocation.task.job);
+    }
+  }
+  return jobs;
+}
+
 }
--- a/Libraries/LibCell/WorkerTable.h
+++ b/Libraries/LibCell/WorkerTable.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <span>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace zinc::cell {
@@ -30,6 +31,8 @@
   /// @return all workers, sorted by id, so that a replay visits them in the same order
   [[nodiscard]] std::span<Worker* const> All() const { return this->sorted; }
   [[nodiscard]] std::size_t Size() const { return this->sorted.size(); }
+  /// @return the jobs that have allocations at any worker
+  [[nodiscard]] std::unordered_set<JobId> FindJobsWithRuns() const;
 
 private:
   std::unordered_map<WorkerId, std::unique_ptr<Worker>> byId;
--- a/Tests/LibCell/TestEndedJobs.cpp
+++ b/Tests/LibCell/TestEndedJobs.cpp
@@ -1,6 +1,7 @@
 #include "CellSchedulerFixture.h"
 
 #include <LibCell/EndedJobArchive.h>
+#include <LibCell/EndedJobCompactor.h>
 #include <algorithm>
 #include <gtest/gtest.h>
 
@@ -210,6 +211,63 @@
                                           testing::ValuesIn(kStepKinds)),
                          &NameOf);
 
+class EndedJobCompactorTest : public testing::Test
+{
+protected:
+  void Add(int aFirst, int aCount)
+  {
+    for (int number = aFirst; number < aFirst + aCount; ++number) {
+      this->compactor.Add({ std::to_string(number) }, { .workspace = { "team" } });
+    }
+  }
+  /// Compacts what is due for a number of intervals; jobs below a number have runs.
+  void Compact(int aBatches, int aWithRuns)
+  {
+    for (int batch = 0; batch < aBatches; ++batch) {
+      if (this->compactor.IsDue()) {
+        this->compactor.Compact(
+          [aWithRuns](const JobId& aJob) { return std::stoi(aJob.value) < aWithRuns; });
+      }
+      this->clock.Advance(Milliseconds{ 250 });
+    }
+  }
+  [[nodiscard]] bool IsCompacted(int aNumber) const
+  {
+    return this->store.rows.contains(
+      JobRowKey({ std::to_string(aNumber) }, JobRowKind::Specification));
+  }
+
+  ManualClock clock;
+  MemoryStore store;
+  EndedJobCompactor compactor{ this->store, this->clock };
+};
+
+// Load: many jobs that have ended while their runs go on. Guards against these holding back the
+// others, and against transactions that write nothing.
+TEST_F(EndedJobCompactorTest, JobsWithRunsDoNotHoldBackOthers)
+{
+  this->Add(0, 100);
+  this->Compact(10, 60);
+  EXPECT_EQ(this->store.rows.size(), 40U);
+  EXPECT_FALSE(IsCompacted(59));
+  EXPECT_EQ(this->store.commitCount, 1U);
+  this->Compact(10, 0);
+  EXPECT_TRUE(IsCompacted(0));
+  EXPECT_EQ(this->store.rows.size(), 80U) << "the rest waits for a full batch";
+}
+
+// Failure: the response to a batch is lost. Guards against jobs that are never compacted.
+TEST_F(EndedJobCompactorTest, RepeatsABatchThatFailed)
+{
+  this->Add(0, 40);
+  this->store.mode = StoreMode::Unavailable;
+  this->Compact(2, 0);
+  this->store.mode = StoreMode::Available;
+  this->Compact(10, 0);
+  EXPECT_TRUE(IsCompacted(39));
+  EXPECT_EQ(this->store.commitCount, 1U);
+}
+
 class EndedJobArchiveTest : public testing::Test
 {
 protected:
@@ -243,7 +301,120 @@
   this->archive.RemoveOlderThan(this->start + Milliseconds{ 1000 });
 }
 
-using EndedJobTest = CellSchedulerFixture;
+/// A workspace with a limit, one of whose jobs has ended while its run goes on.
+class EndedJobTest : public CellSchedulerFixture
+{
+protected:
+  static constexpr std::int64_t kLimitCores = 4;
+  /// More than the leader compacts in one batch.
+  static constexpr int kOtherJobs = 45;
+
+  /// Runs the job until its task uses the workspace's limit, and a number of jobs of another
+  /// workspace.
+  void StartJobs(const JobSpecification& aJob)
+  {
+    this->policy.workspaces[{ "team" }].quota = { .milliCores = kLimitCores * 1000 };
+    this->policy.workspaces[{ "others" }] = { .name = { "others" }, .weight = 1000.0 };
+    this->entries = { this->workers.Add(kWorker, kLimitCores), this->workers.Add("w2", 64) };
+    this->AcceptJob(aJob);
+    this->BeginTerm();
+    this->RunFor(Milliseconds{ 200 });
+    ASSERT_EQ(this->CountStarts(kJob.value), 1U);
+    for (int number = 0; number < kOtherJobs; ++number) {
+      auto spec = MakeJob("other" + std::to_string(number), 1, 1);
+      spec.workspace = { "others" };
+      this->AcceptJob(spec);
+    }
+    this->RunFor(Milliseconds{ 200 });
+  }
+
+  /// Cancels the job, whose run goes on, and ends the others.
+  void EndJobs()
+  {
+    for (auto* worker : { &this->workers.At(kWorker), &this->workers.At("w2") }) {
+      worker->ignoresStops = true;
+    }
+    const auto key = JobRowKey(kJob, JobRowKind::Cancellation);
+    this->store.Put(key, "{}");
+    this->scheduler->OnJobRows({ this->store.rows.at(key) });
+    for (int number = 0; number < kOtherJobs; ++number) {
+      for (const auto* worker : { "w1", "w2" }) {
+        this->workers.End(
+          worker, { { "other" + std::to_string(number) }, { 0, 0, 0 } }, RunOutcome::Succeeded);
+      }
+    }
+    this->RunFor(Milliseconds{ 2000 });
+  }
+
+  [[nodiscard]] std::ptrdiff_t CountCompactedRows() const
+  {
+    return std::ranges::count_if(this->store.RowsOf(std::string(kJobTable)), [](const Row& aRow) {
+      return DecodeEndedJob(aRow.value).has_value();
+    });
+  }
+
+  /// Begins another term, in which a job of the workspace waits for the limit until the run has
+  /// ended.
+  void ExpectThatTheNextLeaderKeepsTheLimit()
+  {
+    this->BeginTerm(true);
+    this->RunFor(Milliseconds{ 200 });
+    this->AcceptJob(MakeJob("next", 1, 2));
+    this->RunFor(Milliseconds{ 1000 });
+    EXPECT_EQ(this->CountStarts("next"), 0U) << "the workspace uses all of its limit";
+    for (auto* worker : { &this->workers.At(kWorker), &this->workers.At("w2") }) {
+      worker->ignoresStops = false;
+    }
+    this->workers.EndAll(RunOutcome::Stopped);
+    this->RunFor(Milliseconds{ 1000 });
+    EXPECT_EQ(this->CountStarts("next"), 1U);
+  }
+};
+
+// Failure: the leader is killed while the run of a cancelled job is being stopped. Guards against a
+// workspace that exceeds its limit, since the next leader does not know what the run uses.
+TEST_F(EndedJobTest, TheNextLeaderKnowsWhatARunOfAnEndedJobUses)
+{
+  this->StartJobs(MakeJob(kJob.value, 1, kLimitCores));
+  this->EndJobs();
+  EXPECT_GE(this->CountCompactedRows(), 40) << "the other jobs are not kept back";
+  this->ExpectThatTheNextLeaderKeepsTheLimit();
+  this->RunFor(Milliseconds{ 2000 });
+}
+
+// Failure: the same, with a timed job: the next leader does not create the occurrences that its
+// predecessor had begun, since the job has ended.
+TEST_F(EndedJobTest, TheNextLeaderKnowsWhatARunOfAnEndedTimedJobUses)
+{
+  auto spec = MakeJob(kJob.value, 1, kLimitCores);
+  spec.occurrences = 100;
+  spec.firstDue = WallTime(Milliseconds{ 1'000'000 });
+  spec.interval = Milliseconds{ 3'600'000 };
+  this->StartJobs(spec);
+  this->EndJobs();
+  // The next leader's clock is behind.
+  this->wallTime -= Milliseconds{ 5000 };
+  this->ExpectThatTheNextLeaderKeepsTheLimit();
+}
+
+// Guards against a row that is never compacted, because the job had a run when its turn came.
+TEST_F(EndedJobTest, AJobIsCompactedOnceItsRunsHaveEnded)
+{
+  this->StartJobs(MakeJob(kJob.value, 1, kLimitCores));
+  this->EndJobs();
+  const auto key = JobRowKey(kJob, JobRowKind::Specification);
+  EXPECT_FALSE(DecodeEndedJob(this->store.rows.at(key).value).has_value());
+  this->workers.EndAll(RunOutcome::Stopped);
+  for (int number = 0; number < kOtherJobs; ++number) {
+    auto spec = MakeJob("more" + std::to_string(number), 1, 1);
+    spec.workspace = { "others" };
+    this->AcceptJob(spec);
+  }
+  this->RunFor(Milliseconds{ 300 });
+  this->workers.EndAll(RunOutcome::Succeeded);
+  this->RunFor(Milliseconds{ 2000 });
+  EXPECT_TRUE(DecodeEndedJob(this->store.rows.at(key).value).has_value());
+}
 
 // Failure: the leader is killed. Guards against a successor that shows another state of an ended
 // job because of the rows that are left beside it, such as a late write of its progress.
