LibCell: Write a tombstone when a cancellation finds no job

What callers saw: a job ran whole and was shown as done although its cancellation had been answered 410, "no such job", before.

Cause: a cancellation read the job's rows and answered by them. That the store shows no row does not mean that it will show none: the write of the job may be on its way. It may have got no response, wait in the intake of another instance, or just be slow; a store that takes 2.5 s and answers does the same. The class: an answer is given on what the store shows now, though a write under way can still change it.

Change: JobCanceller writes a Tombstone under the key of the specification if there is no row, on the condition that there still is none, and answers 410 once that is stored. The intake writes a job only where its key is absent, so that a write that comes later fails, whoever sent it and however late it is, and no leader has to know of the tombstone. If the job's write was first, the transaction fails and the job is cancelled as usual. A submission under an id that its workspace cancelled is refused, "not run", without a time to come back; other jobs of its transaction are written in the next one. Another workspace's job replaces the tombstone, which keeps the first workspace's late write out just as well. Tombstones are never shown as jobs.

Bounds: the leader removes a tombstone after 60 s (TombstoneSweeper, TombstoneAges: its age counts over changes of leader; a row that has changed stays). An instance may write its share of 12,000 tombstones a minute in the cell, 100 at the least, and a workspace half of that (TombstoneBudget); beyond it the cancellation is refused with 429 and the time at which there is room. Jobs that exist can be cancelled meanwhile. Tombstones that come together share a transaction, and the next one waits for as long as the last one took. earlyCancellations in the leader gets no entry by any of this.

The same class: a submission that is refused, "never runs", while an earlier write of the same job by this instance has no response is answered "may have run" (UnansweredWrites, 2,000 jobs, beyond which submissions are refused before they are written).

Ruled out: a mark under another key. Each leader would have to keep, read and heed it for as long as a write may be late. Waiting until no write can be late: longer than a caller waits. Asking the other instances for their writes: one that was killed knows none.

--- a/Libraries/LibCell/CallerPort.h
+++ b/Libraries/LibCell/CallerPort.h
@@ -3,7 +3,7 @@
 /// @file
 /// Requests that callers can make to an instance, independent of the protocol.
 
-#include <LibCell/Intake.h>
+#include <LibCell/JobCanceller.h>
 #include <LibCell/Policy.h>
 #include <LibCell/Ports.h>
 #include <memory>
--- a/Libraries/LibCell/CellSchedulerJobs.cpp
+++ b/Libraries/LibCell/CellSchedulerJobs.cpp
@@ -1,4 +1,5 @@
 #include <LibCell/CellScheduler.h>
+#include <LibCell/Tombstone.h>
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -110,6 +111,9 @@
     this->endedJobArchive.Add(name->job, std::move(*ended), this->dependencies.clock.Now());
     return;
   }
+  if (DecodeTombstone(aRow.value)) {
+    return;
+  }
   auto decoded = DecodeSpecification(name->job, aRow.value);
   if (IsError(decoded)) {
     this->dependencies.log.Log(
--- a/Libraries/LibCell/GatedIntake.cpp
+++ b/Libraries/LibCell/GatedIntake.cpp
@@ -42,7 +42,12 @@
     aHandler(Done{});
     return;
   }
-  if (this->unanswered.contains(aSpec.id)) {
+  const auto& tombstone = ValueOf(aStored).tombstone;
+  if (tombstone && tombstone->Covers(aSpec.workspace)) {
+    aHandler(CancelledBeforeSubmission());
+    return;
+  }
+  if (this->unanswered.contains(aSpec.id) || this->dependencies.intake.MayBeStored(aSpec.id)) {
     this->CountWithdrawal(aSpec, "in_flight");
     this->Accept(aSpec, std::move(aHandler));
     return;
--- a/Libraries/LibCell/GatedIntake.h
+++ b/Libraries/LibCell/GatedIntake.h
@@ -6,6 +6,7 @@
 
 #include <LibCell/AdmissionGate.h>
 #include <LibCell/Intake.h>
+#include <LibCell/StoredJob.h>
 #include <LibLog/Logger.h>
 #include <LibMetrics/MetricRegistry.h>
 #include <functional>
--- a/Libraries/LibCell/Intake.cpp
+++ b/Libraries/LibCell/Intake.cpp
@@ -1,6 +1,9 @@
 #include <LibCell/Intake.h>
+#include <LibCell/Tombstone.h>
 
+#include <algorithm>
 #include <charconv>
+#include <map>
 #include <set>
 
 namespace zinc::cell {
@@ -31,16 +34,24 @@
   const auto index = PartitionIndex(aSpec.id);
   auto& partition = this->partitions[index];
   if (!this->store.IsAvailable()) {
-    aHandler(NotRun(ErrorCode::Unavailable, "The store is unavailable.", this->options.retryAfter));
+    this->Reject(
+      aSpec.id,
+      aHandler,
+      NotRun(ErrorCode::Unavailable, "The store is unavailable.", this->options.retryAfter));
     return;
   }
-  if (partition.queue.size() >= this->options.maxQueuedJobs) {
-    aHandler(NotRun(ErrorCode::Overloaded,
-                    "Too many jobs are waiting to be written to the store.",
-                    this->options.retryAfter));
+  const bool isUncertain = this->unansweredWrites.IsFull(this->clock.Now());
+  if (isUncertain || partition.queue.size() >= this->options.maxQueuedJobs) {
+    this->Reject(aSpec.id,
+                 aHandler,
+                 NotRun(ErrorCode::Overloaded,
+                        isUncertain ? "Too many writes to the store got no response."
+                                    : "Too many jobs are waiting to be written to the store.",
+                        this->options.retryAfter));
     return;
   }
   partition.queue.push_back({ .job = aSpec.id,
+                              .workspace = aSpec.workspace,
                               .value = EncodeSpecification(aSpec),
                               .received = this->clock.Now(),
                               .handler = std::move(aHandler) });
@@ -64,9 +75,11 @@
     auto entry = std::move(partition.queue.front());
     partition.queue.pop_front();
     if (now - entry.received > this->options.maxQueueTime) {
-      entry.handler(NotRun(ErrorCode::Unavailable,
-                           "The store is too slow to accept the job.",
-                           this->options.retryAfter));
+      this->Reject(entry.job,
+                   entry.handler,
+                   NotRun(ErrorCode::Unavailable,
+                          "The store is too slow to accept the job.",
+                          this->options.retryAfter));
       continue;
     }
     if (!batchedJobs.insert(entry.job).second) {
@@ -87,7 +100,7 @@
   Transaction transaction{ .extraTimeout = this->options.extraCommitTimeout };
   for (const auto& entry : *batch) {
     const auto key = JobRowKey(entry.job, JobRowKind::Specification);
-    transaction.conditions.push_back({ .key = key, .version = 0 });
+    transaction.conditions.push_back({ .key = key, .version = entry.replacedVersion });
     transaction.writes.push_back({ .key = key, .value = entry.value });
   }
   partition.isBusy = true;
@@ -115,8 +128,20 @@
     }
     auto verdict = ErrorOf(aResult);
     verdict.retryAfter = this->options.retryAfter;
-    entry.handler(std::move(verdict));
+    if (verdict.run != RunState::NotRun) {
+      this->unansweredWrites.Add(entry.job, this->clock.Now());
+    }
+    this->Reject(entry.job, entry.handler, std::move(verdict));
+  }
+}
+
+void
+Intake::Reject(const JobId& aJob, const AcceptanceHandler& aHandler, Verdict aVerdict) const
+{
+  if (this->MayBeStored(aJob)) {
+    aVerdict.run = RunState::MayHaveRun;
   }
+  aHandler(std::move(aVerdict));
 }
 
 void
@@ -124,160 +149,40 @@
                    std::vector<Entry>& aBatch,
                    const std::vector<Row>& aCurrentRows)
 {
-  std::set<std::string> existing;
+  std::map<RowKey, const Row*> currentRows;
   for (const auto& row : aCurrentRows) {
-    if (row.version > 0) {
-      existing.insert(row.key.key);
-    }
+    currentRows[row.key] = &row;
   }
+  const auto findRow = [&currentRows](const Entry& aEntry) -> const Row* {
+    const auto found = currentRows.find(JobRowKey(aEntry.job, JobRowKind::Specification));
+    return found == currentRows.end() || found->second->version == 0 ? nullptr : found->second;
+  };
+  const auto hasChanged = [&findRow](const Entry& aEntry) {
+    const auto* row = findRow(aEntry);
+    return (row == nullptr ? 0 : row->version) != aEntry.replacedVersion;
+  };
+  const bool isExplained = std::ranges::any_of(aBatch, hasChanged);
   auto& queue = this->partitions[aPartition].queue;
   for (auto entry = aBatch.rbegin(); entry != aBatch.rend(); ++entry) {
-    if (existing.contains(JobRowKey(entry->job, JobRowKind::Specification).key)) {
-      entry->handler(Done{});
-    } else if (existing.empty()) {
-      // The store reports a conflict although none of the rows exists.
-      entry->handler(
+    if (!isExplained) {
+      // The store reports a conflict although no row has changed.
+      this->Reject(
+        entry->job,
+        entry->handler,
         NotRun(ErrorCode::Unavailable, "The store rejected the job.", this->options.retryAfter));
+      continue;
+    }
+    const auto* row = findRow(*entry);
+    const auto tombstone = row == nullptr ? std::nullopt : DecodeTombstone(row->value);
+    if (row != nullptr && !tombstone) {
+      entry->handler(Done{});
+    } else if (tombstone && tombstone->Covers(entry->workspace)) {
+      entry->handler(CancelledBeforeSubmission());
     } else {
+      entry->replacedVersion = row == nullptr ? 0 : row->version;
       queue.push_front(std::move(*entry));
     }
   }
 }
 
-void
-Intake::Cancel(const JobId& aJob, const WorkspaceId& aWorkspace, Handler<CancelResult> aHandler)
-{
-  ReadStoredJob(this->store,
-                aJob,
-                nullptr,
-                [this, aJob, aWorkspace, handler = std::move(aHandler)](Result<StoredJob> aStored) {
-                  if (IsError(aStored)) {
-                    handler(ErrorOf(aStored));
-                    return;
-                  }
-                  const auto& stored = ValueOf(aStored);
-                  const bool isOfWorkspace = aWorkspace.IsEmpty() || stored.workspace == aWorkspace;
-                  if (!stored.isKnown || !isOfWorkspace) {
-                    handler(CancelResult::UnknownJob);
-                    return;
-                  }
-                  if (stored.outcome != JobOutcome::Active) {
-                    handler(CancelResult::AlreadyEnded);
-                    return;
-                  }
-                  this->RecordCancellation(aJob, handler);
-                });
-}
-
-void
-Intake::RecordCancellation(const JobId& aJob, Handler<CancelResult> aHandler)
-{
-  const auto key = JobRowKey(aJob, JobRowKind::Cancellation);
-  Transaction transaction;
-  transaction.writes.push_back({ .key = key, .value = "{}" });
-  this->store.Commit(std::move(transaction),
-                     [handler = std::move(aHandler)](Result<CommitResult> aResult) {
-                       if (IsError(aResult)) {
-                         handler(ErrorOf(aResult));
-                         return;
-                       }
-                       handler(CancelResult::Recorded);
-                     });
-}
-
-namespace {
-
-/// Reads a job's specification row and its cancellation row.
-void
-ReadSpecificationRow(StorePort& aStore,
-                     const JobId& aJob,
-                     std::shared_ptr<const CellPolicy> aPolicy,
-                     Handler<StoredJob> aHandler)
-{
-  aStore.Read(
-    JobRowRange(aJob),
-    [aJob, policy = std::move(aPolicy), handler = std::move(aHandler)](Result<RowBatch> aBatch) {
-      if (IsError(aBatch)) {
-        handler(ErrorOf(aBatch));
-        return;
-      }
-      StoredJob stored;
-      for (const auto& row : ValueOf(aBatch).rows) {
-        const auto name = ParseJobRowKey(row.key.key);
-        if (name && name->kind == JobRowKind::Cancellation) {
-          stored.outcome = JobOutcome::Cancelled;
-        }
-        if (!name || name->kind != JobRowKind::Specification) {
-          continue;
-        }
-        stored.isKnown = true;
-        if (const auto ended = DecodeEndedJob(row.value, policy.get())) {
-          handler(StoredJob{ .isKnown = true,
-                             .workspace = ended->workspace,
-                             .queue = ended->queue,
-                             .outcome = ended->outcome,
-                             .hasStarted = true });
-          return;
-        }
-        const auto spec = DecodeSpecification(aJob, row.value);
-        if (IsError(spec)) {
-          handler(ErrorOf(spec));
-          return;
-        }
-        stored.workspace = ValueOf(spec).workspace;
-        stored.queue = ValueOf(spec).queue.name;
-      }
-      handler(std::move(stored));
-    });
-}
-
-/// Reads a job's progress row and adds it to @p aStored.
-void
-ReadProgressRow(StorePort& aStore,
-                const JobId& aJob,
-                StoredJob aStored,
-                Handler<StoredJob> aHandler)
-{
-  aStore.Read(
-    ProgressRowRange(aJob),
-    [stored = std::move(aStored), handler = std::move(aHandler)](Result<RowBatch> aBatch) mutable {
-      if (IsError(aBatch)) {
-        handler(ErrorOf(aBatch));
-        return;
-      }
-      for (const auto& row : ValueOf(aBatch).rows) {
-        const auto progress = DecodeProgress(row.value);
-        if (IsError(progress)) {
-          handler(ErrorOf(progress));
-          return;
-        }
-        stored.outcome = ValueOf(progress).outcome;
-        stored.hasStarted = ValueOf(progress).hasStarted;
-      }
-      handler(std::move(stored));
-    });
-}
-
-}
-
-void
-ReadStoredJob(StorePort& aStore,
-              const JobId& aJob,
-              std::shared_ptr<const CellPolicy> aPolicy,
-              Handler<StoredJob> aHandler)
-{
-  ReadSpecificationRow(aStore,
-                       aJob,
-                       std::move(aPolicy),
-                       [&aStore, aJob, handler = std::move(aHandler)](Result<StoredJob> aStored) {
-                         const bool isFinal = IsError(aStored) || !ValueOf(aStored).isKnown ||
-                                              ValueOf(aStored).outcome != JobOutcome::Active;
-                         if (isFinal) {
-                           handler(std::move(aStored));
-                           return;
-                         }
-                         ReadProgressRow(aStore, aJob, ValueOf(aStored), handler);
-                       });
-}
-
 }
--- a/Libraries/LibCell/Intake.h
+++ b/Libraries/LibCell/Intake.h
@@ -1,10 +1,11 @@
 #pragma once
 
 /// @file
-/// Durable acceptance of jobs and of cancellations.
+/// Durable acceptance of jobs.
 
 #include <LibCell/MonitoredStore.h>
 #include <LibCell/Records.h>
+#include <LibCell/UnansweredWrites.h>
 #include <array>
 #include <deque>
 #include <functional>
@@ -30,16 +31,8 @@
   Milliseconds retryAfter{ 1000 };
 };
 
-/// Outcome of a cancellation.
-enum class CancelResult : std::uint8_t
-{
-  Recorded,
-  AlreadyEnded,
-  UnknownJob,
-};
-
-/// Writes accepted jobs and cancellations to the store. Jobs are batched, and a job id is accepted
-/// at most once.
+/// Writes accepted jobs to the store. Jobs are batched, and a job id is accepted at most once. An
+/// id that its workspace cancelled before is not accepted; see @ref Tombstone.
 class Intake
 {
 public:
@@ -52,17 +45,22 @@
   /// be accepted
   void Submit(const JobSpecification& aSpec, AcceptanceHandler aHandler);
 
-  /// Records a request to cancel a job.
-  /// @param aWorkspace the workspace that the job must belong to; empty for any
-  void Cancel(const JobId& aJob, const WorkspaceId& aWorkspace, Handler<CancelResult> aHandler);
+  /// @return true if an earlier write of the job got no response and may still be performed.
+  [[nodiscard]] bool MayBeStored(const JobId& aJob) const
+  {
+    return this->unansweredWrites.Contains(aJob, this->clock.Now());
+  }
 
 private:
   struct Entry
   {
     JobId job;
+    WorkspaceId workspace;
     std::string value;
     TimePoint received{};
     AcceptanceHandler handler;
+    /// Version of another workspace's tombstone that the job replaces; 0 if the id is unused.
+    std::uint64_t replacedVersion = 0;
   };
 
   /// A partition of the job table. Its transactions are sent one at a time.
@@ -77,35 +75,19 @@
   void OnCommitted(std::size_t aPartition,
                    const std::shared_ptr<std::vector<Entry>>& aBatch,
                    const Result<CommitResult>& aResult);
-  /// Accepts the jobs whose row exists already and requeues the others.
+  /// Accepts the jobs whose row exists already, refuses those that were cancelled and requeues the
+  /// others.
   void OnConflict(std::size_t aPartition,
                   std::vector<Entry>& aBatch,
                   const std::vector<Row>& aCurrentRows);
-  void RecordCancellation(const JobId& aJob, Handler<CancelResult> aHandler);
+  /// Responds to a caller whose job this submission does not write. An earlier one may have.
+  void Reject(const JobId& aJob, const AcceptanceHandler& aHandler, Verdict aVerdict) const;
 
   MonitoredStore& store;
   const Clock& clock;
   IntakeOptions options;
   std::array<Partition, kJobPartitionCount> partitions;
+  UnansweredWrites unansweredWrites;
 };
 
-/// State of a job according to its rows in the store.
-struct StoredJob
-{
-  bool isKnown = false;
-  WorkspaceId workspace;
-  QueueId queue;
-  JobOutcome outcome = JobOutcome::Active;
-  bool hasStarted = false;
-};
-
-/// Reads a job's state from the store.
-/// @param aPolicy for rows of ended jobs with several readings; see @ref DecodeEndedJob. May be
-/// null
-void
-ReadStoredJob(StorePort& aStore,
-              const JobId& aJob,
-              std::shared_ptr<const CellPolicy> aPolicy,
-              Handler<StoredJob> aHandler);
-
 }
--- a/Libraries/LibCell/Ports.h
+++ b/Libraries/LibCell/Ports.h
@@ -4,6 +4,7 @@
 /// Interfaces through which the cell uses the platform: its store, its workers and its policy
 /// service. The platform adapter implements them; tests use fakes.
 
+#include <LibBase/Time.h>
 #include <LibBase/Verdict.h>
 #include <LibCell/Policy.h>
 #include <LibCell/Specification.h>
@@ -109,6 +110,10 @@
   std::string to;
 };
 
+/// A transaction without a response is applied within this time, or never: the platform says
+/// seconds, and the process that sends it may be suspended on the way.
+inline constexpr Milliseconds kMaxWriteDelay{ 60'000 };
+
 /// The platform's transactional store.
 class StorePort
 {
--- a/Libraries/LibInstance/CellInstance.cpp
+++ b/Libraries/LibInstance/CellInstance.cpp
@@ -59,6 +59,10 @@
                   .log = this->dependencies.log,
                   .metrics = this->dependencies.metrics,
                   .findForecast = [this] { return this->CurrentForecast(); } })
+  , canceller({ .store = this->store,
+                .timer = this->dependencies.timer,
+                .clock = this->dependencies.clock,
+                .metrics = this->dependencies.metrics })
   , election({ .store = this->store,
                .clock = this->dependencies.clock,
                .log = this->dependencies.log,
@@ -224,12 +228,14 @@
   const auto record = cell::DecodeInstanceRecord(aRow.value);
   if (aRow.isDeleted || IsError(record)) {
     this->peers.erase(name);
+    this->canceller.SetInstanceCount(this->peers.size());
     return;
   }
   auto& peer = this->peers[name];
   peer.record = ValueOf(record);
   peer.endpoint = { .address = peer.record.address, .port = peer.record.port };
   peer.lastChangedAt = this->dependencies.clock.Now();
+  this->canceller.SetInstanceCount(this->peers.size());
   this->election.OnInstanceRecord(name, peer.record, aRow.version);
 }
 
@@ -321,6 +327,7 @@
   if (this->scheduler) {
     this->endedSchedulers.push_back(std::move(this->scheduler));
   }
+  this->tombstoneSweeper.reset();
 }
 
 void
@@ -333,6 +340,7 @@
     }
   }
   if (this->scheduler) {
+    this->tombstoneSweeper->OnJobRows(aUpdate.rows);
     this->scheduler->OnJobRows(aUpdate.rows);
     return;
   }
@@ -410,6 +418,11 @@
   this->UpdateSchedulerInstances();
   this->scheduler->SetTermEnd(this->election.TermEnd());
   this->scheduler->SetPriorLeasesExpiry(start.term.priorLeasesExpiry);
+  this->tombstoneSweeper = std::make_unique<cell::TombstoneSweeper>(
+    cell::TombstoneSweeper::Dependencies{ .store = this->store,
+                                          .clock = this->dependencies.clock,
+                                          .metrics = this->dependencies.metrics });
+  this->tombstoneSweeper->OnJobRows(*start.jobRows);
   this->scheduler->BeginTerm({ .fencingToken = start.term.token,
                                .previousWorkers = start.term.previousWorkers,
                                .drainingJobs = start.term.drainingJobs,
@@ -438,6 +451,9 @@
   }
   this->UpdateSchedulerZones(false);
   currentScheduler->Tick();
+  if (this->tombstoneSweeper) {
+    this->tombstoneSweeper->Tick();
+  }
   this->dependencies.timer.RunAfter(this->options.schedulerTickInterval, [this, currentScheduler] {
     if (this->scheduler.get() == currentScheduler) {
       this->TickScheduler();
@@ -627,7 +643,7 @@
                      const WorkspaceId& aWorkspace,
                      cell::Handler<cell::CancelResult> aHandler)
 {
-  this->intake.Cancel(aJob, aWorkspace, std::move(aHandler));
+  this->canceller.Cancel(aJob, aWorkspace, std::move(aHandler));
 }
 
 void
--- a/Libraries/LibInstance/CellInstance.h
+++ b/Libraries/LibInstance/CellInstance.h
@@ -9,11 +9,13 @@
 #include <LibCell/EvacuationDirectory.h>
 #include <LibCell/GatedIntake.h>
 #include <LibCell/Intake.h>
+#include <LibCell/JobCanceller.h>
 #include <LibCell/LeaderElection.h>
 #include <LibCell/MonitoredStore.h>
 #include <LibCell/SpeedProbe.h>
 #include <LibCell/TableWatcher.h>
 #include <LibCell/Timer.h>
+#include <LibCell/TombstoneSweeper.h>
 #include <LibCell/WorkerDirectory.h>
 #include <LibInstanceCalls/InstanceCalls.h>
 #include <LibLog/Logger.h>
@@ -214,6 +216,7 @@
   cell::MonitoredStore store;
   cell::Intake intake;
   cell::GatedIntake gatedIntake;
+  cell::JobCanceller canceller;
   cell::LeaderElection election;
   cell::SpeedProbe speed;
   cell::WorkerDirectory workerDirectory;
@@ -225,6 +228,8 @@
   std::shared_ptr<cell::TableWatcher> jobWatcher;
   std::shared_ptr<cell::TableWatcher> workerWatcher;
   std::unique_ptr<cell::CellScheduler> scheduler;
+  /// Exists while @ref scheduler does.
+  std::unique_ptr<cell::TombstoneSweeper> tombstoneSweeper;
   /// Schedulers of ended terms; destroyed on the next election tick, since the term may end within
   /// a call of the scheduler itself.
   std::vector<std::unique_ptr<cell::CellScheduler>> endedSchedulers;
--- a/Tests/LibCell/MemoryStore.cpp
+++ b/Tests/LibCell/MemoryStore.cpp
@@ -65,6 +65,10 @@
     aHandler(MayHaveRun(ErrorCode::Timeout, "lost"));
     return;
   }
+  if (this->mode == StoreMode::HoldingRequests) {
+    this->heldRequests.emplace_back(std::move(aTransaction), std::move(aHandler));
+    return;
+  }
   CommitResult result{ .isCommitted = true };
   for (const auto& condition : aTransaction.conditions) {
     const auto found = this->rows.find(condition.key);
@@ -117,6 +121,9 @@
   for (auto& transaction : std::exchange(this->delayedRequests, {})) {
     this->Commit(std::move(transaction), [](Result<CommitResult>) {});
   }
+  for (auto& [transaction, handler] : std::exchange(this->heldRequests, {})) {
+    this->Commit(std::move(transaction), std::move(handler));
+  }
 }
 
 std::uint64_t
--- a/Tests/LibCell/MemoryStore.h
+++ b/Tests/LibCell/MemoryStore.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace zinc::cell::test {
@@ -28,6 +29,9 @@
   /// Reports a timeout and holds the transaction back until
   /// @ref MemoryStore::ExecuteDelayedRequests; reads work.
   DelayingRequests,
+  /// Holds transactions back until @ref MemoryStore::ExecuteDelayedRequests and responds then;
+  /// reads work.
+  HoldingRequests,
 };
 
 class MemoryStore final : public StorePort
@@ -42,7 +46,8 @@
 
   /// Delivers the responses held back so far.
   void DeliverResponses();
-  /// Executes the transactions held back so far, whose callers are not told.
+  /// Executes the transactions held back so far. Their callers are told only in
+  /// @ref StoreMode::HoldingRequests.
   void ExecuteDelayedRequests();
   /// Writes a row on behalf of another client.
   /// @return the version of the row.
@@ -59,6 +64,7 @@
   std::vector<std::set<std::string>> inFlightPartitions;
   std::vector<std::function<void()>> pendingResponses;
   std::vector<Transaction> delayedRequests;
+  std::vector<std::pair<Transaction, Handler<CommitResult>>> heldRequests;
   /// Watching from a lower version fails with @ref ErrorCode::StaleVersion.
   std::uint64_t minWatchVersion = 0;
 };
--- a/Tests/LibInstance/TestAdmission.cpp
+++ b/Tests/LibInstance/TestAdmission.cpp
@@ -1,107 +1,13 @@
-#include "LibCell/MemoryStore.h"
+#include "TimedStore.h"
 #include <LibInstance/CellInstance.h>
 
 #include <boost/asio/io_context.hpp>
 #include <gtest/gtest.h>
-#include <map>
 
 namespace zinc {
 
 namespace {
 
-/// Runs functions as the test advances the clock.
-class StepTimer final : public cell::TimerPort
-{
-public:
-  explicit StepTimer(ManualClock& aClock)
-    : clock(aClock)
-  {
-  }
-
-  void RunAfter(Milliseconds aDelay, std::function<void()> aFunction) override
-  {
-    this->functions.emplace(this->clock.Now() + std::max(aDelay, Milliseconds{ 1 }),
-                            std::move(aFunction));
-  }
-
-  void Advance(Milliseconds aTime)
-  {
-    for (auto left = aTime; left > Milliseconds{ 0 }; left -= Milliseconds{ 1 }) {
-      this->clock.Advance(Milliseconds{ 1 });
-      while (!this->functions.empty() && this->functions.begin()->first <= this->clock.Now()) {
-        this->functions.extract(this->functions.begin()).mapped()();
-      }
-    }
-  }
-
-private:
-  ManualClock& clock;
-  std::multimap<TimePoint, std::function<void()>> functions;
-};
-
-/// A store in memory that reports its time and delays the responses to watches.
-class TimedStore final : public cell::StorePort
-{
-public:
-  static constexpr Milliseconds kWatchDelay{ 20 };
-
-  TimedStore(StepTimer& aTimer, ManualClock& aClock)
-    : timer(aTimer)
-    , clock(aClock)
-  {
-  }
-
-  [[nodiscard]] Milliseconds Time() const { return this->clock.Now().time_since_epoch(); }
-
-  void Read(const cell::RowRange& aRange, cell::Handler<cell::RowBatch> aHandler) override
-  {
-    this->memory.Read(aRange, this->AddTime(std::move(aHandler)));
-  }
-  void Watch(const std::string& aTable,
-             std::uint64_t aAfterVersion,
-             Milliseconds aMaxWait,
-             cell::Handler<cell::RowBatch> aHandler) override
-  {
-    this->timer.RunAfter(
-      kWatchDelay, [this, aTable, aAfterVersion, aMaxWait, handler = std::move(aHandler)] {
-        this->memory.Watch(aTable, aAfterVersion, aMaxWait, this->AddTime(handler));
-      });
-  }
-  void Commit(cell::Transaction aTransaction, cell::Handler<cell::CommitResult> aHandler) override
-  {
-    this->memory.Commit(std::move(aTransaction), std::move(aHandler));
-  }
-
-  cell::test::MemoryStore memory;
-
-private:
-  [[nodiscard]] cell::Handler<cell::RowBatch> AddTime(cell::Handler<cell::RowBatch> aHandler)
-  {
-    return [this, handler = std::move(aHandler)](Result<cell::RowBatch> aBatch) {
-      if (!IsError(aBatch)) {
-        ValueOf(aBatch).storeTime = this->Time();
-      }
-      handler(std::move(aBatch));
-    };
-  }
-
-  StepTimer& timer;
-  ManualClock& clock;
-};
-
-class NoWorkers final : public cell::WorkerPort
-{
-public:
-  void RenewLease(cell::LeaseRenewal,
-                  cell::Handler<std::variant<cell::WorkerReport, cell::OrderResult>>) override
-  {
-  }
-  void Start(cell::StartOrder, cell::Handler<cell::OrderResult>) override {}
-  void Stop(cell::RunOrder, cell::Handler<cell::OrderResult>) override {}
-  void Throttle(cell::RunOrder, int, cell::Handler<cell::OrderResult>) override {}
-  void Disconnect(const WorkerId&) override {}
-};
-
 /// An instance that is not the leader, and the record of the leader that it reads.
 class AdmissionTest : public testing::Test
 {
--- a/Tests/Platform/TestCallerInterface.cpp
+++ b/Tests/Platform/TestCallerInterface.cpp
@@ -126,6 +126,11 @@
   const auto refused = this->Call(RequestMethod::Post, kJob);
   EXPECT_EQ(refused.status, 429U);
   EXPECT_EQ(refused.retryAfter, Milliseconds{ 4321 });
+  // An id that was cancelled before: it makes no sense to come back.
+  this->caller.submitResult = cell::CancelledBeforeSubmission();
+  const auto cancelled = this->Call(RequestMethod::Post, kJob);
+  EXPECT_EQ(cancelled.status, 503U);
+  EXPECT_FALSE(cancelled.retryAfter.has_value());
   this->caller.submitResult = MayHaveRun(ErrorCode::Timeout, "lost");
   EXPECT_EQ(this->Call(RequestMethod::Post, kJob).status, 504U);
 }
@@ -146,6 +151,11 @@
   EXPECT_EQ(this->Call(RequestMethod::Delete, kJob).status, 200U);
   this->caller.cancelResult = cell::CancelResult::UnknownJob;
   EXPECT_EQ(this->Call(RequestMethod::Delete, kJob).status, 410U);
+  // Too many unknown ids: nothing was done.
+  this->caller.cancelResult = NotRun(ErrorCode::Overloaded, "full", Milliseconds{ 4321 });
+  const auto refused = this->Call(RequestMethod::Delete, kJob);
+  EXPECT_EQ(refused.status, 429U);
+  EXPECT_EQ(refused.retryAfter, Milliseconds{ 4321 });
 }
 
 }
