Soak: Let callers cancel submissions that got no answer, and writes come late by seconds

Three callers of ten now cancel a job whose submission got no answer, in place of sending it again, and in half of the runs the store performs half of its writes 5.8 s late for a while, longer than a job may still start after its cancellation (4 s). Both are drawn from streams of their own. No check was changed.

--- a/Tests/Soak/SoakCallers.cpp
+++ b/Tests/Soak/SoakCallers.cpp
@@ -36,6 +36,10 @@
 constexpr std::uint32_t kCrashingPermille = 6;
 constexpr std::uint32_t kPermille = 1000;
 constexpr std::uint64_t kCrashStream = 9001;
+/// Callers that cancel a job whose submission got no answer, in place of sending it again. Drawn
+/// from a stream of their own, too.
+constexpr std::uint32_t kGivenUp = 30;
+constexpr std::uint64_t kGiveUpStream = 9101;
 constexpr std::uint32_t kFlakyPercent = 30;
 constexpr std::uint32_t kSizeUnit = 250;
 constexpr std::uint32_t kSizes = 5;
@@ -145,12 +149,17 @@
 {
   pcg32 random(this->options.seed, aNumber);
   pcg32 crashes(this->options.seed, kCrashStream + aNumber);
+  pcg32 patience(this->options.seed, kGiveUpStream + aNumber);
   while (!this->isOver) {
     const std::size_t workspace = Draws(random, kLimited) ? 1 : 2 * random(2);
     auto plan = this->Draw(random, workspace);
     plan.steps.front().crashesWorkers = crashes(kPermille) < kCrashingPermille;
     this->options.recorder.Plan(plan);
-    if (this->Submit(plan, workspace, random)) {
+    const auto outcome = this->Submit(plan, workspace, random, patience);
+    if (outcome == SubmitOutcome::GivenUp) {
+      this->Cancel({ plan.id, workspace }, patience);
+    }
+    if (outcome == SubmitOutcome::Accepted) {
       const Accepted job{ plan.id, workspace };
       {
         const std::lock_guard lock(this->mutex);
@@ -165,15 +174,15 @@
       }
       if (Draws(random, kSentAgain)) {
         // A copy of an earlier submission that was long under way.
-        static_cast<void>(this->Submit(plan, workspace, random));
+        static_cast<void>(this->Submit(plan, workspace, random, patience));
       }
     }
     std::this_thread::sleep_for(this->options.pause);
   }
 }
 
-bool
-SoakCallers::Submit(const JobPlan& aPlan, std::size_t aWorkspace, pcg32& aRandom)
+SoakCallers::SubmitOutcome
+SoakCallers::Submit(const JobPlan& aPlan, std::size_t aWorkspace, pcg32& aRandom, pcg32& aPatience)
 {
   auto& recorder = this->options.recorder;
   for (std::uint32_t attempt = 0; attempt < kTries; ++attempt) {
@@ -195,14 +204,17 @@
                                     : EventKind::Unanswered;
     recorder.Record({ .kind = kind, .job = aPlan.id, .place = place, .amount = status });
     if (kind == EventKind::Accepted) {
-      return true;
+      return SubmitOutcome::Accepted;
     }
     if (kind == EventKind::Refused) {
-      return false;
+      return SubmitOutcome::Refused;
+    }
+    if (Draws(aPatience, kGivenUp)) {
+      return SubmitOutcome::GivenUp;
     }
     std::this_thread::sleep_for(kBeforeRetry);
   }
-  return false;
+  return SubmitOutcome::Unanswered;
 }
 
 void
--- a/Tests/Soak/SoakCallers.h
+++ b/Tests/Soak/SoakCallers.h
@@ -47,10 +47,23 @@
     std::size_t workspace = 0;
   };
 
+  enum class SubmitOutcome : std::uint8_t
+  {
+    Accepted,
+    Refused,
+    Unanswered,
+    /// The last call got no answer, and the caller no longer wants the job.
+    GivenUp,
+  };
+
   void Serve(std::uint64_t aNumber);
   [[nodiscard]] JobPlan Draw(pcg32& aRandom, std::size_t aWorkspace) const;
-  /// Hands a job in, again after calls without an answer.
-  [[nodiscard]] bool Submit(const JobPlan& aPlan, std::size_t aWorkspace, pcg32& aRandom);
+  /// Hands a job in, again after calls without an answer, until the caller gives up.
+  /// @param aPatience draws whether it does
+  [[nodiscard]] SubmitOutcome Submit(const JobPlan& aPlan,
+                                     std::size_t aWorkspace,
+                                     pcg32& aRandom,
+                                     pcg32& aPatience);
   void Cancel(const Accepted& aJob, pcg32& aRandom);
   /// @return the state shown; empty if none was.
   std::string Ask(const Accepted& aJob, std::size_t aInstance);
--- a/Tests/Soak/SoakCell.cpp
+++ b/Tests/Soak/SoakCell.cpp
@@ -26,6 +26,8 @@
 constexpr std::size_t kPeerPorts = 15;
 /// Disturbances of the store and of workers.
 constexpr Milliseconds kLateness{ 1500 };
+/// Longer than a job may still start after its cancellation.
+constexpr Milliseconds kLatenessOfSeconds{ 5800 };
 constexpr Milliseconds kSlowStore{ 250 };
 constexpr Milliseconds kSlowWorker{ 400 };
 constexpr Milliseconds kSlowPath{ 200 };
@@ -80,6 +82,7 @@
   { FaultKind::ChangeDocument, &SoakCell::ChangeDocument, &SoakCell::Nothing },
   { FaultKind::ShrinkWorker, &SoakCell::ShrinkWorker, &SoakCell::RestoreCapacity },
   { FaultKind::EvacuateZone, &SoakCell::EvacuateZone, &SoakCell::ReturnZone },
+  { FaultKind::StoreLateBySeconds, &SoakCell::DisturbStore, &SoakCell::RestoreStore },
 };
 
 SoakCell::SoakCell(SoakCellOptions aOptions, Recorder& aRecorder)
@@ -498,6 +501,9 @@
       case FaultKind::StoreLate:
         this->store->Apply({ .lateness = kLateness });
         break;
+      case FaultKind::StoreLateBySeconds:
+        this->store->Apply({ .lateness = kLatenessOfSeconds });
+        break;
       default:
         this->store->DropHistory();
         break;
--- a/Tests/Soak/SoakFaults.cpp
+++ b/Tests/Soak/SoakFaults.cpp
@@ -35,6 +35,7 @@
   "change_document",
   "shrink_worker",
   "evacuate_zone",
+  "store_late_by_seconds",
 };
 
 constexpr std::uint32_t kFirst = 1000;
@@ -57,6 +58,8 @@
 /// Longer than the bound after which nothing may start in the zone.
 constexpr std::uint32_t kShortestEvacuation = 6000;
 constexpr std::uint32_t kLongestEvacuation = 10'000;
+constexpr std::uint64_t kLateStoreStream = 7003;
+constexpr std::uint32_t kMaxLateStores = 1;
 /// Time between a fault's end and its repetition.
 constexpr std::uint32_t kRepeatAfter = 1500;
 
@@ -83,6 +86,7 @@
     case FaultKind::StoreSlow:
     case FaultKind::StoreLosesAnswers:
     case FaultKind::StoreLate:
+    case FaultKind::StoreLateBySeconds:
       return true;
     default:
       return false;
@@ -124,6 +128,13 @@
                          .at = Milliseconds(kFirst + evacuations(kLast - kFirst)),
                          .lasts = Milliseconds(length) });
   }
+  pcg32 lateStores(aSeed, kLateStoreStream);
+  for (auto left = lateStores(kMaxLateStores + 1); left > 0; --left) {
+    schedule.push_back({ .kind = FaultKind::StoreLateBySeconds,
+                         .target = lateStores(kTargets),
+                         .at = Milliseconds(kFirst + lateStores(kLast - kFirst)),
+                         .lasts = Milliseconds(kShortest + lateStores(kLongest - kShortest)) });
+  }
   std::sort(schedule.begin(), schedule.end(), [](const SoakFault& aLeft, const SoakFault& aRight) {
     return aLeft.at < aRight.at;
   });
--- a/Tests/Soak/SoakFaults.h
+++ b/Tests/Soak/SoakFaults.h
@@ -38,9 +38,10 @@
   ChangeDocument,
   ShrinkWorker,
   EvacuateZone,
+  StoreLateBySeconds,
 };
 
-inline constexpr std::size_t kFaultKinds = 25;
+inline constexpr std::size_t kFaultKinds = 26;
 
 [[nodiscard]] std::string_view
 ToString(FaultKind aKind);
