LibPlatform: Bound how long the system goes on sending a request

A tombstone keeps late writes of a job out for 60 s. Nothing bounded how late a write of ours can be: a client closes its connection after its timeout, but the system goes on sending what was written to it, for minutes while the path is cut (orphaned sockets).

Change: TCP_USER_TIMEOUT of 10 s on each connection of HttpClient; it holds after close, too. Requests time out after 2 to 3 s, and a watch that waits has nothing unacknowledged, so that no call ends sooner.

Measured: UndeliveredRequestsAreDroppedInTime reads the option of the client's socket (0 before). That a cut path drops the request in time was not run: it takes a cut, which the tests cannot make.

--- a/Libraries/LibPlatform/HttpClient.cpp
+++ b/Libraries/LibPlatform/HttpClient.cpp
@@ -12,6 +12,7 @@
 #include <boost/beast/http.hpp>
 #include <deque>
 #include <fmt/format.h>
+#include <netinet/tcp.h>
 
 namespace zinc {
 
@@ -22,6 +23,8 @@
 using SteadyTime = std::chrono::steady_clock::time_point;
 using Strand = asio::strand<asio::io_context::executor_type>;
 using ErrorStatus = boost::system::error_code;
+/// Time in ms after which the system drops a connection whose data is not acknowledged.
+using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
 
 SteadyTime
 Now()
@@ -242,6 +245,8 @@
     }
     ErrorStatus ignored;
     this->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    this->socket.set_option(
+      UserTimeout(static_cast<int>(this->pool->options.deliveryTimeout.count())), ignored);
     this->socket.non_blocking(true, ignored);
     const auto remote = this->socket.remote_endpoint(ignored);
     this->hostName = fmt::format("{}:{}", remote.address().to_string(), remote.port());
--- a/Libraries/LibPlatform/HttpOptions.h
+++ b/Libraries/LibPlatform/HttpOptions.h
@@ -35,6 +35,9 @@
   Milliseconds connectTimeout{ 500 };
   /// Bounds a request from its call to its reply, beside the wait that it asks for itself.
   Milliseconds requestTimeout{ 2000 };
+  /// How long the system tries to deliver what the other end does not acknowledge, also after the
+  /// connection was closed: a request that was given up must not arrive much later.
+  Milliseconds deliveryTimeout{ 10000 };
   /// A connection that has been unused for this long is closed instead of used again.
   Milliseconds idleLimit{ 30000 };
   /// Names this process and its availability zone to the service.
--- a/Tests/LibPlatform/TestHttpClient.cpp
+++ b/Tests/LibPlatform/TestHttpClient.cpp
@@ -3,7 +3,9 @@
 #include <LibPlatform/HttpTable.h>
 #include <StandIns/HttpServer.h>
 #include <atomic>
+#include <netinet/tcp.h>
 #include <pcg_random.hpp>
+#include <sys/socket.h>
 
 namespace zinc {
 
@@ -217,4 +219,30 @@
   EXPECT_TRUE(IsError(HttpClient::Create(std::move(none))));
 }
 
+// Guards against a request that arrives minutes after it was given up, because the system goes on
+// sending it while the path to the service is cut.
+TEST_F(ScriptedServer, UndeliveredRequestsAreDroppedInTime)
+{
+  HttpOptions options =
+    this->Serve([](const HttpCallPointer& aCall) { aCall->Reply(200, "here"); });
+  constexpr int kTimeout = 12'345;
+  options.deliveryTimeout = Milliseconds(kTimeout);
+  const auto client = ValueOf(HttpClient::Create(std::move(options)));
+  bool isAnswered = false;
+  client->Send(Get("/"), Milliseconds(0), [&](const Result<HttpReply>&) {
+    return [&] { isAnswered = true; };
+  });
+  this->RunControl([&] { return isAnswered; });
+  // The client does not show its sockets.
+  constexpr int kDescriptors = 1024;
+  int sockets = 0;
+  for (int descriptor = 0; descriptor < kDescriptors; ++descriptor) {
+    int timeout = 0;
+    socklen_t size = sizeof(timeout);
+    const bool isTcp = getsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, &size) == 0;
+    sockets += isTcp && timeout == kTimeout ? 1 : 0;
+  }
+  EXPECT_EQ(sockets, 1);
+}
+
 }
