--- a/Tests/LibCell/TestGatedIntake.cpp
+++ b/Tests/LibCell/TestGatedIntake.cpp
@@ -171,4 +171,37 @@
   EXPECT_FALSE(IsError(**repeated));
 }
 
+// Failure: the response to the first attempt is lost and its write is late; the caller tries again
+// at the same instance during a burst. Guards against "not run" for a job that runs after all.
+TEST_F(GatedIntakeTest, DoesNotRefuseAJobWhoseWriteHasNoResponse)
+{
+  this->instance.isGateOpen = true;
+  this->store.mode = StoreMode::DelayingRequests;
+  EXPECT_TRUE(IsError(**this->instance.Submit("a")));
+  this->store.mode = StoreMode::Available;
+  this->instance.isGateOpen = false;
+  const auto repeated = this->instance.Submit("a");
+  EXPECT_EQ(this->instance.CountWithdrawn("in_flight"), 1U);
+  ASSERT_TRUE(repeated->has_value());
+  EXPECT_FALSE(IsError(**repeated));
+  this->store.ExecuteDelayedRequests();
+  EXPECT_TRUE(IsStored(this->store, "a"));
+}
+
+// Failure: the same, at another instance, which cannot know of the write. Guards against "not run"
+// for a job that runs after all.
+TEST_F(GatedIntakeTest, DoesNotRefuseAJobWhoseWriteAnotherInstanceHasSent)
+{
+  this->instance.isGateOpen = true;
+  this->store.mode = StoreMode::DelayingRequests;
+  EXPECT_TRUE(IsError(**this->instance.Submit("a")));
+  this->store.mode = StoreMode::Available;
+  Instance other(this->store);
+  const auto repeated = other.Submit("a");
+  ASSERT_TRUE(repeated->has_value());
+  const bool saysNotRun = IsError(**repeated) && ErrorOf(**repeated).run == RunState::NotRun;
+  this->store.ExecuteDelayedRequests();
+  EXPECT_FALSE(saysNotRun && IsStored(this->store, "a"));
+}
+
 }
