--- a/Tests/Soak/TestSoak.cpp
+++ b/Tests/Soak/TestSoak.cpp
@@ -58,6 +58,8 @@
     SeedCase{ 10, "more work than a workspace may run was taken for lost" },
     SeedCase{ 15,
               "a worker whose row could not reappear while the store was away was taken for gone" },
+    SeedCase{ 25, "two tasks that crash both workers of a rack at a time count as rack losses" },
+    SeedCase{ 46, "the same" },
     SeedCase{ 105, "a program that ignored a request to evacuate started tasks in the zone" }),
   [](const auto& aInfo) { return "Seed" + std::to_string(aInfo.param.seed); });
 
