--- a/Libraries/LibCell/CellScheduler.h
+++ b/Libraries/LibCell/CellScheduler.h
@@ -160,10 +160,8 @@
   [[nodiscard]] const Task* FindReportedTask(const TaskName& aTask);
   /// @return the job, or null if it is unknown or in @ref endedJobArchive.
   [[nodiscard]] Job* FindJob(const JobId& aJob);
-  /// Takes a token for a new job from the workspace's bucket, which refills at the rate of its
-  /// weight.
-  /// @return false if the bucket is empty: the workspace submits more jobs than its weight allows
-  [[nodiscard]] bool TakeWeightToken(const WorkspaceId& aWorkspace);
+  /// @return true if the workspace submits more jobs than its weight allows
+  [[nodiscard]] bool IsBeyondWeight(const WorkspaceId& aWorkspace);
   /// @return the account of a workspace, which is created if it does not exist yet
   [[nodiscard]] WorkspaceUsage& UsageOf(const WorkspaceId& aWorkspace);
   /// @return the policy in the current document, or the job's own copy if the queue was removed.
--- a/Libraries/LibCell/CellSchedulerJobs.cpp
+++ b/Libraries/LibCell/CellSchedulerJobs.cpp
@@ -11,8 +11,6 @@
 /// Clocks of two instances differ by less than this. A recorded arrival time that is older, or in
 /// the future, is ignored.
 constexpr Milliseconds kMaxPlausibleAge{ 10'000 };
-/// A workspace's weight is its rate of jobs a second; its burst is this many seconds of that rate.
-constexpr double kWeightBurstSeconds = 4.0;
 /// Maximum number of steps in a job's open occurrences, which have begun and not succeeded. Load: a
 /// few kilobytes ask for 100,000 occurrences of 1,000 steps, all of them due.
 constexpr std::uint32_t kMaxOpenSteps = 1000;
@@ -132,7 +130,7 @@
   job.awaitsReports = this->isAdoptingJobs && !this->unreadWorkers.IsEmpty();
   job.areStartsUnknown = this->isAdoptingJobs && !this->startRecords.AreComplete();
   job.workspaceUsage = &this->UsageOf(job.spec.workspace);
-  job.isBeyondWeight = !this->TakeWeightToken(job.spec.workspace);
+  job.isBeyondWeight = this->IsBeyondWeight(job.spec.workspace);
   this->activeJobs.emplace(name->job, &job);
   if (job.spec.occurrences > 0) {
     this->timedJobs.insert(name->job);
@@ -165,25 +163,12 @@
 }
 
 bool
-CellScheduler::TakeWeightToken(const WorkspaceId& aWorkspace)
+CellScheduler::IsBeyondWeight(const WorkspaceId& aWorkspace)
 {
   const auto found = this->policy->workspaces.find(aWorkspace);
-  if (found == this->policy->workspaces.end()) {
-    return true;
-  }
-  const auto now = this->dependencies.clock.Now();
-  const double rate = found->second.weight;
-  const double maxTokens = rate * kWeightBurstSeconds;
-  auto& usage = this->UsageOf(aWorkspace);
-  const double elapsed = std::chrono::duration<double>(now - usage.lastWeightRefill).count();
-  auto& tokens = usage.weightTokens;
-  tokens = tokens ? std::min(maxTokens, *tokens + elapsed * rate) : maxTokens;
-  usage.lastWeightRefill = now;
-  if (*tokens < 1.0) {
-    return false;
-  }
-  *tokens -= 1.0;
-  return true;
+  return found != this->policy->workspaces.end() &&
+         !this->UsageOf(aWorkspace)
+            .jobTokens.Take(found->second.weight, this->dependencies.clock.Now());
 }
 
 WorkspaceUsage&
--- a/Libraries/LibCell/WorkspaceUsage.h
+++ b/Libraries/LibCell/WorkspaceUsage.h
@@ -3,7 +3,7 @@
 /// @file
 /// The leader's account of what a workspace uses.
 
-#include <LibBase/Time.h>
+#include <LibCell/JobTokens.h>
 #include <LibCell/Specification.h>
 #include <optional>
 
@@ -30,9 +30,7 @@
   Resources awaitingRecords;
   /// Consecutive steps in the current placement round that exceeded the limit.
   std::uint32_t attemptsBeyondLimit = 0;
-  /// Tokens for jobs within the workspace's weight; empty until its first job.
-  std::optional<double> weightTokens;
-  TimePoint lastWeightRefill{};
+  JobTokens jobTokens;
 };
 
 }
