LibCell: Find the oldest tombstone of a workspace without a search; share the parts of an instance between tests

The budget searched its list for each refusal of a workspace at its limit. Tests of one instance repeated its dependencies.

--- a/Libraries/LibCell/TombstoneBudget.cpp
+++ b/Libraries/LibCell/TombstoneBudget.cpp
@@ -21,15 +21,14 @@
 TombstoneBudget::Take(const WorkspaceId& aWorkspace, TimePoint aNow)
 {
   this->RemoveOlderThan(aNow - this->options.window);
-  const auto ofWorkspace = this->takenByWorkspace.find(aWorkspace);
-  const bool isWorkspaceAtLimit =
-    ofWorkspace != this->takenByWorkspace.end() && ofWorkspace->second >= this->share / 2;
+  auto& ofWorkspace = this->takenByWorkspace[aWorkspace];
+  const bool isWorkspaceAtLimit = !ofWorkspace.empty() && ofWorkspace.size() >= this->share / 2;
   if (isWorkspaceAtLimit || this->taken.size() >= this->share) {
-    const auto oldest = this->FindOldest(isWorkspaceAtLimit ? &aWorkspace : nullptr);
+    const auto oldest = isWorkspaceAtLimit ? ofWorkspace.front() : this->taken.front().first;
     return std::max(Milliseconds{ 1 }, oldest + this->options.window - aNow);
   }
   this->taken.emplace_back(aNow, aWorkspace);
-  ++this->takenByWorkspace[aWorkspace];
+  ofWorkspace.push_back(aNow);
   return {};
 }
 
@@ -37,22 +36,10 @@
 TombstoneBudget::RemoveOlderThan(TimePoint aTime)
 {
   while (!this->taken.empty() && this->taken.front().first <= aTime) {
-    const auto ofWorkspace = this->takenByWorkspace.find(this->taken.front().second);
-    if (--ofWorkspace->second == 0) {
-      this->takenByWorkspace.erase(ofWorkspace);
-    }
+    this->takenByWorkspace[this->taken.front().second].pop_front();
     this->taken.pop_front();
   }
-}
-
-TimePoint
-TombstoneBudget::FindOldest(const WorkspaceId* aWorkspace) const
-{
-  return std::ranges::find_if(this->taken,
-                              [aWorkspace](const auto& aEntry) {
-                                return aWorkspace == nullptr || aEntry.second == *aWorkspace;
-                              })
-    ->first;
+  std::erase_if(this->takenByWorkspace, [](const auto& aEntry) { return aEntry.second.empty(); });
 }
 
 }
--- a/Libraries/LibCell/TombstoneBudget.h
+++ b/Libraries/LibCell/TombstoneBudget.h
@@ -44,14 +44,12 @@
 
 private:
   void RemoveOlderThan(TimePoint aTime);
-  /// @return when the oldest tombstone was taken, of the workspace if one is given.
-  [[nodiscard]] TimePoint FindOldest(const WorkspaceId* aWorkspace) const;
 
   TombstoneBudgetOptions options;
   std::size_t share;
-  /// Oldest first.
+  /// When each was taken and by whom, oldest first.
   std::deque<std::pair<TimePoint, WorkspaceId>> taken;
-  std::map<WorkspaceId, std::size_t> takenByWorkspace;
+  std::map<WorkspaceId, std::deque<TimePoint>> takenByWorkspace;
 };
 
 }
--- a/Tests/LibInstance/TimedStore.h
+++ b/Tests/LibInstance/InstanceParts.h
@@ -1,12 +1,14 @@
 #pragma once
 
 /// @file
-/// A store in memory, timers and workers for tests of one instance.
+/// One instance with a store in memory, timers and workers that do not respond.
 
 #include "LibCell/MemoryStore.h"
 #include <LibCell/Ports.h>
 #include <LibCell/Timer.h>
+#include <LibInstance/CellInstance.h>
 #include <algorithm>
+#include <boost/asio/io_context.hpp>
 #include <functional>
 #include <map>
 #include <utility>
@@ -121,4 +123,49 @@
   void Disconnect(const WorkerId&) override {}
 };
 
+/// What an instance needs beside its options.
+struct InstanceParts
+{
+  InstanceParts() { this->clock.Advance(Milliseconds{ 1'000'000 }); }
+
+  /// @param aPolicy content of the document, which is in the row "config" of the table "op"
+  [[nodiscard]] CellInstance::Dependencies MakeDependencies(cell::CellPolicy aPolicy)
+  {
+    return {
+      .store = this->store,
+      .workers = this->workers,
+      .advise = [](const cell::AdviceRequest&, const cell::Handler<cell::AdviceResponse>&) {},
+      .calls = this->calls,
+      .timer = this->timer,
+      .clock = this->clock,
+      .wallClock = [] { return cell::WallTime{}; },
+      .log = this->log,
+      .metrics = this->metrics,
+      .layout = { .documentTable = "op",
+                  .documentKey = "config",
+                  .decodeDocument =
+                    [policy = std::move(aPolicy)](std::string_view) {
+                      return Result<cell::CellPolicy>(policy);
+                    },
+                  .decodeEvacuation =
+                    [](std::string_view) { return Result<std::optional<ZoneId>>(std::nullopt); },
+                  .workerTable = "workers",
+                  .decodeWorker =
+                    [](const std::string&, std::string_view) {
+                      return Result<cell::WorkerEntry>(cell::WorkerEntry{});
+                    } }
+    };
+  }
+
+  ManualClock clock;
+  StepTimer timer{ this->clock };
+  TimedStore store{ this->timer, this->clock };
+  NoWorkers workers;
+  boost::asio::io_context context;
+  InstanceCallClient calls{ HttpOptions{ .traffic = this->context,
+                                         .control = this->context.get_executor() } };
+  Logger log{ { .level = LogLevel::Error } };
+  MetricRegistry metrics;
+};
+
 }
--- a/Tests/LibInstance/TestAdmission.cpp
+++ b/Tests/LibInstance/TestAdmission.cpp
@@ -1,7 +1,5 @@
-#include "TimedStore.h"
-#include <LibInstance/CellInstance.h>
+#include "InstanceParts.h"
 
-#include <boost/asio/io_context.hpp>
 #include <gtest/gtest.h>
 
 namespace zinc {
@@ -9,12 +7,13 @@
 namespace {
 
 /// An instance that is not the leader, and the record of the leader that it reads.
-class AdmissionTest : public testing::Test
+class AdmissionTest
+  : public testing::Test
+  , protected InstanceParts
 {
 protected:
   AdmissionTest()
   {
-    this->clock.Advance(Milliseconds{ 1'000'000 });
     this->WriteLeaderRecord();
     this->instance.Start();
     this->timer.Advance(Milliseconds{ 300 });
@@ -49,35 +48,9 @@
     return isRefused;
   }
 
-  ManualClock clock;
-  StepTimer timer{ this->clock };
-  TimedStore store{ this->timer, this->clock };
-  NoWorkers workers;
-  boost::asio::io_context context;
-  InstanceCallClient calls{ HttpOptions{ .traffic = this->context,
-                                         .control = this->context.get_executor() } };
-  Logger log{ { .level = LogLevel::Error } };
-  MetricRegistry metrics;
   int submitted = 0;
   CellInstance instance{
-    { .store = this->store,
-      .workers = this->workers,
-      .advise = [](const cell::AdviceRequest&, const cell::Handler<cell::AdviceResponse>&) {},
-      .calls = this->calls,
-      .timer = this->timer,
-      .clock = this->clock,
-      .wallClock = [] { return cell::WallTime{}; },
-      .log = this->log,
-      .metrics = this->metrics,
-      .layout = { .documentTable = "op",
-                  .documentKey = "config",
-                  .decodeDocument =
-                    [](std::string_view) { return Result<cell::CellPolicy>(cell::CellPolicy{}); },
-                  .workerTable = "workers",
-                  .decodeWorker =
-                    [](const std::string&, std::string_view) {
-                      return Result<cell::WorkerEntry>(cell::WorkerEntry{});
-                    } } },
+    this->MakeDependencies({}),
     { .identity = { .name = "self", .incarnation = "self1", .milliCores = 100 },
       // The tests look at the time after the leader's death, before the instance takes over.
       .election = { .leaderTimeout = Milliseconds{ 60'000 } } }
--- a/Tests/LibInstance/TestCancellation.cpp
+++ b/Tests/LibInstance/TestCancellation.cpp
@@ -1,8 +1,6 @@
-#include "TimedStore.h"
+#include "InstanceParts.h"
 #include <LibCell/Records.h>
-#include <LibInstance/CellInstance.h>
 
-#include <boost/asio/io_context.hpp>
 #include <gtest/gtest.h>
 
 namespace zinc {
@@ -13,12 +11,13 @@
 const WorkspaceId kTeam{ "team" };
 
 /// An instance that leads a cell without workers.
-class CancellationTest : public testing::Test
+class CancellationTest
+  : public testing::Test
+  , protected InstanceParts
 {
 protected:
   CancellationTest()
   {
-    this->clock.Advance(Milliseconds{ 1'000'000 });
     this->store.callTime = Milliseconds{ 2 };
     this->store.memory.Put({ .table = "op", .key = "config" }, "{}");
     this->instance.Start();
@@ -62,41 +61,16 @@
     return this->store.memory.rows.contains(cell::JobRowKey(kJob, cell::JobRowKind::Specification));
   }
 
-  ManualClock clock;
-  StepTimer timer{ this->clock };
-  TimedStore store{ this->timer, this->clock };
-  NoWorkers workers;
-  boost::asio::io_context context;
-  InstanceCallClient calls{ HttpOptions{ .traffic = this->context,
-                                         .control = this->context.get_executor() } };
-  Logger log{ { .level = LogLevel::Error } };
-  MetricRegistry metrics;
+  static cell::CellPolicy MakePolicy()
+  {
+    cell::CellPolicy policy{ .version = 1 };
+    policy.pools["pool"] = { .name = "pool" };
+    policy.workspaces[kTeam] = { .name = kTeam };
+    return policy;
+  }
+
   CellInstance instance{
-    { .store = this->store,
-      .workers = this->workers,
-      .advise = [](const cell::AdviceRequest&, const cell::Handler<cell::AdviceResponse>&) {},
-      .calls = this->calls,
-      .timer = this->timer,
-      .clock = this->clock,
-      .wallClock = [] { return cell::WallTime{}; },
-      .log = this->log,
-      .metrics = this->metrics,
-      .layout = { .documentTable = "op",
-                  .documentKey = "config",
-                  .decodeDocument =
-                    [](std::string_view) {
-                      cell::CellPolicy policy{ .version = 1 };
-                      policy.pools["pool"] = { .name = "pool" };
-                      policy.workspaces[kTeam] = { .name = kTeam };
-                      return Result<cell::CellPolicy>(std::move(policy));
-                    },
-                  .decodeEvacuation =
-                    [](std::string_view) { return Result<std::optional<ZoneId>>(std::nullopt); },
-                  .workerTable = "workers",
-                  .decodeWorker =
-                    [](const std::string&, std::string_view) {
-                      return Result<cell::WorkerEntry>(cell::WorkerEntry{});
-                    } } },
+    this->MakeDependencies(MakePolicy()),
     { .identity = { .name = "self", .incarnation = "self1", .milliCores = 100 } }
   };
 };
