--- a/review/stand-ins-3/http_io.py
+++ b/review/stand-ins-3/http_io.py
@@ -17,9 +17,12 @@
 
 async def serve(host, port, handler):
     """Calls handler(method, path, query, headers, body) for each request. The result is (status,
-    body), or None for a call that gets no response."""
+    body), or None for a call that gets no response.
+    @return the server; its `abort_all` resets the open channels, as a crash does"""
+    writers = set()
 
     async def on_connection(reader, writer):
+        writers.add(writer)
         try:
             while True:
                 line, headers, body = await _read_message(reader)
@@ -41,9 +44,16 @@
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             pass
         finally:
+            writers.discard(writer)
             writer.close()
 
-    return await asyncio.start_server(on_connection, host, port, limit=1 << 22)
+    def abort_all():
+        for writer in list(writers):
+            writer.transport.abort()
+
+    server = await asyncio.start_server(on_connection, host, port, limit=1 << 22)
+    server.abort_all = abort_all
+    return server
 
 
 async def call(host, port, method, path, headers=None, body=None, timeout=3.0):
--- a/review/stand-ins-3/minion.py
+++ b/review/stand-ins-3/minion.py
@@ -29,7 +29,6 @@
         self.running, self.ended, self.highest = {}, [], {}
         self.wake = asyncio.Event()
         self.state = "ready"
-        self.connections = set()
         self.server = await http_io.serve(self.host, self.port, self.handle)
         self.is_up = True
         self.tasks = [
@@ -47,6 +46,7 @@
             self.record("lost", task=task, run=run, minion=self.id)
         self.running.clear()
         self.server.close()
+        self.server.abort_all()
 
     def clock(self):
         return int((time.monotonic() - self.zero) * 1000)
@@ -151,13 +151,14 @@
     async def hold(self, order):
         self.extend(order)
         self.ended = [end for end in self.ended if end[0] > order.get("LastSeen", 0)]
+        life = self.lives
         until = time.monotonic() + order.get("WaitMs", 0) / 1000
-        while not self.ended and time.monotonic() < until and self.is_up:
+        while not self.ended and time.monotonic() < until and self.lives == life:
             try:
                 await asyncio.wait_for(self.wake.wait(), until - time.monotonic())
             except asyncio.TimeoutError:
                 pass
-        if not self.is_up:
+        if not self.is_up or self.lives != life:
             return None
         now = time.monotonic()
         running = [
