--- a/review/stand-ins-3/cell.py
+++ b/review/stand-ins-3/cell.py
@@ -55,7 +55,9 @@
 
 
 class Cell:
-    def __init__(self, folder, instances=3, minions=8, capacity=None):
+    def __init__(self, folder, instances=3, minions=8, capacity=None, bounds=None, advice=None):
+        """@param bounds differences from the bounds of wrekin-roster
+        @param advice `Advice` of the queues; without it there is no policy service"""
         self.folder = folder
         self.record_file = open(os.path.join(folder, "record.txt"), "w", encoding="utf-8")
         self.begin_time = time.monotonic()
@@ -66,6 +68,9 @@
         self.network = f"127.{random.randint(64, 191)}.{random.randint(1, 250)}"
         self.instance_count, self.minion_count = instances, minions
         self.capacity = capacity or {"Cpu": 32000, "MemMb": 65536, "Gpus": 0}
+        self.bounds = {**BOUNDS, **(bounds or {})}
+        self.advice = advice
+        self.advice_address = ""
         self.processes = {}
         self.logs = []
         self.config = {
@@ -89,9 +94,10 @@
             ],
         }  # fmt: skip
 
-    @staticmethod
-    def route(name, prefix, priority):
+    def route(self, name, prefix, priority):
+        advice = {"Advice": self.advice} if self.advice else {}
         return {
+            **advice,
             "Name": name, "Host": HOST, "PathPrefix": prefix, "Kind": "non_idempotent",
             "TimeoutMs": 3000, "SloMs": 3000, "Priority": priority, "Service": SERVICE,
             "Attempts": 3, "Stretch": 4.0, "Public": False,
@@ -119,7 +125,7 @@
         self.store_server = await http_io.serve(platform, self.store_port, self.store.handle)
         self.store.put("op", "config", self.config)
         self.minions = []
-        options = {"zone": "zone-a", "capacity": self.capacity, "hold_max_ms": 6000}
+        options = {"zone": "zone-a", "capacity": self.capacity, "hold_max_ms": self.bounds["HoldMaxMs"]}
         for number in range(self.minion_count):
             host = f"{self.network}.{100 + number}"
             minion = Minion(
@@ -127,6 +133,8 @@
             )
             await minion.begin()
             self.minions.append(minion)
+        if self.advice:
+            self.policy_service = await self.start_policy_service(f"{self.network}.2")
         hosts = [f"{self.network}.{10 + number}" for number in range(self.instance_count)]
         self.ports = [free_port(hosts[0]) for _ in range(4)]
         if not all(is_free(host, port) for host in hosts for port in self.ports + [METRICS_PORT]):
@@ -136,6 +144,25 @@
             self.start_process(number)
         await self.wait_until_ready()
 
+    async def start_policy_service(self, host):
+        """Starts a service that allows every minion, and names it in the settings."""
+        calling = {}
+
+        async def advise(method, path, query, headers, body):
+            workers = json.loads(body)["Workers"]
+            caller = headers.get("user-agent", "")
+            # It handles one call at a time for each calling machine.
+            async with calling.setdefault(caller, asyncio.Lock()):
+                await asyncio.sleep(
+                    (self.advice["DecideMs"] + self.advice["EachMs"] * len(workers)) / 1000
+                )
+            good = [[worker, f"ticket-{worker}"] for worker in workers]
+            return 200, {"Good": good, "ValidMs": self.advice["ValidMs"]}
+
+        port = free_port(host)
+        self.advice_address = f"{host}:{port}"
+        return await http_io.serve(host, port, advise)
+
     def settings(self, number):
         host = self.hosts[number]
         front, ready, control, peers = self.ports
@@ -157,8 +184,8 @@
                 "base", "drain", "config", "cost", "recover", "sched", "tenants", "quota",
                 "platform", "advice", "upkeep", "sharing",
             ],
-            "Tolerate": {"Machines": 2, "Zones": 1, "Regions": 0}, "Bounds": BOUNDS,
-            "Orders": "rpc", "Advice": "",
+            "Tolerate": {"Machines": 2, "Zones": 1, "Regions": 0}, "Bounds": self.bounds,
+            "Orders": "rpc", "Advice": self.advice_address,
             "platform": {
                 "Address": f"{self.network}.1:{self.store_port}", "form": "table",
                 "WritesPerS": 600, "ReadsPerS": 2000, "TxMs": 4.0, "PartWritesS": 250,
@@ -167,10 +194,14 @@
             },
         }  # fmt: skip
 
-    def start_process(self, number):
+    def write_settings(self, number):
         path = os.path.join(self.temporary, f"settings-{number}.json")
         with open(path, "w", encoding="utf-8") as file:
             json.dump(self.settings(number), file)
+        return path
+
+    def start_process(self, number):
+        path = self.write_settings(number)
         log = open(os.path.join(self.temporary, f"instance-{number}.log"), "ab")
         self.logs.append(log)
         self.processes[number] = subprocess.Popen(
--- a/review/stand-ins-3/minion.py
+++ b/review/stand-ins-3/minion.py
@@ -36,8 +36,9 @@
             asyncio.create_task(self.watch_lease()),
         ]
 
-    async def end(self):
-        """Crashes: everything that runs here ends, and nothing is said about it."""
+    async def end(self, dark=False):
+        """Crashes: everything that runs here ends, and nothing is said about it.
+        @param dark the machine has no power: channels to it hang, in place of being reset"""
         self.is_up = False
         for task in self.tasks:
             task.cancel()
@@ -45,8 +46,15 @@
             entry["timer"].cancel()
             self.record("lost", task=task, run=run, minion=self.id)
         self.running.clear()
-        self.server.close()
-        self.server.abort_all()
+        if not dark:
+            self.server.close()
+            self.server.abort_all()
+        asyncio.get_running_loop().call_later(4.5, self.expire)
+
+    def expire(self):
+        """The entry goes after three heartbeat intervals of silence."""
+        if not self.is_up:
+            self.store.remove("servers", self.id)
 
     def clock(self):
         return int((time.monotonic() - self.zero) * 1000)
