--- a/review/stand-ins-3/cell.py
+++ b/review/stand-ins-3/cell.py
@@ -293,9 +293,13 @@
     return f"{random.getrandbits(64):016x}"
 
 
+RULE_HELD, RULE_BROKEN, NOT_RUN = 0, 10, 2
+
+
 def run(case, folder, **options):
     """Runs a case.
-    @return the exit code: 0 the rule held, 1 it was broken, 2 could not run"""
+    @return RULE_HELD, RULE_BROKEN or NOT_RUN; run.sh makes its exit code of it, so that an error
+    of the script itself, with which Python ends with 1, is none of these"""
 
     async def main():
         cell = Cell(folder, **options)
@@ -304,13 +308,16 @@
             verdict = await case(cell, os.environ.get("TROUBLE", "1") != "0")
             cell.record("verdict", text=verdict or "the rule held")
             print(verdict or "the rule held")
-            return 1 if verdict else 0
+            return RULE_BROKEN if verdict else RULE_HELD
         except CannotRun as error:
             cell.record("verdict", text=f"could not run: {error}")
             print(f"could not run: {error}")
-            return 2
+            return NOT_RUN
         finally:
             await cell.stop()
 
-    signal.signal(signal.SIGTERM, lambda *_: (_ for _ in ()).throw(KeyboardInterrupt()))
+    def interrupt(*_):
+        raise KeyboardInterrupt
+
+    signal.signal(signal.SIGTERM, interrupt)
     return asyncio.run(main())
