LibPlatform: Read all forms of a JSON number with one reader

Cause: three readers (JsonFields, UnsignedOf and IntegerOf, FigureOf) asked the parser which type it had chosen for a number, so that 6.0 and 6e0 were no integers where 6 was one, and 1e400 made a whole text malformed.

Change: JsonNumber reads a number from both parsers, whatever type it has there. A number that is not whole is refused, rounded down or rounded up, as the field asks; nothing overflows. JsonFields remembers all faults of an object, with the value that was found, so that a decoder can go on with defaults and still name each field. ParseJson replaces numbers that no double holds, which the parser refuses, by the largest.

--- a/Libraries/LibBase/Time.h
+++ b/Libraries/LibBase/Time.h
@@ -3,12 +3,29 @@
 /// @file
 /// Time units and the clock interface.
 
+#include <algorithm>
 #include <chrono>
+#include <cstdint>
 
 namespace zinc {
 
 using Milliseconds = std::chrono::milliseconds;
 
+/// Longest duration that is read from outside or computed from such durations, 31 years. Thousands
+/// of them add up in milliseconds, and one fits into a timer's nanoseconds.
+inline constexpr Milliseconds kMaxDuration{ 1'000'000'000'000 };
+
+/// @return the duration, from 0 to @ref kMaxDuration; 0 for what is not a number
+[[nodiscard]] inline Milliseconds
+SaturatedMilliseconds(double aTime)
+{
+  if (!(aTime > 0.0)) {
+    return Milliseconds{ 0 };
+  }
+  const auto most = static_cast<double>(kMaxDuration.count());
+  return Milliseconds(static_cast<std::int64_t>(std::min(aTime, most)));
+}
+
 /// A point on the monotonic clock of one process, never sent to another.
 using TimePoint = std::chrono::time_point<std::chrono::steady_clock, Milliseconds>;
 
--- a/Libraries/LibPlatform/Json.cpp
+++ b/Libraries/LibPlatform/Json.cpp
@@ -1,5 +1,6 @@
 #include <LibPlatform/Json.h>
 
+#include <algorithm>
 #include <fmt/format.h>
 #include <json/json.h>
 #include <memory>
@@ -23,6 +24,21 @@
   return value;
 }
 
+/// @return the start of the value as one line of ASCII
+std::string
+Describe(const Json::Value& aValue)
+{
+  if (aValue.isArray() || aValue.isObject()) {
+    return aValue.isArray() ? "an array" : "an object";
+  }
+  constexpr std::size_t kMaxLength = 40;
+  auto text =
+    WriteJson(aValue.isString() ? Json::Value(aValue.asString().substr(0, kMaxLength)) : aValue);
+  std::ranges::replace_if(
+    text, [](char aCharacter) { return aCharacter < ' ' || aCharacter > '~'; }, '?');
+  return text;
+}
+
 Json::CharReaderBuilder
 ReaderBuilder()
 {
@@ -41,10 +57,9 @@
   return builder;
 }
 
-}
-
+/// Parses a text all of whose numbers are those of doubles or 64-bit integers.
 Result<Json::Value>
-ParseJson(std::string_view aText)
+ParseRepresentable(std::string_view aText)
 {
   // A reader starts anew with every parse; making one costs more than a short parse.
   thread_local const std::unique_ptr<Json::CharReader> reader(ReaderBuilder().newCharReader());
@@ -60,6 +75,20 @@
   return value;
 }
 
+}
+
+Result<Json::Value>
+ParseJson(std::string_view aText)
+{
+  auto parsed = ParseRepresentable(aText);
+  if (!IsError(parsed)) {
+    return parsed;
+  }
+  // The parser refuses a whole text for one number that no double holds.
+  const auto clamped = ClampHugeNumbers(aText);
+  return clamped ? ParseRepresentable(*clamped) : parsed;
+}
+
 Result<Json::Value>
 ParseJson(std::string_view aText, const JsonBounds& aBounds)
 {
@@ -83,7 +112,7 @@
   , name(aName)
 {
   if (!this->value.isObject()) {
-    this->fault = NotRun(ErrorCode::BadRequest, fmt::format("{} must be an object.", aName));
+    this->AddSentence(fmt::format("{} must be an object.", aName));
   }
 }
 
@@ -127,30 +156,33 @@
 }
 
 std::optional<std::int64_t>
-JsonFields::OptionalInteger(const char* aField, std::int64_t aLeast, std::int64_t aMost)
+JsonFields::OptionalInteger(const char* aField,
+                            std::int64_t aLeast,
+                            std::int64_t aMost,
+                            Fraction aFraction)
 {
   const Json::Value& member = this->Member(aField);
   if (member.isNull()) {
     return {};
   }
-  const bool isInteger = member.type() == Json::intValue || member.type() == Json::uintValue;
-  if (!isInteger || !member.isInt64() || member.asInt64() < aLeast || member.asInt64() > aMost) {
-    this->AddFault(aField, fmt::format("must be an integer from {} to {}", aLeast, aMost));
-    return {};
+  const auto number = JsonNumber::Of(member);
+  const auto integer = number ? number->ToInteger(aLeast, aMost, aFraction) : std::nullopt;
+  if (!integer) {
+    const auto* kind = aFraction == Fraction::Refuse ? "an integer" : "a number";
+    this->AddFaultOfValue(aField, fmt::format("must be {} from {} to {}", kind, aLeast, aMost));
   }
-  return member.asInt64();
+  return integer;
 }
 
 std::uint64_t
 JsonFields::Unsigned(const char* aField)
 {
-  const Json::Value& member = this->Member(aField);
-  const bool isInteger = member.type() == Json::intValue || member.type() == Json::uintValue;
-  if (!isInteger || !member.isUInt64()) {
-    this->AddFault(aField, "must be an integer of at least 0");
-    return 0;
+  const auto number = JsonNumber::Of(this->Member(aField));
+  const auto integer = number ? number->ToUnsigned() : std::nullopt;
+  if (!integer) {
+    this->AddFaultOfValue(aField, "must be an integer of at least 0");
   }
-  return member.asUInt64();
+  return integer.value_or(0);
 }
 
 bool
@@ -161,7 +193,7 @@
     return aAbsent;
   }
   if (!member.isBool()) {
-    this->AddFault(aField, "must be true or false");
+    this->AddFaultOfValue(aField, "must be true or false");
     return aAbsent;
   }
   return member.asBool();
@@ -174,11 +206,13 @@
   if (member.isNull()) {
     return aAbsent;
   }
-  if (!member.isNumeric() || member.asDouble() < aLeast || member.asDouble() > aMost) {
-    this->AddFault(aField, fmt::format("must be a number from {} to {}", aLeast, aMost));
+  const auto number = JsonNumber::Of(member);
+  const double real = number ? number->ToDouble() : aLeast - 1.0;
+  if (real < aLeast || real > aMost) {
+    this->AddFaultOfValue(aField, fmt::format("must be a number from {} to {}", aLeast, aMost));
     return aAbsent;
   }
-  return member.asDouble();
+  return real;
 }
 
 const Json::Value&
@@ -210,18 +244,40 @@
 void
 JsonFields::AddFault(std::string_view aField, std::string_view aExpected)
 {
-  if (this->fault) {
-    return;
+  if (this->faults.size() < kMaxFaults) {
+    this->AddSentence(fmt::format("{}.{} {}.", this->name, aField, aExpected));
+  }
+}
+
+void
+JsonFields::AddFaultOfValue(const char* aField, std::string_view aExpected)
+{
+  if (this->faults.size() < kMaxFaults) {
+    this->AddSentence(fmt::format(
+      "{}.{} {}, not {}.", this->name, aField, aExpected, Describe(this->Member(aField))));
   }
-  this->fault =
-    NotRun(ErrorCode::BadRequest, fmt::format("{}.{} {}.", this->name, aField, aExpected));
 }
 
 void
 JsonFields::AddFault(const Verdict& aVerdict)
 {
-  if (!this->fault) {
-    this->fault = aVerdict;
+  this->AddSentence(aVerdict.message);
+}
+
+std::optional<Verdict>
+JsonFields::Fault() const
+{
+  return this->faults.empty() ? std::nullopt
+                              : std::optional(NotRun(ErrorCode::BadRequest, this->faults.front()));
+}
+
+void
+JsonFields::AddSentence(std::string aSentence)
+{
+  // The fields of what is not an object need no sentences of their own.
+  const bool isSaid = !this->value.isObject() && !this->faults.empty();
+  if (!isSaid && this->faults.size() < kMaxFaults) {
+    this->faults.push_back(std::move(aSentence));
   }
 }
 
--- a/Libraries/LibPlatform/Json.h
+++ b/Libraries/LibPlatform/Json.h
@@ -5,18 +5,16 @@
 
 #include <LibBase/Verdict.h>
 #include <LibPlatform/JsonBounds.h>
+#include <LibPlatform/JsonNumber.h>
 #include <cstdint>
 #include <json/forwards.h>
-#include <limits>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace zinc {
 
-/// Largest integer that every JSON implementation represents exactly.
-inline constexpr std::int64_t kJsonIntegerLimit = (std::int64_t{ 1 } << 53) - 1;
-
 /// Parses one JSON object or array that fills the whole text.
 /// @return the value, or @ref ErrorCode::BadRequest.
 [[nodiscard]] Result<Json::Value>
@@ -31,8 +29,8 @@
 [[nodiscard]] std::string
 WriteJson(const Json::Value& aValue);
 
-/// Reads the fields of one JSON object and remembers the first fault, so that a decoder reads all
-/// fields and checks once. Unknown fields are ignored. The value must outlive the reader.
+/// Reads the fields of one JSON object and remembers the faults, so that a decoder reads all fields
+/// and checks once. Unknown fields are ignored. The value must outlive the reader.
 class JsonFields
 {
 public:
@@ -54,7 +52,8 @@
   /// @return the integer; empty if the field is absent or after a fault.
   std::optional<std::int64_t> OptionalInteger(const char* aField,
                                               std::int64_t aLeast = 0,
-                                              std::int64_t aMost = kJsonIntegerLimit);
+                                              std::int64_t aMost = kJsonIntegerLimit,
+                                              Fraction aFraction = Fraction::Refuse);
 
   /// @return the unsigned 64-bit integer; 0 after a fault.
   std::uint64_t Unsigned(const char* aField);
@@ -74,19 +73,30 @@
   /// @return true if the field is present and not null.
   [[nodiscard]] bool Has(const char* aField) const;
 
-  /// Notes a fault unless there is one already.
+  /// Notes a fault that does not show the field's value, which may be secret.
   void AddFault(std::string_view aField, std::string_view aExpected);
 
-  /// Takes over the fault of a nested decoder.
+  /// Notes a fault with the value that the field has.
+  void AddFaultOfValue(const char* aField, std::string_view aExpected);
+
+  /// Takes over the first fault of a nested decoder.
   void AddFault(const Verdict& aVerdict);
 
   /// @return the first fault; empty if there was none.
-  [[nodiscard]] const std::optional<Verdict>& Fault() const { return this->fault; }
+  [[nodiscard]] std::optional<Verdict> Fault() const;
+
+  /// @return a sentence for each of the first faults.
+  [[nodiscard]] const std::vector<std::string>& Faults() const { return this->faults; }
 
 private:
+  /// Faults that are remembered; an object has fewer fields, but its arrays may be long.
+  static constexpr std::size_t kMaxFaults = 32;
+
+  void AddSentence(std::string aSentence);
+
   const Json::Value& value;
   std::string name;
-  std::optional<Verdict> fault;
+  std::vector<std::string> faults;
 };
 
 }
--- a/Libraries/LibPlatform/JsonArena.cpp
+++ b/Libraries/LibPlatform/JsonArena.cpp
@@ -1,6 +1,6 @@
 #include <LibPlatform/JsonArena.h>
 
-#include <LibPlatform/Json.h>
+#include <LibPlatform/JsonBounds.h>
 // Boost.JSON is compiled here, so that no library has to be linked.
 #include <boost/json/src.hpp>
 
@@ -54,24 +54,16 @@
 std::optional<std::uint64_t>
 UnsignedOf(const boost::json::value* aValue)
 {
-  if (aValue == nullptr || !(aValue->is_int64() || aValue->is_uint64())) {
-    return {};
-  }
-  boost::json::error_code error;
-  const auto number = aValue->to_number<std::uint64_t>(error);
-  return error ? std::nullopt : std::optional(number);
+  const auto number = JsonNumber::Of(aValue);
+  return number ? number->ToUnsigned() : std::nullopt;
 }
 
 std::optional<std::int64_t>
-IntegerOf(const boost::json::value* aValue)
+IntegerOf(const boost::json::value* aValue, Fraction aFraction)
 {
-  if (aValue == nullptr || !(aValue->is_int64() || aValue->is_uint64())) {
-    return {};
-  }
-  boost::json::error_code error;
-  const auto number = aValue->to_number<std::int64_t>(error);
-  const bool isExact = !error && number >= -kJsonIntegerLimit && number <= kJsonIntegerLimit;
-  return isExact ? std::optional(number) : std::nullopt;
+  const auto number = JsonNumber::Of(aValue);
+  return number ? number->ToInteger(-kJsonIntegerLimit, kJsonIntegerLimit, aFraction)
+                : std::nullopt;
 }
 
 std::optional<std::string_view>
--- a/Libraries/LibPlatform/JsonArena.h
+++ b/Libraries/LibPlatform/JsonArena.h
@@ -6,6 +6,7 @@
 
 #include <LibBase/Verdict.h>
 #include <LibPlatform/JsonBounds.h>
+#include <LibPlatform/JsonNumber.h>
 #include <array>
 #include <boost/json/array.hpp>
 #include <boost/json/monotonic_resource.hpp>
@@ -55,14 +56,15 @@
 [[nodiscard]] const boost::json::value*
 FindElement(const boost::json::value& aValue, std::size_t aIndex);
 
-/// @return the integer; nothing if the value is null, of another type, negative or too large
+/// @return the integer; nothing if the value is null, of another type, negative, too large or not
+/// whole
 [[nodiscard]] std::optional<std::uint64_t>
 UnsignedOf(const boost::json::value* aValue);
 
-/// @return the integer; nothing if the value is null, of another type or not exact in every JSON
-/// implementation
+/// @return the integer; nothing if the value is null, of another type, not exact in every JSON
+/// implementation, or has a fraction that is refused
 [[nodiscard]] std::optional<std::int64_t>
-IntegerOf(const boost::json::value* aValue);
+IntegerOf(const boost::json::value* aValue, Fraction aFraction = Fraction::Refuse);
 
 /// @return the text; nothing if the value is null or not a text
 [[nodiscard]] std::optional<std::string_view>
--- a/Libraries/LibPlatform/JsonBounds.cpp
+++ b/Libraries/LibPlatform/JsonBounds.cpp
@@ -1,6 +1,8 @@
 #include <LibPlatform/JsonBounds.h>
 
 #include <algorithm>
+#include <cmath>
+#include <cstdlib>
 
 namespace zinc {
 
@@ -48,49 +50,98 @@
 }
 
 bool
-IsFraction(std::string_view aWord)
+IsNumber(std::string_view aWord)
 {
-  const bool isNumber = aWord.front() == '-' || (aWord.front() >= '0' && aWord.front() <= '9');
-  return isNumber &&
-         (aWord.size() > kLongestInteger || aWord.find_first_of(".eE") != std::string_view::npos);
+  return aWord.front() == '-' || (aWord.front() >= '0' && aWord.front() <= '9');
 }
 
+bool
+IsFraction(std::string_view aWord)
+{
+  return IsNumber(aWord) &&
+         (aWord.size() > kLongestInteger || aWord.find_first_of(".eE") != std::string_view::npos);
 }
 
-bool
-IsWithinBounds(std::string_view aText, const JsonBounds& aBounds)
+/// Calls a function with the text, opening bracket, number or other word that stands next, until it
+/// returns false.
+template<typename Function>
+void
+ForEachToken(std::string_view aText, Function aFunction)
 {
-  // Whatever is counted takes a byte.
-  if (aText.size() <=
-      std::min({ aBounds.values, aBounds.containers, aBounds.texts, aBounds.fractions })) {
-    return true;
-  }
-  JsonBounds counted;
   std::size_t position = 0;
   while (position < aText.size()) {
-    const char character = aText[position];
+    const auto begin = position;
+    const char character = aText[begin];
     if (character == '"') {
-      position = SkipText(aText, position + 1);
-      ++counted.texts;
+      position = SkipText(aText, begin + 1);
     } else if (character == '[' || character == '{') {
       ++position;
-      ++counted.containers;
     } else if (IsDelimiter(character)) {
       ++position;
       continue;
     } else {
-      const auto* const begin = aText.begin() + position;
-      const auto* const end = std::find_if(begin, aText.end(), &IsDelimiter);
-      position += static_cast<std::size_t>(end - begin);
-      counted.fractions += IsFraction({ begin, end }) ? 1 : 0;
+      const auto* const word = aText.begin() + begin;
+      position += static_cast<std::size_t>(std::find_if(word, aText.end(), &IsDelimiter) - word);
     }
+    if (!aFunction(aText.substr(begin, position - begin))) {
+      return;
+    }
+  }
+}
+
+}
+
+bool
+IsWithinBounds(std::string_view aText, const JsonBounds& aBounds)
+{
+  // Whatever is counted takes a byte.
+  if (aText.size() <=
+      std::min({ aBounds.values, aBounds.containers, aBounds.texts, aBounds.fractions })) {
+    return true;
+  }
+  JsonBounds counted;
+  bool isWithin = true;
+  ForEachToken(aText, [&](std::string_view aToken) {
     ++counted.values;
-    if (counted.values > aBounds.values || counted.containers > aBounds.containers ||
-        counted.texts > aBounds.texts || counted.fractions > aBounds.fractions) {
-      return false;
+    switch (aToken.front()) {
+      case '"':
+        ++counted.texts;
+        break;
+      case '[':
+      case '{':
+        ++counted.containers;
+        break;
+      default:
+        counted.fractions += IsFraction(aToken) ? 1 : 0;
+        break;
+    }
+    isWithin = counted.values <= aBounds.values && counted.containers <= aBounds.containers &&
+               counted.texts <= aBounds.texts && counted.fractions <= aBounds.fractions;
+    return isWithin;
+  });
+  return isWithin;
+}
+
+std::optional<std::string>
+ClampHugeNumbers(std::string_view aText)
+{
+  std::optional<std::string> clamped;
+  std::size_t copied = 0;
+  ForEachToken(aText, [&](std::string_view aToken) {
+    const bool isHuge = IsNumber(aToken) && IsFraction(aToken) &&
+                        std::isinf(std::strtod(std::string(aToken).c_str(), nullptr));
+    if (isHuge) {
+      const auto begin = static_cast<std::size_t>(aToken.data() - aText.data());
+      clamped = clamped.value_or("") + std::string(aText.substr(copied, begin - copied)) +
+                (aToken.front() == '-' ? "-1e308" : "1e308");
+      copied = begin + aToken.size();
     }
+    return true;
+  });
+  if (clamped) {
+    clamped->append(aText.substr(copied));
   }
-  return true;
+  return clamped;
 }
 
 }
--- a/Libraries/LibPlatform/JsonBounds.h
+++ b/Libraries/LibPlatform/JsonBounds.h
@@ -4,6 +4,8 @@
 /// Bounds on JSON that comes from outside, checked over the bytes before a tree is built.
 
 #include <cstddef>
+#include <optional>
+#include <string>
 #include <string_view>
 
 namespace zinc {
@@ -29,4 +31,9 @@
 [[nodiscard]] bool
 IsWithinBounds(std::string_view aText, const JsonBounds& aBounds);
 
+/// Replaces the numbers that no double holds, such as 1e400, by the largest of their sign.
+/// @return the text with other numbers, or nothing if it has no such number
+[[nodiscard]] std::optional<std::string>
+ClampHugeNumbers(std::string_view aText);
+
 }
