platform: Start with the default of a bound that cannot be read

Cause: the bounds were read as integers of one form, and any fault among them ended the process: 4.5, but 6.0 and 6e3, too. At SIGHUP the same file was refused, so that the former grace period held and the process overran the new one. Ruled out: the parser, which reads all of these. The fault of the decoder of `Limits` was not looked at, so that "MemoryMb": 260.0 meant the default of 256 in silence.

A bound, a limit or an optional address that cannot be read has its default and a line `settings_field_unreadable` with field, value and expected form, the same at the start and at SIGHUP; `settings_read` shows the values that hold.

--- a/Services/Entry/PlatformProgram.cpp
+++ b/Services/Entry/PlatformProgram.cpp
@@ -170,6 +170,8 @@
   void AwaitSignals();
   void OnSignal(int aSignal);
   void ReloadSettings();
+  /// Logs what of the settings cannot be read, and the limits and bounds that hold instead.
+  void LogSettings(const platform::BootSettings& aSettings) const;
   /// Hands over leadership, reports not ready and starts the timer that ends the process.
   void BeginShutdown();
   /// Closes connections late in the grace period and ends the process once requests are answered.
@@ -487,10 +489,32 @@
     this->log.Log(LogLevel::Error, "settings_refused", { { "reason", ErrorOf(loaded).message } });
     return;
   }
-  // Addresses are fixed while the process runs; only the grace period can change.
-  this->boot.gracePeriod = ValueOf(loaded).gracePeriod;
-  this->log.Log(
-    LogLevel::Info, "settings_reloaded", { { "grace_ms", this->boot.gracePeriod.count() } });
+  // Addresses and leases are fixed while the process runs; only the grace period can change.
+  const auto& settings = ValueOf(loaded);
+  this->boot.gracePeriod = settings.gracePeriod;
+  this->LogSettings(settings);
+  this->log.Log(LogLevel::Info,
+                "settings_reloaded",
+                { { "grace_ms", this->boot.gracePeriod.count() },
+                  { "needs_restart", platform::ListChangedBounds(this->boot, settings) } });
+}
+
+void
+PlatformProgram::LogSettings(const platform::BootSettings& aSettings) const
+{
+  for (const auto& fault : aSettings.faults) {
+    this->log.Log(LogLevel::Error, "settings_field_unreadable", { { "reason", fault } });
+  }
+  this->log.Log(LogLevel::Info,
+                "settings_read",
+                { { "grace_ms", aSettings.gracePeriod.count() },
+                  { "max_lease_ms", aSettings.maxLease.count() },
+                  { "max_stop_ms", aSettings.maxStopDuration.count() },
+                  { "status_retention_ms", aSettings.statusRetention.count() },
+                  { "evacuation_bound_ms", aSettings.evacuationBound.count() },
+                  { "millicores", aSettings.milliCores },
+                  { "memory_mib", aSettings.memoryMiB },
+                  { "descriptors", aSettings.maxDescriptors } });
 }
 
 void
@@ -560,6 +584,7 @@
                   { "zone", this->boot.zone },
                   { "callers", this->boot.callers.port },
                   { "threads", this->options.trafficThreads } });
+  this->LogSettings(this->boot);
   const TrafficThreads threads(this->traffic, this->options.trafficThreads);
   this->instance->Start();
   this->requestForwarder->Start();
