Entry: Read the settings once more at SIGTERM

What an operator saw: the settings file may change without any signal. A process that was asked to end kept the grace period of its start; if the new one is shorter, it was killed with requests open.

Cause: only SIGHUP read the file again.

Change: the shutdown begins with a reload.

--- a/Services/Entry/PlatformProgram.cpp
+++ b/Services/Entry/PlatformProgram.cpp
@@ -523,6 +523,8 @@
   if (this->shutdownStartedAt) {
     return;
   }
+  // The platform's grace period is that of the file, which may have changed without a signal.
+  this->ReloadSettings();
   this->shutdownStartedAt = this->clock.Now();
   this->log.Log(LogLevel::Info, "leaving", { { "grace_ms", this->boot.gracePeriod.count() } });
   this->instance->BeginShutdown();
--- a/Tests/Platform/Program/TestSettingsFile.cpp
+++ b/Tests/Platform/Program/TestSettingsFile.cpp
@@ -133,6 +133,16 @@
   EXPECT_EQ(this->process->WaitFor(kNewGraceTime), 0) << this->Log();
 }
 
+// Guards against the same when the file changes without a signal.
+TEST_F(SettingsFile, AChangeWithoutASignalHoldsAtTheShutdown)
+{
+  this->Write(kOldGrace);
+  ASSERT_TRUE(this->Start());
+  this->Write(kNewGrace);
+  this->process->Signal(SIGTERM);
+  EXPECT_EQ(this->process->WaitFor(kNewGraceTime), 0) << this->Log();
+}
+
 // Guards against a file that means one thing to a running process and another to one that starts.
 TEST_F(SettingsFile, AnUnreadableBoundMeansTheSameAtTheSignalAndAtTheStart)
 {
