--- a/Libraries/LibCell/Ports.h
+++ b/Libraries/LibCell/Ports.h
@@ -153,8 +153,9 @@
   std::string machine;
   /// When the worker's process started, Unix milliseconds.
   std::int64_t incarnation = 0;
-  /// How much longer the worker runs slowly after its start.
+  /// How much longer the worker runs slowly after its start; 0 if that cannot be read.
   Milliseconds coldLeft{ 0 };
+  bool hasUnreadableColdTime = false;
 
   /// @return the machine, or the worker's id if the row names none
   [[nodiscard]] const std::string& MachineOrId() const
--- a/Libraries/LibCell/WorkerDirectory.cpp
+++ b/Libraries/LibCell/WorkerDirectory.cpp
@@ -57,6 +57,7 @@
     return;
   }
   this->loggedRows.erase(id);
+  this->NoteColdTime(ValueOf(decoded));
   aChanges.listed.push_back(ValueOf(decoded));
   this->entries.insert_or_assign(id, std::move(ValueOf(decoded)));
 }
@@ -74,6 +75,21 @@
   }
 }
 
+void
+WorkerDirectory::NoteColdTime(const WorkerEntry& aEntry)
+{
+  if (!aEntry.hasUnreadableColdTime) {
+    this->loggedColdTimes.erase(aEntry.id);
+    return;
+  }
+  const bool isNew =
+    this->loggedColdTimes.size() < kMaxLoggedRows && this->loggedColdTimes.insert(aEntry.id).second;
+  if (isNew) {
+    this->log.Log(
+      LogLevel::Warning, "worker_cold_time_unreadable", { { "worker", aEntry.id.value } });
+  }
+}
+
 void
 WorkerDirectory::Unlist(const WorkerId& aWorker, Changes& aChanges)
 {
--- a/Libraries/LibCell/WorkerDirectory.h
+++ b/Libraries/LibCell/WorkerDirectory.h
@@ -46,11 +46,16 @@
   /// Counts a row that cannot be read, and logs it unless it was logged before.
   void OnUnreadableRow(const WorkerId& aId, const Verdict& aReason);
 
+  /// Logs a worker that is taken for warm since its cold time cannot be read, unless that was
+  /// logged before.
+  void NoteColdTime(const WorkerEntry& aEntry);
+
   Decoder decode;
   const Logger& log;
   Counter& unreadableRows;
   /// Unreadable rows that are logged already.
   std::set<WorkerId> loggedRows;
+  std::set<WorkerId> loggedColdTimes;
   std::map<WorkerId, WorkerEntry> entries;
 };
 
