--- a/Tests/Platform/TestNumberForms.cpp
+++ b/Tests/Platform/TestNumberForms.cpp
@@ -6,6 +6,7 @@
 #include <json/json.h>
 #include <platform/BootSettings.h>
 #include <platform/Decoders.h>
+#include <platform/WorkerMessages.h>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -136,6 +137,25 @@
   return { .value = value };
 }
 
+Reading
+ReadReport(const std::string& aText)
+{
+  std::size_t unreadable = 0;
+  const auto decoded = DecodeReport(aText, unreadable);
+  if (IsError(decoded)) {
+    return Refused(decoded);
+  }
+  const auto& report = ValueOf(decoded);
+  auto value = fmt::format("{} {}", report.clockMs, report.incarnation);
+  for (const auto& run : report.activeRuns) {
+    value += fmt::format(" {} {} {}", run.run, run.progressPercent, run.load);
+  }
+  for (const auto& run : report.endedRuns) {
+    value += fmt::format(" {} {}", run.sequence, run.run);
+  }
+  return { .value = value, .faults = unreadable > 0 ? "Running Ended" : "" };
+}
+
 /// Each number differs from the default of its field.
 const std::vector<Sample>&
 Samples()
@@ -158,6 +178,10 @@
 "EstimateMs":900},{"Count":20,"Cpu":2000,"After":[0],"AntiAffinity":3,"TargetMs":250,"MayMiss":2}],
 "Times":2,"InitialDelayMs":1800000000000,"IntervalMs":50})",
       .read = &ReadJob },
+    { .name = "report",
+      .text = R"({"ClockMs":482113,"born":17,"Running":[["5c0e7a21d94b36f8.0.1.17",2,"00b",41,500]],
+"Ended":[[58,"5c0e7a21d94b36f8.0.1.9",3,"done",""]]})",
+      .read = &ReadReport },
   };
   return samples;
 }
