LibCell: Saturate durations that are computed from declared figures

What could happen: a queue with a large `Stretch` or `DecideMs` (1e12 is accepted) has an objective or an expected duration of a call that overflows; the objective then lies in the past, and the call has timed out before it is sent.

Cause: conversions of a double to 64 bits without bounds.

Change: SaturatedMilliseconds; the two copies of the expected duration are one.

--- a/Libraries/LibCell/GangTickets.cpp
+++ b/Libraries/LibCell/GangTickets.cpp
@@ -26,8 +26,7 @@
   }
   const auto requests = CountRequests(aWorkers, aOptions);
   const auto workersPerRequest = (aWorkers + requests - 1) / requests;
-  return Milliseconds(static_cast<std::int64_t>(
-    aOptions.policy.baseMs + aOptions.policy.perWorkerMs * static_cast<double>(workersPerRequest)));
+  return ExpectedDuration(aOptions.policy, workersPerRequest);
 }
 
 /// @return the distinct workers with the time at which their tickets expire, the earliest first
--- a/Libraries/LibCell/Job.cpp
+++ b/Libraries/LibCell/Job.cpp
@@ -71,8 +71,8 @@
 Milliseconds
 ComputeObjective(const QueuePolicy& aQueue, Milliseconds aCriticalPath)
 {
-  return aQueue.slack + Milliseconds(static_cast<std::int64_t>(
-                          static_cast<double>(aCriticalPath.count()) * aQueue.stretch));
+  return aQueue.slack +
+         SaturatedMilliseconds(static_cast<double>(aCriticalPath.count()) * aQueue.stretch);
 }
 
 std::string_view
--- a/Libraries/LibCell/Specification.h
+++ b/Libraries/LibCell/Specification.h
@@ -33,8 +33,8 @@
 [[nodiscard]] inline Milliseconds
 ExpectedDuration(const AdvicePolicy& aPolicy, std::size_t aWorkers)
 {
-  return Milliseconds(static_cast<std::int64_t>(aPolicy.baseMs + aPolicy.perWorkerMs *
-                                                                   static_cast<double>(aWorkers)));
+  return SaturatedMilliseconds(aPolicy.baseMs +
+                               aPolicy.perWorkerMs * static_cast<double>(aWorkers));
 }
 
 /// Scheduling policy of a queue.
