platform: Leave out a ticket that cannot be read, not the response

What could happen: one row of another form in a response of the policy service costs all its tickets, and the step waits and asks again.

Cause: the decoder refused the whole response; it refused rows with a further field, too.

--- a/Libraries/LibCell/Ports.h
+++ b/Libraries/LibCell/Ports.h
@@ -353,6 +353,8 @@
 struct AdviceResponse
 {
   std::vector<Ticket> tickets;
+  /// Tickets that could not be read and are left out.
+  std::size_t unreadableTickets = 0;
 };
 
 /// The policy service.
--- a/Services/Entry/PlatformProgram.cpp
+++ b/Services/Entry/PlatformProgram.cpp
@@ -238,7 +238,7 @@
     if (IsError(adviceHttp)) {
       return ErrorOf(adviceHttp);
     }
-    this->advice = std::make_unique<platform::AdviceClient>(ValueOf(adviceHttp));
+    this->advice = std::make_unique<platform::AdviceClient>(ValueOf(adviceHttp), this->log);
   }
   auto workerHttp = this->HttpOptionsFor({}, 1, kOrderTimeout);
   workerHttp.connectTimeout = kWorkerConnectTimeout;
--- a/Tests/Platform/TestClients.cpp
+++ b/Tests/Platform/TestClients.cpp
@@ -153,7 +153,8 @@
   ScriptedPeer peer([](const ReceivedRequest&) {
     return Reply{ .body = R"({"Good":[["w2","t-2"]],"ValidMs":9})" };
   });
-  AdviceClient advice(ValueOf(HttpClient::Create(this->OptionsFor(peer))));
+  const Logger log({ .level = LogLevel::Error });
+  AdviceClient advice(ValueOf(HttpClient::Create(this->OptionsFor(peer))), log);
   const auto result = this->Await<cell::AdviceResponse>([&](auto aHandler) {
     advice.RequestAdvice(
       { .step = { { "0123456789abcdef" }, 0, 2 }, .workers = { { "w1" }, { "w2" } } },
@@ -167,4 +168,24 @@
   EXPECT_EQ(body["Workers"].size(), 2U);
 }
 
+// Guards against a response of the policy service that is lost for one odd ticket, and against odd
+// tickets that are left out in silence.
+TEST_F(Clients, AnUnreadableTicketCostsNoOther)
+{
+  ScriptedPeer peer([](const ReceivedRequest&) {
+    return Reply{ .body = R"({"Good":[["w1",7],["w2","t-2"],[],"w3",["w4","t-4","new field"]]})" };
+  });
+  const Logger log({ .level = LogLevel::Error });
+  AdviceClient advice(ValueOf(HttpClient::Create(this->OptionsFor(peer))), log);
+  const auto result = this->Await<cell::AdviceResponse>([&](auto aHandler) {
+    advice.RequestAdvice({ .step = { { "0123456789abcdef" }, 0, 2 }, .workers = { { "w1" } } },
+                         std::move(aHandler));
+  });
+  ASSERT_FALSE(IsError(result));
+  ASSERT_EQ(ValueOf(result).tickets.size(), 2U);
+  EXPECT_EQ(ValueOf(result).tickets[0].text, "t-2");
+  EXPECT_EQ(ValueOf(result).tickets[1].text, "t-4");
+  EXPECT_EQ(ValueOf(result).unreadableTickets, 3U);
+}
+
 }
--- a/Tests/Platform/TestReplyLimits.cpp
+++ b/Tests/Platform/TestReplyLimits.cpp
@@ -58,7 +58,9 @@
   Result<cell::AdviceResponse> Ask(const std::string& aBody)
   {
     ScriptedPeer peer([&](const ReceivedRequest&) { return Reply{ .body = aBody }; });
-    AdviceClient advice(ValueOf(HttpClient::Create(this->OptionsWith(peer, kAdviceReplyLimit))));
+    const Logger log({ .level = LogLevel::Error });
+    AdviceClient advice(ValueOf(HttpClient::Create(this->OptionsWith(peer, kAdviceReplyLimit))),
+                        log);
     return this->Await<cell::AdviceResponse>([&](auto aHandler) {
       advice.RequestAdvice({ .step = { { "0123456789abcdef" }, 0, 2 } }, std::move(aHandler));
     });
