platform: Keep a document one of whose fields cannot be read

What callers saw: with "SloMs": 3000.5, "Priority": 1.0 or "Maximum": {"Cpu": 150000.5} in one route or tenant, an instance that starts logs document_unreadable, never becomes ready, and answers all calls with 503.

Cause: any fault of any part made the whole document unreadable.

Change: only a version or a list that cannot be read still does. A route, service or tenant without a readable name is left out, a key that is no text as well; each other field has a default that takes nothing from others: the least urgent priority, one attempt, no preemption, and a closed limit, as 0 would mean none. Each has a line document_field_unreadable with the version, the field, its value (keys excepted) and the expected form. Real fractions of limits and objectives are rounded down, a limit not to 0.

RejectsMalformedDocuments asked that {"Routes":[{}]} is refused whole. That is the fault; it now asks that the route is left out and named, and that a list of another type is refused.

--- a/Libraries/LibCell/Policy.h
+++ b/Libraries/LibCell/Policy.h
@@ -54,6 +54,9 @@
   std::map<WorkspaceId, WorkspacePolicy> workspaces;
   std::unordered_map<std::string, WorkspaceId> workspaceByApiKey;
   std::unordered_map<QueueId, std::size_t> routeIndexByQueue;
+  /// Sentences about the parts of the document that cannot be read; they have defaults or are left
+  /// out.
+  std::vector<std::string> faults;
   /// Limits of a request's body and header.
   std::size_t maxBodyBytes = 262'144;
   std::size_t maxHeaderBytes = 16'384;
--- a/Libraries/LibInstance/CellInstance.cpp
+++ b/Libraries/LibInstance/CellInstance.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <ranges>
 #include <span>
 
 namespace zinc {
@@ -11,6 +12,9 @@
 using cell::CallerJobState;
 using cell::JobOutcome;
 
+/// Lines about single parts of a document that cannot be read.
+constexpr std::size_t kMaxDocumentFaultLines = 100;
+
 CallerJobState
 CallerStateOf(JobOutcome aOutcome, bool aHasStarted)
 {
@@ -187,12 +191,29 @@
                                { { "version", this->policy->version },
                                  { "queues", this->policy->routes.size() },
                                  { "keys", this->policy->workspaceByApiKey.size() } });
+    this->LogDocumentFaults();
     if (this->scheduler) {
       this->scheduler->SetPolicy(this->policy);
     }
   }
 }
 
+void
+CellInstance::LogDocumentFaults() const
+{
+  for (const auto& fault : this->policy->faults | std::views::take(kMaxDocumentFaultLines)) {
+    this->dependencies.log.Log(LogLevel::Error,
+                               "document_field_unreadable",
+                               { { "version", this->policy->version }, { "reason", fault } });
+  }
+  if (this->policy->faults.size() > kMaxDocumentFaultLines) {
+    this->dependencies.log.Log(
+      LogLevel::Error,
+      "document_fields_unreadable",
+      { { "version", this->policy->version }, { "fields", this->policy->faults.size() } });
+  }
+}
+
 void
 CellInstance::UpdateSchedulerZones(bool aHaveChanged)
 {
--- a/Libraries/LibInstance/CellInstance.h
+++ b/Libraries/LibInstance/CellInstance.h
@@ -185,6 +185,8 @@
   /// Starts the watch on the document's table with a full read.
   void StartDocumentWatcher();
   void OnDocumentRows(const cell::TableUpdate& aUpdate);
+  /// Logs the parts of the document in force that cannot be read.
+  void LogDocumentFaults() const;
   /// Hands the evacuated zones to the scheduler once they were read during its term, and whenever
   /// they change.
   void UpdateSchedulerZones(bool aHaveChanged);
--- a/Tests/Platform/TestDecoders.cpp
+++ b/Tests/Platform/TestDecoders.cpp
@@ -1,5 +1,6 @@
 #include <LibPlatform/Json.h>
 #include <fmt/format.h>
+#include <fmt/ranges.h>
 #include <gtest/gtest.h>
 #include <json/json.h>
 #include <platform/Base64.h>
@@ -57,9 +58,52 @@
 TEST(Decoders, RejectsMalformedDocuments)
 {
   for (const std::string_view text :
-       { "", "[]", "{\"Version\":1,\"Routes\":[{}]}", "{\"Version\":\"x\"}", "\xff" }) {
+       { "", "[]", "{\"Version\":1,\"Routes\":{}}", "{\"Version\":\"x\"}", "\xff" }) {
     EXPECT_TRUE(IsError(DecodeDocument(text))) << text;
   }
+  const auto withoutRoute = DecodeDocument("{\"Version\":1,\"Routes\":[{}]}");
+  ASSERT_FALSE(IsError(withoutRoute)) << "one malformed route costs no other";
+  EXPECT_TRUE(ValueOf(withoutRoute).routes.empty());
+  EXPECT_FALSE(ValueOf(withoutRoute).faults.empty());
+}
+
+// Guards against an instance that refuses every call since one field of one route or workspace
+// cannot be read, and against a limit or a priority that is lifted by it.
+TEST(Decoders, OneUnreadableFieldDoesNotCostTheDocument)
+{
+  constexpr std::string_view kFaulty = R"({"Version":12,
+    "Routes":[{"Name":"q1","Host":"h","PathPrefix":"/a/","Service":"s","Priority":"high",
+               "Attempts":2.5,"SloMs":-1,"Advice":7},
+              {"Name":"q2","Host":"h","PathPrefix":7,"Service":"s"},
+              7,
+              {"Name":"q3","Host":"h","PathPrefix":"/c/","Service":"s","Priority":1}],
+    "Services":[{"Name":"s"},{"Name":[]}],
+    "Limits":{"BodyBytes":"many","HeaderBytes":2000},
+    "Tenants":[{"Name":"t1","ApiKeys":["k1",2],"Weight":true,"Maximum":{"Cpu":"5000","MemMb":0.5}},
+               {"Name":7,"ApiKeys":["k2"]},
+               {"Name":"t3","ApiKeys":["k3"],"Maximum":7}]})";
+  const auto decoded = DecodeDocument(kFaulty);
+  ASSERT_FALSE(IsError(decoded)) << ErrorOf(decoded).message;
+  const auto& policy = ValueOf(decoded);
+  ASSERT_EQ(policy.routes.size(), 2U);
+  const auto& queue = policy.routes[0].queue;
+  EXPECT_GT(queue.priority, 0U) << "it must not preempt others";
+  EXPECT_EQ(queue.maxAttempts, 1U);
+  EXPECT_TRUE(queue.needsAdvice);
+  EXPECT_GT(queue.advice.ticketValidity, Milliseconds{ 0 });
+  EXPECT_EQ(policy.routes[1].queue.priority, 1U);
+  EXPECT_EQ(policy.pools.size(), 1U);
+  EXPECT_EQ(policy.maxBodyBytes, cell::CellPolicy{}.maxBodyBytes);
+  EXPECT_EQ(policy.maxHeaderBytes, 2000U);
+  EXPECT_EQ(policy.workspaceByApiKey.size(), 2U);
+  EXPECT_EQ(policy.workspaces.at({ "t1" }).quota, (Resources{ .milliCores = 1, .memoryMiB = 1 }))
+    << "0 would mean no limit";
+  EXPECT_EQ(policy.workspaces.at({ "t3" }).quota,
+            (Resources{ .milliCores = 1, .memoryMiB = 1, .accelerators = 1 }));
+  EXPECT_EQ(policy.faults.size(), 13U) << fmt::format("{}", fmt::join(policy.faults, "\n"));
+  for (const auto& fault : policy.faults) {
+    EXPECT_EQ(fault.find("k1"), std::string::npos) << "keys are secret: " << fault;
+  }
 }
 
 TEST(Decoders, DecodesAWorkerRow)
--- a/Tests/Platform/TestNumberForms.cpp
+++ b/Tests/Platform/TestNumberForms.cpp
@@ -101,6 +101,33 @@
            .faults = fmt::format("{}", fmt::join(settings.faults, " ")) };
 }
 
+Reading
+ReadDocument(const std::string& aText)
+{
+  const auto decoded = DecodeDocument(aText);
+  if (IsError(decoded)) {
+    return Refused(decoded);
+  }
+  const auto& policy = ValueOf(decoded);
+  auto value = fmt::format("{} {} {}", policy.version, policy.maxBodyBytes, policy.maxHeaderBytes);
+  for (const auto& route : policy.routes) {
+    const auto& queue = route.queue;
+    value += fmt::format(" {} {} {} {} {} {} {} {}",
+                         queue.name.value,
+                         queue.priority,
+                         queue.maxAttempts,
+                         queue.stretch,
+                         queue.slack.count(),
+                         queue.advice.baseMs,
+                         queue.advice.perWorkerMs,
+                         queue.advice.ticketValidity.count());
+  }
+  for (const auto& [name, workspace] : policy.workspaces) {
+    value += fmt::format(" {} {} {}", name.value, workspace.weight, Describe(workspace.quota));
+  }
+  return { .value = value, .faults = fmt::format("{}", fmt::join(policy.faults, " ")) };
+}
+
 Reading
 ReadWorkerEntry(const std::string& aText)
 {
@@ -167,6 +194,14 @@
 "MaxFds":4100,"LinkMbps":1000.0},"Bounds":{"SeedLagS":3,"GraceS":7,"HoldMaxMs":9000,"KillGraceMs":900,
 "status_s":60,"EvacMs":4000,"QuotaExcess":0.1,"MoveS":1.5},"platform":{"Address":"10.0.0.9:80"}})",
       .read = &ReadSettings },
+    { .name = "document",
+      .text = R"({"Version":12,"Routes":[{"Name":"q","Host":"h","PathPrefix":"/a/","Service":"s",
+"Priority":2,"SloMs":250,"TimeoutMs":3000,"Attempts":3,"Stretch":1.5,"Advice":{"DecideMs":5.5,
+"EachMs":0.25,"ValidMs":1500}},{"Name":"r","Host":"h","PathPrefix":"/b/","Service":"s"}],
+"Services":[{"Name":"s","MaxConns":64}],"Limits":{"BodyBytes":1000,"HeaderBytes":2000},
+"Tenants":[{"Name":"t","ApiKeys":["k"],"Weight":38,"Maximum":{"Cpu":5000,"MemMb":600,"Gpus":4}},
+{"Name":"u","ApiKeys":["l"]}]})",
+      .read = &ReadDocument },
     { .name = "worker",
       .text =
         R"({"Service":"s","Address":"10.0.0.1:80","Zone":"z","State":"ready","Seq":4,"Slots":8,
