LibCell: Renew short leases before they expire

Cause: a renewal waits at its worker for up to 0.7 s for an end, whatever the lease.

Change: it waits for a quarter of the lease at the most. Leases of 2.8 s and more are renewed as before on small cells, of 5.6 s on large ones.

With 5 ms runs still expire.

--- a/Libraries/LibCell/CellSchedulerWorkers.cpp
+++ b/Libraries/LibCell/CellSchedulerWorkers.cpp
@@ -153,7 +153,12 @@
   constexpr std::size_t kMsPerSecond = 1000;
   const Milliseconds wait(this->workers.Size() * kMsPerSecond /
                           this->options.idleRenewalsPerSecond);
-  return std::clamp(wait, this->options.renewalWait, this->options.maxRenewalWait);
+  // A short lease would expire while its worker waits for an end.
+  constexpr int kWaitsPerLease = 4;
+  const auto longest =
+    std::max(this->options.minRenewalInterval, this->options.maxLease / kWaitsPerLease);
+  return std::min(longest,
+                  std::clamp(wait, this->options.renewalWait, this->options.maxRenewalWait));
 }
 
 void
