LibCell: Give long tasks the time to show progress

Each run is stopped after 3 s, and all workers are avoided for 6 s at a time, so that the jobs have nothing running on an idle service.

Cause: a run hung if its percent had not changed for half its estimate, at most 2.5 s, while a percent of 384 s takes 3.8 s.

Change: HangDetection, a module of its own, waits for four percents at the slowest pace that was estimated or observed, never less than before; where the estimate is short, the time doubles with each further run of the task that seems to hang. A gang that waits for a member is stopped at the former time, before it times out at its workers.

--- a/Libraries/LibCell/CellSchedulerOptions.h
+++ b/Libraries/LibCell/CellSchedulerOptions.h
@@ -102,7 +102,9 @@
   Milliseconds maxEarlyStart{ 0 };
   /// A run that lasted this long before its worker crashed clears the earlier crashes of its task.
   Milliseconds minRunToClearCrashes{ 600'000 };
-  /// A run hangs if it makes no progress for half its estimate, or for this long if that is less.
+  /// A gang that waits for a member is stopped if it makes no progress for half its estimate, or
+  /// for this long if that is less; a run hangs after this long, or later if its percents take
+  /// longer.
   Milliseconds maxStallTimeout{ 2500 };
 };
 
--- a/Libraries/LibCell/CellSchedulerStops.cpp
+++ b/Libraries/LibCell/CellSchedulerStops.cpp
@@ -1,4 +1,5 @@
 #include <LibCell/CellScheduler.h>
+#include <LibCell/HangDetection.h>
 
 #include <algorithm>
 
@@ -163,17 +164,15 @@
 CellScheduler::StopStalledRuns(Worker& aWorker)
 {
   const auto now = this->dependencies.clock.Now();
-  constexpr Milliseconds kMinStallTimeout{ 1200 };
   constexpr int kDonePercent = 99;
   for (auto& allocation : aWorker.allocations) {
-    const auto timeout =
-      std::clamp(allocation.estimate / 2, kMinStallTimeout, this->options.maxStallTimeout);
-    const bool isStalled = allocation.phase == RunPhase::Running && !allocation.isService &&
-                           now - allocation.lastProgress > timeout &&
-                           now - allocation.startedAt > timeout;
+    const auto longest = this->options.maxStallTimeout;
+    const auto silence = now - std::max(allocation.lastProgress, allocation.startedAt);
+    const bool isSilent = allocation.phase == RunPhase::Running && !allocation.isService &&
+                          silence > GangStallTimeout(allocation.estimate, longest);
     // A gang member that has finished its own work waits for the others.
     const bool hasFinishedWork = allocation.progressPercent >= kDonePercent;
-    if (!isStalled || allocation.isBestEffort || hasFinishedWork) {
+    if (!isSilent || allocation.isBestEffort || hasFinishedWork) {
       continue;
     }
     if (this->AwaitsGangMembers(allocation)) {
@@ -181,9 +180,16 @@
       this->StopRun(aWorker, allocation, "gang_incomplete");
       continue;
     }
+    auto* task = this->FindOrCreateTask(allocation.task);
+    const RunPace pace{ .estimate = allocation.estimate,
+                        .slowestPercent = allocation.slowestPercent,
+                        .earlierHangs = task == nullptr ? 0 : task->stalledRuns };
+    if (silence <= HangTimeout(pace, longest)) {
+      continue;
+    }
     this->RecordRunOutcome(aWorker, allocation.task, true);
     this->StopRun(aWorker, allocation, "stands_still");
-    auto* task = this->FindOrCreateTask(allocation.task);
+    task = this->FindOrCreateTask(allocation.task);
     // A task that has stalled before is no evidence against this worker.
     if (task == nullptr || task->stalledRuns == 0) {
       aWorker.avoidUntil = now + this->options.quarantineDuration;
--- a/Libraries/LibCell/CellSchedulerWorkers.cpp
+++ b/Libraries/LibCell/CellSchedulerWorkers.cpp
@@ -477,10 +477,7 @@
       this->MarkJobStarted(*job);
     }
   }
-  if (aActiveRun.progressPercent != allocation->progressPercent) {
-    allocation->progressPercent = aActiveRun.progressPercent;
-    allocation->lastProgress = now;
-  }
+  allocation->NoteProgress(aActiveRun.progressPercent, now);
   allocation->load = aActiveRun.load;
   if (!aActiveRun.checkpoint.empty()) {
     allocation->checkpoint = aActiveRun.checkpoint;
--- a/Libraries/LibCell/Worker.cpp
+++ b/Libraries/LibCell/Worker.cpp
@@ -2,6 +2,20 @@
 
 namespace zinc::cell {
 
+void
+Allocation::NoteProgress(int aPercent, TimePoint aNow)
+{
+  if (aPercent == this->progressPercent) {
+    return;
+  }
+  if (aPercent > this->progressPercent) {
+    const auto timePerPercent = (aNow - this->lastProgress) / (aPercent - this->progressPercent);
+    this->slowestPercent = std::max(this->slowestPercent, timePerPercent);
+  }
+  this->progressPercent = aPercent;
+  this->lastProgress = aNow;
+}
+
 std::optional<double>
 Allocation::MeasureRunTimeRatio(TimePoint aNow) const
 {
--- a/Libraries/LibCell/Worker.h
+++ b/Libraries/LibCell/Worker.h
@@ -107,6 +107,8 @@
   int progressPercent = 0;
   /// When @ref progressPercent changed last.
   TimePoint lastProgress{};
+  /// The longest time that one percent has taken so far.
+  Milliseconds slowestPercent{ 0 };
   /// Tail latency in ms of a service task, otherwise CPU use in thousandths of a core.
   std::int64_t load = 0;
   /// Share of the time in which a best-effort task runs, as last ordered.
@@ -116,6 +118,9 @@
   /// Expected run time of the step; null if the run does not tell the speed of its worker.
   std::shared_ptr<StepTiming> timing;
 
+  /// Takes over the progress that a report tells.
+  void NoteProgress(int aPercent, TimePoint aNow);
+
   /// @return the run time of a run that ends now over its estimate; nothing if the run was resumed
   /// from a checkpoint or is too short to be measured
   [[nodiscard]] std::optional<double> MeasureRunTimeRatio(TimePoint aNow) const;
--- a/Tests/LibCell/SimulatedWorkers.cpp
+++ b/Tests/LibCell/SimulatedWorkers.cpp
@@ -10,8 +10,6 @@
 constexpr Milliseconds kMaxLease{ 6000 };
 /// By how much the clock of a worker's next incarnation is behind that of the previous one, ms.
 constexpr std::int64_t kClockReset = 100'000;
-/// Time in which a run's progress changes by one percent.
-constexpr std::int64_t kMsPerPercent = 50;
 constexpr std::int64_t kMaxPercent = 100;
 
 }
@@ -101,8 +99,8 @@
     report.activeRuns.back().progressPercent = aWorker.stalledPercent;
     const bool hangs = this->hangs && this->hangs(entry.task);
     if (!aWorker.isStalled && !hangs) {
-      report.activeRuns.back().progressPercent = static_cast<int>(
-        this->clock.Now().time_since_epoch().count() / kMsPerPercent % kMaxPercent);
+      report.activeRuns.back().progressPercent =
+        static_cast<int>(this->clock.Now().time_since_epoch() / this->timePerPercent % kMaxPercent);
     }
   }
   return report;
--- a/Tests/LibCell/SimulatedWorkers.h
+++ b/Tests/LibCell/SimulatedWorkers.h
@@ -135,6 +135,8 @@
   std::size_t rejections = 0;
   /// Ends that a report lists at most.
   std::size_t maxReportedEnds = 500;
+  /// Time in which a run's progress changes by one percent.
+  Milliseconds timePerPercent{ 50 };
   Milliseconds crashDelay{ 100 };
   Milliseconds restartDelay{ 2000 };
   /// Time from a restart until the new incarnation carries out start orders that were delayed.
--- a/Tests/LibCell/TestCellScheduler.cpp
+++ b/Tests/LibCell/TestCellScheduler.cpp
@@ -330,6 +330,34 @@
   EXPECT_EQ(this->workers.stops.size(), 1U);
 }
 
+// Guards against a task of minutes that is stopped again and again, since a percent of its work
+// takes longer than a hung run may be silent (review case 11).
+TEST_F(CellSchedulerTest, DoesNotStopARunWhosePercentsTakeLong)
+{
+  this->workers.timePerPercent = Milliseconds{ 3840 };
+  this->entries = { this->workers.Add("w1", 4) };
+  this->BeginTerm();
+  this->AcceptJob(MakeJob("job", 1, 2, 384'000));
+  this->RunFor(Milliseconds{ 60'000 });
+  EXPECT_EQ(this->workers.starts.size(), 1U);
+  EXPECT_TRUE(this->workers.stops.empty());
+}
+
+// Guards against the same where the estimate is short: a few runs are stopped, until one is given
+// the time in which it shows its pace.
+TEST_F(CellSchedulerTest, LearnsThatPercentsTakeLongerThanEstimated)
+{
+  this->workers.timePerPercent = Milliseconds{ 3840 };
+  this->entries = { this->workers.Add("w1", 4), this->workers.Add("w2", 4) };
+  this->BeginTerm();
+  this->AcceptJob(MakeJob("job", 1, 2, 4000));
+  this->RunFor(Milliseconds{ 60'000 });
+  const auto stops = this->workers.stops.size();
+  EXPECT_LE(stops, 4U);
+  this->RunFor(Milliseconds{ 60'000 });
+  EXPECT_EQ(this->workers.stops.size(), stops);
+}
+
 // The members of a gang have unequal work and end together. One at 100 percent waits for the others
 // and makes no progress, but does not hang.
 TEST_F(CellSchedulerTest, DoesNotStopAFinishedMemberThatWaitsForItsGang)
