--- a/Libraries/LibInstance/CellInstance.cpp
+++ b/Libraries/LibInstance/CellInstance.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <fmt/format.h>
-#include <ranges>
 #include <span>
 
 namespace zinc {
@@ -201,16 +200,17 @@
 void
 CellInstance::LogDocumentFaults() const
 {
-  for (const auto& fault : this->policy->faults | std::views::take(kMaxDocumentFaultLines)) {
+  const std::span<const std::string> faults(this->policy->faults);
+  for (const auto& fault : faults.first(std::min(faults.size(), kMaxDocumentFaultLines))) {
     this->dependencies.log.Log(LogLevel::Error,
                                "document_field_unreadable",
                                { { "version", this->policy->version }, { "reason", fault } });
   }
-  if (this->policy->faults.size() > kMaxDocumentFaultLines) {
+  if (faults.size() > kMaxDocumentFaultLines) {
     this->dependencies.log.Log(
       LogLevel::Error,
       "document_fields_unreadable",
-      { { "version", this->policy->version }, { "fields", this->policy->faults.size() } });
+      { { "version", this->policy->version }, { "fields", faults.size() } });
   }
 }
 
