LibPlatform: Append to the text whose huge numbers are replaced

Cause: the text was copied for each such number, so that a malformed body of many keeps the control thread busy. Change: one buffer. Measured: TestPlatform and TestAdapter pass; the cost was not measured.

--- a/Libraries/LibPlatform/JsonBounds.cpp
+++ b/Libraries/LibPlatform/JsonBounds.cpp
@@ -125,22 +125,23 @@
 std::optional<std::string>
 ClampHugeNumbers(std::string_view aText)
 {
-  std::optional<std::string> clamped;
+  std::string clamped;
   std::size_t copied = 0;
   ForEachToken(aText, [&](std::string_view aToken) {
     const bool isHuge = IsNumber(aToken) && IsFraction(aToken) &&
                         std::isinf(std::strtod(std::string(aToken).c_str(), nullptr));
     if (isHuge) {
       const auto begin = static_cast<std::size_t>(aToken.data() - aText.data());
-      clamped = clamped.value_or("") + std::string(aText.substr(copied, begin - copied)) +
-                (aToken.front() == '-' ? "-1e308" : "1e308");
+      clamped.append(aText.substr(copied, begin - copied));
+      clamped.append(aToken.front() == '-' ? "-1e308" : "1e308");
       copied = begin + aToken.size();
     }
     return true;
   });
-  if (clamped) {
-    clamped->append(aText.substr(copied));
+  if (copied == 0) {
+    return {};
   }
+  clamped.append(aText.substr(copied));
   return clamped;
 }
 
