--- a/Tests/Platform/TestOddEntries.cpp
+++ b/Tests/Platform/TestOddEntries.cpp
@@ -123,4 +123,21 @@
   EXPECT_EQ(ValueOf(batch).unreadableRows, 4U);
 }
 
+// Guards against a store that is taken for lost since it writes its numbers in another form.
+TEST_F(OddBatches, AreReadWithNumbersInOtherForms)
+{
+  ScriptedPeer peer([](const ReceivedRequest&) {
+    return ScriptedPeer::Reply{ .body = R"({"Ver":41.0,"NowMs":7e3,"rows":[)"
+                                        R"({"Table":"t","Key":"a","Value":"","Ver":9.0}]})" };
+  });
+  StoreClient store(ValueOf(HttpClient::Create(this->OptionsFor(peer))));
+  const auto batch = this->Await<cell::RowBatch>(
+    [&](auto aHandler) { store.Watch("t", 1, Milliseconds{ 0 }, std::move(aHandler)); });
+  ASSERT_FALSE(IsError(batch));
+  EXPECT_EQ(ValueOf(batch).version, 41U);
+  EXPECT_EQ(ValueOf(batch).storeTime, Milliseconds{ 7000 });
+  ASSERT_EQ(ValueOf(batch).rows.size(), 1U);
+  EXPECT_EQ(ValueOf(batch).rows[0].version, 9U);
+}
+
 }
